--- /dev/null
+++ b/src/caller/attempt.ts
@@ -0,0 +1,56 @@
+/** One attempt of a session, as the transport tells of it. */
+
+import type {
+  AnswerHead,
+  AttemptHandle,
+  AttemptObserver,
+} from '../transport/index.js';
+import {OUTCOME_HEADER} from './constants.js';
+import {findHeader, readLoad} from './headers.js';
+
+/** Whom an attempt tells. */
+export interface AttemptOwner {
+  answerBegan(attempt: Attempt): void;
+  answerChunk(attempt: Attempt, chunk: Buffer): void;
+  answerEnded(attempt: Attempt): void;
+  attemptFailed(attempt: Attempt, sent: boolean, error: Error): void;
+}
+
+export class Attempt implements AttemptObserver {
+  handle: AttemptHandle | undefined;
+  head: AnswerHead | undefined;
+  /** Requests at the upstream, as its answer says. */
+  load: number | undefined;
+
+  constructor(
+    private readonly owner: AttemptOwner,
+    readonly number: number,
+  ) {}
+
+  /** Whether the answer claims that the request was refused before running. */
+  saysNotRun(): boolean {
+    const head = this.head;
+    return (
+      head?.status === 503 &&
+      findHeader(head.headers, OUTCOME_HEADER) === 'not-run'
+    );
+  }
+
+  onHead(head: AnswerHead): void {
+    this.head = head;
+    this.load = readLoad(head.headers);
+    this.owner.answerBegan(this);
+  }
+
+  onData(chunk: Buffer): void {
+    this.owner.answerChunk(this, chunk);
+  }
+
+  onEnd(): void {
+    this.owner.answerEnded(this);
+  }
+
+  onFail(sent: boolean, error: Error): void {
+    this.owner.attemptFailed(this, sent, error);
+  }
+}
--- /dev/null
+++ b/src/caller/caller_server.ts
@@ -0,0 +1,180 @@
+/** The HTTP server that callers reach. */
+
+import type {IncomingMessage, Server, ServerResponse} from 'node:http';
+import {createServer} from 'node:http';
+import type {Socket} from 'node:net';
+import type {Rule} from '../decisions/configuration/index.js';
+import type {DispatchRequest} from '../decisions/dispatch/index.js';
+import type {ServiceRuntime} from '../service/index.js';
+import {
+  DEPTH_HEADER,
+  HEADERS_TIMEOUT_MS,
+  KEEP_ALIVE_MS,
+  MAX_HEADER_BYTES,
+  REQUEST_TIMEOUT_MS,
+  TIMEOUT_HEADER,
+} from './constants.js';
+import {findFramingFault} from './framing.js';
+import type {ProblemReason} from './problem.js';
+import {sendProblem} from './problem.js';
+import type {RequestBody} from './request_body.js';
+import {hasBody, readBody} from './request_body.js';
+import {CallerSession} from './session.js';
+import type {CallerContext} from './types.js';
+import {listen} from '../servers/index.js';
+
+const UNNAMED_TENANT = 'none';
+const PARSE_ERROR_STATUSES: Readonly<Record<string, string>> = {
+  HPE_HEADER_OVERFLOW: '431 Request Header Fields Too Large',
+  ERR_HTTP_REQUEST_TIMEOUT: '408 Request Timeout',
+};
+
+export class CallerServer {
+  private readonly server: Server;
+  private nextRequestId = 1;
+  private stopping = false;
+
+  constructor(private readonly context: CallerContext) {
+    this.server = createServer(
+      {
+        maxHeaderSize: MAX_HEADER_BYTES,
+        headersTimeout: HEADERS_TIMEOUT_MS,
+        requestTimeout: REQUEST_TIMEOUT_MS,
+        keepAliveTimeout: KEEP_ALIVE_MS,
+        requireHostHeader: false,
+      },
+      (request, response) => this.accept(request, response),
+    );
+    this.server.on('checkExpectation', (request, response) => {
+      this.accept(request, response);
+    });
+    this.server.on('clientError', refuseUnparsable);
+  }
+
+  /** Listens; resolves with the port in use. */
+  listen(host: string, port: number): Promise<number> {
+    return listen(this.server, host, port);
+  }
+
+  /**
+   * Stops accepting connections and lets requests in flight finish. Answers
+   * from now on close their connection, so that keep-alive callers go away.
+   */
+  close(): Promise<void> {
+    this.stopping = true;
+    return new Promise(resolve => {
+      this.server.close(() => resolve());
+      this.server.closeIdleConnections();
+    });
+  }
+
+  /** Cuts what has not finished by the last deadline. */
+  cutOff(): void {
+    this.server.closeAllConnections();
+  }
+
+  private accept(request: IncomingMessage, response: ServerResponse): void {
+    if (this.stopping) {
+      response.setHeader('connection', 'close');
+    }
+    const fault = findFramingFault(request);
+    if (fault) {
+      this.refuse(response, fault.reason, fault.detail);
+      return;
+    }
+    if (!this.context.isInService()) {
+      this.refuse(response, 'not-ready');
+      return;
+    }
+    const {host = ''} = request.headers;
+    const runtime = this.context.services.findByHost(host);
+    if (!runtime) {
+      this.refuse(response, 'unknown-service', `no service for ${host}`);
+      return;
+    }
+    this.serve(request, response, runtime);
+  }
+
+  private serve(
+    request: IncomingMessage,
+    response: ServerResponse,
+    runtime: ServiceRuntime,
+  ): void {
+    const path = (request.url ?? '/').split('?', 1)[0] ?? '/';
+    const rule = runtime.findRule(request.method ?? 'GET', path);
+    if (!hasBody(request)) {
+      this.start(request, response, runtime, rule, {kind: 'none'});
+      return;
+    }
+    readBody(request).then(
+      body => this.start(request, response, runtime, rule, body),
+      () => this.refuse(response, 'request-body-broken'),
+    );
+  }
+
+  private start(
+    request: IncomingMessage,
+    response: ServerResponse,
+    runtime: ServiceRuntime,
+    rule: Rule,
+    body: RequestBody,
+  ): void {
+    const dispatch = this.describe(request, rule);
+    new CallerSession(
+      request,
+      response,
+      runtime,
+      rule,
+      dispatch,
+      body,
+      this.context,
+    ).start();
+  }
+
+  private describe(request: IncomingMessage, rule: Rule): DispatchRequest {
+    const {headers} = request;
+    const id = this.nextRequestId;
+    this.nextRequestId += 1;
+    const asked = Number(headers[TIMEOUT_HEADER] ?? Infinity);
+    const allowed = asked >= 0 ? Math.min(rule.deadline, asked) : rule.deadline;
+    const repeatable = rule.kind === 'repeatable';
+    const tenant = headers[this.context.tenantHeader];
+    return {
+      id,
+      class: rule.class,
+      tenant: typeof tenant === 'string' ? tenant : UNNAMED_TENANT,
+      repeatable,
+      deadlineAt: this.context.clock.now() + allowed,
+      retries: repeatable ? rule.retries : 0,
+      hedge: rule.hedge === 'on',
+      depth: Number(headers[DEPTH_HEADER] ?? 0),
+    };
+  }
+
+  private refuse(
+    response: ServerResponse,
+    reason: ProblemReason,
+    detail?: string,
+  ): void {
+    this.context.metrics.refusals.inc({
+      service: 'none',
+      reason,
+      outcome: 'not-run',
+    });
+    // The body that may follow must not be read as the next request.
+    response.setHeader('connection', 'close');
+    sendProblem(response, {reason, outcome: 'not-run', detail});
+  }
+}
+
+/** Answers what the HTTP parser rejects; nothing of it was forwarded. */
+function refuseUnparsable(error: NodeJS.ErrnoException, socket: Socket): void {
+  if (error.code === 'ECONNRESET' || !socket.writable) {
+    socket.destroy();
+    return;
+  }
+  const status = PARSE_ERROR_STATUSES[error.code ?? ''] ?? '400 Bad Request';
+  socket.end(
+    `HTTP/1.1 ${status}\r\nconnection: close\r\ncontent-length: 0\r\ncyclamenlever-outcome: not-run\r\n\r\n`,
+  );
+}
--- /dev/null
+++ b/src/caller/framing.ts
@@ -0,0 +1,70 @@
+/**
+ * Checks a caller's request before anything is forwarded.
+ *
+ * Answers request smuggling: if balancer and upstream disagree where a request
+ * ends, the rest of one caller's bytes becomes the start of another's request.
+ * Whatever could be read in two ways is refused.
+ */
+
+import type {IncomingMessage} from 'node:http';
+import {MAX_DEPTH, MAX_URL_BYTES, DEPTH_HEADER} from './constants.js';
+import type {ProblemReason} from './problem.js';
+
+/** Why a request is refused, if it is. */
+export interface FramingFault {
+  readonly reason: ProblemReason;
+  readonly detail: string;
+}
+
+const SUPPORTED_METHODS: ReadonlySet<string> = new Set([
+  'GET',
+  'HEAD',
+  'POST',
+  'PUT',
+  'PATCH',
+  'DELETE',
+  'OPTIONS',
+]);
+
+export function findFramingFault(
+  request: IncomingMessage,
+): FramingFault | undefined {
+  const {method = '', url = '', headers} = request;
+  if (!SUPPORTED_METHODS.has(method)) {
+    return {reason: 'method-not-allowed', detail: `method ${method}`};
+  }
+  if (url.length > MAX_URL_BYTES) {
+    return {reason: 'uri-too-long', detail: `over ${MAX_URL_BYTES} bytes`};
+  }
+  if (!url.startsWith('/')) {
+    return {reason: 'bad-request', detail: 'the target must be a path'};
+  }
+  if (headers.expect !== undefined) {
+    return {reason: 'expectation-failed', detail: 'send without Expect'};
+  }
+  return findHeaderFault(request);
+}
+
+function findHeaderFault(request: IncomingMessage): FramingFault | undefined {
+  const {headers, headersDistinct} = request;
+  if ((headersDistinct.host?.length ?? 0) !== 1) {
+    return {reason: 'bad-request', detail: 'send exactly one Host'};
+  }
+  const coding = headers['transfer-encoding'];
+  if (coding !== undefined && coding.toLowerCase() !== 'chunked') {
+    return {reason: 'bad-request', detail: `transfer coding ${coding}`};
+  }
+  if (coding !== undefined && headers['content-length'] !== undefined) {
+    return {
+      reason: 'bad-request',
+      detail: 'both Content-Length and Transfer-Encoding',
+    };
+  }
+  const depth = Number(headers[DEPTH_HEADER] ?? 0);
+  if (!Number.isInteger(depth) || depth < 0) {
+    return {reason: 'bad-request', detail: `${DEPTH_HEADER} is no number`};
+  }
+  return depth > MAX_DEPTH
+    ? {reason: 'loop-detected', detail: `over ${MAX_DEPTH} calls deep`}
+    : undefined;
+}
--- /dev/null
+++ b/src/caller/problem.ts
@@ -0,0 +1,102 @@
+/** Answers the balancer makes itself, as problem details (RFC 9457). */
+
+import type {ServerResponse} from 'node:http';
+import type {Outcome, RefusalReason} from '../decisions/dispatch/index.js';
+import type {Milliseconds} from '../time/index.js';
+import {OUTCOME_HEADER} from './constants.js';
+
+export type ProblemReason =
+  | RefusalReason
+  | 'bad-request'
+  | 'uri-too-long'
+  | 'loop-detected'
+  | 'method-not-allowed'
+  | 'expectation-failed'
+  | 'unknown-service'
+  | 'not-ready'
+  | 'claims-unavailable'
+  | 'order-in-progress'
+  | 'order-outcome-unknown'
+  | 'key-reused'
+  | 'request-body-broken'
+  | 'request-timeout';
+
+interface ProblemKind {
+  readonly status: number;
+  readonly title: string;
+}
+
+const PROBLEMS: Readonly<Record<ProblemReason, ProblemKind>> = {
+  'queue-full': {status: 503, title: 'Too many requests are waiting'},
+  'cannot-meet-deadline': {
+    status: 503,
+    title: 'The deadline could not be met',
+  },
+  'deadline-passed': {status: 504, title: 'The deadline passed while waiting'},
+  'no-upstream': {status: 503, title: 'The service has no upstream'},
+  'upstreams-refused': {status: 503, title: 'Upstreams took no request'},
+  'attempt-broken': {status: 502, title: 'No whole answer came'},
+  'attempt-timed-out': {status: 504, title: 'The upstream did not answer'},
+  'bad-request': {status: 400, title: 'The request is ambiguous or broken'},
+  'uri-too-long': {status: 414, title: 'The URL is too long'},
+  'loop-detected': {status: 508, title: 'Too many calls deep'},
+  'method-not-allowed': {status: 405, title: 'The method is not supported'},
+  'expectation-failed': {status: 417, title: 'Expect is not supported'},
+  'unknown-service': {status: 404, title: 'No service has this host name'},
+  'not-ready': {status: 503, title: 'This entry host is not in service'},
+  'claims-unavailable': {
+    status: 503,
+    title: 'The order could not be claimed',
+  },
+  'order-in-progress': {status: 409, title: 'The same order is being run'},
+  'order-outcome-unknown': {
+    status: 409,
+    title: 'The same order was sent before; its outcome is not known',
+  },
+  'key-reused': {
+    status: 422,
+    title: 'The idempotency key belongs to another order',
+  },
+  'request-body-broken': {status: 400, title: 'The body did not arrive whole'},
+  'request-timeout': {status: 408, title: 'The request arrived too slowly'},
+};
+
+const REMEDIES: Readonly<Record<Outcome, string>> = {
+  'not-run': 'It was not run: it may be sent again.',
+  unknown: 'It may have run: ask for its state before sending it again.',
+};
+
+export interface Problem {
+  readonly reason: ProblemReason;
+  readonly outcome: Outcome;
+  readonly detail?: string;
+  readonly retryAfterMs?: Milliseconds;
+}
+
+/** Answers with a problem, if nothing has been answered yet. */
+export function sendProblem(response: ServerResponse, problem: Problem): void {
+  if (response.headersSent || response.destroyed) {
+    response.destroy();
+    return;
+  }
+  const {status, title} = PROBLEMS[problem.reason];
+  const body = Buffer.from(
+    JSON.stringify({
+      type: `urn:cyclamenlever:${problem.reason}`,
+      title,
+      status,
+      detail: problem.detail,
+      outcome: problem.outcome,
+      remedy: REMEDIES[problem.outcome],
+    }),
+  );
+  response.statusCode = status;
+  response.setHeader('content-type', 'application/problem+json');
+  response.setHeader('content-length', body.length);
+  response.setHeader(OUTCOME_HEADER, problem.outcome);
+  if (problem.retryAfterMs !== undefined) {
+    const seconds = Math.max(1, Math.ceil(problem.retryAfterMs / 1000));
+    response.setHeader('retry-after', seconds);
+  }
+  response.end(body);
+}
--- /dev/null
+++ b/src/caller/session.ts
@@ -0,0 +1,262 @@
+/** One caller request from its head to its final outcome. */
+
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {Readable} from 'node:stream';
+import type {Rule, Upstream} from '../decisions/configuration/index.js';
+import type {
+  DispatchDecision,
+  DispatchRequest,
+} from '../decisions/dispatch/index.js';
+import type {RequestOutcome} from '../metrics/index.js';
+import type {RequestHandler, ServiceRuntime} from '../service/index.js';
+import {connectionShare} from '../service/index.js';
+import type {Milliseconds} from '../time/index.js';
+import {Attempt} from './attempt.js';
+import {DEPTH_HEADER, TIMEOUT_HEADER} from './constants.js';
+import {answerHeaders, requestHeaders} from './headers.js';
+import type {Problem} from './problem.js';
+import {sendProblem} from './problem.js';
+import type {RequestBody} from './request_body.js';
+import type {CallerContext} from './types.js';
+
+export class CallerSession implements RequestHandler {
+  private readonly attempts = new Map<number, Attempt>();
+  private readonly startedAt: Milliseconds;
+  private readonly forwarded: readonly string[];
+  private timer: NodeJS.Timeout | undefined;
+  /** The attempt whose answer goes to the caller. */
+  private delivering: Attempt | undefined;
+  private finished = false;
+
+  constructor(
+    private readonly request: IncomingMessage,
+    private readonly response: ServerResponse,
+    private readonly runtime: ServiceRuntime,
+    private readonly rule: Rule,
+    private readonly dispatch: DispatchRequest,
+    private readonly body: RequestBody,
+    private readonly context: CallerContext,
+  ) {
+    this.startedAt = context.clock.now();
+    this.forwarded = requestHeaders(request.rawHeaders);
+  }
+
+  start(): void {
+    const left = this.dispatch.deadlineAt - this.context.clock.now();
+    this.timer = setTimeout(() => this.expire(), Math.max(0, left));
+    this.response.on('close', () => this.callerClosed());
+    this.runtime.submit(this.dispatch, this);
+  }
+
+  send(number: number, upstream: Upstream, hedged: boolean): void {
+    const kind = hedged ? 'hedge' : number === 0 ? 'first' : 'retry';
+    const service = this.runtime.service.name;
+    this.context.metrics.attempts.inc({service, kind});
+    const attempt = new Attempt(this, number);
+    this.attempts.set(number, attempt);
+    const connections = connectionShare(upstream, this.context.maxHosts);
+    attempt.handle = this.context.transport.send(
+      {
+        address: upstream.at,
+        method: this.request.method ?? 'GET',
+        path: this.request.url ?? '/',
+        headers: this.attemptHeaders(),
+        body: bodyOf(this.body),
+      },
+      connections,
+      attempt,
+    );
+  }
+
+  cancel(number: number): void {
+    const attempt = this.attempts.get(number);
+    this.attempts.delete(number);
+    attempt?.handle?.cancel();
+    if (attempt && attempt === this.delivering) {
+      // Cancelled although it had begun: the deadline passed.
+      this.breakOff();
+    }
+  }
+
+  deliverError(number: number): void {
+    const attempt = this.attempts.get(number);
+    if (attempt) {
+      this.deliver(attempt);
+      attempt.handle?.resume();
+    }
+  }
+
+  refuse(decision: Extract<DispatchDecision, {kind: 'refuse'}>): void {
+    const {reason, outcome, retryAfterMs} = decision;
+    this.finishWith({reason, outcome, retryAfterMs});
+  }
+
+  /** An attempt's answer began; `status` decides whether it is wanted. */
+  answerBegan(attempt: Attempt): void {
+    const id = {requestId: this.dispatch.id, attempt: attempt.number};
+    if (attempt.head && attempt.head.status >= 500) {
+      this.takeErrorAnswer(attempt);
+      return;
+    }
+    this.runtime.tell({kind: 'started', ...id});
+    this.deliver(attempt);
+  }
+
+  answerChunk(attempt: Attempt, chunk: Buffer): void {
+    if (attempt !== this.delivering) {
+      return;
+    }
+    if (!this.response.write(chunk)) {
+      attempt.handle?.pause();
+      this.response.once('drain', () => attempt.handle?.resume());
+    }
+  }
+
+  answerEnded(attempt: Attempt): void {
+    this.attempts.delete(attempt.number);
+    this.runtime.tell({
+      kind: 'answered',
+      requestId: this.dispatch.id,
+      attempt: attempt.number,
+      load: attempt.load,
+    });
+    if (attempt === this.delivering) {
+      this.response.end();
+      this.finish('answered');
+    }
+  }
+
+  attemptFailed(attempt: Attempt, sent: boolean, error: Error): void {
+    this.attempts.delete(attempt.number);
+    const committed = attempt === this.delivering;
+    this.context.logger.debug(
+      {
+        service: this.runtime.service.name,
+        request: this.dispatch.id,
+        sent,
+        committed,
+        error: error.message,
+      },
+      'attempt failed',
+    );
+    this.runtime.tell({
+      kind: 'failed',
+      failure: sent ? 'broken' : 'unsent',
+      requestId: this.dispatch.id,
+      attempt: attempt.number,
+      committed,
+      unrepeatable: sent && this.body.kind === 'stream',
+    });
+    if (committed) {
+      this.breakOff();
+    }
+  }
+
+  /**
+   * A 5xx answer waits while it is decided whether a better one can be had.
+   * When not, it is delivered; otherwise its connection is closed.
+   */
+  private takeErrorAnswer(attempt: Attempt): void {
+    attempt.handle?.pause();
+    const shed =
+      this.runtime.service.shed === 'trusted' && attempt.saysNotRun();
+    this.runtime.tell({
+      kind: 'failed',
+      failure: shed ? 'shed' : 'error',
+      requestId: this.dispatch.id,
+      attempt: attempt.number,
+      load: attempt.load,
+      unrepeatable: this.body.kind === 'stream',
+    });
+    if (attempt !== this.delivering) {
+      this.attempts.delete(attempt.number);
+      attempt.handle?.cancel();
+    }
+  }
+
+  private deliver(attempt: Attempt): void {
+    if (!attempt.head || this.response.destroyed) {
+      return;
+    }
+    this.delivering = attempt;
+    const {status, headers} = attempt.head;
+    this.response.writeHead(status, answerHeaders(headers));
+  }
+
+  /**
+   * Cuts the caller's connection: the answer began and cannot become whole,
+   * and only a cut tells the caller so.
+   */
+  private breakOff(): void {
+    if (!this.response.writableFinished) {
+      this.response.destroy();
+    }
+    this.finish('unknown');
+  }
+
+  private finishWith(problem: Problem): void {
+    this.context.metrics.refusals.inc({
+      service: this.runtime.service.name,
+      reason: problem.reason,
+      outcome: problem.outcome,
+    });
+    sendProblem(this.response, problem);
+    this.finish(problem.outcome);
+  }
+
+  private expire(): void {
+    this.runtime.tell({kind: 'expired', requestId: this.dispatch.id});
+    // An error answer being delivered is no longer the decisions' business.
+    if (!this.finished) {
+      this.breakOff();
+    }
+  }
+
+  private callerClosed(): void {
+    if (this.response.writableFinished) {
+      return;
+    }
+    this.runtime.tell({kind: 'abandoned', requestId: this.dispatch.id});
+    this.finish('abandoned');
+  }
+
+  private finish(outcome: RequestOutcome): void {
+    if (this.finished) {
+      return;
+    }
+    this.finished = true;
+    clearTimeout(this.timer);
+    this.runtime.forget(this.dispatch.id);
+    this.attempts.forEach(attempt => attempt.handle?.cancel());
+    this.attempts.clear();
+    this.context.metrics.observeRequest(
+      {service: this.rule.service, class: this.rule.class, outcome},
+      this.dispatch.tenant,
+      this.context.clock.now() - this.startedAt,
+    );
+  }
+
+  private attemptHeaders(): string[] {
+    const left = this.dispatch.deadlineAt - this.context.clock.now();
+    return [
+      ...this.forwarded,
+      TIMEOUT_HEADER,
+      String(Math.max(0, Math.floor(left))),
+      DEPTH_HEADER,
+      String(this.dispatch.depth + 1),
+    ];
+  }
+}
+
+function bodyOf(body: RequestBody): Buffer | Readable | null {
+  switch (body.kind) {
+    case 'none':
+      return null;
+    case 'held':
+      return body.bytes;
+    case 'stream':
+      return body.stream;
+    default:
+      return body satisfies never;
+  }
+}
--- /dev/null
+++ b/src/commands/change.ts
@@ -0,0 +1,12 @@
+import {buildObject} from './attributes.js';
+import type {Command} from './types.js';
+import {requireTarget, targetKey} from './types.js';
+
+export const change: Command = {
+  name: 'change',
+  predicate: requireTarget,
+  perform: (draft, statement) =>
+    buildObject(statement, draft.get(targetKey(statement.target))).map(object =>
+      draft.put(object),
+    ),
+};
--- /dev/null
+++ b/src/configuration/index.ts
@@ -0,0 +1,2 @@
+export type {LogListener, Submission} from './log_follower.js';
+export {LogFollower} from './log_follower.js';
--- /dev/null
+++ b/src/configuration/log_follower.ts
@@ -0,0 +1,220 @@
+/** Keeps this host's configuration at the end of the log. */
+
+import type {Logger} from 'pino';
+import type {
+  Change,
+  ConfigurationSnapshot,
+  Offset,
+  Verdict,
+} from '../decisions/configuration/index.js';
+import {
+  ConfigurationStore,
+  Replay,
+  parseConfigurationRecord,
+  serviceOfKey,
+} from '../decisions/configuration/index.js';
+import type {LogPage, LogRecord, PlatformLog} from '../platform/index.js';
+import type {Clock, Milliseconds} from '../time/index.js';
+
+const PAGE_RECORDS = 1_000;
+/** How long one read waits for news. */
+const LONG_POLL_MS: Milliseconds = 500;
+const RETRY_MS: Milliseconds = 200;
+
+/** Told of what the log brought. */
+export interface LogListener {
+  onConfigured(services: ReadonlySet<string>): void;
+  /** Every record with its parsed body, for consumers of other streams. */
+  onRecord(record: LogRecord, body: unknown): void;
+}
+
+export class LogFollower {
+  readonly store = new ConfigurationStore();
+  private readonly replay = new Replay(this.store);
+  /** When the last read that reached the end of the log was sent. */
+  private currentAt: Milliseconds = -Infinity;
+  private stopped = false;
+  private loop: Promise<void> | undefined;
+  private waiters: (() => void)[] = [];
+
+  constructor(
+    private readonly log: PlatformLog,
+    private readonly clock: Clock,
+    private readonly logger: Logger,
+    private readonly listener: LogListener,
+  ) {}
+
+  /** Time since everything on the log was known here. */
+  get age(): Milliseconds {
+    return this.clock.now() - this.currentAt;
+  }
+
+  get hasGap(): boolean {
+    return this.replay.hasGap;
+  }
+
+  /** Whether the state stands on the log's own records or a checkpoint. */
+  get isComplete(): boolean {
+    return this.currentAt > -Infinity && !this.replay.hasGap;
+  }
+
+  start(): void {
+    this.loop = this.follow();
+  }
+
+  async stop(): Promise<void> {
+    this.stopped = true;
+    this.wakeWaiters();
+    await this.loop;
+  }
+
+  /** Reads once; true if the end of the log was reached. */
+  async readOnce(waitMs: Milliseconds): Promise<boolean> {
+    const sentAt = this.clock.now();
+    const page = await this.log.read(this.replay.next, PAGE_RECORDS, waitMs);
+    if (page.isErr()) {
+      this.logger.warn({failure: page.error}, 'the log cannot be read');
+      this.wakeWaiters();
+      return false;
+    }
+    this.take(page.value);
+    const reachedEnd = this.replay.next >= page.value.end;
+    if (reachedEnd) {
+      this.currentAt = sentAt;
+    }
+    this.wakeWaiters();
+    return reachedEnd;
+  }
+
+  /**
+   * Appends a change and reads until its verdict is known. A lost reply
+   * proves nothing: the id is looked for on the log, and appended again only
+   * when the log was read to its end without it. A doubled id has one effect.
+   */
+  async submit(change: Change, timeoutMs: Milliseconds): Promise<Submission> {
+    const until = this.clock.now() + timeoutMs;
+    const body = JSON.stringify(change);
+    let mayBeThere = false;
+    while (this.clock.now() < until && !this.stopped) {
+      const appended = await this.log.append(body);
+      if (
+        appended.isErr() &&
+        appended.error.kind === 'refused' &&
+        !mayBeThere
+      ) {
+        return {kind: 'refused', message: appended.error.message};
+      }
+      mayBeThere = true;
+      const verdict = await this.awaitVerdict(
+        change.id,
+        until,
+        appended.isOk(),
+      );
+      if (verdict) {
+        return {kind: 'judged', verdict};
+      }
+    }
+    return {kind: 'unknown'};
+  }
+
+  snapshot(): ConfigurationSnapshot {
+    return this.store.snapshot();
+  }
+
+  /** Takes over a peer's newer state. */
+  restore(snapshot: ConfigurationSnapshot): boolean {
+    const before = this.allServices();
+    const restored = this.replay.restore(snapshot);
+    if (restored) {
+      this.listener.onConfigured(new Set([...before, ...this.allServices()]));
+    }
+    return restored;
+  }
+
+  /** Resolves once records up to `offset` are in force, or at the time. */
+  async waitFor(offset: Offset, until: Milliseconds): Promise<boolean> {
+    while (this.store.next <= offset) {
+      if (this.stopped || this.clock.now() > until) {
+        return false;
+      }
+      await this.nextRead();
+    }
+    return true;
+  }
+
+  /** Looks for a verdict until found, the end is read, or time is up. */
+  private async awaitVerdict(
+    id: string,
+    until: Milliseconds,
+    certain: boolean,
+  ): Promise<Verdict | undefined> {
+    const askedAt = this.clock.now();
+    while (this.clock.now() < until && !this.stopped) {
+      const verdict = this.store.verdictOf(id);
+      if (verdict) {
+        return verdict;
+      }
+      if (!certain && this.currentAt > askedAt) {
+        return undefined;
+      }
+      await this.nextRead();
+    }
+    return undefined;
+  }
+
+  private async follow(): Promise<void> {
+    while (!this.stopped) {
+      const before = this.clock.now();
+      const reached = await this.readOnce(LONG_POLL_MS);
+      if (!reached && this.clock.now() - before < RETRY_MS) {
+        await new Promise(resolve => setTimeout(resolve, RETRY_MS));
+      }
+    }
+  }
+
+  private take(page: LogPage): void {
+    const records = page.records.map(record => {
+      const body = parseJson(record.body);
+      this.listener.onRecord(record, body);
+      return {offset: record.offset, record: parseConfigurationRecord(body)};
+    });
+    const changed = this.replay.feed({records, first: page.first});
+    if (changed.size > 0) {
+      this.listener.onConfigured(changed);
+    }
+  }
+
+  private allServices(): ReadonlySet<string> {
+    const services = new Set<string>();
+    for (const [key] of this.store.entries()) {
+      services.add(serviceOfKey(key));
+    }
+    return services;
+  }
+
+  private nextRead(): Promise<void> {
+    return new Promise(resolve => this.waiters.push(resolve));
+  }
+
+  private wakeWaiters(): void {
+    const waiters = this.waiters;
+    this.waiters = [];
+    waiters.forEach(wake => wake());
+  }
+}
+
+/** What became of a submitted change. */
+export type Submission =
+  | {readonly kind: 'judged'; readonly verdict: Verdict}
+  /** Certainly without effect. */
+  | {readonly kind: 'refused'; readonly message: string}
+  /** The log could not be read: it may take effect later. */
+  | {readonly kind: 'unknown'};
+
+function parseJson(text: string): unknown {
+  try {
+    return JSON.parse(text);
+  } catch {
+    return undefined;
+  }
+}
--- /dev/null
+++ b/src/control/control_server.ts
@@ -0,0 +1,52 @@
+/** Serves the control port. */
+
+import {timingSafeEqual} from 'node:crypto';
+import type {IncomingMessage, Server} from 'node:http';
+import {createServer} from 'node:http';
+import {createHTTPHandler} from '@trpc/server/adapters/standalone';
+import type {ControlRouter, Credential} from './router.js';
+import {KEY_HEADER} from './router.js';
+import {closeNow, listen} from '../servers/index.js';
+
+export interface ControlKeys {
+  readonly fleet: string;
+  readonly operator: string;
+}
+
+export class ControlServer {
+  private readonly server: Server;
+
+  constructor(router: ControlRouter, keys: ControlKeys) {
+    const handler = createHTTPHandler({
+      router,
+      createContext: ({req}) => ({credential: credentialOf(req, keys)}),
+    });
+    this.server = createServer(handler);
+  }
+
+  listen(host: string, port: number): Promise<number> {
+    return listen(this.server, host, port);
+  }
+
+  close(): Promise<void> {
+    return closeNow(this.server);
+  }
+}
+
+function credentialOf(request: IncomingMessage, keys: ControlKeys): Credential {
+  const key = request.headers[KEY_HEADER];
+  if (typeof key !== 'string') {
+    return 'none';
+  }
+  if (isSame(key, keys.fleet)) {
+    return 'fleet';
+  }
+  return isSame(key, keys.operator) ? 'operator' : 'none';
+}
+
+/** Compares in constant time, so that answers don't betray a key's start. */
+function isSame(given: string, expected: string): boolean {
+  const a = Buffer.from(given);
+  const b = Buffer.from(expected);
+  return a.length === b.length && timingSafeEqual(a, b);
+}
--- /dev/null
+++ b/src/control/router.ts
@@ -0,0 +1,95 @@
+/** The remote procedures of an entry host, for peers and for operators. */
+
+import {TRPCError, initTRPC} from '@trpc/server';
+import {z} from 'zod';
+import type {
+  ChangeReport,
+  ExchangeMessage,
+  OperatorService,
+  PeerService,
+  PlanReport,
+  QueryReport,
+} from './types.js';
+
+/** Whose key came with a call. */
+export type Credential = 'fleet' | 'operator' | 'none';
+
+export interface ControlContext {
+  readonly credential: Credential;
+}
+
+const trpc = initTRPC.context<ControlContext>().create();
+
+/** A procedure that needs the given key. */
+function procedureFor(needed: Credential) {
+  return trpc.procedure.use(({ctx, next}) => {
+    if (ctx.credential !== needed) {
+      throw new TRPCError({
+        code: 'UNAUTHORIZED',
+        message: `present the ${needed} key in the ${KEY_HEADER} header`,
+      });
+    }
+    return next();
+  });
+}
+
+export const KEY_HEADER = 'x-cyclamenlever-key';
+
+const statementSchema = z.object({
+  statement: z.object({
+    host: z.string(),
+    incarnation: z.number(),
+    sequence: z.number(),
+    dataCentre: z.string(),
+    callerAddress: z.string(),
+    controlAddress: z.string(),
+    ready: z.boolean(),
+    leaving: z.boolean(),
+    next: z.number(),
+  }),
+  logAgeMs: z.number().nullable(),
+});
+
+/** Unknown fields are dropped: a newer peer may send more than we know. */
+const exchangeSchema = z.object({
+  protocol: z.number(),
+  statements: z.array(statementSchema).max(1_000).readonly(),
+});
+
+const changeRequestSchema = z.object({
+  text: z.string(),
+  author: z.string(),
+  note: z.string(),
+  declaration: z.boolean(),
+});
+
+// The router's type is what clients are built from; it has no short name.
+// eslint-disable-next-line @typescript-eslint/explicit-module-boundary-types
+export function createRouter(peers: PeerService, operators: OperatorService) {
+  const peer = procedureFor('fleet');
+  const operator = procedureFor('operator');
+  return trpc.router({
+    exchange: peer
+      .input(exchangeSchema)
+      .mutation(({input}): ExchangeMessage => peers.exchange(input)),
+    snapshot: peer.query(() => peers.snapshot()),
+    describe: peer.query(() => peers.describe()),
+    query: operator
+      .input(z.string())
+      .query(({input}): Promise<QueryReport> => operators.query(input)),
+    plan: operator
+      .input(changeRequestSchema)
+      .query(({input}): PlanReport => operators.plan(input)),
+    change: operator
+      .input(changeRequestSchema)
+      .mutation(({input}): Promise<ChangeReport> => operators.change(input)),
+    rollback: operator
+      .input(z.object({id: z.string(), author: z.string()}))
+      .mutation(({input}): Promise<ChangeReport> =>
+        operators.rollback(input.id, input.author),
+      ),
+    exportDeclaration: operator.query(() => operators.exportDeclaration()),
+  });
+}
+
+export type ControlRouter = ReturnType<typeof createRouter>;
--- /dev/null
+++ b/src/daemon/admin_server.ts
@@ -0,0 +1,48 @@
+/** Metrics, liveness and readiness, for the platform and for Prometheus. */
+
+import type {Server} from 'node:http';
+import {createServer} from 'node:http';
+import type {Metrics} from '../metrics/index.js';
+import {closeNow, listen} from '../servers/index.js';
+
+export class AdminServer {
+  private readonly server: Server;
+
+  constructor(
+    metrics: Metrics,
+    /** Whether the platform's balancer should send callers here. */
+    isReady: () => boolean,
+    /** Brings gauges up to date before they are read. */
+    refresh: () => void,
+  ) {
+    this.server = createServer((request, response) => {
+      switch (request.url) {
+        case '/metrics':
+          refresh();
+          void metrics.registry.metrics().then(text => {
+            response.setHeader('content-type', metrics.registry.contentType);
+            response.end(text);
+          });
+          return;
+        case '/livez':
+          response.end('ok\n');
+          return;
+        case '/readyz':
+          response.statusCode = isReady() ? 200 : 503;
+          response.end(isReady() ? 'ready\n' : 'not ready\n');
+          return;
+        default:
+          response.statusCode = 404;
+          response.end();
+      }
+    });
+  }
+
+  listen(host: string, port: number): Promise<number> {
+    return listen(this.server, host, port);
+  }
+
+  close(): Promise<void> {
+    return closeNow(this.server);
+  }
+}
--- /dev/null
+++ b/src/daemon/entry_host.ts
@@ -0,0 +1,273 @@
+/** An entry host: all parts put together and taken down in order. */
+
+import type {Logger} from 'pino';
+import {CallerServer} from '../caller/index.js';
+import {LogFollower} from '../configuration/index.js';
+import {ControlServer, createRouter} from '../control/index.js';
+import {LifeCycle} from '../lifecycle/index.js';
+import {Metrics} from '../metrics/index.js';
+import {Fleet} from '../peers/index.js';
+import type {HostList, PlatformLog} from '../platform/index.js';
+import type {HostDescription} from '../queries/index.js';
+import {ServiceDirectory} from '../service/index.js';
+import type {Settings} from '../settings/index.js';
+import type {Clock, Milliseconds, Random} from '../time/index.js';
+import {HttpTransport} from '../transport/index.js';
+import {AdminServer} from './admin_server.js';
+import {HostListWatch} from './host_list_watch.js';
+import {Operator} from './operator.js';
+
+/** One-way delay assumed within a data centre, in ms. */
+const OWN_DATA_CENTRE_MS: Milliseconds = 0.1;
+
+/** What a host stands on; tests and the quick start pass stand-ins. */
+export interface EntryHostParts {
+  readonly settings: Settings;
+  readonly log: PlatformLog;
+  readonly hostList: HostList;
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly logger: Logger;
+  readonly metrics: Metrics;
+  /** Larger after every restart. */
+  readonly incarnation: number;
+}
+
+/** The ports in use. */
+export interface EntryHostPorts {
+  readonly caller: number;
+  readonly control: number;
+  readonly admin: number;
+}
+
+export class EntryHost {
+  private readonly lifeCycle: LifeCycle;
+  private readonly services: ServiceDirectory;
+  private readonly fleet: Fleet;
+  private readonly follower: LogFollower;
+  private readonly callers: CallerServer;
+  private readonly hostListWatch: HostListWatch;
+  private draining = false;
+  private stopping: Promise<void> | undefined;
+
+  constructor(private readonly parts: EntryHostParts) {
+    const {settings, clock, logger, metrics} = parts;
+    this.lifeCycle = new LifeCycle(logger);
+    const transport = this.lifeCycle.own(
+      'upstream connections',
+      new HttpTransport(),
+      one => one.close(),
+    );
+    this.services = this.lifeCycle.own(
+      'services',
+      new ServiceDirectory({
+        clock,
+        random: parts.random,
+        distanceTo: name => distanceTo(settings, name),
+        maxHosts: settings['max-hosts'],
+      }),
+      one => one.close(),
+    );
+    this.fleet = this.lifeCycle.own('fleet', this.createFleet(), one =>
+      one.stop(),
+    );
+    this.follower = this.lifeCycle.own(
+      'log follower',
+      this.createFollower(),
+      one => one.stop(),
+    );
+    this.fleet.attach(this.follower);
+    this.hostListWatch = this.lifeCycle.own(
+      'host list watch',
+      new HostListWatch(
+        parts.hostList,
+        leaving => this.services.setLeaving(leaving),
+        clock,
+        logger,
+      ),
+      one => one.stop(),
+    );
+    this.callers = new CallerServer({
+      services: this.services,
+      transport,
+      metrics,
+      logger,
+      clock,
+      maxHosts: settings['max-hosts'],
+      tenantHeader: settings['tenant-header'],
+      isInService: () => this.fleet.currency.kind === 'current',
+    });
+  }
+
+  /** Resources still open; none after `stop`. */
+  get openResources(): readonly string[] {
+    return this.lifeCycle.open;
+  }
+
+  get isReady(): boolean {
+    return !this.draining && this.fleet.currency.kind === 'current';
+  }
+
+  async start(): Promise<EntryHostPorts> {
+    const {settings, logger} = this.parts;
+    const admin = this.lifeCycle.own(
+      'admin port',
+      new AdminServer(
+        this.parts.metrics,
+        () => this.isReady,
+        () => this.refreshGauges(),
+      ),
+      one => one.close(),
+    );
+    const control = this.lifeCycle.own(
+      'control port',
+      this.createControlServer(),
+      one => one.close(),
+    );
+    const ports = {
+      admin: await admin.listen(...split(settings['admin-address'])),
+      control: await control.listen(...split(settings['control-address'])),
+      caller: await this.callers.listen(...split(settings['caller-address'])),
+    };
+    this.lifeCycle.own('caller port', this.callers, one => one.cutOff());
+    this.follower.start();
+    this.fleet.start({
+      caller:
+        settings['advertise-caller'] ??
+        withPort(settings['caller-address'], ports.caller),
+      control:
+        settings['advertise-control'] ??
+        withPort(settings['control-address'], ports.control),
+    });
+    this.hostListWatch.start();
+    logger.info({ports}, 'started');
+    return ports;
+  }
+
+  /**
+   * Stops without cutting off a request: first unready but listening, until
+   * the platform's balancer has noticed; then no new connections; then what is
+   * in flight ends, up to the limit.
+   */
+  stop(): Promise<void> {
+    this.stopping ??= this.stopGracefully();
+    return this.stopping;
+  }
+
+  describe(): HostDescription {
+    const {settings} = this.parts;
+    const {currency} = this.fleet;
+    const reason =
+      currency.kind === 'current' ? currency.basis : currency.reason;
+    const services = [...this.services.all];
+    return {
+      host: settings['host-id'],
+      dataCentre: settings['data-centre'],
+      ready: this.isReady,
+      reason: this.draining ? 'stopping' : reason,
+      next: this.follower.store.next,
+      upstreams: services.flatMap(service => service.describeUpstreams()),
+      requests: services.map(({service, pendingCount, waitingCount}) => ({
+        service: service.name,
+        pending: pendingCount,
+        waiting: waitingCount,
+      })),
+    };
+  }
+
+  private async stopGracefully(): Promise<void> {
+    const {settings, logger} = this.parts;
+    this.draining = true;
+    logger.info('stopping: unready, still listening');
+    await this.fleet.leave();
+    await sleep(settings['drain-wait-ms']);
+    const limit = sleep(settings['drain-limit-ms']);
+    await Promise.race([this.callers.close(), limit]);
+    await this.lifeCycle.close();
+    logger.info('stopped');
+  }
+
+  private createFleet(): Fleet {
+    const {settings, clock, random, logger, metrics} = this.parts;
+    return new Fleet(this.parts.log, {
+      identity: {
+        host: settings['host-id'],
+        dataCentre: settings['data-centre'],
+        incarnation: this.parts.incarnation,
+      },
+      seeds: settings.peers,
+      fleetKey: settings['fleet-key'],
+      leaseMs: settings['lease-ms'],
+      clock,
+      random,
+      logger,
+      countBytes: (sent, received) => {
+        metrics.controlBytes.inc({with: 'peers', direction: 'sent'}, sent);
+        metrics.controlBytes.inc(
+          {with: 'peers', direction: 'received'},
+          received,
+        );
+      },
+    });
+  }
+
+  private createFollower(): LogFollower {
+    const {log, clock, logger} = this.parts;
+    const follower: LogFollower = new LogFollower(log, clock, logger, {
+      onConfigured: services => this.services.refresh(follower.store, services),
+      onRecord: (record, body) => this.fleet.onRecord(record, body),
+    });
+    return follower;
+  }
+
+  private createControlServer(): ControlServer {
+    const {settings, clock} = this.parts;
+    const describe = (): HostDescription => this.describe();
+    const operator = new Operator(this.follower, this.fleet, describe, clock);
+    const router = createRouter(
+      {
+        exchange: message => this.fleet.exchange(message),
+        snapshot: () => this.follower.snapshot(),
+        describe,
+      },
+      operator,
+    );
+    return new ControlServer(router, {
+      fleet: settings['fleet-key'],
+      operator: settings['operator-key'],
+    });
+  }
+
+  private refreshGauges(): void {
+    const {metrics} = this.parts;
+    metrics.ready.set(this.isReady ? 1 : 0);
+    metrics.logOffset.set(this.follower.store.next);
+    metrics.logAge.set(this.follower.age / 1000);
+    const stale = this.hostListWatch.isStale ? 1 : 0;
+    metrics.degraded.set({input: 'host-list'}, stale);
+    const basis = this.fleet.currency;
+    const log = basis.kind === 'current' && basis.basis === 'log' ? 0 : 1;
+    metrics.degraded.set({input: 'log'}, log);
+  }
+}
+
+function distanceTo(settings: Settings, dataCentre: string): Milliseconds {
+  return dataCentre === settings['data-centre']
+    ? OWN_DATA_CENTRE_MS
+    : (settings.distances[dataCentre] ?? settings['default-distance-ms']);
+}
+
+function split(address: string): [string, number] {
+  const at = address.lastIndexOf(':');
+  const host = address.slice(0, at).replace(/^\[|\]$/g, '');
+  return [host, Number(address.slice(at + 1))];
+}
+
+/** The address with the port that was really opened: 0 asks for any. */
+function withPort(address: string, port: number): string {
+  return `${address.slice(0, address.lastIndexOf(':'))}:${port}`;
+}
+
+function sleep(ms: Milliseconds): Promise<void> {
+  return new Promise(resolve => setTimeout(resolve, ms).unref());
+}
--- /dev/null
+++ b/src/daemon/main.ts
@@ -0,0 +1,65 @@
+#!/usr/bin/env node
+/** The daemon of an entry host: `cyclamenleverd`. */
+
+import {randomInt} from 'node:crypto';
+import {pino} from 'pino';
+import {Metrics} from '../metrics/index.js';
+import {HttpPlatform} from '../platform/index.js';
+import {SETTINGS, readSettings, variableOf} from '../settings/index.js';
+import {seededRandom, systemClock} from '../time/index.js';
+import {EntryHost} from './entry_host.js';
+
+const EXIT_BAD_SETTINGS = 2;
+
+function helpText(): string {
+  const lines = SETTINGS.map(({name, help, fallback}) => {
+    const shown = fallback === undefined ? '' : ` [${fallback}]`;
+    return `  --${name}\n      ${help}${shown}\n      ${variableOf(name)}`;
+  });
+  return `Usage: cyclamenleverd [flags]\n\n${lines.join('\n')}\n`;
+}
+
+async function main(): Promise<void> {
+  if (process.argv.includes('--help')) {
+    process.stdout.write(helpText());
+    return;
+  }
+  const read = readSettings(process.argv.slice(2), process.env);
+  if (read.isErr()) {
+    process.stderr.write(`cyclamenleverd: ${read.error.message}\n`);
+    process.exitCode = EXIT_BAD_SETTINGS;
+    return;
+  }
+  const settings = read.value;
+  const logger = pino({level: settings['log-level']}).child({
+    host: settings['host-id'],
+  });
+  const metrics = new Metrics();
+  const platform = new HttpPlatform(
+    settings['log-url'],
+    settings['host-list-url'],
+    (sent, received) => {
+      metrics.controlBytes.inc({with: 'log', direction: 'sent'}, sent);
+      metrics.controlBytes.inc({with: 'log', direction: 'received'}, received);
+    },
+  );
+  const host = new EntryHost({
+    settings,
+    log: platform,
+    hostList: platform,
+    clock: systemClock,
+    random: seededRandom(randomInt(2 ** 31)),
+    logger,
+    metrics,
+    incarnation: Date.now(),
+  });
+  const stop = async (): Promise<void> => {
+    await host.stop();
+    await platform.close();
+  };
+  process.once('SIGTERM', () => void stop());
+  process.once('SIGINT', () => void stop());
+  await host.start();
+}
+
+await main();
--- /dev/null
+++ b/src/decisions/dispatch/index.ts
@@ -0,0 +1,2 @@
+export * from './types.js';
+export {Dispatcher} from './dispatcher.js';
--- /dev/null
+++ b/src/decisions/membership/seats.ts
@@ -0,0 +1,64 @@
+/**
+ * Which hosts make up the fleet, as the log has it. Every host derives the
+ * same seats from the same records, so "a majority of the fleet" means the
+ * same to all of them.
+ */
+
+import {z} from 'zod';
+import type {Milliseconds} from '../../time/index.js';
+import {SEAT_EXPIRY_MS} from './constants.js';
+
+export const seatSchema = z.object({
+  kind: z.literal('seat'),
+  host: z.string(),
+  incarnation: z.number(),
+  /** True when the host gives its seat up at a planned stop. */
+  leave: z.boolean(),
+});
+
+export type SeatRecord = Readonly<z.infer<typeof seatSchema>>;
+
+interface Seat {
+  readonly incarnation: number;
+  readonly renewedAt: Milliseconds;
+}
+
+export class SeatTable {
+  private readonly seats = new Map<string, Seat>();
+
+  get hosts(): readonly string[] {
+    return [...this.seats.keys()];
+  }
+
+  has(host: string): boolean {
+    return this.seats.has(host);
+  }
+
+  /** @param appendedAt the log's time of the record */
+  apply(record: SeatRecord, appendedAt: Milliseconds): void {
+    const seat = this.seats.get(record.host);
+    // A paused earlier life of a host must not give up its successor's seat.
+    if (seat && seat.incarnation > record.incarnation) {
+      return;
+    }
+    if (record.leave) {
+      this.seats.delete(record.host);
+    } else {
+      const {incarnation} = record;
+      this.seats.set(record.host, {incarnation, renewedAt: appendedAt});
+    }
+    this.expire(appendedAt);
+  }
+
+  /**
+   * Seats end by the log's clock alone: while the log is down none does, and
+   * hosts that still reach each other keep the same idea of a majority.
+   */
+  private expire(now: Milliseconds): void {
+    for (const [host, seat] of this.seats) {
+      if (now - seat.renewedAt > SEAT_EXPIRY_MS) {
+        this.seats.delete(host);
+      }
+    }
+  }
+}
--- /dev/null
+++ b/src/decisions/retries/index.ts
@@ -0,0 +1,2 @@
+export {RatioBudget} from './ratio_budget.js';
+export {QuantileEstimate} from './quantile_estimate.js';
--- /dev/null
+++ b/src/decisions/routing/choose.ts
@@ -0,0 +1,101 @@
+/**
+ * Picks the upstream for one request, or says that it had better wait.
+ *
+ * Late binding: a request stays at the entry host until a slot is believed
+ * free, because a request handed to a server's queue is stuck there when the
+ * server slows down a millisecond later, and callers see it as tail latency.
+ */
+
+import type {Milliseconds, Random} from '../../time/index.js';
+import {CANDIDATES} from './constants.js';
+import type {RoutingOptions} from './types.js';
+import type {UpstreamState} from './upstream_state.js';
+
+/** What a choice depends on besides the upstreams. */
+export interface ChoiceContext {
+  readonly now: Milliseconds;
+  readonly random: Random;
+  /** Mean completions per busy slot and ms over the service. */
+  readonly serviceRate: number;
+  readonly repeatable: boolean;
+  readonly excluded: ReadonlySet<string>;
+  /** Expected time until a waiting request would finish elsewhere. */
+  readonly waitingCostMs: Milliseconds;
+  readonly options: RoutingOptions;
+}
+
+/** The best upstream with a slot believed free, or undefined: wait. */
+export function chooseUpstream(
+  upstreams: readonly UpstreamState[],
+  context: ChoiceContext,
+): UpstreamState | undefined {
+  const count = Math.min(upstreams.length, CANDIDATES);
+  const start = Math.floor(context.random() * upstreams.length);
+  let best: UpstreamState | undefined;
+  let bestCost = Infinity;
+  for (let i = 0; i < count; i += 1) {
+    const upstream = candidate(upstreams, start, i, context.random);
+    if (upstream && mayUse(upstream, context)) {
+      const cost = expectedMs(upstream, context);
+      if (cost < bestCost) {
+        best = upstream;
+        bestCost = cost;
+      }
+    }
+  }
+  const {patience} = context.options;
+  return patience && bestCost > context.waitingCostMs ? undefined : best;
+}
+
+/** All of them from a random start if few, else a random sample. */
+function candidate(
+  upstreams: readonly UpstreamState[],
+  start: number,
+  index: number,
+  random: Random,
+): UpstreamState | undefined {
+  const all = upstreams.length <= CANDIDATES;
+  const at = all ? start + index : Math.floor(random() * upstreams.length);
+  return upstreams[at % upstreams.length];
+}
+
+function mayUse(upstream: UpstreamState, context: ChoiceContext): boolean {
+  if (upstream.draining || context.excluded.has(upstream.spec.name)) {
+    return false;
+  }
+  if (upstream.inFlight >= upstream.spec.connectionShare) {
+    return false;
+  }
+  const phase = upstream.health.phase(context.now);
+  if (phase === 'ejected' || (phase === 'trial' && !context.repeatable)) {
+    return false;
+  }
+  return !context.options.lateBinding || hasFreeSlot(upstream, context);
+}
+
+/**
+ * A slot stays idle for a round trip after each answer unless the next
+ * request is already on its way; the allowance makes up for that.
+ */
+function hasFreeSlot(upstream: UpstreamState, context: ChoiceContext): boolean {
+  const slots = upstream.usableSlots(context.now);
+  const roundTrip = 2 * upstream.spec.distanceMs;
+  const allowance = slots * context.serviceRate * roundTrip;
+  return believedLoad(upstream, context) + 1 <= slots + allowance + 0.5;
+}
+
+function believedLoad(upstream: UpstreamState, context: ChoiceContext): number {
+  const {now, options} = context;
+  return upstream.inFlight + (options.reports ? upstream.others(now) : 0);
+}
+
+/** Expected time to the answer, including the distance and likely errors. */
+function expectedMs(upstream: UpstreamState, context: ChoiceContext): number {
+  const {now, serviceRate, options} = context;
+  const rate = options.rates ? upstream.rate(serviceRate, now) : serviceRate;
+  const slots = upstream.usableSlots(now);
+  const queued = Math.max(0, believedLoad(upstream, context) + 1 - slots);
+  const serviceMs = (1 + queued / slots) / rate;
+  const errorMs = upstream.health.errorShare * (10 / serviceRate);
+  return serviceMs + 2 * upstream.spec.distanceMs + errorMs;
+}
--- /dev/null
+++ b/src/decisions/routing/others_estimate.ts
@@ -0,0 +1,29 @@
+/**
+ * How many requests of other entry hosts an upstream has.
+ *
+ * Every report is stale on arrival and grows staler: what it said counts for
+ * a short window, then the estimate falls back to the usual number. Requests
+ * this host has sent since are counted exactly and apart, so that one low
+ * report does not make it send a burst (herding).
+ */
+
+import type {Milliseconds} from '../../time/index.js';
+import {REPORT_WINDOW_MS, USUAL_OTHERS_GAIN} from './constants.js';
+
+export class OthersEstimate {
+  private usual = 0;
+  private latest = 0;
+  private reportedAt: Milliseconds = -Infinity;
+
+  /** Takes in a report from which own requests were subtracted. */
+  observe(others: number, now: Milliseconds): void {
+    this.latest = Math.max(0, others);
+    this.reportedAt = now;
+    this.usual += USUAL_OTHERS_GAIN * (this.latest - this.usual);
+  }
+
+  at(now: Milliseconds): number {
+    const weight = Math.exp(-(now - this.reportedAt) / REPORT_WINDOW_MS);
+    return this.usual + (this.latest - this.usual) * weight;
+  }
+}
--- /dev/null
+++ b/src/decisions/rules/index.ts
@@ -0,0 +1,1 @@
+export {RuleBook, defaultRule} from './rule_book.js';
--- /dev/null
+++ b/src/lifecycle/index.ts
@@ -0,0 +1,1 @@
+export {LifeCycle} from './life_cycle.js';
--- /dev/null
+++ b/src/metrics/index.ts
@@ -0,0 +1,1 @@
+export * from './metrics.js';
--- /dev/null
+++ b/src/peers/currency_watch.ts
@@ -0,0 +1,31 @@
+/** Answers, for every request, whether this host may serve. */
+
+import type {Currency} from '../decisions/membership/index.js';
+import type {Clock, Milliseconds} from '../time/index.js';
+
+/** A verdict that may change by what peers say holds no longer than this. */
+const RECHECK_MS: Milliseconds = 100;
+
+export class CurrencyWatch {
+  private latest: Currency = {kind: 'stale', reason: 'incomplete'};
+  private validUntil: Milliseconds = -Infinity;
+
+  constructor(
+    private readonly judge: () => Currency,
+    private readonly clock: Clock,
+  ) {}
+
+  /**
+   * The verdict now. It is judged again when its time is over, by the request
+   * that asks, not by a timer: after a pause of the process requests run
+   * before timers do, and would be served on a lapsed lease.
+   */
+  get current(): Currency {
+    const now = this.clock.now();
+    if (now >= this.validUntil) {
+      this.latest = this.judge();
+      this.validUntil = now + RECHECK_MS;
+    }
+    return this.latest;
+  }
+}
--- /dev/null
+++ b/src/peers/index.ts
@@ -0,0 +1,1 @@
+export * from './fleet.js';
--- /dev/null
+++ b/src/platform/http_platform.ts
@@ -0,0 +1,119 @@
+/** The platform's services over HTTP. */
+
+import {Result, err, ok} from 'neverthrow';
+import {Agent, request} from 'undici';
+import {z} from 'zod';
+import type {Offset} from '../decisions/configuration/index.js';
+import type {Milliseconds} from '../time/index.js';
+import type {
+  HostList,
+  ListedHost,
+  LogFailure,
+  LogPage,
+  PlatformLog,
+} from './types.js';
+
+const ANSWER_TIMEOUT_MS: Milliseconds = 2_000;
+
+const pageSchema = z.object({
+  records: z.array(
+    z.object({
+      offset: z.number().int(),
+      appendedAt: z.number(),
+      body: z.string(),
+    }),
+  ),
+  first: z.number().int(),
+  end: z.number().int(),
+});
+const appendedSchema = z.object({offset: z.number().int()});
+const hostsSchema = z.array(
+  z.object({address: z.string(), state: z.enum(['live', 'leaving'])}),
+);
+
+/** Told of the bytes exchanged, for the control budget. */
+export type ByteCounter = (sent: number, received: number) => void;
+
+interface Call<T> {
+  readonly method: 'GET' | 'POST';
+  readonly url: string;
+  readonly body?: string;
+  readonly timeoutMs: Milliseconds;
+  readonly schema: z.ZodType<T>;
+}
+
+export class HttpPlatform implements PlatformLog, HostList {
+  private readonly agent = new Agent({connections: 4, pipelining: 1});
+
+  constructor(
+    /** Base URL of the log service, with an IP number. */
+    private readonly logUrl: string,
+    private readonly hostListUrl: string,
+    private readonly countBytes: ByteCounter = () => undefined,
+  ) {}
+
+  async append(body: string): Promise<Result<Offset, LogFailure>> {
+    const result = await this.call({
+      method: 'POST',
+      url: `${this.logUrl}/append`,
+      body,
+      timeoutMs: ANSWER_TIMEOUT_MS,
+      schema: appendedSchema,
+    });
+    return result.map(({offset}) => offset);
+  }
+
+  read(
+    from: Offset,
+    limit: number,
+    waitMs: Milliseconds,
+  ): Promise<Result<LogPage, LogFailure>> {
+    return this.call({
+      method: 'GET',
+      url: `${this.logUrl}/read?from=${from}&limit=${limit}&wait=${waitMs}`,
+      timeoutMs: ANSWER_TIMEOUT_MS + waitMs,
+      schema: pageSchema,
+    });
+  }
+
+  list(): Promise<Result<readonly ListedHost[], LogFailure>> {
+    return this.call({
+      method: 'GET',
+      url: `${this.hostListUrl}/hosts`,
+      timeoutMs: ANSWER_TIMEOUT_MS,
+      schema: hostsSchema,
+    });
+  }
+
+  close(): Promise<void> {
+    return this.agent.destroy();
+  }
+
+  /**
+   * A request that got no answer may have taken effect all the same: that is
+   * `unknown`, and only an answer that says so is `refused`.
+   */
+  private async call<T>(call: Call<T>): Promise<Result<T, LogFailure>> {
+    try {
+      const answer = await request(call.url, {
+        method: call.method,
+        body: call.body,
+        dispatcher: this.agent,
+        signal: AbortSignal.timeout(call.timeoutMs),
+      });
+      const text = await answer.body.text();
+      this.countBytes(call.body?.length ?? 0, text.length);
+      if (answer.statusCode !== 200) {
+        return err({kind: 'refused', message: `status ${answer.statusCode}`});
+      }
+      const parsed = call.schema.safeParse(JSON.parse(text));
+      return parsed.success
+        ? ok(parsed.data)
+        : err({kind: 'unknown', message: parsed.error.message});
+    } catch (error) {
+      const message = error instanceof Error ? error.message : String(error);
+      const refused = message.includes('ECONNREFUSED');
+      return err({kind: refused ? 'refused' : 'unknown', message});
+    }
+  }
+}
--- /dev/null
+++ b/src/queries/rules.ts
@@ -0,0 +1,19 @@
+import type {Query} from './types.js';
+import {passes} from './types.js';
+
+export const rules: Query = {
+  name: 'rules',
+  asksHosts: false,
+  perform: ({view}, query) => ({
+    columns: ['service', 'rule', 'method', 'path', 'class', 'kind', 'deadline'],
+    rows: [...view.entries()].flatMap(([, {value}]) => {
+      if (value.type !== 'rule' || !passes(query, 'of', value.service)) {
+        return [];
+      }
+      const {service, name, method, path, kind, deadline} = value;
+      return [
+        [service, name, method, path, value.class, kind, `${deadline}ms`],
+      ];
+    }),
+  }),
+};
--- /dev/null
+++ b/src/servers/index.ts
@@ -0,0 +1,1 @@
+export {closeNow, listen} from './listen.js';
--- /dev/null
+++ b/src/service/index.ts
@@ -0,0 +1,2 @@
+export * from './service_runtime.js';
+export {ServiceDirectory} from './service_directory.js';
--- /dev/null
+++ b/src/standins/memory_log.ts
@@ -0,0 +1,124 @@
+/** A stand-in for the platform's log, with its limits and its faults. */
+
+import {Result, err, ok} from 'neverthrow';
+import type {Offset} from '../decisions/configuration/index.js';
+import type {
+  LogFailure,
+  LogPage,
+  LogRecord,
+  PlatformLog,
+} from '../platform/index.js';
+import type {Clock, Milliseconds, Random} from '../time/index.js';
+
+export interface LogLimits {
+  /** Appends a second before it refuses. */
+  readonly appendsPerSecond: number;
+  /** Records kept. */
+  readonly retention: number;
+}
+
+const USUAL_LIMITS: LogLimits = {appendsPerSecond: 500, retention: 100_000};
+
+type Waiter = () => void;
+
+export class MemoryLog implements PlatformLog {
+  /** Refuses everything while true. */
+  down = false;
+  /** Share of appends that take effect but answer nothing, from 0 to 1. */
+  lostReplies = 0;
+  appends = 0;
+  private records: LogRecord[] = [];
+  private end: Offset = 0;
+  private tokens: number;
+  private refilledAt: Milliseconds;
+  private readonly waiters = new Set<Waiter>();
+
+  constructor(
+    private readonly clock: Clock,
+    private readonly random: Random,
+    private readonly limits: LogLimits = USUAL_LIMITS,
+  ) {
+    this.tokens = limits.appendsPerSecond;
+    this.refilledAt = clock.now();
+  }
+
+  append(body: string): Promise<Result<Offset, LogFailure>> {
+    if (this.down || !this.takeToken()) {
+      return refuse(this.down ? 'the log is down' : 'too many appends');
+    }
+    const offset = this.end;
+    this.end += 1;
+    this.appends += 1;
+    this.records.push({offset, appendedAt: this.clock.now(), body});
+    this.trim();
+    this.wakeWaiters();
+    return this.random() < this.lostReplies
+      ? Promise.resolve(err({kind: 'unknown', message: 'the reply was lost'}))
+      : Promise.resolve(ok(offset));
+  }
+
+  async read(
+    from: Offset,
+    limit: number,
+    waitMs: Milliseconds,
+  ): Promise<Result<LogPage, LogFailure>> {
+    if (this.down) {
+      return refuse('the log is down');
+    }
+    if (from >= this.end && waitMs > 0) {
+      await this.waitForRecord(waitMs);
+    }
+    if (this.down) {
+      return refuse('the log is down');
+    }
+    const first = this.end - this.records.length;
+    const start = Math.max(0, from - first);
+    const records = this.records.slice(start, start + limit);
+    return ok({records, first, end: this.end});
+  }
+
+  /** Lets all blocked reads return. */
+  wakeWaiters(): void {
+    const waiters = [...this.waiters];
+    this.waiters.clear();
+    waiters.forEach(wake => wake());
+  }
+
+  /** Drops the oldest records, as limited retention does. */
+  trimTo(retention: number): void {
+    this.records = this.records.slice(-retention);
+  }
+
+  private waitForRecord(waitMs: Milliseconds): Promise<void> {
+    return new Promise(resolve => {
+      const timer = setTimeout(() => this.wakeWaiters(), waitMs);
+      this.waiters.add(() => {
+        clearTimeout(timer);
+        resolve();
+      });
+    });
+  }
+
+  private takeToken(): boolean {
+    const now = this.clock.now();
+    const {appendsPerSecond} = this.limits;
+    const earned = ((now - this.refilledAt) * appendsPerSecond) / 1000;
+    this.tokens = Math.min(appendsPerSecond, this.tokens + earned);
+    this.refilledAt = now;
+    if (this.tokens < 1) {
+      return false;
+    }
+    this.tokens -= 1;
+    return true;
+  }
+
+  private trim(): void {
+    if (this.records.length > this.limits.retention * 1.1) {
+      this.trimTo(this.limits.retention);
+    }
+  }
+}
+
+function refuse(message: string): Promise<Result<never, LogFailure>> {
+  return Promise.resolve(err({kind: 'refused', message}));
+}
--- /dev/null
+++ b/src/standins/platform_server.ts
@@ -0,0 +1,82 @@
+/** Serves the stand-ins for the platform over HTTP, for the quick start. */
+
+import type {IncomingMessage, Server, ServerResponse} from 'node:http';
+import {createServer} from 'node:http';
+import type {ListedHost, PlatformLog} from '../platform/index.js';
+import {closeNow, listen} from '../servers/index.js';
+
+export class PlatformServer {
+  /** What the host list says. */
+  hosts: readonly ListedHost[] = [];
+  private readonly server: Server;
+
+  constructor(private readonly log: PlatformLog) {
+    this.server = createServer((request, response) => {
+      void this.answer(request, response);
+    });
+  }
+
+  listen(port = 0): Promise<number> {
+    return listen(this.server, '127.0.0.1', port);
+  }
+
+  close(): Promise<void> {
+    return closeNow(this.server);
+  }
+
+  private async answer(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    const url = new URL(request.url ?? '/', 'http://platform');
+    if (url.pathname === '/hosts') {
+      send(response, 200, this.hosts);
+      return;
+    }
+    if (url.pathname === '/append') {
+      const result = await this.log.append(await readText(request));
+      result.match(
+        offset => send(response, 200, {offset}),
+        failure => fail(response, failure.kind),
+      );
+      return;
+    }
+    const number = (name: string): number =>
+      Number(url.searchParams.get(name) ?? 0);
+    const page = await this.log.read(
+      number('from'),
+      number('limit'),
+      number('wait'),
+    );
+    page.match(
+      value => send(response, 200, value),
+      failure => fail(response, failure.kind),
+    );
+  }
+}
+
+/** A lost reply shows as a cut connection, as it would in life. */
+function fail(response: ServerResponse, kind: 'refused' | 'unknown'): void {
+  if (kind === 'unknown') {
+    response.destroy();
+  } else {
+    send(response, 503, {error: kind});
+  }
+}
+
+function send(response: ServerResponse, status: number, body: unknown): void {
+  const text = JSON.stringify(body);
+  response.writeHead(status, {
+    'content-type': 'application/json',
+    'content-length': Buffer.byteLength(text),
+  });
+  response.end(text);
+}
+
+async function readText(request: IncomingMessage): Promise<string> {
+  const chunks: Buffer[] = [];
+  for await (const chunk of request) {
+    chunks.push(chunk as Buffer);
+  }
+  return Buffer.concat(chunks).toString();
+}
--- /dev/null
+++ b/src/standins/upstream_server.ts
@@ -0,0 +1,182 @@
+/** A stand-in for an upstream: slots, a queue, load reports and faults. */
+
+import {createHash} from 'node:crypto';
+import type {IncomingMessage, Server, ServerResponse} from 'node:http';
+import {createServer} from 'node:http';
+import type {Socket} from 'node:net';
+import type {Milliseconds, Random} from '../time/index.js';
+import {closeNow, listen} from '../servers/index.js';
+
+/** How it misbehaves. */
+export type UpstreamFault =
+  | 'none'
+  /** Answers 500 at once. */
+  | 'fail-fast'
+  /** Refuses before running, and says so. */
+  | 'shed'
+  /** Runs the request, then cuts the connection without an answer. */
+  | 'reset-after-run'
+  /** Cuts the connection halfway through the answer. */
+  | 'truncate'
+  /** Runs the request and never answers. */
+  | 'stall';
+
+export interface UpstreamOptions {
+  readonly name: string;
+  readonly slots: number;
+  /** Mean of the exponential service time. */
+  readonly serviceMs: Milliseconds;
+  readonly random: Random;
+}
+
+/** One request that it ran, for history checks. */
+export interface RunRecord {
+  readonly upstream: string;
+  /** The caller's X-Request-Id. */
+  readonly requestId: string;
+  readonly method: string;
+}
+
+export class UpstreamServer {
+  fault: UpstreamFault = 'none';
+  /** Multiplies service times: above 1 it is a straggler. */
+  slowdown = 1;
+  readonly runs: RunRecord[] = [];
+  private readonly server: Server;
+  private readonly queue: (() => void)[] = [];
+  private running = 0;
+
+  constructor(private readonly options: UpstreamOptions) {
+    this.server = createServer((request, response) => {
+      void this.serve(request, response);
+    });
+    this.server.keepAliveTimeout = 5_000;
+  }
+
+  get inFlight(): number {
+    return this.running + this.queue.length;
+  }
+
+  listen(port = 0): Promise<number> {
+    return listen(this.server, '127.0.0.1', port);
+  }
+
+  close(): Promise<void> {
+    return closeNow(this.server);
+  }
+
+  private async serve(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    if (request.url === '/load') {
+      this.answer(response, 200, '');
+      return;
+    }
+    if (this.fault === 'shed') {
+      response.setHeader('cyclamenlever-outcome', 'not-run');
+      this.answer(response, 503, 'shed');
+      return;
+    }
+    if (this.fault === 'fail-fast') {
+      this.answer(response, 500, 'failed');
+      return;
+    }
+    const digest = await digestOf(request);
+    await this.takeSlot();
+    this.runs.push({
+      upstream: this.options.name,
+      requestId: String(request.headers['x-request-id'] ?? ''),
+      method: request.method ?? '',
+    });
+    setTimeout(() => {
+      this.leaveSlot();
+      this.finish(request, response, digest);
+    }, this.serviceTime());
+  }
+
+  private finish(
+    request: IncomingMessage,
+    response: ServerResponse,
+    digest: string,
+  ): void {
+    switch (this.fault) {
+      case 'stall':
+        return;
+      case 'reset-after-run':
+        request.socket.destroy();
+        return;
+      case 'truncate':
+        truncate(response, request.socket, digest);
+        return;
+      default:
+        this.answer(response, 200, digest);
+    }
+  }
+
+  private answer(response: ServerResponse, status: number, body: string): void {
+    const load = `TEXT named_metrics.in_flight=${this.inFlight}`;
+    response.writeHead(status, {
+      'endpoint-load-metrics': load,
+      'x-upstream': this.options.name,
+      'content-length': Buffer.byteLength(body),
+    });
+    response.end(body);
+  }
+
+  private serviceTime(): Milliseconds {
+    const {serviceMs, random} = this.options;
+    return -Math.log(1 - random()) * serviceMs * this.slowdown;
+  }
+
+  private takeSlot(): Promise<void> {
+    if (this.running < this.options.slots) {
+      this.running += 1;
+      return Promise.resolve();
+    }
+    return new Promise(resolve => this.queue.push(resolve));
+  }
+
+  private leaveSlot(): void {
+    const next = this.queue.shift();
+    if (next) {
+      next();
+    } else {
+      this.running -= 1;
+    }
+  }
+}
+
+/** Digest of method, path and body: what the answer must belong to. */
+export function expectedDigest(
+  method: string,
+  url: string,
+  body: string | Buffer,
+): string {
+  return createHash('sha256')
+    .update(`${method} ${url}\n`)
+    .update(body)
+    .digest('hex');
+}
+
+async function digestOf(request: IncomingMessage): Promise<string> {
+  const chunks: Buffer[] = [];
+  try {
+    for await (const chunk of request) {
+      chunks.push(chunk as Buffer);
+    }
+  } catch {
+    return 'incomplete';
+  }
+  const {method = '', url = ''} = request;
+  return expectedDigest(method, url, Buffer.concat(chunks));
+}
+
+function truncate(
+  response: ServerResponse,
+  socket: Socket,
+  digest: string,
+): void {
+  response.writeHead(200, {'content-length': digest.length});
+  response.write(digest.slice(0, digest.length / 2), () => socket.destroy());
+}
--- /dev/null
+++ b/src/transport/index.ts
@@ -0,0 +1,3 @@
+export * from './types.js';
+export * from './errors.js';
+export {HttpTransport} from './http_transport.js';
