--- a/src/caller/attempt.ts
+++ b/src/caller/attempt.ts
@@ -36,6 +36,10 @@
     );
   }
 
+  onProgress(): void {
+    // What an upstream says before its answer is not for the caller.
+  }
+
   onHead(head: AnswerHead): void {
     this.head = head;
     this.load = readLoad(head.headers);
--- a/src/caller/caller_server.ts
+++ b/src/caller/caller_server.ts
@@ -5,16 +5,23 @@
 import type {Socket} from 'node:net';
 import type {Rule} from '../decisions/configuration/index.js';
 import type {DispatchRequest} from '../decisions/dispatch/index.js';
+import type {Home} from '../handover/index.js';
 import type {ServiceRuntime} from '../service/index.js';
 import {
   DEPTH_HEADER,
+  HANDOVER_HEADER,
   HEADERS_TIMEOUT_MS,
+  IDEMPOTENCY_HEADER,
   KEEP_ALIVE_MS,
   MAX_HEADER_BYTES,
   REQUEST_TIMEOUT_MS,
   TIMEOUT_HEADER,
 } from './constants.js';
+import type {OrderName} from './claimed_orders.js';
+import {CLAIM_REFUSALS, nameOrder, replayAnswer} from './claimed_orders.js';
 import {findFramingFault} from './framing.js';
+import {HandoverSession} from './handover_session.js';
+import {OrderRecorder} from './order_recorder.js';
 import type {ProblemReason} from './problem.js';
 import {sendProblem} from './problem.js';
 import type {RequestBody} from './request_body.js';
@@ -24,6 +31,8 @@
 import {listen} from '../servers/index.js';
 
 const UNNAMED_TENANT = 'none';
+/** When a caller whose order could not be claimed may ask again. */
+const CLAIM_RETRY_MS = 1_000;
 const PARSE_ERROR_STATUSES: Readonly<Record<string, string>> = {
   HPE_HEADER_OVERFLOW: '431 Request Header Fields Too Large',
   ERR_HTTP_REQUEST_TIMEOUT: '408 Request Timeout',
@@ -119,16 +128,90 @@
     rule: Rule,
     body: RequestBody,
   ): void {
+    if (response.destroyed) {
+      return;
+    }
     const dispatch = this.describe(request, rule);
-    new CallerSession(
-      request,
-      response,
-      runtime,
-      rule,
-      dispatch,
-      body,
-      this.context,
-    ).start();
+    const serveHere = (recorder?: OrderRecorder): void =>
+      new CallerSession(
+        request,
+        response,
+        runtime,
+        rule,
+        dispatch,
+        body,
+        this.context,
+        recorder,
+      ).start();
+    const idempotencyKey = request.headers[IDEMPOTENCY_HEADER];
+    if (rule.kind === 'order' && typeof idempotencyKey === 'string') {
+      const {method = '', url = ''} = request;
+      const service = rule.service;
+      const name = {service, idempotencyKey, method, url, body, dispatch};
+      void this.claim(name, rule, response, serveHere);
+      return;
+    }
+    if (request.headers[HANDOVER_HEADER] !== undefined) {
+      // Tells the host that handed it over that this one is awake.
+      response.writeProcessing();
+      serveHere();
+      return;
+    }
+    const home = this.findHome(runtime, dispatch, body);
+    if (!home) {
+      serveHere();
+      return;
+    }
+    const {name: service} = runtime.service;
+    this.context.metrics.attempts.inc({service, kind: 'handover'});
+    const handed = {request, response, dispatch, body: heldBytes(body)};
+    new HandoverSession(handed, home, this.context, serveHere).start();
+  }
+
+  /** Serves an order if its claim wins; else says what is known of it. */
+  private async claim(
+    name: OrderName,
+    rule: Rule,
+    response: ServerResponse,
+    serve: (recorder?: OrderRecorder) => void,
+  ): Promise<void> {
+    const {orders} = this.context;
+    const {verdict, claim} = await orders.claim(nameOrder(name));
+    if (verdict.kind === 'replay') {
+      replayAnswer(response, verdict.answer);
+      return;
+    }
+    if (verdict.kind === 'run' && claim) {
+      if (response.destroyed) {
+        // The caller left before anything was sent: the key is free again.
+        orders.settle(claim, {kind: 'released'});
+        return;
+      }
+      serve(new OrderRecorder(orders, claim));
+      return;
+    }
+    const reason =
+      verdict.kind === 'refuse' ? verdict.reason : 'claims-unavailable';
+    if (reason === 'claims-unavailable' && rule.claim === 'optional') {
+      serve();
+      return;
+    }
+    const outcome = CLAIM_REFUSALS[reason] ?? 'unknown';
+    this.context.metrics.refusals.inc({service: rule.service, reason, outcome});
+    sendProblem(response, {reason, outcome, retryAfterMs: CLAIM_RETRY_MS});
+  }
+
+  /** Orders cross as few hosts as can be; streams can't be taken back. */
+  private findHome(
+    runtime: ServiceRuntime,
+    dispatch: DispatchRequest,
+    body: RequestBody,
+  ): Home | undefined {
+    if (!dispatch.repeatable || body.kind === 'stream') {
+      return undefined;
+    }
+    const {name, homes} = runtime.service;
+    return this.context.desk.findHome(name, homes, dispatch.id);
   }
 
   private describe(request: IncomingMessage, rule: Rule): DispatchRequest {
@@ -167,6 +250,10 @@
   }
 }
 
+function heldBytes(body: RequestBody): Buffer | null {
+  return body.kind === 'held' ? body.bytes : null;
+}
+
 /** Answers what the HTTP parser rejects; nothing of it was forwarded. */
 function refuseUnparsable(error: NodeJS.ErrnoException, socket: Socket): void {
   if (error.code === 'ECONNRESET' || !socket.writable) {
--- a/src/caller/constants.ts
+++ b/src/caller/constants.ts
@@ -2,12 +2,16 @@
 
 /** Header by which the balancer says what is certain about a request. */
 export const OUTCOME_HEADER = 'cyclamenlever-outcome';
+/** Header that names the reason of the balancer's own answer. */
+export const REASON_HEADER = 'cyclamenlever-reason';
 /** Time the caller has left, in ms; relative, so clocks need not agree. */
 export const TIMEOUT_HEADER = 'cyclamenlever-timeout-ms';
 /** Calls above this one. */
 export const DEPTH_HEADER = 'cyclamenlever-depth';
 /** Set by an entry host that hands a request to a home host. */
 export const HANDOVER_HEADER = 'cyclamenlever-handover';
+/** Marks an answer that was recorded at the order's first run. */
+export const REPLAYED_HEADER = 'cyclamenlever-replayed';
 export const IDEMPOTENCY_HEADER = 'idempotency-key';
 /** Load that an upstream reports on its answers (ORCA). */
 export const LOAD_HEADER = 'endpoint-load-metrics';
--- a/src/caller/headers.ts
+++ b/src/caller/headers.ts
@@ -30,6 +30,8 @@
 /** Meant for this host alone. */
 const ANSWER_ONLY: ReadonlySet<string> = new Set([LOAD_HEADER]);
 
+const NONE: ReadonlySet<string> = new Set();
+
 /** Headers of a request without those of this hop. */
 export function requestHeaders(raw: RawHeaders): string[] {
   return filterHeaders(raw, REWRITTEN);
@@ -40,6 +42,11 @@
   return filterHeaders(raw, ANSWER_ONLY);
 }
 
+/** Headers of a home host's answer, which has been through `answerHeaders`. */
+export function handoverAnswerHeaders(raw: RawHeaders): string[] {
+  return filterHeaders(raw, NONE);
+}
+
 /** Value of a header by its lower-case name. */
 export function findHeader(raw: RawHeaders, name: string): string | undefined {
   for (let i = 0; i < raw.length; i += 2) {
@@ -77,8 +84,6 @@
   return kept;
 }
 
-const NONE: ReadonlySet<string> = new Set();
-
 /** `Connection: x` makes header x one of this hop. */
 function namedByConnection(raw: RawHeaders): ReadonlySet<string> {
   const value = findHeader(raw, 'connection');
--- a/src/caller/problem.ts
+++ b/src/caller/problem.ts
@@ -3,7 +3,7 @@
 import type {ServerResponse} from 'node:http';
 import type {Outcome, RefusalReason} from '../decisions/dispatch/index.js';
 import type {Milliseconds} from '../time/index.js';
-import {OUTCOME_HEADER} from './constants.js';
+import {OUTCOME_HEADER, REASON_HEADER} from './constants.js';
 
 export type ProblemReason =
   | RefusalReason
@@ -17,6 +17,7 @@
   | 'claims-unavailable'
   | 'order-in-progress'
   | 'order-outcome-unknown'
+  | 'order-done'
   | 'key-reused'
   | 'request-body-broken'
   | 'request-timeout';
@@ -53,6 +54,10 @@
     status: 409,
     title: 'The same order was sent before; its outcome is not known',
   },
+  'order-done': {
+    status: 409,
+    title: 'The same order ran before; its answer was not kept',
+  },
   'key-reused': {
     status: 422,
     title: 'The idempotency key belongs to another order',
@@ -94,6 +99,7 @@
   response.setHeader('content-type', 'application/problem+json');
   response.setHeader('content-length', body.length);
   response.setHeader(OUTCOME_HEADER, problem.outcome);
+  response.setHeader(REASON_HEADER, problem.reason);
   if (problem.retryAfterMs !== undefined) {
     const seconds = Math.max(1, Math.ceil(problem.retryAfterMs / 1000));
     response.setHeader('retry-after', seconds);
--- a/src/caller/session.ts
+++ b/src/caller/session.ts
@@ -14,6 +14,7 @@
 import {Attempt} from './attempt.js';
 import {DEPTH_HEADER, TIMEOUT_HEADER} from './constants.js';
 import {answerHeaders, requestHeaders} from './headers.js';
+import type {OrderRecorder} from './order_recorder.js';
 import type {Problem} from './problem.js';
 import {sendProblem} from './problem.js';
 import type {RequestBody} from './request_body.js';
@@ -27,6 +28,8 @@
   /** The attempt whose answer goes to the caller. */
   private delivering: Attempt | undefined;
   private finished = false;
+  /** Some attempt was handed to the transport. */
+  private sent = false;
 
   constructor(
     private readonly request: IncomingMessage,
@@ -36,6 +39,7 @@
     private readonly dispatch: DispatchRequest,
     private readonly body: RequestBody,
     private readonly context: CallerContext,
+    private readonly recorder?: OrderRecorder,
   ) {
     this.startedAt = context.clock.now();
     this.forwarded = requestHeaders(request.rawHeaders);
@@ -52,6 +56,7 @@
     const kind = hedged ? 'hedge' : number === 0 ? 'first' : 'retry';
     const service = this.runtime.service.name;
     this.context.metrics.attempts.inc({service, kind});
+    this.sent = true;
     const attempt = new Attempt(this, number);
     this.attempts.set(number, attempt);
     const connections = connectionShare(upstream, this.context.maxHosts);
@@ -106,6 +111,7 @@
     if (attempt !== this.delivering) {
       return;
     }
+    this.recorder?.add(chunk);
     if (!this.response.write(chunk)) {
       attempt.handle?.pause();
       this.response.once('drain', () => attempt.handle?.resume());
@@ -178,6 +184,7 @@
     if (!attempt.head || this.response.destroyed) {
       return;
     }
+    this.recorder?.begin(attempt.head);
     this.delivering = attempt;
     const {status, headers} = attempt.head;
     this.response.writeHead(status, answerHeaders(headers));
@@ -226,6 +233,7 @@
     }
     this.finished = true;
     clearTimeout(this.timer);
+    this.recorder?.settle(this.sent ? outcome : 'not-run');
     this.runtime.forget(this.dispatch.id);
     this.attempts.forEach(attempt => attempt.handle?.cancel());
     this.attempts.clear();
--- a/src/configuration/index.ts
+++ b/src/configuration/index.ts
@@ -1,2 +1,3 @@
 export type {LogListener, Submission} from './log_follower.js';
 export {LogFollower} from './log_follower.js';
+export {Checkpointer} from './checkpointer.js';
--- a/src/daemon/entry_host.ts
+++ b/src/daemon/entry_host.ts
@@ -2,16 +2,19 @@
 
 import type {Logger} from 'pino';
 import {CallerServer} from '../caller/index.js';
-import {LogFollower} from '../configuration/index.js';
+import {Checkpointer, LogFollower} from '../configuration/index.js';
 import {ControlServer, createRouter} from '../control/index.js';
+import {HandoverDesk} from '../handover/index.js';
 import {LifeCycle} from '../lifecycle/index.js';
 import {Metrics} from '../metrics/index.js';
+import {OrderDesk} from '../orders/index.js';
 import {Fleet} from '../peers/index.js';
 import type {HostList, PlatformLog} from '../platform/index.js';
 import type {HostDescription} from '../queries/index.js';
 import {ServiceDirectory} from '../service/index.js';
 import type {Settings} from '../settings/index.js';
 import type {Clock, Milliseconds, Random} from '../time/index.js';
+import type {Transport} from '../transport/index.js';
 import {HttpTransport} from '../transport/index.js';
 import {AdminServer} from './admin_server.js';
 import {HostListWatch} from './host_list_watch.js';
@@ -46,6 +49,8 @@
   private readonly fleet: Fleet;
   private readonly follower: LogFollower;
   private readonly callers: CallerServer;
+  private readonly orders: OrderDesk;
+  private readonly checkpointer: Checkpointer;
   private readonly hostListWatch: HostListWatch;
   private draining = false;
   private stopping: Promise<void> | undefined;
@@ -76,6 +81,17 @@
       this.createFollower(),
       one => one.stop(),
     );
+    this.checkpointer = this.lifeCycle.own(
+      'checkpointer',
+      new Checkpointer(parts.log, this.follower, {
+        host: settings['host-id'],
+        intervalMs: settings['checkpoint-interval-ms'],
+        clock,
+        random: parts.random,
+        logger,
+      }),
+      one => one.stop(),
+    );
     this.fleet.attach(this.follower);
     this.hostListWatch = this.lifeCycle.own(
       'host list watch',
@@ -87,16 +103,19 @@
       ),
       one => one.stop(),
     );
-    this.callers = new CallerServer({
-      services: this.services,
-      transport,
-      metrics,
-      logger,
-      clock,
-      maxHosts: settings['max-hosts'],
-      tenantHeader: settings['tenant-header'],
-      isInService: () => this.fleet.currency.kind === 'current',
-    });
+    this.orders = this.lifeCycle.own('order desk', this.createOrders(), one =>
+      one.close(),
+    );
+    const desk = this.lifeCycle.own(
+      'hand-over desk',
+      new HandoverDesk(
+        {host: settings['host-id'], dataCentre: settings['data-centre']},
+        this.fleet.peers,
+        clock,
+      ),
+      one => one.close(),
+    );
+    this.callers = this.createCallers(transport, desk);
   }
 
   /** Resources still open; none after `stop`. */
@@ -131,6 +150,7 @@
     };
     this.lifeCycle.own('caller port', this.callers, one => one.cutOff());
     this.follower.start();
+    this.checkpointer.start();
     this.fleet.start({
       caller:
         settings['advertise-caller'] ??
@@ -215,11 +235,44 @@
     const {log, clock, logger} = this.parts;
     const follower: LogFollower = new LogFollower(log, clock, logger, {
       onConfigured: services => this.services.refresh(follower.store, services),
-      onRecord: (record, body) => this.fleet.onRecord(record, body),
+      onRecord: (record, body) => {
+        this.fleet.onRecord(record, body);
+        this.orders.onRecord(record, body);
+        this.checkpointer.onRecord(body);
+      },
     });
     return follower;
   }
 
+  private createOrders(): OrderDesk {
+    const {settings, clock, logger, log} = this.parts;
+    return new OrderDesk(log, {
+      windowMs: settings['claim-window-ms'],
+      appendsPerSecond: settings['claim-appends'] / settings['max-hosts'],
+      clock,
+      logger,
+    });
+  }
+
+  private createCallers(
+    transport: Transport,
+    desk: HandoverDesk,
+  ): CallerServer {
+    const {settings, clock, logger, metrics} = this.parts;
+    return new CallerServer({
+      desk,
+      orders: this.orders,
+      services: this.services,
+      transport,
+      metrics,
+      logger,
+      clock,
+      maxHosts: settings['max-hosts'],
+      tenantHeader: settings['tenant-header'],
+      isInService: () => this.fleet.currency.kind === 'current',
+    });
+  }
+
   private createControlServer(): ControlServer {
     const {settings, clock} = this.parts;
     const describe = (): HostDescription => this.describe();
--- a/src/decisions/configuration/index.ts
+++ b/src/decisions/configuration/index.ts
@@ -7,3 +7,4 @@
 export * from './records.js';
 export type {ReplayPage} from './replay.js';
 export {Replay} from './replay.js';
+export {CheckpointSchedule} from './checkpoint_schedule.js';
--- /dev/null
+++ b/src/handover/index.ts
@@ -0,0 +1,2 @@
+export type {Home} from './handover_desk.js';
+export {HandoverDesk} from './handover_desk.js';
--- a/src/settings/table.ts
+++ b/src/settings/table.ts
@@ -111,7 +111,7 @@
   {
     name: 'checkpoint-interval-ms',
     help: 'age at which the configuration is appended again, in ms',
-    fallback: '60000',
+    fallback: '300000',
   },
   {
     name: 'log-level',
--- a/src/transport/http_transport.ts
+++ b/src/transport/http_transport.ts
@@ -111,7 +111,11 @@
   }
 
   onResponseStart(controller: Controller, status: number): void {
-    if (this.done || status < 200) {
+    if (this.done) {
+      return;
+    }
+    if (status < 200) {
+      this.observer.onProgress(status);
       return;
     }
     const head = {status, headers: readHeaders(controller)};
--- a/src/transport/types.ts
+++ b/src/transport/types.ts
@@ -22,6 +22,8 @@
 
 /** Told of an attempt's course; exactly one of onEnd and onFail comes last. */
 export interface AttemptObserver {
+  /** An informational answer (1xx). */
+  onProgress(status: number): void;
   onHead(head: AnswerHead): void;
   onData(chunk: Buffer): void;
   onEnd(): void;
