--- a/src/configuration/log_follower.ts
+++ b/src/configuration/log_follower.ts
@@ -33,7 +33,7 @@
   private readonly replay = new Replay(this.store);
   /** When the last read that reached the end of the log was sent. */
   private currentAt: Milliseconds = -Infinity;
-  private stopped = false;
+  private readonly stopping = new AbortController();
   private loop: Promise<void> | undefined;
   private waiters: (() => void)[] = [];
 
@@ -63,7 +63,7 @@
   }
 
   async stop(): Promise<void> {
-    this.stopped = true;
+    this.stopping.abort();
     this.wakeWaiters();
     await this.loop;
   }
@@ -71,7 +71,12 @@
   /** Reads once; true if the end of the log was reached. */
   async readOnce(waitMs: Milliseconds): Promise<boolean> {
     const sentAt = this.clock.now();
-    const page = await this.log.read(this.replay.next, PAGE_RECORDS, waitMs);
+    const page = await this.log.read(
+      this.replay.next,
+      PAGE_RECORDS,
+      waitMs,
+      this.stopping.signal,
+    );
     if (page.isErr()) {
       this.logger.warn({failure: page.error}, 'the log cannot be read');
       this.wakeWaiters();
@@ -95,7 +100,7 @@
     const until = this.clock.now() + timeoutMs;
     const body = JSON.stringify(change);
     let mayBeThere = false;
-    while (this.clock.now() < until && !this.stopped) {
+    while (this.clock.now() < until && !this.stopping.signal.aborted) {
       const appended = await this.log.append(body);
       if (
         appended.isErr() &&
@@ -134,7 +139,7 @@
   /** Resolves once records up to `offset` are in force, or at the time. */
   async waitFor(offset: Offset, until: Milliseconds): Promise<boolean> {
     while (this.store.next <= offset) {
-      if (this.stopped || this.clock.now() > until) {
+      if (this.stopping.signal.aborted || this.clock.now() > until) {
         return false;
       }
       await this.nextRead();
@@ -149,7 +154,7 @@
     certain: boolean,
   ): Promise<Verdict | undefined> {
     const askedAt = this.clock.now();
-    while (this.clock.now() < until && !this.stopped) {
+    while (this.clock.now() < until && !this.stopping.signal.aborted) {
       const verdict = this.store.verdictOf(id);
       if (verdict) {
         return verdict;
@@ -163,7 +168,7 @@
   }
 
   private async follow(): Promise<void> {
-    while (!this.stopped) {
+    while (!this.stopping.signal.aborted) {
       const before = this.clock.now();
       const reached = await this.readOnce(LONG_POLL_MS);
       if (!reached && this.clock.now() - before < RETRY_MS) {
--- a/src/daemon/entry_host.ts
+++ b/src/daemon/entry_host.ts
@@ -56,7 +56,7 @@
   private stopping: Promise<void> | undefined;
 
   constructor(private readonly parts: EntryHostParts) {
-    const {settings, clock, logger, metrics} = parts;
+    const {settings, clock, logger} = parts;
     this.lifeCycle = new LifeCycle(logger);
     const transport = this.lifeCycle.own(
       'upstream connections',
--- a/src/platform/http_platform.ts
+++ b/src/platform/http_platform.ts
@@ -39,6 +39,7 @@
   readonly url: string;
   readonly body?: string;
   readonly timeoutMs: Milliseconds;
+  readonly signal?: AbortSignal;
   readonly schema: z.ZodType<T>;
 }
 
@@ -67,11 +68,13 @@
     from: Offset,
     limit: number,
     waitMs: Milliseconds,
+    signal?: AbortSignal,
   ): Promise<Result<LogPage, LogFailure>> {
     return this.call({
       method: 'GET',
       url: `${this.logUrl}/read?from=${from}&limit=${limit}&wait=${waitMs}`,
       timeoutMs: ANSWER_TIMEOUT_MS + waitMs,
+      signal,
       schema: pageSchema,
     });
   }
@@ -94,12 +97,16 @@
    * `unknown`, and only an answer that says so is `refused`.
    */
   private async call<T>(call: Call<T>): Promise<Result<T, LogFailure>> {
+    const timeout = AbortSignal.timeout(call.timeoutMs);
+    const signal = call.signal
+      ? AbortSignal.any([timeout, call.signal])
+      : timeout;
     try {
       const answer = await request(call.url, {
         method: call.method,
         body: call.body,
         dispatcher: this.agent,
-        signal: AbortSignal.timeout(call.timeoutMs),
+        signal,
       });
       const text = await answer.body.text();
       this.countBytes(call.body?.length ?? 0, text.length);
--- a/src/platform/types.ts
+++ b/src/platform/types.ts
@@ -28,11 +28,15 @@
 /** The append-only log service. */
 export interface PlatformLog {
   append(body: string): Promise<Result<Offset, LogFailure>>;
-  /** @param waitMs how long to wait for a record when there is none */
+  /**
+   * @param waitMs how long to wait for a record when there is none
+   * @param signal ends the wait early
+   */
   read(
     from: Offset,
     limit: number,
     waitMs: Milliseconds,
+    signal?: AbortSignal,
   ): Promise<Result<LogPage, LogFailure>>;
 }
 
--- a/src/standins/memory_log.ts
+++ b/src/standins/memory_log.ts
@@ -61,12 +61,13 @@
     from: Offset,
     limit: number,
     waitMs: Milliseconds,
+    signal?: AbortSignal,
   ): Promise<Result<LogPage, LogFailure>> {
     if (this.down) {
       return refuse('the log is down');
     }
     if (from >= this.end && waitMs > 0) {
-      await this.waitForRecord(waitMs);
+      await this.waitForRecord(waitMs, signal);
     }
     if (this.down) {
       return refuse('the log is down');
@@ -89,13 +90,19 @@
     this.records = this.records.slice(-retention);
   }
 
-  private waitForRecord(waitMs: Milliseconds): Promise<void> {
+  private waitForRecord(
+    waitMs: Milliseconds,
+    signal?: AbortSignal,
+  ): Promise<void> {
     return new Promise(resolve => {
-      const timer = setTimeout(() => this.wakeWaiters(), waitMs);
-      this.waiters.add(() => {
+      const wake = (): void => {
         clearTimeout(timer);
+        this.waiters.delete(wake);
         resolve();
-      });
+      };
+      const timer = setTimeout(wake, waitMs);
+      this.waiters.add(wake);
+      signal?.addEventListener('abort', wake, {once: true});
     });
   }
 
