--- /dev/null
+++ b/tests/dispatcher.test.ts
@@ -0,0 +1,392 @@
+import fc from 'fast-check';
+import {expect, test} from 'vitest';
+import type {
+  AttemptFailure,
+  DispatchDecision,
+  DispatchPolicy,
+  DispatchRequest,
+} from '../src/decisions/dispatch/index.js';
+import {Dispatcher} from '../src/decisions/dispatch/index.js';
+import {DEFAULT_ROUTING} from '../src/decisions/routing/index.js';
+import {ManualClock, seededRandom} from '../src/time/index.js';
+
+const POLICY: DispatchPolicy = {
+  queue: 20,
+  patientShare: 0.2,
+  retryRatio: 0.1,
+  hedgeRatio: 0.1,
+  routing: DEFAULT_ROUTING,
+};
+const UPSTREAMS = 4;
+
+function newDispatcher(
+  policy: Partial<DispatchPolicy> = {},
+  clock = new ManualClock(),
+  slots = 2,
+): Dispatcher {
+  const dispatcher = new Dispatcher(
+    {...POLICY, ...policy},
+    clock,
+    seededRandom(1),
+  );
+  dispatcher.configure(
+    {...POLICY, ...policy},
+    Array.from({length: UPSTREAMS}, (_, index) => ({
+      name: `u${index}`,
+      slots,
+      distanceMs: 0.1,
+      connectionShare: 10,
+    })),
+  );
+  return dispatcher;
+}
+
+function newRequest(
+  id: number,
+  more: Partial<DispatchRequest> = {},
+): DispatchRequest {
+  return {
+    id,
+    class: 'prompt',
+    tenant: 'one',
+    repeatable: true,
+    deadlineAt: 10_000,
+    retries: 2,
+    hedge: false,
+    depth: 0,
+    ...more,
+  };
+}
+
+function sends(
+  decisions: readonly DispatchDecision[],
+): Extract<DispatchDecision, {kind: 'send'}>[] {
+  return decisions.filter(one => one.kind === 'send');
+}
+
+type Step =
+  | {readonly kind: 'arrive'; readonly repeatable: boolean}
+  | {readonly kind: 'end'; readonly pick: number; readonly how: string}
+  | {readonly kind: 'wait'; readonly ms: number}
+  | {readonly kind: 'expire'; readonly pick: number};
+
+const steps = fc.array(
+  fc.oneof(
+    fc.record({
+      kind: fc.constant('arrive' as const),
+      repeatable: fc.boolean(),
+    }),
+    fc.record({
+      kind: fc.constant('end' as const),
+      pick: fc.nat(),
+      how: fc.constantFrom('answered', 'unsent', 'shed', 'error', 'broken'),
+    }),
+    fc.record({kind: fc.constant('wait' as const), ms: fc.nat(60)}),
+    fc.record({kind: fc.constant('expire' as const), pick: fc.nat()}),
+  ),
+  {minLength: 20, maxLength: 200},
+);
+
+/** Plays steps; returns per request what was sent and how it ended. */
+function play(list: readonly Step[]) {
+  const clock = new ManualClock();
+  const dispatcher = newDispatcher({}, clock);
+  const attempts: {id: number; attempt: number; upstream: string}[] = [];
+  const history = new Map<
+    number,
+    {repeatable: boolean; mayRun: number; upstreams: string[]; finals: number}
+  >();
+  let ids = 0;
+  let arrived = 0;
+  let extra = 0;
+  let mostWaiting = 0;
+  const note = (decisions: readonly DispatchDecision[]): void => {
+    for (const decision of decisions) {
+      const entry = history.get(decision.requestId);
+      if (!entry) {
+        continue;
+      }
+      if (decision.kind === 'send') {
+        const {requestId: id, attempt, upstream} = decision;
+        attempts.push({id, attempt, upstream});
+        entry.mayRun += 1;
+        entry.upstreams.push(upstream);
+        extra += attempt > 0 ? 1 : 0;
+      } else if (decision.kind === 'cancel') {
+        const at = attempts.findIndex(
+          one =>
+            one.id === decision.requestId && one.attempt === decision.attempt,
+        );
+        attempts.splice(at, 1);
+      } else {
+        entry.finals += 1;
+      }
+    }
+    mostWaiting = Math.max(mostWaiting, dispatcher.waitingCount);
+  };
+  const end = (pick: number, how: string): void => {
+    const [attempt] = attempts.splice(pick % (attempts.length || 1), 1);
+    if (!attempt) {
+      return;
+    }
+    const {id: requestId, attempt: number} = attempt;
+    const entry = history.get(requestId);
+    if (how === 'answered') {
+      if (entry) {
+        entry.finals += 1;
+      }
+      note(dispatcher.handle({kind: 'answered', requestId, attempt: number}));
+      return;
+    }
+    const failure = how as AttemptFailure;
+    if (entry && (failure === 'unsent' || failure === 'shed')) {
+      entry.mayRun -= 1;
+    }
+    note(
+      dispatcher.handle({
+        kind: 'failed',
+        failure,
+        requestId,
+        attempt: number,
+      }),
+    );
+  };
+  for (const step of list) {
+    if (step.kind === 'arrive') {
+      ids += 1;
+      arrived += 1;
+      const {repeatable} = step;
+      history.set(ids, {repeatable, mayRun: 0, upstreams: [], finals: 0});
+      const request = newRequest(ids, {
+        repeatable,
+        hedge: true,
+        retries: repeatable ? 2 : 0,
+        deadlineAt: clock.now() + 10_000,
+      });
+      note(dispatcher.handle({kind: 'arrived', request}));
+    } else if (step.kind === 'end') {
+      end(step.pick, step.how);
+    } else if (step.kind === 'wait') {
+      clock.advance(step.ms);
+      note(dispatcher.handle({kind: 'tick'}));
+    } else {
+      const requestId = 1 + (step.pick % Math.max(1, ids));
+      note(dispatcher.handle({kind: 'expired', requestId}));
+    }
+  }
+  return {history: [...history.values()], arrived, extra, mostWaiting};
+}
+
+test('an order may run at most once, whatever happens', () => {
+  fc.assert(
+    fc.property(steps, list => {
+      const orders = play(list).history.filter(one => !one.repeatable);
+      return orders.every(one => one.mayRun <= 1);
+    }),
+    {seed: 11, numRuns: 300},
+  );
+});
+
+test('no request is tried twice at one upstream', () => {
+  fc.assert(
+    fc.property(steps, list =>
+      play(list).history.every(
+        one => new Set(one.upstreams).size === one.upstreams.length,
+      ),
+    ),
+    {seed: 12, numRuns: 200},
+  );
+});
+
+test('a request gets at most one final outcome', () => {
+  fc.assert(
+    fc.property(steps, list =>
+      play(list).history.every(one => one.finals <= 1),
+    ),
+    {seed: 13, numRuns: 200},
+  );
+});
+
+test('extra attempts and the queue stay within bounds', () => {
+  fc.assert(
+    fc.property(steps, list => {
+      const {arrived, extra, mostWaiting} = play(list);
+      // Each budget starts with one and earns a tenth of an attempt each.
+      expect(extra).toBeLessThanOrEqual(2 + 2 * 0.1 * arrived);
+      expect(mostWaiting).toBeLessThanOrEqual(POLICY.queue);
+    }),
+    {seed: 14, numRuns: 200},
+  );
+});
+
+test('a whole outage does not multiply the load', () => {
+  // Every upstream fails at once. With a retry for each failure the servers
+  // would get three times the requests just when they can take the fewest.
+  const dispatcher = newDispatcher();
+  let sent = 0;
+  for (let id = 1; id <= 1_000; id += 1) {
+    let pending = sends(
+      dispatcher.handle({kind: 'arrived', request: newRequest(id)}),
+    );
+    while (pending.length > 0) {
+      sent += pending.length;
+      pending = pending.flatMap(({requestId, attempt}) =>
+        sends(
+          dispatcher.handle({
+            kind: 'failed',
+            failure: 'broken',
+            requestId,
+            attempt,
+          }),
+        ),
+      );
+    }
+  }
+  expect(sent).toBeLessThanOrEqual(1_101);
+});
+
+test('only the outermost call retries what may have run', () => {
+  const dispatcher = newDispatcher({retryRatio: 1});
+  const deep = newRequest(1, {depth: 5});
+  dispatcher.handle({kind: 'arrived', request: deep});
+  const decisions = dispatcher.handle({
+    kind: 'failed',
+    failure: 'broken',
+    requestId: 1,
+    attempt: 0,
+  });
+  expect(decisions).toMatchObject([{kind: 'refuse', outcome: 'unknown'}]);
+});
+
+test('a draining upstream gets nothing new', () => {
+  const dispatcher = newDispatcher({}, new ManualClock(), 100);
+  const drained = dispatcher.upstreams.get('u0');
+  if (drained) {
+    drained.draining = true;
+  }
+  for (let id = 1; id <= 30; id += 1) {
+    const request = newRequest(id);
+    const [send] = sends(dispatcher.handle({kind: 'arrived', request}));
+    expect(send?.upstream).not.toBe('u0');
+  }
+});
+
+test('a fail-fast upstream does not attract traffic', () => {
+  // One server answers errors within a millisecond. By requests in flight it
+  // looks idle, so a choice by load alone would send it most of the traffic.
+  const clock = new ManualClock();
+  const dispatcher = newDispatcher({retryRatio: 0}, clock, 1);
+  const counts = new Map<string, number>();
+  const working: {requestId: number; attempt: number}[] = [];
+  for (let id = 1; id <= 400; id += 1) {
+    clock.advance(1);
+    const done = id % 3 === 0 ? working.splice(0, 1) : [];
+    const decisions = done.flatMap(one =>
+      dispatcher.handle({...one, kind: 'answered'}),
+    );
+    const request = newRequest(id);
+    for (const {requestId, attempt, upstream} of sends([
+      ...decisions,
+      ...dispatcher.handle({kind: 'arrived', request}),
+    ])) {
+      counts.set(upstream, (counts.get(upstream) ?? 0) + 1);
+      if (upstream === 'u1') {
+        dispatcher.handle({
+          kind: 'failed',
+          failure: 'error',
+          requestId,
+          attempt,
+        });
+      } else {
+        working.push({requestId, attempt});
+      }
+    }
+  }
+  expect(counts.get('u1')).toBeGreaterThan(0);
+  expect(counts.get('u1')).toBeLessThan(10);
+});
+
+test('a common cause does not eject every upstream', () => {
+  const {upstreams} = newDispatcher();
+  for (let turn = 0; turn < 10; turn += 1) {
+    for (const upstream of upstreams.all) {
+      upstreams.send(upstream, turn);
+      upstreams.end(upstream, turn, 'error', turn);
+    }
+  }
+  const phases = upstreams.all.map(one => one.health.phase(10));
+  expect(phases.filter(phase => phase === 'ejected')).toHaveLength(1);
+});
+
+test('patient requests get their share, prompt ones go first', () => {
+  const dispatcher = newDispatcher({queue: 1_000}, new ManualClock(), 1);
+  let running: {requestId: number; attempt: number}[] = [];
+  const order: string[] = [];
+  const classes = new Map<number, 'prompt' | 'patient'>();
+  const note = (decisions: readonly DispatchDecision[]): void => {
+    for (const {requestId, attempt} of sends(decisions)) {
+      running.push({requestId, attempt});
+      order.push(classes.get(requestId) ?? '');
+    }
+  };
+  for (let id = 1; id <= 400; id += 1) {
+    const kind = id % 2 === 0 ? 'prompt' : 'patient';
+    classes.set(id, kind);
+    const request = newRequest(id, {class: kind, deadlineAt: 1e9});
+    note(dispatcher.handle({kind: 'arrived', request}));
+  }
+  const before = order.length;
+  while (order.length < before + 100) {
+    const [next, ...rest] = running;
+    running = rest;
+    if (!next) {
+      break;
+    }
+    note(dispatcher.handle({...next, kind: 'answered'}));
+  }
+  const served = order.slice(before, before + 100);
+  const patient = served.filter(kind => kind === 'patient').length;
+  expect(patient).toBeGreaterThanOrEqual(19);
+  expect(patient).toBeLessThanOrEqual(22);
+});
+
+test('a noisy tenant does not delay the others', () => {
+  const dispatcher = newDispatcher({queue: 1_000}, new ManualClock(), 1);
+  let running: {requestId: number; attempt: number}[] = [];
+  const note = (decisions: readonly DispatchDecision[]): number[] => {
+    const started = sends(decisions);
+    running = [...running, ...started];
+    return started.map(one => one.requestId);
+  };
+  for (let id = 1; id <= 500; id += 1) {
+    const request = newRequest(id, {tenant: 'noisy', deadlineAt: 1e9});
+    note(dispatcher.handle({kind: 'arrived', request}));
+  }
+  const quiet = newRequest(501, {tenant: 'quiet', deadlineAt: 1e9});
+  note(dispatcher.handle({kind: 'arrived', request: quiet}));
+  const started: number[] = [];
+  for (let turn = 0; turn < 3; turn += 1) {
+    const [next, ...rest] = running;
+    running = rest;
+    if (next) {
+      started.push(...note(dispatcher.handle({...next, kind: 'answered'})));
+    }
+  }
+  expect(started).toContain(501);
+});
+
+test('a request that cannot meet its deadline is refused as not run', () => {
+  const clock = new ManualClock();
+  const dispatcher = newDispatcher({queue: 1_000}, clock, 1);
+  const refusals: DispatchDecision[] = [];
+  for (let id = 1; id <= 200; id += 1) {
+    const request = newRequest(id, {deadlineAt: 30});
+    const decisions = dispatcher.handle({kind: 'arrived', request});
+    refusals.push(...decisions.filter(one => one.kind === 'refuse'));
+  }
+  expect(refusals.length).toBeGreaterThan(100);
+  expect(refusals[0]).toMatchObject({
+    outcome: 'not-run',
+    reason: 'cannot-meet-deadline',
+  });
+});
--- /dev/null
+++ b/tests/membership.test.ts
@@ -0,0 +1,221 @@
+import fc from 'fast-check';
+import {expect, test} from 'vitest';
+import type {
+  CurrencyInput,
+  HostStatement,
+  KnownPeer,
+} from '../src/decisions/membership/index.js';
+import {
+  PeerTable,
+  SeatTable,
+  homesOf,
+  judgeCurrency,
+  watermarkOf,
+} from '../src/decisions/membership/index.js';
+import {HandoverBook} from '../src/decisions/handover/index.js';
+
+function statement(more: Partial<HostStatement> = {}): HostStatement {
+  return {
+    host: 'b',
+    incarnation: 1,
+    sequence: 1,
+    dataCentre: 'x',
+    callerAddress: '10.0.0.2:80',
+    controlAddress: '10.0.0.2:81',
+    ready: true,
+    leaving: false,
+    next: 5,
+    ...more,
+  };
+}
+
+function peer(
+  more: Partial<KnownPeer> & {next?: number; host?: string} = {},
+): KnownPeer {
+  const {next = 5, host = 'b', ...rest} = more;
+  return {
+    statement: statement({next, host}),
+    heardAt: 10_000,
+    logCurrentAt: -Infinity,
+    ...rest,
+  };
+}
+
+function input(more: Partial<CurrencyInput> = {}): CurrencyInput {
+  return {
+    now: 10_000,
+    leaseMs: 3_000,
+    logCurrentAt: 9_900,
+    next: 5,
+    incomplete: false,
+    self: 'a',
+    peers: [],
+    seats: ['a', 'b', 'c'],
+    ...more,
+  };
+}
+
+test('a host that knows the end of the log serves', () => {
+  expect(judgeCurrency(input())).toEqual({kind: 'current', basis: 'log'});
+});
+
+test('a cut-off host leaves service when its lease ends', () => {
+  // A region loses the rest for an hour while an operator changes a rule.
+  // Hosts there would serve the old rule to callers all that time.
+  const cutOff = input({logCurrentAt: 6_000});
+  expect(judgeCurrency(cutOff)).toMatchObject({
+    kind: 'stale',
+    reason: 'cut-off',
+  });
+});
+
+test('a host behind a peer catches up before it serves', () => {
+  const ahead = peer({next: 6});
+  expect(judgeCurrency(input({logCurrentAt: 6_000, peers: [ahead]}))).toEqual({
+    kind: 'stale',
+    reason: 'behind-peer',
+    ahead,
+  });
+});
+
+test('in a log outage a majority serves on, a minority does not', () => {
+  const outage = {logCurrentAt: -Infinity};
+  expect(judgeCurrency(input({...outage, peers: [peer()]}))).toEqual({
+    kind: 'current',
+    basis: 'majority',
+  });
+  expect(judgeCurrency(input({...outage, peers: []}))).toMatchObject({
+    kind: 'stale',
+  });
+});
+
+test('a host with records missing never serves', () => {
+  expect(judgeCurrency(input({incomplete: true}))).toMatchObject({
+    kind: 'stale',
+    reason: 'incomplete',
+  });
+});
+
+/** Splits hosts in two sides that hear only each other. */
+const splits = fc.record({
+  hosts: fc.integer({min: 1, max: 9}),
+  side: fc.array(fc.boolean(), {minLength: 9, maxLength: 9}),
+  newer: fc.array(fc.boolean(), {minLength: 9, maxLength: 9}),
+  logSide: fc.boolean(),
+});
+
+test('no host serves without a change that a majority has', () => {
+  fc.assert(
+    fc.property(splits, ({hosts, side, newer, logSide}) => {
+      const names = Array.from({length: hosts}, (_, index) => `h${index}`);
+      const next = (index: number): number =>
+        side[index] === logSide && newer[index] ? 6 : 5;
+      const seesOf = (index: number): CurrencyInput => ({
+        now: 10_000,
+        leaseMs: 3_000,
+        logCurrentAt: side[index] === logSide && next(index) === 6 ? 9_900 : 0,
+        next: next(index),
+        incomplete: false,
+        self: names[index] ?? '',
+        seats: names,
+        peers: names.flatMap((host, other) =>
+          other !== index && side[other] === side[index]
+            ? [
+                peer({
+                  host,
+                  next: next(other),
+                  logCurrentAt: next(other) === 6 ? 9_900 : 0,
+                }),
+              ]
+            : [],
+        ),
+      });
+      const accepted = names.some((_, index) => {
+        const {inForce, seats} = watermarkOf(5, seesOf(index));
+        return inForce * 2 > seats;
+      });
+      const servesOld = names.some(
+        (_, index) =>
+          next(index) === 5 && judgeCurrency(seesOf(index)).kind === 'current',
+      );
+      expect(accepted && servesOld).toBe(false);
+    }),
+    {seed: 31, numRuns: 1_000},
+  );
+});
+
+test('late, doubled and reordered statements do no harm', () => {
+  const table = new PeerTable('a');
+  const say = (sequence: number, next: number, now: number): void =>
+    table.merge(
+      {statement: statement({sequence, next}), logAgeMs: 100},
+      now,
+      now,
+    );
+  say(2, 7, 1_000);
+  say(1, 6, 1_500);
+  say(2, 7, 2_000);
+  expect(table.get('b')).toMatchObject({
+    statement: {next: 7},
+    heardAt: 1_000,
+    logCurrentAt: 900,
+  });
+});
+
+test('a paused earlier life of a host is not believed', () => {
+  const table = new PeerTable('a');
+  const merge = (incarnation: number, sequence: number): void =>
+    table.merge(
+      {statement: statement({incarnation, sequence}), logAgeMs: null},
+      0,
+      0,
+    );
+  merge(2, 1);
+  merge(1, 900);
+  expect(table.get('b')?.statement.incarnation).toBe(2);
+});
+
+test('an age is counted from before the message was written', () => {
+  // An answer takes 2 s. Counted from its arrival, the peer would seem to
+  // know the log's end 2 s later than it did, and a lease would last longer.
+  const table = new PeerTable('a');
+  table.merge({statement: statement(), logAgeMs: 500}, 8_000, 10_000);
+  expect(table.get('b')?.logCurrentAt).toBe(7_500);
+});
+
+test('a seat is not given up by an earlier life', () => {
+  const seats = new SeatTable();
+  const seat = {kind: 'seat' as const, host: 'a'};
+  seats.apply({...seat, incarnation: 2, leave: false}, 0);
+  seats.apply({...seat, incarnation: 1, leave: true}, 1);
+  expect(seats.has('a')).toBe(true);
+  seats.apply({...seat, incarnation: 2, leave: true}, 2);
+  expect(seats.has('a')).toBe(false);
+});
+
+test('homes move only when a home goes', () => {
+  const hosts = Array.from({length: 6}, (_, index) => ({
+    host: `h${index}`,
+    dataCentre: 'x',
+  }));
+  const [home] = homesOf('swaps', 'x', hosts, 1);
+  const others = hosts.filter(one => one !== home);
+  expect(
+    homesOf('swaps', 'x', [...others.slice(1), ...(home ? [home] : [])], 1),
+  ).toEqual([home]);
+  expect(homesOf('swaps', 'x', others, 1)).not.toEqual([home]);
+});
+
+test('a silent home gives back all it has, a slow one nothing', () => {
+  // A home host is paused for 10 s. What was handed to it would hang until
+  // the deadlines of its callers.
+  const book = new HandoverBook();
+  book.handOver(1, 0);
+  book.acknowledge(1);
+  expect(book.takeBack(5_000)).toEqual([]);
+  book.handOver(2, 5_000);
+  expect(book.takeBack(5_049)).toEqual([]);
+  expect(book.takeBack(5_050)).toEqual([1, 2]);
+  expect(book.mayHandOver(5_060)).toBe(false);
+  expect(book.mayHandOver(5_600)).toBe(true);
+});
