--- a/src/caller/caller_server.ts
+++ b/src/caller/caller_server.ts
@@ -30,6 +30,7 @@
 import type {CallerContext} from './types.js';
 import {listen} from '../servers/index.js';
 
+const IDLE_SWEEP_MS = 20;
 const UNNAMED_TENANT = 'none';
 /** When a caller whose order could not be claimed may ask again. */
 const CLAIM_RETRY_MS = 1_000;
@@ -72,7 +73,16 @@
   close(): Promise<void> {
     this.stopping = true;
     return new Promise(resolve => {
-      this.server.close(() => resolve());
+      // A connection that was busy at the start of the stop turns idle later,
+      // and its keep-alive would hold the stop up to the limit.
+      const sweep = setInterval(
+        () => this.server.closeIdleConnections(),
+        IDLE_SWEEP_MS,
+      );
+      this.server.close(() => {
+        clearInterval(sweep);
+        resolve();
+      });
       this.server.closeIdleConnections();
     });
   }
--- a/src/configuration/checkpointer.ts
+++ b/src/configuration/checkpointer.ts
@@ -4,6 +4,7 @@
 import type {Clock, Milliseconds, Random} from '../time/index.js';
 import type {ConfigurationRecord} from '../decisions/configuration/index.js';
 import {CheckpointSchedule} from '../decisions/configuration/index.js';
+import type {SeatState} from '../decisions/membership/index.js';
 import type {PlatformLog} from '../platform/index.js';
 import type {LogFollower} from './log_follower.js';
 
@@ -11,6 +12,7 @@
 
 export interface CheckpointerOptions {
   readonly host: string;
+  readonly seats: () => readonly SeatState[];
   readonly intervalMs: Milliseconds;
   readonly clock: Clock;
   readonly random: Random;
@@ -52,7 +54,8 @@
     }
     this.schedule.noteCheckpoint();
     const snapshot = this.follower.snapshot();
-    const record = {kind: 'checkpoint', host: this.options.host, snapshot};
+    const {host, seats} = this.options;
+    const record = {kind: 'checkpoint', host, snapshot, seats: seats()};
     const appended = await this.log.append(JSON.stringify(record));
     if (appended.isErr()) {
       const failure = appended.error;
--- a/src/configuration/log_follower.ts
+++ b/src/configuration/log_follower.ts
@@ -33,6 +33,7 @@
   private readonly replay = new Replay(this.store);
   /** When the last read that reached the end of the log was sent. */
   private currentAt: Milliseconds = -Infinity;
+  private restored = false;
   private readonly stopping = new AbortController();
   private loop: Promise<void> | undefined;
   private waiters: (() => void)[] = [];
@@ -53,9 +54,10 @@
     return this.replay.hasGap;
   }
 
-  /** Whether the state stands on the log's own records or a checkpoint. */
+  /** Whether the state stands on the log, a checkpoint or a peer's state. */
   get isComplete(): boolean {
-    return this.currentAt > -Infinity && !this.replay.hasGap;
+    const known = this.currentAt > -Infinity || this.restored;
+    return known && !this.replay.hasGap;
   }
 
   start(): void {
@@ -131,6 +133,7 @@
     const before = this.allServices();
     const restored = this.replay.restore(snapshot);
     if (restored) {
+      this.restored = true;
       this.listener.onConfigured(new Set([...before, ...this.allServices()]));
     }
     return restored;
--- a/src/control/types.ts
+++ b/src/control/types.ts
@@ -5,7 +5,11 @@
   Verdict,
   Write,
 } from '../decisions/configuration/index.js';
-import type {AgedStatement, Watermark} from '../decisions/membership/index.js';
+import type {
+  AgedStatement,
+  SeatState,
+  Watermark,
+} from '../decisions/membership/index.js';
 import type {HostDescription, Table} from '../queries/index.js';
 
 /** Version of what peers say to each other; unknown fields are ignored. */
@@ -16,12 +20,18 @@
   readonly statements: readonly AgedStatement[];
 }
 
+/** What a host knows from the log. */
+export interface HostSnapshot {
+  readonly configuration: ConfigurationSnapshot;
+  readonly seats: readonly SeatState[];
+}
+
 /** What other entry hosts ask. */
 export interface PeerService {
   /** Takes in a peer's digest and answers with the own one. */
   exchange(message: ExchangeMessage): ExchangeMessage;
-  /** The whole configuration, for a host that cannot read the log. */
-  snapshot(): ConfigurationSnapshot;
+  /** All that a host needs that cannot read the log. */
+  snapshot(): HostSnapshot;
   describe(): HostDescription;
 }
 
--- a/src/daemon/entry_host.ts
+++ b/src/daemon/entry_host.ts
@@ -85,6 +85,7 @@
       'checkpointer',
       new Checkpointer(parts.log, this.follower, {
         host: settings['host-id'],
+        seats: () => this.fleet.seatStates(),
         intervalMs: settings['checkpoint-interval-ms'],
         clock,
         random: parts.random,
@@ -280,7 +281,10 @@
     const router = createRouter(
       {
         exchange: message => this.fleet.exchange(message),
-        snapshot: () => this.follower.snapshot(),
+        snapshot: () => ({
+          configuration: this.follower.snapshot(),
+          seats: this.fleet.seatStates(),
+        }),
         describe,
       },
       operator,
--- a/src/decisions/configuration/records.ts
+++ b/src/decisions/configuration/records.ts
@@ -1,6 +1,7 @@
 /** What may stand on the platform's log. */
 
 import {z} from 'zod';
+import {seatStateSchema} from '../membership/seats.js';
 import type {Offset} from './types.js';
 import {changeSchema, objectSchema} from './types.js';
 
@@ -44,6 +45,8 @@
   kind: z.literal('checkpoint'),
   host: z.string(),
   snapshot: snapshotSchema,
+  /** Hosts that hold a seat. */
+  seats: z.array(seatStateSchema).default([]),
 });
 
 export const configurationRecordSchema = z.discriminatedUnion('kind', [
--- a/src/decisions/membership/index.ts
+++ b/src/decisions/membership/index.ts
@@ -1,8 +1,8 @@
 export * from './types.js';
 export * from './constants.js';
 export {PeerTable, isHeard} from './peer_table.js';
-export type {SeatRecord} from './seats.js';
-export {SeatTable, seatSchema} from './seats.js';
+export type {SeatRecord, SeatState} from './seats.js';
+export {SeatTable, seatSchema, seatStateSchema} from './seats.js';
 export type {Currency, CurrencyInput, Watermark} from './currency.js';
 export {judgeCurrency, watermarkOf} from './currency.js';
 export type {HomeCandidate} from './homes.js';
--- a/src/decisions/membership/seats.ts
+++ b/src/decisions/membership/seats.ts
@@ -18,6 +18,16 @@
 
 export type SeatRecord = Readonly<z.infer<typeof seatSchema>>;
 
+/** A seat as it is handed on with a snapshot. */
+export const seatStateSchema = z.object({
+  host: z.string(),
+  incarnation: z.number(),
+  /** The log's time. */
+  renewedAt: z.number(),
+});
+
+export type SeatState = Readonly<z.infer<typeof seatStateSchema>>;
+
 interface Seat {
   readonly incarnation: number;
   readonly renewedAt: Milliseconds;
@@ -34,6 +44,20 @@
     return this.seats.has(host);
   }
 
+  snapshot(): readonly SeatState[] {
+    return [...this.seats].map(([host, seat]) => ({host, ...seat}));
+  }
+
+  /** Takes over seats from a snapshot, where nothing newer is known. */
+  restore(states: readonly SeatState[]): void {
+    for (const {host, incarnation, renewedAt} of states) {
+      const known = this.seats.get(host);
+      if (!known || known.renewedAt < renewedAt) {
+        this.seats.set(host, {incarnation, renewedAt});
+      }
+    }
+  }
+
   /** @param appendedAt the log's time of the record */
   apply(record: SeatRecord, appendedAt: Milliseconds): void {
     const seat = this.seats.get(record.host);
--- a/src/peers/fleet.ts
+++ b/src/peers/fleet.ts
@@ -1,11 +1,15 @@
 /** This host among the entry hosts: exchanges, seat and currency. */
 
 import type {Logger} from 'pino';
+import {z} from 'zod';
 import type {LogFollower} from '../configuration/index.js';
 import type {ControlClient, ExchangeMessage} from '../control/index.js';
 import {ControlConnector, PEER_PROTOCOL_VERSION} from '../control/index.js';
 import type {Offset} from '../decisions/configuration/index.js';
-import {snapshotSchema} from '../decisions/configuration/index.js';
+import {
+  parseConfigurationRecord,
+  snapshotSchema,
+} from '../decisions/configuration/index.js';
 import type {
   AgedStatement,
   Currency,
@@ -13,6 +17,7 @@
   HostStatement,
   KnownPeer,
   SeatRecord,
+  SeatState,
   Watermark,
 } from '../decisions/membership/index.js';
 import {
@@ -22,12 +27,18 @@
   SeatTable,
   judgeCurrency,
   seatSchema,
+  seatStateSchema,
   watermarkOf,
 } from '../decisions/membership/index.js';
 import type {ByteCounter, LogRecord, PlatformLog} from '../platform/index.js';
 import type {Clock, Milliseconds, Random} from '../time/index.js';
 import {CurrencyWatch} from './currency_watch.js';
 
+const hostSnapshotSchema = z.object({
+  configuration: snapshotSchema,
+  seats: z.array(seatStateSchema),
+});
+
 /** Who this host is. */
 export interface FleetIdentity {
   readonly host: string;
@@ -117,8 +128,18 @@
     return this.digest();
   }
 
+  /** The seats, for checkpoints and peers. */
+  seatStates(): readonly SeatState[] {
+    return this.seats.snapshot();
+  }
+
   /** Takes in the seats that the log tells of. */
   onRecord(record: LogRecord, body: unknown): void {
+    const checkpoint = parseConfigurationRecord(body);
+    if (checkpoint?.kind === 'checkpoint') {
+      this.seats.restore(checkpoint.seats);
+      return;
+    }
     const parsed = seatSchema.safeParse(body);
     if (parsed.success) {
       this.seats.apply(parsed.data, record.appendedAt);
@@ -185,8 +206,9 @@
   private async catchUp(peer: KnownPeer): Promise<void> {
     try {
       const client = this.clientOf(peer.statement.controlAddress);
-      const snapshot = snapshotSchema.parse(await client.snapshot.query());
-      this.follower?.restore(snapshot);
+      const snapshot = hostSnapshotSchema.parse(await client.snapshot.query());
+      this.seats.restore(snapshot.seats);
+      this.follower?.restore(snapshot.configuration);
     } catch (error) {
       const message = error instanceof Error ? error.message : String(error);
       this.options.logger.warn(
--- a/src/standins/memory_log.ts
+++ b/src/standins/memory_log.ts
@@ -98,11 +98,12 @@
       const wake = (): void => {
         clearTimeout(timer);
         this.waiters.delete(wake);
+        signal?.removeEventListener('abort', wake);
         resolve();
       };
       const timer = setTimeout(wake, waitMs);
       this.waiters.add(wake);
-      signal?.addEventListener('abort', wake, {once: true});
+      signal?.addEventListener('abort', wake);
     });
   }
 
