Measure within a budget that holds when hosts disagree

Cause: nothing probed, and a share computed from the believed fleet would let hosts that disagree exceed the budget. Change: rights to probe are granted on the log against the declared rate, usable for 8 s of 10 s; probes go to the upstream silent longest; its 503 drains it. A property test found that a holder which lowers its right freed the difference while still using the larger one (15 of 10); now the larger one counts to its end.

--- a/src/bench/policy/cyclamenlever.ts
+++ b/src/bench/policy/cyclamenlever.ts
@@ -12,6 +12,7 @@
 } from '../../decisions/routing/index.js';
 import {DEFAULT_ROUTING} from '../../decisions/routing/index.js';
 import {ACKNOWLEDGE_MS, HandoverBook} from '../../decisions/handover/index.js';
+import {ProbeSchedule} from '../../decisions/measuring/index.js';
 import type {FakeServer} from './fake_server.js';
 import {NEAR_MS} from './scenarios.js';
 import type {
@@ -26,6 +27,8 @@
   readonly routing?: Partial<RoutingOptions>;
   /** Hedges as a share of requests; 0 switches them off. */
   readonly hedgeRatio?: number;
+  /** Probes per server and second, over all hosts. */
+  readonly probes?: number;
   /** Whether one host per data centre chooses for the others. */
   readonly homes?: boolean;
 }
@@ -93,6 +96,22 @@
     });
   }
 
+  /** Asks a server for its load, there and back. */
+  probe(name: string): void {
+    const server = this.byName.get(name);
+    if (!server) {
+      return;
+    }
+    const from = this.simulation.dataCentreOf(this.host);
+    const delay = this.simulation.distance(from, server.dataCentre);
+    this.simulation.world.after(delay, () => {
+      const load = server.reportedLoad;
+      this.simulation.world.after(delay, () =>
+        this.tell({kind: 'reported', upstream: name, load}),
+      );
+    });
+  }
+
   private perform(decision: DispatchDecision): void {
     switch (decision.kind) {
       case 'send':
@@ -154,6 +173,7 @@
 class CyclamenleverPolicy implements Policy {
   private readonly choosers: readonly Chooser[];
   private readonly policy: DispatchPolicy;
+  probes = 0;
   private servers: readonly FakeServer[];
   /** What each host has handed to its home. */
   private readonly books = new Map<number, HandoverBook>();
@@ -183,6 +203,35 @@
     simulation.world.after(0, () => {
       this.servers = this.servers.filter(server => !server.stopped);
       this.choosers.forEach(one => one.configure(this.policy, this.servers));
+      if (variant.probes) {
+        this.startProbes(variant.probes);
+      }
+    });
+  }
+
+  /** Each home has its share of the budget for good. */
+  private startProbes(budget: number): void {
+    const {dataCentres} = this.simulation.scenario.site;
+    for (let home = 0; home < dataCentres; home += 1) {
+      const schedule = new ProbeSchedule();
+      const rate = (budget * this.servers.length) / dataCentres;
+      schedule.grant(rate, Infinity, 0);
+      this.probeNext(home, schedule);
+    }
+  }
+
+  private probeNext(home: number, schedule: ProbeSchedule): void {
+    const {world} = this.simulation;
+    const at = schedule.wakeAt(world.now) ?? Infinity;
+    this.after(at - world.now, home, () => {
+      const chooser = this.choosers[home];
+      const states = chooser?.dispatcher.upstreams.all ?? [];
+      const next = schedule.next(states, world.now);
+      if (chooser && next) {
+        this.probes += 1;
+        chooser.probe(next.spec.name);
+      }
+      this.probeNext(home, schedule);
     });
   }
 
--- a/src/bench/policy/main.ts
+++ b/src/bench/policy/main.ts
@@ -17,6 +17,9 @@
 };
 const ABLATIONS: Readonly<Record<string, PolicyFactory>> = {
   hedged: cyclamenlever({hedgeRatio: 0.1}),
+  'probes-5': cyclamenlever({probes: 5}),
+  'probes-20': cyclamenlever({probes: 20}),
+  'probes-100': cyclamenlever({probes: 100}),
   'no-homes': cyclamenlever({homes: false}),
   'no-late-binding': cyclamenlever({routing: {lateBinding: false}}),
   'no-rates': cyclamenlever({routing: {rates: false}}),
--- a/src/daemon/entry_host.ts
+++ b/src/daemon/entry_host.ts
@@ -7,6 +7,7 @@
 import {HandoverDesk} from '../handover/index.js';
 import {LifeCycle} from '../lifecycle/index.js';
 import {Metrics} from '../metrics/index.js';
+import {MeasureDesk} from '../measuring/index.js';
 import {OrderDesk} from '../orders/index.js';
 import {Fleet} from '../peers/index.js';
 import type {HostList, PlatformLog} from '../platform/index.js';
@@ -51,6 +52,7 @@
   private readonly callers: CallerServer;
   private readonly orders: OrderDesk;
   private readonly checkpointer: Checkpointer;
+  private readonly measuring: MeasureDesk;
   private readonly hostListWatch: HostListWatch;
   private draining = false;
   private stopping: Promise<void> | undefined;
@@ -116,6 +118,11 @@
       ),
       one => one.close(),
     );
+    this.measuring = this.lifeCycle.own(
+      'measure desk',
+      this.createMeasuring(transport, desk),
+      one => one.stop(),
+    );
     this.callers = this.createCallers(transport, desk);
   }
 
@@ -152,6 +159,7 @@
     this.lifeCycle.own('caller port', this.callers, one => one.cutOff());
     this.follower.start();
     this.checkpointer.start();
+    this.measuring.start();
     this.fleet.start({
       caller:
         settings['advertise-caller'] ??
@@ -240,6 +248,7 @@
         this.fleet.onRecord(record, body);
         this.orders.onRecord(record, body);
         this.checkpointer.onRecord(body);
+        this.measuring.onRecord(record, body);
       },
     });
     return follower;
@@ -255,6 +264,24 @@
     });
   }
 
+  private createMeasuring(
+    transport: Transport,
+    desk: HandoverDesk,
+  ): MeasureDesk {
+    const {settings, clock, logger, metrics, log, incarnation} = this.parts;
+    return new MeasureDesk(log, {
+      host: settings['host-id'],
+      incarnation,
+      clock,
+      logger,
+      metrics,
+      transport,
+      services: this.services,
+      homesSharing: ({service}) =>
+        desk.homesSharing(service.name, service.homes),
+    });
+  }
+
   private createCallers(
     transport: Transport,
     desk: HandoverDesk,
--- a/src/decisions/configuration/types.ts
+++ b/src/decisions/configuration/types.ts
@@ -14,6 +14,8 @@
   domain: z.string().optional(),
   /** Measuring budget: probes per upstream and second, over the whole fleet. */
   probes: z.number().min(0).max(1000).default(0),
+  /** Path of the upstreams' load endpoint; 503 there means leaving. */
+  load: z.string().startsWith('/').default('/load'),
   /** Entry hosts per data centre that choose upstreams for the service. */
   homes: positive.max(64).default(1),
   /** Retries allowed, as a percentage of first attempts. */
--- /dev/null
+++ b/src/decisions/measuring/index.ts
@@ -0,0 +1,8 @@
+export type {MeasureRecord} from './measure_rights.js';
+export {
+  MeasureRights,
+  RIGHT_MS,
+  USABLE_RIGHT_MS,
+  measureSchema,
+} from './measure_rights.js';
+export {ProbeSchedule} from './probe_schedule.js';
--- a/src/decisions/routing/others_estimate.ts
+++ b/src/decisions/routing/others_estimate.ts
@@ -13,17 +13,21 @@
 export class OthersEstimate {
   private usual = 0;
   private latest = 0;
-  private reportedAt: Milliseconds = -Infinity;
+  private latestAt: Milliseconds = -Infinity;
+
+  get reportedAt(): Milliseconds {
+    return this.latestAt;
+  }
 
   /** Takes in a report from which own requests were subtracted. */
   observe(others: number, now: Milliseconds): void {
     this.latest = Math.max(0, others);
-    this.reportedAt = now;
+    this.latestAt = now;
     this.usual += USUAL_OTHERS_GAIN * (this.latest - this.usual);
   }
 
   at(now: Milliseconds): number {
-    const weight = Math.exp(-(now - this.reportedAt) / REPORT_WINDOW_MS);
+    const weight = Math.exp(-(now - this.latestAt) / REPORT_WINDOW_MS);
     return this.usual + (this.latest - this.usual) * weight;
   }
 }
--- a/src/decisions/routing/upstream_state.ts
+++ b/src/decisions/routing/upstream_state.ts
@@ -33,6 +33,11 @@
     this.usual = new RateEstimate(USUAL_RATE_WINDOW_MS, now);
   }
 
+  /** When its last report was received. */
+  get reportedAt(): Milliseconds {
+    return this.othersEstimate.reportedAt;
+  }
+
   /** Own requests in flight: exact. */
   get inFlight(): number {
     return this.sentAt.length;
--- a/src/handover/handover_desk.ts
+++ b/src/handover/handover_desk.ts
@@ -64,6 +64,20 @@
     this.takers.delete(requestId);
   }
 
+  /** Homes of a service in all data centres; 0 when this host is not one. */
+  homesSharing(service: string, count: number): number {
+    const own = this.homesOf(service, count);
+    if (!own.some(({host}) => host === this.self.host)) {
+      return 0;
+    }
+    const candidates = this.candidates();
+    const centres = new Set(candidates.map(({dataCentre}) => dataCentre));
+    return [...centres].reduce(
+      (sum, centre) => sum + homesOf(service, centre, candidates, count).length,
+      0,
+    );
+  }
+
   close(): void {
     clearTimeout(this.timer);
   }
@@ -74,6 +88,13 @@
     if (cached?.version === version && cached.count === count) {
       return cached.homes;
     }
+    const {dataCentre} = this.self;
+    const homes = homesOf(service, dataCentre, this.candidates(), count);
+    this.cache.set(service, {version, count, homes});
+    return homes;
+  }
+
+  private candidates(): readonly Home[] {
     const peers = this.peers
       .alive(this.clock.now())
       .filter(({statement}) => statement.ready)
@@ -82,11 +103,7 @@
         dataCentre: statement.dataCentre,
         address: statement.callerAddress,
       }));
-    const candidates = [{...this.self, address: ''}, ...peers];
-    const {dataCentre} = this.self;
-    const homes = homesOf(service, dataCentre, candidates, count);
-    this.cache.set(service, {version, count, homes});
-    return homes;
+    return [{...this.self, address: ''}, ...peers];
   }
 
   private bookOf({host}: Home): HandoverBook {
--- /dev/null
+++ b/src/measuring/index.ts
@@ -0,0 +1,1 @@
+export {MeasureDesk} from './measure_desk.js';
--- /dev/null
+++ b/src/measuring/probe.ts
@@ -0,0 +1,65 @@
+/** One question to an upstream's load endpoint. */
+
+import {readLoad} from '../caller/headers.js';
+import type {Milliseconds} from '../time/index.js';
+import type {
+  AnswerHead,
+  AttemptHandle,
+  AttemptObserver,
+  Transport,
+} from '../transport/index.js';
+
+const PROBE_TIMEOUT_MS: Milliseconds = 500;
+const PROBE_CONNECTIONS = 1;
+
+export interface ProbeResult {
+  /** Requests there, if it says. */
+  readonly load?: number;
+  /** It answered that it takes no more. */
+  readonly leaving: boolean;
+}
+
+export class Probe implements AttemptObserver {
+  private handle: AttemptHandle | undefined;
+  private timer: NodeJS.Timeout | undefined;
+  private head: AnswerHead | undefined;
+
+  constructor(private readonly onResult: (result: ProbeResult) => void) {}
+
+  send(transport: Transport, address: string, path: string): void {
+    this.timer = setTimeout(() => this.handle?.cancel(), PROBE_TIMEOUT_MS);
+    this.timer.unref();
+    this.handle = transport.send(
+      {address, method: 'GET', path, headers: [], body: null},
+      PROBE_CONNECTIONS,
+      this,
+    );
+  }
+
+  onProgress(): void {
+    // Nothing to learn before the answer itself.
+  }
+
+  onHead(head: AnswerHead): void {
+    this.head = head;
+  }
+
+  onData(): void {
+    // The load is in the head.
+  }
+
+  onEnd(): void {
+    clearTimeout(this.timer);
+    if (this.head) {
+      this.onResult({
+        load: readLoad(this.head.headers),
+        leaving: this.head.status === 503,
+      });
+    }
+  }
+
+  /** No answer says nothing: endpoints lag and mislead, requests will tell. */
+  onFail(): void {
+    clearTimeout(this.timer);
+  }
+}
--- a/src/service/service_runtime.ts
+++ b/src/service/service_runtime.ts
@@ -13,6 +13,7 @@
   DispatchRequest,
 } from '../decisions/dispatch/index.js';
 import {Dispatcher} from '../decisions/dispatch/index.js';
+import type {UpstreamState} from '../decisions/routing/index.js';
 import {DEFAULT_ROUTING} from '../decisions/routing/index.js';
 import {RuleBook} from '../decisions/rules/index.js';
 import type {Clock, Milliseconds, Random} from '../time/index.js';
@@ -54,6 +55,8 @@
   private working = false;
   /** Addresses that the host list or a health endpoint calls leaving. */
   private leaving: ReadonlySet<string> = new Set();
+  /** Names of upstreams whose own endpoint says so. */
+  private readonly selfLeaving = new Set<string>();
 
   constructor(
     private configuration: ServiceConfiguration,
@@ -70,6 +73,18 @@
     return this.configuration.service;
   }
 
+  get upstreams(): readonly Upstream[] {
+    return this.configuration.upstreams;
+  }
+
+  get upstreamStates(): readonly UpstreamState[] {
+    return this.dispatcher.upstreams.all;
+  }
+
+  findUpstream(name: string): Upstream | undefined {
+    return this.upstreamsByName.get(name);
+  }
+
   get waitingCount(): number {
     return this.dispatcher.waitingCount;
   }
@@ -106,6 +121,19 @@
     this.markDraining();
   }
 
+  /** Takes in what an upstream's own endpoint says of its leaving. */
+  setUnhealthy(name: string, leaving: boolean): void {
+    if (leaving === this.selfLeaving.has(name)) {
+      return;
+    }
+    if (leaving) {
+      this.selfLeaving.add(name);
+    } else {
+      this.selfLeaving.delete(name);
+    }
+    this.markDraining();
+  }
+
   findRule(method: string, path: string): Rule {
     return this.ruleBook.find(method, path);
   }
@@ -209,7 +237,8 @@
       if (state) {
         state.draining =
           this.configuration.drains.has(upstream.name) ||
-          this.leaving.has(upstream.at);
+          this.leaving.has(upstream.at) ||
+          this.selfLeaving.has(upstream.name);
       }
     }
   }
--- a/src/standins/upstream_server.ts
+++ b/src/standins/upstream_server.ts
@@ -41,6 +41,8 @@
   fault: UpstreamFault = 'none';
   /** Multiplies service times: above 1 it is a straggler. */
   slowdown = 1;
+  /** Its load endpoint says that it takes no more. */
+  leaving = false;
   readonly runs: RunRecord[] = [];
   private readonly server: Server;
   private readonly queue: (() => void)[] = [];
@@ -70,7 +72,7 @@
     response: ServerResponse,
   ): Promise<void> {
     if (request.url === '/load') {
-      this.answer(response, 200, '');
+      this.answer(response, this.leaving ? 503 : 200, '');
       return;
     }
     if (this.fault === 'shed') {
