Ask peers directly when an operator waits; shorten what peers say

Cause: an operator waited 2 to 3.9 s for a change that was in force within milliseconds, because news of it came round by gossip once a second; and control traffic was 26 kB/s per host at 17 hosts, over the 17 kB/s of the target, two thirds of it field names.

--- a/src/control/control_server.ts
+++ b/src/control/control_server.ts
@@ -6,7 +6,7 @@
 import {createHTTPHandler} from '@trpc/server/adapters/standalone';
 import type {ControlRouter, Credential} from './router.js';
 import {KEY_HEADER} from './router.js';
-import {closeNow, listen} from '../servers/index.js';
+import {TrafficMeter, closeNow, listen} from '../servers/index.js';
 
 export interface ControlKeys {
   readonly fleet: string;
@@ -14,6 +14,7 @@
 }
 
 export class ControlServer {
+  readonly traffic: TrafficMeter;
   private readonly server: Server;
 
   constructor(router: ControlRouter, keys: ControlKeys) {
@@ -22,6 +23,7 @@
       createContext: ({req}) => ({credential: credentialOf(req, keys)}),
     });
     this.server = createServer(handler);
+    this.traffic = new TrafficMeter(this.server);
   }
 
   listen(host: string, port: number): Promise<number> {
--- a/src/control/index.ts
+++ b/src/control/index.ts
@@ -5,3 +5,4 @@
 export {ControlServer} from './control_server.js';
 export type {ControlClient} from './control_client.js';
 export {ControlConnector} from './control_client.js';
+export {decodeStatement, encodeStatement} from './wire_statement.js';
--- a/src/control/router.ts
+++ b/src/control/router.ts
@@ -2,6 +2,7 @@
 
 import {TRPCError, initTRPC} from '@trpc/server';
 import {z} from 'zod';
+import {wireStatementSchema} from './wire_statement.js';
 import type {
   ChangeReport,
   ExchangeMessage,
@@ -35,25 +36,9 @@
 
 export const KEY_HEADER = 'x-cyclamenlever-key';
 
-const statementSchema = z.object({
-  statement: z.object({
-    host: z.string(),
-    incarnation: z.number(),
-    sequence: z.number(),
-    dataCentre: z.string(),
-    callerAddress: z.string(),
-    controlAddress: z.string(),
-    ready: z.boolean(),
-    leaving: z.boolean(),
-    next: z.number(),
-  }),
-  logAgeMs: z.number().nullable(),
-});
-
-/** Unknown fields are dropped: a newer peer may send more than we know. */
 const exchangeSchema = z.object({
   protocol: z.number(),
-  statements: z.array(statementSchema).max(1_000).readonly(),
+  statements: z.array(wireStatementSchema).max(1_000).readonly(),
 });
 
 const changeRequestSchema = z.object({
--- a/src/control/types.ts
+++ b/src/control/types.ts
@@ -5,19 +5,16 @@
   Verdict,
   Write,
 } from '../decisions/configuration/index.js';
-import type {
-  AgedStatement,
-  SeatState,
-  Watermark,
-} from '../decisions/membership/index.js';
+import type {SeatState, Watermark} from '../decisions/membership/index.js';
 import type {HostDescription, Table} from '../queries/index.js';
+import type {WireStatement} from './wire_statement.js';
 
 /** Version of what peers say to each other; unknown fields are ignored. */
 export const PEER_PROTOCOL_VERSION = 1;
 
 export interface ExchangeMessage {
   readonly protocol: number;
-  readonly statements: readonly AgedStatement[];
+  readonly statements: readonly WireStatement[];
 }
 
 /** What a host knows from the log. */
--- a/src/daemon/entry_host.ts
+++ b/src/daemon/entry_host.ts
@@ -54,6 +54,7 @@
   private readonly checkpointer: Checkpointer;
   private readonly measuring: MeasureDesk;
   private readonly hostListWatch: HostListWatch;
+  private control: ControlServer | undefined;
   private draining = false;
   private stopping: Promise<void> | undefined;
 
@@ -131,6 +132,16 @@
     return this.lifeCycle.open;
   }
 
+  /** Bytes that crossed the control port, both ways. */
+  get controlBytes(): number {
+    return this.control?.traffic.bytes ?? 0;
+  }
+
+  /** Changes judged here that are remembered. */
+  get judgedChanges(): number {
+    return this.follower.store.history().length;
+  }
+
   get isReady(): boolean {
     return !this.draining && this.fleet.currency.kind === 'current';
   }
@@ -146,14 +157,14 @@
       ),
       one => one.close(),
     );
-    const control = this.lifeCycle.own(
+    this.control = this.lifeCycle.own(
       'control port',
       this.createControlServer(),
       one => one.close(),
     );
     const ports = {
       admin: await admin.listen(...split(settings['admin-address'])),
-      control: await control.listen(...split(settings['control-address'])),
+      control: await this.control.listen(...split(settings['control-address'])),
       caller: await this.callers.listen(...split(settings['caller-address'])),
     };
     this.lifeCycle.own('caller port', this.callers, one => one.cutOff());
--- a/src/daemon/operator.ts
+++ b/src/daemon/operator.ts
@@ -30,7 +30,7 @@
 /** A change that is not in force by then is reported as it stands. */
 const IN_FORCE_TIMEOUT_MS: Milliseconds = 5_000;
 const SUBMIT_TIMEOUT_MS: Milliseconds = 10_000;
-const WATERMARK_POLL_MS: Milliseconds = 50;
+const WATERMARK_POLL_MS: Milliseconds = 25;
 
 export class Operator implements OperatorService {
   constructor(
@@ -162,6 +162,7 @@
         return watermark;
       }
       await new Promise(resolve => setTimeout(resolve, WATERMARK_POLL_MS));
+      await this.fleet.askBehind(offset);
     }
   }
 
--- a/src/decisions/dispatch/dispatcher.ts
+++ b/src/decisions/dispatch/dispatcher.ts
@@ -156,11 +156,8 @@
   /** Expected time until a request with so many before it has its answer. */
   private waitMs(ahead: number): Milliseconds {
     const rate = this.upstreams.serviceRate(this.clock.now());
-    let slots = 0;
-    for (const upstream of this.upstreams.all) {
-      slots += Math.max(upstream.inFlight, 0);
-    }
-    return (ahead + 1) / (Math.max(slots, 1) * rate) + 1 / rate;
+    const busy = Math.max(this.upstreams.inFlight, 1);
+    return (ahead + 1) / (busy * rate) + 1 / rate;
   }
 
   private placeWaiting(): void {
--- a/src/decisions/membership/index.ts
+++ b/src/decisions/membership/index.ts
@@ -1,6 +1,6 @@
 export * from './types.js';
 export * from './constants.js';
-export {PeerTable, isHeard} from './peer_table.js';
+export {PeerTable} from './peer_table.js';
 export type {SeatRecord, SeatState} from './seats.js';
 export {SeatTable, seatSchema, seatStateSchema} from './seats.js';
 export type {Currency, CurrencyInput, Watermark} from './currency.js';
--- a/src/decisions/membership/peer_table.ts
+++ b/src/decisions/membership/peer_table.ts
@@ -7,6 +7,7 @@
 import {
   EXCHANGE_PEERS,
   FAILED_AFTER_MS,
+  FAILED_AFTER_PER_PEER_MS,
   FORGOTTEN_AFTER_MS,
   STATEMENTS_PER_MESSAGE,
 } from './constants.js';
@@ -34,7 +35,7 @@
   /** Peers heard of lately that are not leaving. */
   alive(now: Milliseconds): readonly KnownPeer[] {
     return this.all.filter(
-      peer => isHeard(peer, now) && !peer.statement.leaving,
+      peer => this.isHeard(peer, now) && !peer.statement.leaving,
     );
   }
 
@@ -63,7 +64,7 @@
       ? heardCurrent
       : Math.max(known.logCurrentAt, heardCurrent);
     this.peers.set(statement.host, {statement, heardAt: now, logCurrentAt});
-    if (!known || differs(known, statement) || !isHeard(known, now)) {
+    if (!known || differs(known, statement) || !this.isHeard(known, now)) {
       this.changes += 1;
     }
   }
@@ -74,7 +75,7 @@
       if (now - peer.heardAt > FORGOTTEN_AFTER_MS) {
         this.peers.delete(host);
       }
-      if (isHeard(peer, now - interval) && !isHeard(peer, now)) {
+      if (this.isHeard(peer, now - interval) && !this.isHeard(peer, now)) {
         this.changes += 1;
       }
     }
@@ -89,7 +90,7 @@
     now: Milliseconds,
     random: Random,
   ): readonly KnownPeer[] {
-    const heard = this.all.filter(peer => isHeard(peer, now));
+    const heard = this.all.filter(peer => this.isHeard(peer, now));
     const near = heard.filter(peer => peer.statement.dataCentre === dataCentre);
     const chosen = new Set<KnownPeer>();
     const pick = (from: readonly KnownPeer[]): void => {
@@ -105,9 +106,18 @@
     return [...chosen];
   }
 
+  /** Whether a peer was heard of lately. */
+  private isHeard(peer: KnownPeer, now: Milliseconds): boolean {
+    const limit = Math.max(
+      FAILED_AFTER_MS,
+      this.peers.size * FAILED_AFTER_PER_PEER_MS,
+    );
+    return now - peer.heardAt <= limit;
+  }
+
   /** Statements to pass on: the freshest, of which a bounded number. */
   digest(now: Milliseconds, random: Random): readonly AgedStatement[] {
-    const heard = this.all.filter(peer => isHeard(peer, now));
+    const heard = this.all.filter(peer => this.isHeard(peer, now));
     const keyed = heard.map(peer => ({
       peer,
       order: now - peer.heardAt + random() * FAILED_AFTER_MS,
@@ -123,11 +133,6 @@
   }
 }
 
-/** Whether a peer was heard of lately. */
-export function isHeard(peer: KnownPeer, now: Milliseconds): boolean {
-  return now - peer.heardAt <= FAILED_AFTER_MS;
-}
-
 function isNewer(a: HostStatement, b: HostStatement): boolean {
   return a.incarnation === b.incarnation
     ? a.sequence > b.sequence
--- a/src/decisions/routing/upstream_table.ts
+++ b/src/decisions/routing/upstream_table.ts
@@ -27,6 +27,11 @@
     return this.list;
   }
 
+  /** Own requests in flight at all upstreams. */
+  get inFlight(): number {
+    return this.busy;
+  }
+
   get(name: string): UpstreamState | undefined {
     return this.byName.get(name);
   }
--- a/src/peers/fleet.ts
+++ b/src/peers/fleet.ts
@@ -4,14 +4,18 @@
 import {z} from 'zod';
 import type {LogFollower} from '../configuration/index.js';
 import type {ControlClient, ExchangeMessage} from '../control/index.js';
-import {ControlConnector, PEER_PROTOCOL_VERSION} from '../control/index.js';
+import {
+  ControlConnector,
+  PEER_PROTOCOL_VERSION,
+  decodeStatement,
+  encodeStatement,
+} from '../control/index.js';
 import type {Offset} from '../decisions/configuration/index.js';
 import {
   parseConfigurationRecord,
   snapshotSchema,
 } from '../decisions/configuration/index.js';
 import type {
-  AgedStatement,
   Currency,
   CurrencyInput,
   HostStatement,
@@ -39,6 +43,9 @@
   seats: z.array(seatStateSchema),
 });
 
+/** Peers asked at a time for an operator that waits. */
+const MAX_ASKED = 32;
+
 /** Who this host is. */
 export interface FleetIdentity {
   readonly host: string;
@@ -124,7 +131,7 @@
   /** Answers a peer's digest with the own one. */
   exchange(message: ExchangeMessage): ExchangeMessage {
     // Ages in a message that came by itself have no base to count from.
-    this.mergeAll(message.statements, -Infinity);
+    this.mergeAll(message, -Infinity);
     return this.digest();
   }
 
@@ -146,6 +153,21 @@
     }
   }
 
+  /**
+   * Asks peers directly how far they are, rather than wait for their news to
+   * come round: an operator waits for the answer.
+   */
+  async askBehind(offset: Offset): Promise<void> {
+    const now = this.options.clock.now();
+    const behind = this.peers
+      .alive(now)
+      .filter(({statement}) => statement.next <= offset)
+      .slice(0, MAX_ASKED);
+    await Promise.all(
+      behind.map(({statement}) => this.exchangeWith(statement.controlAddress)),
+    );
+  }
+
   watermark(offset: Offset): Watermark {
     return watermarkOf(offset, this.currencyInput());
   }
@@ -196,7 +218,7 @@
       const answer = await this.clientOf(address).exchange.mutate(
         this.digest(),
       );
-      this.mergeAll(answer.statements, sentAt);
+      this.mergeAll(answer, sentAt);
     } catch (error) {
       const message = error instanceof Error ? error.message : String(error);
       this.options.logger.debug({address, message}, 'no exchange with peer');
@@ -236,12 +258,10 @@
     return {kind: 'seat', host, incarnation: this.incarnation, leave};
   }
 
-  private mergeAll(
-    statements: readonly AgedStatement[],
-    baseAt: Milliseconds,
-  ): void {
+  private mergeAll(message: ExchangeMessage, baseAt: Milliseconds): void {
     const now = this.options.clock.now();
-    for (const aged of statements) {
+    for (const wire of message.statements) {
+      const aged = decodeStatement(wire);
       this.peers.merge(aged, baseAt, now);
       this.outliveFormerSelf(aged.statement);
     }
@@ -262,15 +282,14 @@
     const {clock, random} = this.options;
     const now = clock.now();
     const logAge = this.follower?.age ?? Infinity;
+    const own = {
+      statement: this.ownStatement(),
+      logAgeMs: logAge === Infinity ? null : logAge,
+    };
+    const statements = [own, ...this.peers.digest(now, random)];
     return {
       protocol: PEER_PROTOCOL_VERSION,
-      statements: [
-        {
-          statement: this.ownStatement(),
-          logAgeMs: logAge === Infinity ? null : logAge,
-        },
-        ...this.peers.digest(now, random),
-      ],
+      statements: statements.map(encodeStatement),
     };
   }
 
--- a/src/servers/index.ts
+++ b/src/servers/index.ts
@@ -1,1 +1,2 @@
 export {closeNow, listen} from './listen.js';
+export {TrafficMeter} from './traffic_meter.js';
--- a/src/standins/platform_server.ts
+++ b/src/standins/platform_server.ts
@@ -3,17 +3,19 @@
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import {createServer} from 'node:http';
 import type {ListedHost, PlatformLog} from '../platform/index.js';
-import {closeNow, listen} from '../servers/index.js';
+import {TrafficMeter, closeNow, listen} from '../servers/index.js';
 
 export class PlatformServer {
   /** What the host list says. */
   hosts: readonly ListedHost[] = [];
+  readonly traffic: TrafficMeter;
   private readonly server: Server;
 
   constructor(private readonly log: PlatformLog) {
     this.server = createServer((request, response) => {
       void this.answer(request, response);
     });
+    this.traffic = new TrafficMeter(this.server);
   }
 
   listen(port = 0): Promise<number> {
