--- a/src/daemon/entry_host.ts
+++ b/src/daemon/entry_host.ts
@@ -137,6 +137,12 @@
     return this.control?.traffic.bytes ?? 0;
   }
 
+  /** Names of the peers heard of lately. */
+  get knownPeers(): readonly string[] {
+    const now = this.parts.clock.now();
+    return this.fleet.peers.alive(now).map(({statement}) => statement.host);
+  }
+
   /** Changes judged here that are remembered. */
   get judgedChanges(): number {
     return this.follower.store.history().length;
@@ -194,6 +200,11 @@
     return this.stopping;
   }
 
+  /** Closes the control port alone, as a failure of it would. */
+  async stopControl(): Promise<void> {
+    await this.control?.close();
+  }
+
   describe(): HostDescription {
     const {settings} = this.parts;
     const {currency} = this.fleet;
