Let the belief about a server that stays silent fade

Change: the usual number of others' requests fades with 300 ms; orders, which are not handed over, get scenarios of their own.

--- a/src/bench/policy/cyclamenlever.ts
+++ b/src/bench/policy/cyclamenlever.ts
@@ -74,9 +74,9 @@
         id: request.id,
         class: request.class,
         tenant: 'one',
-        repeatable: true,
+        repeatable: !request.order,
         deadlineAt: request.deadlineAt,
-        retries: 1,
+        retries: request.order ? 0 : 1,
         hedge,
         depth: 0,
       },
@@ -239,7 +239,8 @@
     const {host} = request;
     const home = this.homeOf(host);
     const book = this.bookOf(host);
-    if (home === host || !book.mayHandOver(this.simulation.world.now)) {
+    const alone = request.order || home === host;
+    if (alone || !book.mayHandOver(this.simulation.world.now)) {
       this.submit(request, host);
       return;
     }
--- a/src/bench/policy/scenarios.ts
+++ b/src/bench/policy/scenarios.ts
@@ -77,6 +77,8 @@
   readonly deadlineMs: Milliseconds;
   /** Share of requests that are patient. */
   readonly patient: number;
+  /** Share of requests that are orders, which no host hands over. */
+  readonly orders: number;
   /** Pauses the first host for 10 s. */
   readonly pauses: boolean;
   /** Servers that are there from the start; the rest is added. */
@@ -149,6 +151,7 @@
   readonly meanSpeed?: number;
   readonly deadlineMs?: Milliseconds;
   readonly patient?: number;
+  readonly orders?: number;
   readonly pauses?: boolean;
 }
 
@@ -162,6 +165,13 @@
     loads: [0.85],
     meanSpeed: MEAN_NOISY_SPEED,
   },
+  {
+    name: 'noisy40orders',
+    start: noisy(40),
+    loads: [0.85],
+    meanSpeed: MEAN_NOISY_SPEED,
+    orders: 0.2,
+  },
   {
     name: 'straggler',
     start: fault(server => server.setSpeed(0.1)),
@@ -189,6 +199,7 @@
       meanSpeed: situation.meanSpeed ?? 1,
       deadlineMs: situation.deadlineMs ?? 5_000,
       patient: situation.patient ?? 0,
+      orders: situation.orders ?? 0,
       pauses: situation.pauses ?? false,
       start: situation.start,
     })),
--- a/src/bench/policy/simulation.ts
+++ b/src/bench/policy/simulation.ts
@@ -13,6 +13,7 @@
   readonly host: number;
   readonly work: Milliseconds;
   readonly class: 'prompt' | 'patient';
+  readonly order: boolean;
   readonly arrivedAt: Milliseconds;
   readonly deadlineAt: Milliseconds;
   done: boolean;
@@ -200,6 +201,7 @@
       host: Math.floor(source.random() * scenario.site.hosts),
       work: source.exponential(MEAN_SERVICE_MS),
       class: source.random() < scenario.patient ? 'patient' : 'prompt',
+      order: source.random() < scenario.orders,
       arrivedAt: now,
       deadlineAt: now + scenario.deadlineMs,
       done: false,
--- a/src/decisions/routing/constants.ts
+++ b/src/decisions/routing/constants.ts
@@ -12,6 +12,8 @@
 export const INITIAL_SERVICE_MS = 10;
 /** How long a report about other hosts' requests counts, in ms. */
 export const REPORT_WINDOW_MS = 40;
+/** How long the usual number of others' requests counts, in ms. */
+export const USUAL_OTHERS_WINDOW_MS = 300;
 /** Weight of one report in the usual number of others' requests. */
 export const USUAL_OTHERS_GAIN = 0.1;
 /** Requests beyond an upstream's slots that may be on their way to it. */
--- a/src/decisions/routing/others_estimate.ts
+++ b/src/decisions/routing/others_estimate.ts
@@ -2,13 +2,19 @@
  * How many requests of other entry hosts an upstream has.
  *
  * Every report is stale on arrival and grows staler: what it said counts for
- * a short window, then the estimate falls back to the usual number. Requests
+ * a short window, then the estimate falls back to the usual number, and later
+ * to none: a server once believed full gets no request, so it sends no report,
+ * and would be believed full for ever. Requests
  * this host has sent since are counted exactly and apart, so that one low
  * report does not make it send a burst (herding).
  */
 
 import type {Milliseconds} from '../../time/index.js';
-import {REPORT_WINDOW_MS, USUAL_OTHERS_GAIN} from './constants.js';
+import {
+  REPORT_WINDOW_MS,
+  USUAL_OTHERS_GAIN,
+  USUAL_OTHERS_WINDOW_MS,
+} from './constants.js';
 
 export class OthersEstimate {
   private usual = 0;
@@ -27,7 +33,8 @@
   }
 
   at(now: Milliseconds): number {
-    const weight = Math.exp(-(now - this.latestAt) / REPORT_WINDOW_MS);
-    return this.usual + (this.latest - this.usual) * weight;
+    const age = now - this.latestAt;
+    const usual = this.usual * Math.exp(-age / USUAL_OTHERS_WINDOW_MS);
+    return usual + (this.latest - usual) * Math.exp(-age / REPORT_WINDOW_MS);
   }
 }
