--- a/src/transport/http_transport.ts
+++ b/src/transport/http_transport.ts
@@ -66,7 +66,7 @@
 }
 
 /** One attempt, as undici tells of it. */
-class HttpAttempt implements AttemptHandle, Dispatcher.DispatchHandler {
+export class HttpAttempt implements AttemptHandle, Dispatcher.DispatchHandler {
   private controller: Controller | undefined;
   private sent = false;
   private done = false;
--- a/tests/dispatcher.test.ts
+++ b/tests/dispatcher.test.ts
@@ -160,7 +160,8 @@
       const request = newRequest(ids, {
         repeatable,
         hedge: true,
-        retries: repeatable ? 2 : 0,
+        // A rule that allows an order retries must not get it any.
+        retries: 2,
         deadlineAt: clock.now() + 10_000,
       });
       note(dispatcher.handle({kind: 'arrived', request}));
