Move what hosts decide about claims and each other into decisions

Change: ClaimBook and FleetMember are pure, the adapters carry their decisions out; a claim whose deadline passed while its record was on the way is released, not run.

--- a/src/caller/claimed_orders.ts
+++ b/src/caller/claimed_orders.ts
@@ -2,9 +2,8 @@
 
 import {createHash} from 'node:crypto';
 import type {ServerResponse} from 'node:http';
-import type {RecordedAnswer} from '../decisions/claims/index.js';
+import type {NamedOrder, RecordedAnswer} from '../decisions/claims/index.js';
 import type {DispatchRequest, Outcome} from '../decisions/dispatch/index.js';
-import type {NamedOrder} from '../orders/index.js';
 import {REPLAYED_HEADER} from './constants.js';
 import type {ProblemReason} from './problem.js';
 import type {RequestBody} from './request_body.js';
--- a/src/decisions/membership/index.ts
+++ b/src/decisions/membership/index.ts
@@ -1,5 +1,12 @@
 export * from './types.js';
 export * from './constants.js';
+export type {
+  FleetDuties,
+  HostAddresses,
+  HostIdentity,
+  LogProgress,
+} from './fleet_member.js';
+export {FleetMember} from './fleet_member.js';
 export {PeerTable} from './peer_table.js';
 export type {SeatRecord, SeatState} from './seats.js';
 export {SeatTable, seatSchema, seatStateSchema} from './seats.js';
--- a/src/orders/index.ts
+++ b/src/orders/index.ts
@@ -1,2 +1,2 @@
-export type {ClaimedOrder, NamedOrder} from './order_desk.js';
+export type {ClaimedOrder} from './order_desk.js';
 export {OrderDesk} from './order_desk.js';
--- a/src/peers/fleet.ts
+++ b/src/peers/fleet.ts
@@ -1,4 +1,4 @@
-/** This host among the entry hosts: exchanges, seat and currency. */
+/** Carries out what this host does among the entry hosts. */
 
 import type {Logger} from 'pino';
 import {z} from 'zod';
@@ -17,22 +17,20 @@
 } from '../decisions/configuration/index.js';
 import type {
   Currency,
-  CurrencyInput,
-  HostStatement,
+  FleetDuties,
+  HostAddresses,
+  HostIdentity,
   KnownPeer,
+  PeerTable,
   SeatRecord,
   SeatState,
   Watermark,
 } from '../decisions/membership/index.js';
 import {
   EXCHANGE_INTERVAL_MS,
-  PeerTable,
-  SEAT_INTERVAL_MS,
-  SeatTable,
-  judgeCurrency,
+  FleetMember,
   seatSchema,
   seatStateSchema,
-  watermarkOf,
 } from '../decisions/membership/index.js';
 import type {ByteCounter, LogRecord, PlatformLog} from '../platform/index.js';
 import type {Clock, Milliseconds, Random} from '../time/index.js';
@@ -43,24 +41,8 @@
   seats: z.array(seatStateSchema),
 });
 
-/** Peers asked at a time for an operator that waits. */
-const MAX_ASKED = 32;
-
-/** Who this host is. */
-export interface FleetIdentity {
-  readonly host: string;
-  readonly dataCentre: string;
-  readonly incarnation: number;
-}
-
-/** Where peers reach this host, known once its ports are open. */
-export interface FleetAddresses {
-  readonly caller: string;
-  readonly control: string;
-}
-
 export interface FleetOptions {
-  readonly identity: FleetIdentity;
+  readonly identity: HostIdentity;
   /** Control addresses to begin with. */
   readonly seeds: readonly string[];
   readonly fleetKey: string;
@@ -72,16 +54,10 @@
 }
 
 export class Fleet {
-  readonly peers: PeerTable;
-  private readonly seats = new SeatTable();
+  private readonly member: FleetMember;
   private readonly connector = new ControlConnector();
   private readonly clients = new Map<string, ControlClient>();
   private readonly watch: CurrencyWatch;
-  private sequence = 0;
-  private incarnation: number;
-  private leaving = false;
-  private addresses: FleetAddresses = {caller: '', control: ''};
-  private seatAppendedAt: Milliseconds = -Infinity;
   private timer: NodeJS.Timeout | undefined;
   private follower: LogFollower | undefined;
 
@@ -89,13 +65,19 @@
     private readonly log: PlatformLog,
     private readonly options: FleetOptions,
   ) {
-    this.peers = new PeerTable(options.identity.host);
-    this.incarnation = options.identity.incarnation;
-    this.watch = new CurrencyWatch(() => this.judge(), options.clock);
+    this.member = new FleetMember({
+      ...options,
+      progress: () => ({
+        next: this.follower?.store.next ?? 0,
+        ageMs: this.follower?.age ?? Infinity,
+        incomplete: !this.follower?.isComplete,
+      }),
+    });
+    this.watch = new CurrencyWatch(() => this.member.judge(), options.clock);
   }
 
-  get isLeaving(): boolean {
-    return this.leaving;
+  get peers(): PeerTable {
+    return this.member.peers;
   }
 
   /** Whether this host may serve, and why. */
@@ -107,20 +89,16 @@
     this.follower = follower;
   }
 
-  start(addresses: FleetAddresses): void {
-    this.addresses = addresses;
-    this.timer = setInterval(() => void this.tick(), EXCHANGE_INTERVAL_MS);
-    void this.tick();
+  start(addresses: HostAddresses): void {
+    this.member.start(addresses);
+    const tick = (): void => void this.perform(this.member.tick());
+    this.timer = setInterval(tick, EXCHANGE_INTERVAL_MS);
+    tick();
   }
 
   /** Tells peers and the log that this host goes, so that nobody waits. */
-  async leave(): Promise<void> {
-    this.leaving = true;
-    const seat = this.seatRecord(true);
-    await Promise.all([
-      this.exchangeWithPartners(),
-      this.log.append(JSON.stringify(seat)),
-    ]);
+  leave(): Promise<void> {
+    return this.perform(this.member.leave());
   }
 
   async stop(): Promise<void> {
@@ -129,27 +107,23 @@
   }
 
   /** Answers a peer's digest with the own one. */
-  exchange(message: ExchangeMessage): ExchangeMessage {
-    // Ages in a message that came by itself have no base to count from.
-    this.mergeAll(message, -Infinity);
-    return this.digest();
+  exchange({statements}: ExchangeMessage): ExchangeMessage {
+    this.member.merge(statements.map(decodeStatement), -Infinity);
+    return this.message();
   }
 
   /** The seats, for checkpoints and peers. */
   seatStates(): readonly SeatState[] {
-    return this.seats.snapshot();
+    return this.member.seatStates();
   }
 
   /** Takes in the seats that the log tells of. */
   onRecord(record: LogRecord, body: unknown): void {
-    const checkpoint = parseConfigurationRecord(body);
-    if (checkpoint?.kind === 'checkpoint') {
-      this.seats.restore(checkpoint.seats);
-      return;
-    }
     const parsed = seatSchema.safeParse(body);
     if (parsed.success) {
-      this.seats.apply(parsed.data, record.appendedAt);
+      this.member.onSeat(parsed.data, record.appendedAt);
+    } else {
+      this.member.onCheckpoint(parseConfigurationRecord(body));
     }
   }
 
@@ -158,18 +132,12 @@
    * come round: an operator waits for the answer.
    */
   async askBehind(offset: Offset): Promise<void> {
-    const now = this.options.clock.now();
-    const behind = this.peers
-      .alive(now)
-      .filter(({statement}) => statement.next <= offset)
-      .slice(0, MAX_ASKED);
-    await Promise.all(
-      behind.map(({statement}) => this.exchangeWith(statement.controlAddress)),
-    );
+    const addresses = this.member.behind(offset);
+    await Promise.all(addresses.map(address => this.exchangeWith(address)));
   }
 
   watermark(offset: Offset): Watermark {
-    return watermarkOf(offset, this.currencyInput());
+    return this.member.watermark(offset);
   }
 
   clientOf(address: string): ControlClient {
@@ -183,149 +151,53 @@
     return client;
   }
 
-  private async tick(): Promise<void> {
-    const now = this.options.clock.now();
-    this.peers.tick(now, EXCHANGE_INTERVAL_MS);
-    const {currency} = this;
+  private async perform(duties: FleetDuties): Promise<void> {
+    const {exchangeWith, catchUpFrom, appendSeat} = duties;
     await Promise.all([
-      this.exchangeWithPartners(),
-      currency.kind === 'stale' && currency.ahead
-        ? this.catchUp(currency.ahead)
-        : undefined,
-      this.renewSeat(now),
+      ...exchangeWith.map(address => this.exchangeWith(address)),
+      catchUpFrom ? this.catchUp(catchUpFrom) : undefined,
+      appendSeat ? this.appendSeat(appendSeat) : undefined,
     ]);
   }
 
-  private async exchangeWithPartners(): Promise<void> {
-    const {clock, random, identity, seeds} = this.options;
-    const partners = this.peers.choosePartners(
-      identity.dataCentre,
-      clock.now(),
-      random,
-    );
-    const addresses = partners.map(peer => peer.statement.controlAddress);
-    // A seed now and then joins halves of a fleet that lost each other.
-    const seed = seeds[Math.floor(random() * seeds.length)];
-    if (seed && (addresses.length === 0 || random() < 0.1)) {
-      addresses.push(seed);
-    }
-    await Promise.all(addresses.map(address => this.exchangeWith(address)));
+  private message(): ExchangeMessage {
+    return {
+      protocol: PEER_PROTOCOL_VERSION,
+      statements: this.member.digest().map(encodeStatement),
+    };
   }
 
   private async exchangeWith(address: string): Promise<void> {
-    const sentAt = this.options.clock.now();
+    const askedAt = this.options.clock.now();
     try {
-      const answer = await this.clientOf(address).exchange.mutate(
-        this.digest(),
-      );
-      this.mergeAll(answer, sentAt);
+      const client = this.clientOf(address);
+      const {statements} = await client.exchange.mutate(this.message());
+      this.member.merge(statements.map(decodeStatement), askedAt);
     } catch (error) {
       const message = error instanceof Error ? error.message : String(error);
       this.options.logger.debug({address, message}, 'no exchange with peer');
     }
   }
 
-  private async catchUp(peer: KnownPeer): Promise<void> {
+  private async catchUp({statement}: KnownPeer): Promise<void> {
     try {
-      const client = this.clientOf(peer.statement.controlAddress);
+      const client = this.clientOf(statement.controlAddress);
       const snapshot = hostSnapshotSchema.parse(await client.snapshot.query());
-      this.seats.restore(snapshot.seats);
+      this.member.restoreSeats(snapshot.seats);
       this.follower?.restore(snapshot.configuration);
     } catch (error) {
       const message = error instanceof Error ? error.message : String(error);
       this.options.logger.warn(
-        {peer: peer.statement.host, message},
+        {peer: statement.host, message},
         'cannot catch up from peer',
       );
     }
   }
 
-  private async renewSeat(now: Milliseconds): Promise<void> {
-    if (this.leaving || now - this.seatAppendedAt < SEAT_INTERVAL_MS) {
-      return;
-    }
-    this.seatAppendedAt = now;
-    const appended = await this.log.append(
-      JSON.stringify(this.seatRecord(false)),
-    );
+  private async appendSeat(record: SeatRecord): Promise<void> {
+    const appended = await this.log.append(JSON.stringify(record));
     if (appended.isErr()) {
-      this.seatAppendedAt = -Infinity;
-    }
-  }
-
-  private seatRecord(leave: boolean): SeatRecord {
-    const {host} = this.options.identity;
-    return {kind: 'seat', host, incarnation: this.incarnation, leave};
-  }
-
-  private mergeAll(message: ExchangeMessage, baseAt: Milliseconds): void {
-    const now = this.options.clock.now();
-    for (const wire of message.statements) {
-      const aged = decodeStatement(wire);
-      this.peers.merge(aged, baseAt, now);
-      this.outliveFormerSelf(aged.statement);
-    }
-  }
-
-  /**
-   * The wall clock may have gone back before this start, so that peers hold a
-   * larger incarnation from this host's former life and ignore this one.
-   */
-  private outliveFormerSelf(statement: HostStatement): void {
-    const {host} = this.options.identity;
-    if (statement.host === host && statement.incarnation > this.incarnation) {
-      this.incarnation = statement.incarnation + 1;
+      this.member.seatNotAppended();
     }
   }
-
-  private digest(): ExchangeMessage {
-    const {clock, random} = this.options;
-    const now = clock.now();
-    const logAge = this.follower?.age ?? Infinity;
-    const own = {
-      statement: this.ownStatement(),
-      logAgeMs: logAge === Infinity ? null : logAge,
-    };
-    const statements = [own, ...this.peers.digest(now, random)];
-    return {
-      protocol: PEER_PROTOCOL_VERSION,
-      statements: statements.map(encodeStatement),
-    };
-  }
-
-  private ownStatement(): HostStatement {
-    const {identity} = this.options;
-    this.sequence += 1;
-    return {
-      host: identity.host,
-      incarnation: this.incarnation,
-      sequence: this.sequence,
-      dataCentre: identity.dataCentre,
-      callerAddress: this.addresses.caller,
-      controlAddress: this.addresses.control,
-      ready: this.currency.kind === 'current' && !this.leaving,
-      leaving: this.leaving,
-      next: this.follower?.store.next ?? 0,
-    };
-  }
-
-  private judge(): Currency {
-    return judgeCurrency(this.currencyInput());
-  }
-
-  private currencyInput(): CurrencyInput {
-    const {clock, leaseMs, identity} = this.options;
-    const now = clock.now();
-    const {follower} = this;
-    return {
-      now,
-      leaseMs,
-      logCurrentAt: follower ? now - follower.age : -Infinity,
-      next: follower?.store.next ?? 0,
-      incomplete: !follower?.isComplete,
-      self: identity.host,
-      peers: this.peers.all,
-      seats: this.seats.hosts,
-    };
-  }
 }
--- a/tests/claims.test.ts
+++ b/tests/claims.test.ts
@@ -3,9 +3,11 @@
 import type {OrdersRecord, Settlement} from '../src/decisions/claims/index.js';
 import {
   AppendBudget,
+  ClaimBook,
   ClaimTable,
   judgeOrder,
 } from '../src/decisions/claims/index.js';
+import {ManualClock} from '../src/time/index.js';
 
 const WINDOW = 1_000;
 
@@ -140,6 +142,46 @@
   );
 });
 
+test('a claim whose reply was lost is run once the log shows it', () => {
+  // The append took effect but its reply was lost. Refusing the order then
+  // would leave a claim on the log that nobody runs or releases.
+  const book = new ClaimBook(WINDOW, 100, new ManualClock());
+  book.handle({kind: 'read', offset: 0, appendedAt: 0});
+  const order = {key: 'k', fingerprint: 'f', deadlineAt: 500};
+  const [append] = book.handle({kind: 'claimed', order, nonce: 'one'});
+  if (append?.kind !== 'append') {
+    throw new Error('no append');
+  }
+  const {record} = append;
+  expect(book.handle({kind: 'appended', record, result: 'unknown'})).toEqual(
+    [],
+  );
+  const read = {
+    kind: 'read',
+    offset: 1,
+    appendedAt: 1,
+    orders: record,
+  } as const;
+  expect(book.handle(read)).toMatchObject([{verdict: {kind: 'run'}}]);
+});
+
+test('a claim given up at its deadline is released', () => {
+  const clock = new ManualClock();
+  const book = new ClaimBook(WINDOW, 100, clock);
+  book.handle({kind: 'read', offset: 0, appendedAt: 0});
+  const order = {key: 'k', fingerprint: 'f', deadlineAt: 500};
+  const [append] = book.handle({kind: 'claimed', order, nonce: 'one'});
+  if (append?.kind !== 'append') {
+    throw new Error('no append');
+  }
+  book.handle({kind: 'appended', record: append.record, result: 'unknown'});
+  clock.advance(500);
+  expect(book.handle({kind: 'tick'})).toMatchObject([
+    {kind: 'verdict', verdict: {reason: 'claims-unavailable'}},
+    {kind: 'append', record: {settlements: [{result: {kind: 'released'}}]}},
+  ]);
+});
+
 test('hosts that disagree about the fleet stay within the appends', () => {
   const hosts = Array.from({length: 17}, () => new AppendBudget(100 / 17, 0));
   let appends = 0;
