Plan homes and probes in decisions; bound probes by bytes too

Cause: an operator could bound probes but not their bytes; homes and rights were planned beside timers. Change: HomeDirectory and MeasurePlanner are pure; probe-bytes bounds what load endpoints cost, charged once it is known.

--- a/src/bench/capacity/roles.ts
+++ b/src/bench/capacity/roles.ts
@@ -149,6 +149,7 @@
       type: 'service' as const,
       name: `s${index}`,
       probes: 0,
+      'probe-bytes': 0,
       homes: 1,
       retries: 5,
       hedges: 0,
--- a/src/bench/policy/cyclamenlever.ts
+++ b/src/bench/policy/cyclamenlever.ts
@@ -215,7 +215,7 @@
     for (let home = 0; home < dataCentres; home += 1) {
       const schedule = new ProbeSchedule();
       const rate = (budget * this.servers.length) / dataCentres;
-      schedule.grant(rate, Infinity, 0);
+      schedule.grant({rate, bytes: 1e9}, Infinity, 0);
       this.probeNext(home, schedule);
     }
   }
--- a/src/caller/caller_server.ts
+++ b/src/caller/caller_server.ts
@@ -5,7 +5,7 @@
 import type {Socket} from 'node:net';
 import type {Rule} from '../decisions/configuration/index.js';
 import type {DispatchRequest} from '../decisions/dispatch/index.js';
-import type {Home} from '../handover/index.js';
+import type {Home} from '../decisions/handover/index.js';
 import type {ServiceRuntime} from '../service/index.js';
 import {
   DEPTH_HEADER,
--- a/src/caller/handover_session.ts
+++ b/src/caller/handover_session.ts
@@ -2,7 +2,7 @@
 
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {DispatchRequest} from '../decisions/dispatch/index.js';
-import type {Home} from '../handover/index.js';
+import type {Home} from '../decisions/handover/index.js';
 import type {AnswerHead, AttemptObserver} from '../transport/index.js';
 import type {AttemptHandle} from '../transport/index.js';
 import {
--- a/src/decisions/configuration/types.ts
+++ b/src/decisions/configuration/types.ts
@@ -14,6 +14,8 @@
   domain: z.string().optional(),
   /** Measuring budget: probes per upstream and second, over the whole fleet. */
   probes: z.number().min(0).max(1000).default(0),
+  /** The same in bytes per upstream and second. */
+  'probe-bytes': z.number().min(0).default(10_000),
   /** Path of the upstreams' load endpoint; 503 there means leaving. */
   load: z.string().startsWith('/').default('/load'),
   /** Entry hosts per data centre that choose upstreams for the service. */
--- a/src/decisions/measuring/index.ts
+++ b/src/decisions/measuring/index.ts
@@ -1,3 +1,5 @@
+export type {MeasuredService, PlannedProbe} from './measure_planner.js';
+export {MeasurePlanner} from './measure_planner.js';
 export type {MeasureRecord} from './measure_rights.js';
 export {
   MeasureRights,
--- a/src/decisions/measuring/probe_schedule.ts
+++ b/src/decisions/measuring/probe_schedule.ts
@@ -5,30 +5,53 @@
 
 /** Probes that may be saved up: no burst after a pause of the process. */
 const MAX_SAVED = 1;
+/** Seconds of the byte budget that may be saved up. */
+const SAVED_BYTE_SECONDS = 1;
+/** Guards against rounding when a probe is just due. */
+const ROUNDING = 1e-9;
+
+/** What a right allows each second. */
+export interface ProbeAllowance {
+  readonly rate: number;
+  readonly bytes: number;
+}
 
 export class ProbeSchedule {
-  private rate = 0;
+  private allowance: ProbeAllowance = {rate: 0, bytes: 0};
   private usableUntil: Milliseconds = -Infinity;
-  private saved = 0;
+  private savedProbes = 0;
+  private savedBytes = 0;
   private refilledAt: Milliseconds = 0;
 
-  /**
-   * @param rate probes a second
-   * @param usableUntil when the right to them ends, on this host's clock
-   */
-  grant(rate: number, usableUntil: Milliseconds, now: Milliseconds): void {
+  /** @param usableUntil when the right ends, on this host's clock */
+  grant(
+    allowance: ProbeAllowance,
+    usableUntil: Milliseconds,
+    now: Milliseconds,
+  ): void {
     this.refill(now);
-    this.rate = rate;
+    this.allowance = allowance;
     this.usableUntil = usableUntil;
   }
 
+  /**
+   * Charges a probe's bytes once they are known. Answers upstreams whose load
+   * endpoint answers more than expected: the debt is waited out.
+   */
+  charge(bytes: number): void {
+    this.savedBytes -= bytes;
+  }
+
   /** Time of the next probe, if there is a right to one. */
   wakeAt(now: Milliseconds): Milliseconds | undefined {
-    if (this.rate <= 0 || now >= this.usableUntil) {
+    const {rate, bytes} = this.allowance;
+    if (rate <= 0 || bytes <= 0 || now >= this.usableUntil) {
       return undefined;
     }
     this.refill(now);
-    return now + ((MAX_SAVED - this.saved) / this.rate) * 1000;
+    const probes = (MAX_SAVED - this.savedProbes) / rate;
+    const debt = Math.max(0, -this.savedBytes) / bytes;
+    return now + Math.max(probes, debt) * 1000;
   }
 
   /**
@@ -41,10 +64,11 @@
     now: Milliseconds,
   ): UpstreamState | undefined {
     this.refill(now);
-    if (now >= this.usableUntil || this.saved < 1 - 1e-9) {
+    const due = this.savedProbes >= 1 - ROUNDING && this.savedBytes >= 0;
+    if (now >= this.usableUntil || !due) {
       return undefined;
     }
-    this.saved -= 1;
+    this.savedProbes -= 1;
     let oldest: UpstreamState | undefined;
     for (const upstream of upstreams) {
       if (upstream.reportedAt < (oldest?.reportedAt ?? Infinity)) {
@@ -55,8 +79,13 @@
   }
 
   private refill(now: Milliseconds): void {
-    const earned = ((now - this.refilledAt) * this.rate) / 1000;
-    this.saved = Math.min(MAX_SAVED, this.saved + Math.max(0, earned));
+    const seconds = Math.max(0, now - this.refilledAt) / 1000;
+    const {rate, bytes} = this.allowance;
+    this.savedProbes = Math.min(MAX_SAVED, this.savedProbes + seconds * rate);
+    this.savedBytes = Math.min(
+      bytes * SAVED_BYTE_SECONDS,
+      this.savedBytes + seconds * bytes,
+    );
     this.refilledAt = now;
   }
 }
--- a/src/measuring/measure_desk.ts
+++ b/src/measuring/measure_desk.ts
@@ -1,14 +1,11 @@
 /** Probes upstreams for the services that this host is a home of. */
 
 import type {Logger} from 'pino';
-import type {Upstream} from '../decisions/configuration/index.js';
-import type {MeasureRecord} from '../decisions/measuring/index.js';
-import {
-  MeasureRights,
-  ProbeSchedule,
-  USABLE_RIGHT_MS,
-  measureSchema,
+import type {
+  MeasuredService,
+  PlannedProbe,
 } from '../decisions/measuring/index.js';
+import {MeasurePlanner, measureSchema} from '../decisions/measuring/index.js';
 import type {Metrics} from '../metrics/index.js';
 import type {LogRecord, PlatformLog} from '../platform/index.js';
 import type {ServiceDirectory, ServiceRuntime} from '../service/index.js';
@@ -18,8 +15,6 @@
 
 /** How often rights are asked for anew. */
 const RENEW_MS: Milliseconds = 4_000;
-/** Records that may still come back; older ones are of no use. */
-const KEPT_ASKS = 5;
 /** Idle schedules are looked at this often, in ms. */
 const IDLE_CHECK_MS: Milliseconds = 500;
 
@@ -36,18 +31,17 @@
 }
 
 export class MeasureDesk {
-  private readonly rights = new MeasureRights();
-  private readonly schedules = new Map<string, ProbeSchedule>();
-  private sequence = 0;
-  /** When each record was sent that has not come back yet. */
-  private readonly askedAt = new Map<number, Milliseconds>();
+  private readonly planner: MeasurePlanner;
   private renewTimer: NodeJS.Timeout | undefined;
   private probeTimer: NodeJS.Timeout | undefined;
 
   constructor(
     private readonly log: PlatformLog,
     private readonly options: MeasureDeskOptions,
-  ) {}
+  ) {
+    const {host, incarnation, clock} = options;
+    this.planner = new MeasurePlanner(host, incarnation, clock);
+  }
 
   start(): void {
     this.renewTimer = setInterval(() => void this.ask(), RENEW_MS);
@@ -62,110 +56,65 @@
   /** Takes in who was granted what. */
   onRecord(record: LogRecord, body: unknown): void {
     const parsed = measureSchema.safeParse(body);
-    if (!parsed.success) {
-      return;
-    }
-    const granted = this.rights.apply(parsed.data, record.appendedAt, service =>
-      this.declaredRate(service),
-    );
-    if (this.isOwn(parsed.data)) {
-      this.useGrants(parsed.data.sequence, granted);
+    if (parsed.success) {
+      const services = this.measuredServices();
+      this.planner.onRecord(parsed.data, record.appendedAt, services);
     }
   }
 
-  /** Asks for a fair share of each budget; one append for all of them. */
   private async ask(): Promise<void> {
-    const asks = [...this.options.services.all].flatMap(runtime => {
-      const sharing = this.options.homesSharing(runtime);
-      const {name} = runtime.service;
-      const declared = this.declaredRate(name);
-      return sharing > 0 && declared > 0
-        ? [{service: name, rate: declared / sharing}]
-        : [];
-    });
-    if (asks.length === 0) {
+    const record = this.planner.ask([...this.measuredServices().values()]);
+    if (!record) {
       return;
     }
-    const {host, incarnation, clock, logger} = this.options;
-    this.sequence += 1;
-    const {sequence} = this;
-    // A right counts from before its own append: see USABLE_RIGHT_MS.
-    this.askedAt.set(sequence, clock.now());
-    this.askedAt.delete(sequence - KEPT_ASKS);
-    const record: MeasureRecord = {
-      kind: 'measure',
-      host,
-      incarnation,
-      sequence,
-      asks,
-    };
     const appended = await this.log.append(JSON.stringify(record));
     if (appended.isErr()) {
-      logger.debug({failure: appended.error}, 'no right to probe');
+      const failure = appended.error;
+      this.options.logger.debug({failure}, 'no right to probe');
     }
   }
 
-  private isOwn({host, incarnation}: MeasureRecord): boolean {
-    return (
-      host === this.options.host && incarnation === this.options.incarnation
-    );
-  }
-
-  private useGrants(
-    sequence: number,
-    granted: ReadonlyMap<string, number>,
-  ): void {
-    const now = this.options.clock.now();
-    const askedAt = this.askedAt.get(sequence) ?? -Infinity;
-    this.askedAt.delete(sequence);
-    for (const [service, rate] of granted) {
-      const schedule = this.schedules.get(service) ?? new ProbeSchedule();
-      schedule.grant(rate, askedAt + USABLE_RIGHT_MS, now);
-      this.schedules.set(service, schedule);
+  private measuredServices(): ReadonlyMap<string, MeasuredService> {
+    const services = new Map<string, MeasuredService>();
+    for (const runtime of this.options.services.all) {
+      const {name, probes, 'probe-bytes': bytes} = runtime.service;
+      if (probes > 0) {
+        services.set(name, {
+          name,
+          declaredRate: probes * runtime.upstreams.length,
+          declaredBytes: bytes * runtime.upstreams.length,
+          sharing: this.options.homesSharing(runtime),
+          upstreams: runtime.upstreamStates,
+        });
+      }
     }
-  }
-
-  /** Probes a second over all upstreams of a service. */
-  private declaredRate(service: string): number {
-    const runtime = this.options.services.get(service);
-    return runtime ? runtime.service.probes * runtime.upstreams.length : 0;
+    return services;
   }
 
   private planProbes(): void {
-    const now = this.options.clock.now();
-    const wakes = [...this.schedules.values()].flatMap(schedule => {
-      const at = schedule.wakeAt(now);
-      return at === undefined ? [] : [at - now];
-    });
-    const delay = Math.min(IDLE_CHECK_MS, ...wakes);
+    const delay = Math.min(IDLE_CHECK_MS, this.planner.wait);
     this.probeTimer = setTimeout(
       () => {
-        this.probeDue();
+        const due = this.planner.due(this.measuredServices());
+        due.forEach(planned => this.probe(planned));
         this.planProbes();
       },
       Math.max(1, delay),
     );
   }
 
-  private probeDue(): void {
-    const now = this.options.clock.now();
-    for (const [service, schedule] of this.schedules) {
-      const runtime = this.options.services.get(service);
-      const target = runtime && schedule.next(runtime.upstreamStates, now);
-      const upstream = target && runtime.findUpstream(target.spec.name);
-      if (runtime && upstream) {
-        this.probe(runtime, upstream);
-      }
+  private probe({service, upstream: name}: PlannedProbe): void {
+    const {metrics, transport, services} = this.options;
+    const runtime = services.get(service);
+    const upstream = runtime?.findUpstream(name);
+    if (!runtime || !upstream) {
+      return;
     }
-  }
-
-  private probe(runtime: ServiceRuntime, upstream: Upstream): void {
-    const {metrics, transport} = this.options;
-    metrics.probes.inc({service: runtime.service.name});
-    const probe = new Probe(({load, leaving}) => {
-      runtime.setUnhealthy(upstream.name, leaving);
+    metrics.probes.inc({service});
+    const probe = new Probe(({load, leaving, bytes}) => {
+      this.planner.charge(service, bytes);
+      runtime.setUnhealthy(name, leaving);
       if (load !== undefined) {
-        const {name} = upstream;
         runtime.tell({kind: 'reported', upstream: name, load});
       }
     });
--- a/src/measuring/probe.ts
+++ b/src/measuring/probe.ts
@@ -11,24 +11,32 @@
 
 const PROBE_TIMEOUT_MS: Milliseconds = 500;
 const PROBE_CONNECTIONS = 1;
+/** A question's fixed parts: request line, Host and Connection. */
+const QUESTION_BYTES = 60;
+/** Separators beside each header's name or value. */
+const HEADER_PART_BYTES = 2;
 
 export interface ProbeResult {
   /** Requests there, if it says. */
   readonly load?: number;
   /** It answered that it takes no more. */
   readonly leaving: boolean;
+  /** What question and answer took on the wire, roughly. */
+  readonly bytes: number;
 }
 
 export class Probe implements AttemptObserver {
   private handle: AttemptHandle | undefined;
   private timer: NodeJS.Timeout | undefined;
   private head: AnswerHead | undefined;
+  private bytes = 0;
 
   constructor(private readonly onResult: (result: ProbeResult) => void) {}
 
   send(transport: Transport, address: string, path: string): void {
     this.timer = setTimeout(() => this.handle?.cancel(), PROBE_TIMEOUT_MS);
     this.timer.unref();
+    this.bytes = QUESTION_BYTES + address.length + path.length;
     this.handle = transport.send(
       {address, method: 'GET', path, headers: [], body: null},
       PROBE_CONNECTIONS,
@@ -42,10 +50,13 @@
 
   onHead(head: AnswerHead): void {
     this.head = head;
+    const lengths = head.headers.map(part => part.length + HEADER_PART_BYTES);
+    this.bytes += lengths.reduce((sum, length) => sum + length, 0);
   }
 
-  onData(): void {
-    // The load is in the head.
+  /** The load is in the head; a body only costs. */
+  onData(chunk: Buffer): void {
+    this.bytes += chunk.length;
   }
 
   onEnd(): void {
@@ -54,6 +65,7 @@
       this.onResult({
         load: readLoad(this.head.headers),
         leaving: this.head.status === 503,
+        bytes: this.bytes,
       });
     }
   }
--- a/tests/measuring.test.ts
+++ b/tests/measuring.test.ts
@@ -78,20 +78,34 @@
 
 test('a host paused past its right sends no probe', () => {
   const schedule = new ProbeSchedule();
-  schedule.grant(10, 8_000, 0);
+  schedule.grant({rate: 10, bytes: 1e6}, 8_000, 0);
   expect(schedule.next(upstreams(), 1_000)).toBeDefined();
   expect(schedule.next(upstreams(), 20_000)).toBeUndefined();
 });
 
 test('a pause does not save up a burst of probes', () => {
   const schedule = new ProbeSchedule();
-  schedule.grant(10, 100 * SECOND, 0);
+  schedule.grant({rate: 10, bytes: 1e6}, 100 * SECOND, 0);
   const sent = [1, 2, 3, 4].filter(() =>
     schedule.next(upstreams(), 10 * SECOND),
   );
   expect(sent).toHaveLength(1);
 });
 
+test('an endpoint that answers too much is probed less', () => {
+  const schedule = new ProbeSchedule();
+  schedule.grant({rate: 10, bytes: 1_000}, 100 * SECOND, 0);
+  let bytes = 0;
+  for (let now = 0; now <= 20 * SECOND; now += 50) {
+    if (schedule.next(upstreams(), now)) {
+      schedule.charge(5_000);
+      bytes += 5_000;
+    }
+  }
+  // The budget for 20 s, what was saved up, and one that was not foreseen.
+  expect(bytes).toBeLessThanOrEqual(20 * 1_000 + 1_000 + 5_000);
+});
+
 test('an upstream whose own endpoint says leaving is drained', async () => {
   system = new TestSystem();
   const host = await system.startHost('entry-1');
