--- a/src/bench/policy/cyclamenlever.ts
+++ b/src/bench/policy/cyclamenlever.ts
@@ -228,7 +228,7 @@
       const states = chooser?.dispatcher.upstreams.all ?? [];
       const next = schedule.next(states, world.now);
       if (chooser && next) {
-        this.probes += 1;
+        this.probes += world.now < this.simulation.durationMs ? 1 : 0;
         chooser.probe(next.spec.name);
       }
       this.probeNext(home, schedule);
