--- a/src/configuration/log_follower.ts
+++ b/src/configuration/log_follower.ts
@@ -80,7 +80,9 @@
       this.stopping.signal,
     );
     if (page.isErr()) {
-      this.logger.warn({failure: page.error}, 'the log cannot be read');
+      if (!this.stopping.signal.aborted) {
+        this.logger.warn({failure: page.error}, 'the log cannot be read');
+      }
       this.wakeWaiters();
       return false;
     }
