Try ejected upstreams past the queue; refuse when all are draining

Cause: reading the code showed that a trial needed a free turn: with an order at the head of the queue an upstream whose ejection had ended was never tried, just when its slots were wanted; that trials could be two or three at a time; and that requests waited to their deadlines while every upstream was draining. Change: the next repeatable request goes to an upstream on trial, one at a time; without a usable upstream the answer is given at once.

--- a/src/caller/problem.ts
+++ b/src/caller/problem.ts
@@ -34,7 +34,10 @@
     title: 'The deadline could not be met',
   },
   'deadline-passed': {status: 504, title: 'The deadline passed while waiting'},
-  'no-upstream': {status: 503, title: 'The service has no upstream'},
+  'no-upstream': {
+    status: 503,
+    title: 'The service has no upstream that takes requests',
+  },
   'upstreams-refused': {status: 503, title: 'Upstreams took no request'},
   'attempt-broken': {status: 502, title: 'No whole answer came'},
   'attempt-timed-out': {status: 504, title: 'The upstream did not answer'},
--- a/src/decisions/dispatch/dispatcher.ts
+++ b/src/decisions/dispatch/dispatcher.ts
@@ -132,12 +132,19 @@
     this.records.set(request.id, record);
     this.retryBudget.earn();
     this.hedgeBudget.earn();
+    const trial = request.repeatable
+      ? this.upstreams.findTrial(this.clock.now())
+      : undefined;
+    if (trial) {
+      return this.send(record, trial, false);
+    }
     this.enqueue(record);
   }
 
   /** Makes a request wait, or refuses what could only waste a slot. */
   private enqueue(record: RequestRecord): void {
-    if (this.upstreams.all.length === 0) {
+    // Waiting for what cannot come would hold the answer to the deadline.
+    if (!this.upstreams.hasUsable) {
       return this.refuse(record, 'no-upstream');
     }
     const now = this.clock.now();
@@ -178,7 +185,6 @@
       now,
       random: this.random,
       serviceRate: this.upstreams.serviceRate(now),
-      repeatable: record.request.repeatable,
       excluded: record.tried,
       waitingCostMs: this.waitMs(this.waiting.size),
       options: this.policy.routing,
--- a/src/decisions/routing/choose.ts
+++ b/src/decisions/routing/choose.ts
@@ -17,7 +17,6 @@
   readonly random: Random;
   /** Mean completions per busy slot and ms over the service. */
   readonly serviceRate: number;
-  readonly repeatable: boolean;
   readonly excluded: ReadonlySet<string>;
   /** Expected time until a waiting request would finish elsewhere. */
   readonly waitingCostMs: Milliseconds;
@@ -66,8 +65,8 @@
   if (upstream.inFlight >= upstream.spec.connectionShare) {
     return false;
   }
-  const phase = upstream.health.phase(context.now);
-  if (phase === 'ejected' || (phase === 'trial' && !context.repeatable)) {
+  // Trials are given out apart: see UpstreamTable.findTrial.
+  if (upstream.health.phase(context.now) !== 'healthy') {
     return false;
   }
   return !context.options.lateBinding || hasFreeSlot(upstream, context);
--- a/src/decisions/routing/upstream_state.ts
+++ b/src/decisions/routing/upstream_state.ts
@@ -86,11 +86,8 @@
     return this.current.rate(usual, RATE_PRIOR_MS, now);
   }
 
-  /** Slots to use: fewer while cold, one during a trial. */
+  /** Slots to use: fewer while cold. */
   usableSlots(now: Milliseconds): number {
-    if (this.health.phase(now) === 'trial') {
-      return 1;
-    }
     const warm = (now - this.coldSince) / COLD_RAMP_MS;
     if (warm >= 1) {
       return this.spec.slots;
--- a/src/decisions/routing/upstream_table.ts
+++ b/src/decisions/routing/upstream_table.ts
@@ -18,6 +18,8 @@
   private list: readonly UpstreamState[] = [];
   private readonly mean: RateEstimate;
   private busy = 0;
+  /** Upstreams that are ejected or on trial. */
+  private readonly suspects = new Set<UpstreamState>();
 
   constructor(now: Milliseconds) {
     this.mean = new RateEstimate(USUAL_RATE_WINDOW_MS, now);
@@ -32,6 +34,11 @@
     return this.busy;
   }
 
+  /** Whether any upstream may get requests, now or once it is healthy. */
+  get hasUsable(): boolean {
+    return this.list.some(upstream => !upstream.draining);
+  }
+
   get(name: string): UpstreamState | undefined {
     return this.byName.get(name);
   }
@@ -46,7 +53,11 @@
     const names = new Set(specs.map(spec => spec.name));
     for (const name of this.byName.keys()) {
       if (!names.has(name)) {
+        const removed = this.byName.get(name);
         this.byName.delete(name);
+        if (removed) {
+          this.suspects.delete(removed);
+        }
       }
     }
     for (const spec of specs) {
@@ -84,9 +95,27 @@
     if (result === 'answered') {
       this.mean.complete(now);
     }
-    if (upstream.health.wantsEjection(now) && this.mayEject(now)) {
+    if (upstream.health.wantsEjection(now) && this.mayEject()) {
       upstream.health.eject(now);
+      this.suspects.add(upstream);
+    } else if (upstream.health.phase(now) === 'healthy') {
+      this.suspects.delete(upstream);
+    }
+  }
+
+  /**
+   * An upstream that a repeatable request should try, because its ejection has
+   * ended: one request at a time. It goes there past those that wait, or an
+   * order at their head, which must not try it, would keep it out for ever.
+   */
+  findTrial(now: Milliseconds): UpstreamState | undefined {
+    for (const upstream of this.suspects) {
+      const onTrial = upstream.health.phase(now) === 'trial';
+      if (onTrial && upstream.inFlight === 0 && !upstream.draining) {
+        return upstream;
+      }
     }
+    return undefined;
   }
 
   report(name: string, report: LoadReport): void {
@@ -97,10 +126,7 @@
    * Caps ejection: when every upstream fails for a common cause (a broken
    * dependency behind them), ejecting them all turns slow into down.
    */
-  private mayEject(now: Milliseconds): boolean {
-    const ejected = this.list.filter(
-      upstream => upstream.health.phase(now) !== 'healthy',
-    ).length;
-    return ejected + 1 <= this.list.length * MAX_EJECTED_SHARE;
+  private mayEject(): boolean {
+    return this.suspects.size + 1 <= this.list.length * MAX_EJECTED_SHARE;
   }
 }
--- a/tests/dispatcher.test.ts
+++ b/tests/dispatcher.test.ts
@@ -391,3 +391,33 @@
     reason: 'cannot-meet-deadline',
   });
 });
+
+test('with every upstream draining a request is refused at once', () => {
+  const dispatcher = newDispatcher();
+  dispatcher.upstreams.all.forEach(one => (one.draining = true));
+  expect(
+    dispatcher.handle({kind: 'arrived', request: newRequest(1)}),
+  ).toMatchObject([
+    {kind: 'refuse', outcome: 'not-run', reason: 'no-upstream'},
+  ]);
+});
+
+test('an ejected upstream comes back by one trial at a time', () => {
+  const clock = new ManualClock();
+  const dispatcher = newDispatcher({}, clock);
+  const {upstreams} = dispatcher;
+  const failing = upstreams.get('u0');
+  for (let turn = 0; failing && turn < 5; turn += 1) {
+    upstreams.send(failing, turn);
+    upstreams.end(failing, turn, 'error', turn);
+  }
+  clock.advance(600);
+  const toEjected: DispatchDecision[] = [];
+  for (let id = 1; id <= 40; id += 1) {
+    const request = newRequest(id, {repeatable: id > 20, retries: 0});
+    const decisions = sends(dispatcher.handle({kind: 'arrived', request}));
+    toEjected.push(...decisions.filter(one => one.upstream === 'u0'));
+  }
+  expect(toEjected).toHaveLength(1);
+  expect(toEjected[0]?.requestId).toBeGreaterThan(20);
+});
--- a/tests/outcomes.test.ts
+++ b/tests/outcomes.test.ts
@@ -1,4 +1,4 @@
-import {connect, createServer, type Server} from 'node:net';
+import {connect, createServer, type Server, type Socket} from 'node:net';
 import {once} from 'node:events';
 import {request} from 'undici';
 import {afterEach, beforeEach, expect, test} from 'vitest';
@@ -34,6 +34,17 @@
   );
 }
 
+/** An upstream that speaks in bytes. */
+async function addRawUpstream(serve: (socket: Socket) => void): Promise<void> {
+  const server = createServer(serve);
+  rawServers.push(server);
+  server.listen(0, '127.0.0.1');
+  await once(server, 'listening');
+  const address = server.address();
+  const port = typeof address === 'object' ? address?.port : 0;
+  await addUpstream('raw', `127.0.0.1:${port}`);
+}
+
 function order(id = 'o1'): ReturnType<typeof request> {
   return request(`http://${host.caller}/swaps`, {
     method: 'POST',
@@ -156,7 +167,7 @@
   // without an answer. A client library that takes this for an idle close
   // repeats the order by itself on a new connection.
   const seen: string[] = [];
-  const server = createServer(socket => {
+  await addRawUpstream(socket => {
     let served = 0;
     socket.on('data', chunk => {
       seen.push(chunk.toString());
@@ -168,12 +179,7 @@
       }
     });
     socket.on('error', () => undefined);
-  }).listen(0, '127.0.0.1');
-  rawServers.push(server);
-  await once(server, 'listening');
-  const address = server.address();
-  const port = typeof address === 'object' ? address?.port : 0;
-  await addUpstream('raw', `127.0.0.1:${port}`);
+  });
   expect(await (await order('first')).body.text()).toBe('ok');
   const answer = await order('second');
   expect(answer.statusCode).toBe(502);
@@ -184,15 +190,10 @@
 });
 
 test('an answer without a length is not taken for whole', async () => {
-  const server = createServer(socket => {
+  await addRawUpstream(socket => {
     socket.once('data', () => socket.end('HTTP/1.1 200 OK\r\n\r\nhalf'));
     socket.on('error', () => undefined);
-  }).listen(0, '127.0.0.1');
-  rawServers.push(server);
-  await once(server, 'listening');
-  const address = server.address();
-  const port = typeof address === 'object' ? address?.port : 0;
-  await addUpstream('raw', `127.0.0.1:${port}`);
+  });
   const answer = await order();
   expect(answer.statusCode).toBe(502);
   expect(answer.headers['cyclamenlever-outcome']).toBe('unknown');
@@ -269,17 +270,12 @@
 
 test('hop headers stop here and the deadline goes on reduced', async () => {
   let seen = '';
-  const server = createServer(socket => {
+  await addRawUpstream(socket => {
     socket.on('data', chunk => {
       seen += chunk.toString();
       socket.write('HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n');
     });
-  }).listen(0, '127.0.0.1');
-  rawServers.push(server);
-  await once(server, 'listening');
-  const address = server.address();
-  const port = typeof address === 'object' ? address?.port : 0;
-  await addUpstream('raw', `127.0.0.1:${port}`);
+  });
   await sendRaw(
     host.caller,
     'GET /history/1 HTTP/1.1\r\nhost: swaps\r\nconnection: close, x-hop\r\nx-hop: 1\r\nx-kept: 2\r\ncyclamenlever-timeout-ms: 900\r\ncyclamenlever-depth: 3\r\n\r\n',
