--- a/src/peers/currency_watch.ts
+++ b/src/decisions/membership/currency_watch.ts
@@ -1,7 +1,7 @@
 /** Answers, for every request, whether this host may serve. */
 
-import type {Currency} from '../decisions/membership/index.js';
-import type {Clock, Milliseconds} from '../time/index.js';
+import type {Clock, Milliseconds} from '../../time/index.js';
+import type {Currency} from './currency.js';
 
 /** A verdict that may change by what peers say holds no longer than this. */
 const RECHECK_MS: Milliseconds = 100;
--- a/src/decisions/membership/index.ts
+++ b/src/decisions/membership/index.ts
@@ -12,5 +12,6 @@
 export {SeatTable, seatSchema, seatStateSchema} from './seats.js';
 export type {Currency, CurrencyInput, Watermark} from './currency.js';
 export {judgeCurrency, watermarkOf} from './currency.js';
+export {CurrencyWatch} from './currency_watch.js';
 export type {HomeCandidate} from './homes.js';
 export {homesOf} from './homes.js';
--- a/src/peers/fleet.ts
+++ b/src/peers/fleet.ts
@@ -27,6 +27,7 @@
   Watermark,
 } from '../decisions/membership/index.js';
 import {
+  CurrencyWatch,
   EXCHANGE_INTERVAL_MS,
   FleetMember,
   seatSchema,
@@ -34,7 +35,6 @@
 } from '../decisions/membership/index.js';
 import type {ByteCounter, LogRecord, PlatformLog} from '../platform/index.js';
 import type {Clock, Milliseconds, Random} from '../time/index.js';
-import {CurrencyWatch} from './currency_watch.js';
 
 const hostSnapshotSchema = z.object({
   configuration: snapshotSchema,
--- a/tests/dispatcher.test.ts
+++ b/tests/dispatcher.test.ts
@@ -3,66 +3,9 @@
 import type {
   AttemptFailure,
   DispatchDecision,
-  DispatchPolicy,
-  DispatchRequest,
 } from '../src/decisions/dispatch/index.js';
-import {Dispatcher} from '../src/decisions/dispatch/index.js';
-import {DEFAULT_ROUTING} from '../src/decisions/routing/index.js';
-import {ManualClock, seededRandom} from '../src/time/index.js';
-
-const POLICY: DispatchPolicy = {
-  queue: 20,
-  patientShare: 0.2,
-  retryRatio: 0.1,
-  hedgeRatio: 0.1,
-  routing: DEFAULT_ROUTING,
-};
-const UPSTREAMS = 4;
-
-function newDispatcher(
-  policy: Partial<DispatchPolicy> = {},
-  clock = new ManualClock(),
-  slots = 2,
-): Dispatcher {
-  const dispatcher = new Dispatcher(
-    {...POLICY, ...policy},
-    clock,
-    seededRandom(1),
-  );
-  dispatcher.configure(
-    {...POLICY, ...policy},
-    Array.from({length: UPSTREAMS}, (_, index) => ({
-      name: `u${index}`,
-      slots,
-      distanceMs: 0.1,
-      connectionShare: 10,
-    })),
-  );
-  return dispatcher;
-}
-
-function newRequest(
-  id: number,
-  more: Partial<DispatchRequest> = {},
-): DispatchRequest {
-  return {
-    id,
-    class: 'prompt',
-    tenant: 'one',
-    repeatable: true,
-    deadlineAt: 10_000,
-    retries: 2,
-    hedge: false,
-    depth: 0,
-    ...more,
-  };
-}
-
-function sends(
-  decisions: readonly DispatchDecision[],
-): Extract<DispatchDecision, {kind: 'send'}>[] {
-  return decisions.filter(one => one.kind === 'send');
-}
+import {ManualClock} from '../src/time/index.js';
+import {POLICY, newDispatcher, newRequest, sends} from './support/dispatch.js';
 
 type Step =
   | {readonly kind: 'arrive'; readonly repeatable: boolean}
@@ -319,79 +262,6 @@
   expect(phases.filter(phase => phase === 'ejected')).toHaveLength(1);
 });
 
-test('patient requests get their share, prompt ones go first', () => {
-  const dispatcher = newDispatcher({queue: 1_000}, new ManualClock(), 1);
-  let running: {requestId: number; attempt: number}[] = [];
-  const order: string[] = [];
-  const classes = new Map<number, 'prompt' | 'patient'>();
-  const note = (decisions: readonly DispatchDecision[]): void => {
-    for (const {requestId, attempt} of sends(decisions)) {
-      running.push({requestId, attempt});
-      order.push(classes.get(requestId) ?? '');
-    }
-  };
-  for (let id = 1; id <= 400; id += 1) {
-    const kind = id % 2 === 0 ? 'prompt' : 'patient';
-    classes.set(id, kind);
-    const request = newRequest(id, {class: kind, deadlineAt: 1e9});
-    note(dispatcher.handle({kind: 'arrived', request}));
-  }
-  const before = order.length;
-  while (order.length < before + 100) {
-    const [next, ...rest] = running;
-    running = rest;
-    if (!next) {
-      break;
-    }
-    note(dispatcher.handle({...next, kind: 'answered'}));
-  }
-  const served = order.slice(before, before + 100);
-  const patient = served.filter(kind => kind === 'patient').length;
-  expect(patient).toBeGreaterThanOrEqual(19);
-  expect(patient).toBeLessThanOrEqual(22);
-});
-
-test('a noisy tenant does not delay the others', () => {
-  const dispatcher = newDispatcher({queue: 1_000}, new ManualClock(), 1);
-  let running: {requestId: number; attempt: number}[] = [];
-  const note = (decisions: readonly DispatchDecision[]): number[] => {
-    const started = sends(decisions);
-    running = [...running, ...started];
-    return started.map(one => one.requestId);
-  };
-  for (let id = 1; id <= 500; id += 1) {
-    const request = newRequest(id, {tenant: 'noisy', deadlineAt: 1e9});
-    note(dispatcher.handle({kind: 'arrived', request}));
-  }
-  const quiet = newRequest(501, {tenant: 'quiet', deadlineAt: 1e9});
-  note(dispatcher.handle({kind: 'arrived', request: quiet}));
-  const started: number[] = [];
-  for (let turn = 0; turn < 3; turn += 1) {
-    const [next, ...rest] = running;
-    running = rest;
-    if (next) {
-      started.push(...note(dispatcher.handle({...next, kind: 'answered'})));
-    }
-  }
-  expect(started).toContain(501);
-});
-
-test('a request that cannot meet its deadline is refused as not run', () => {
-  const clock = new ManualClock();
-  const dispatcher = newDispatcher({queue: 1_000}, clock, 1);
-  const refusals: DispatchDecision[] = [];
-  for (let id = 1; id <= 200; id += 1) {
-    const request = newRequest(id, {deadlineAt: 30});
-    const decisions = dispatcher.handle({kind: 'arrived', request});
-    refusals.push(...decisions.filter(one => one.kind === 'refuse'));
-  }
-  expect(refusals.length).toBeGreaterThan(100);
-  expect(refusals[0]).toMatchObject({
-    outcome: 'not-run',
-    reason: 'cannot-meet-deadline',
-  });
-});
-
 test('with every upstream draining a request is refused at once', () => {
   const dispatcher = newDispatcher();
   dispatcher.upstreams.all.forEach(one => (one.draining = true));
