Test that a claim read after its deadline is released

Cause: removing that guard failed no test. Change: the test. Measured: it fails without the guard and passes with it; 108 tests pass.

--- a/tests/claims.test.ts
+++ b/tests/claims.test.ts
@@ -182,6 +182,32 @@
   ]);
 });
 
+test('a claim read after its deadline is released, not run', () => {
+  // The host was paused; its timer for the deadline has not fired yet when the
+  // record of its claim is read. Its caller has long been told that it gave up.
+  const clock = new ManualClock();
+  const book = new ClaimBook(WINDOW, 100, clock);
+  book.handle({kind: 'read', offset: 0, appendedAt: 0});
+  const order = {key: 'k', fingerprint: 'f', deadlineAt: 300};
+  const [append] = book.handle({kind: 'claimed', order, nonce: 'one'});
+  if (append?.kind !== 'append') {
+    throw new Error('no append');
+  }
+  const {record} = append;
+  book.handle({kind: 'appended', record, result: 'done'});
+  clock.advance(300);
+  const read = {
+    kind: 'read',
+    offset: 1,
+    appendedAt: 1,
+    orders: record,
+  } as const;
+  expect(book.handle(read)).toMatchObject([
+    {kind: 'verdict', verdict: {reason: 'claims-unavailable'}},
+    {kind: 'append', record: {settlements: [{result: {kind: 'released'}}]}},
+  ]);
+});
+
 test('hosts that disagree about the fleet stay within the appends', () => {
   const hosts = Array.from({length: 17}, () => new AppendBudget(100 / 17, 0));
   let appends = 0;
