Refuse what waits once every upstream is draining

Cause: found while reading: requests that already waited when the last upstream began to drain were held to their deadlines. Change: they are refused at the next look, as not run.

--- a/src/decisions/dispatch/dispatcher.ts
+++ b/src/decisions/dispatch/dispatcher.ts
@@ -167,7 +167,24 @@
     return (ahead + 1) / (busy * rate) + 1 / rate;
   }
 
+  /**
+   * The last upstream has begun to drain while requests wait: they would be
+   * held to their deadlines for a server that cannot come.
+   */
+  private refuseWaiting(): void {
+    for (;;) {
+      const record = this.waiting.shift();
+      if (!record) {
+        return;
+      }
+      this.refuse(record, 'no-upstream');
+    }
+  }
+
   private placeWaiting(): void {
+    if (!this.upstreams.hasUsable) {
+      return this.refuseWaiting();
+    }
     for (;;) {
       const record = this.waiting.peek();
       const upstream = record && this.choose(record);
--- a/tests/waiting.test.ts
+++ b/tests/waiting.test.ts
@@ -75,3 +75,16 @@
     reason: 'cannot-meet-deadline',
   });
 });
+
+test('requests that wait are refused once every upstream is draining', () => {
+  const dispatcher = newDispatcher({}, new ManualClock(), 1);
+  for (let id = 1; id <= 12; id += 1) {
+    dispatcher.handle({kind: 'arrived', request: newRequest(id)});
+  }
+  const {waitingCount} = dispatcher;
+  dispatcher.upstreams.all.forEach(one => (one.draining = true));
+  const decisions = dispatcher.handle({kind: 'tick'});
+  expect(waitingCount).toBeGreaterThan(0);
+  expect(decisions).toHaveLength(waitingCount);
+  expect(decisions[0]).toMatchObject({kind: 'refuse', outcome: 'not-run'});
+});
