--- a/src/configuration/checkpointer.ts
+++ b/src/configuration/checkpointer.ts
@@ -2,7 +2,6 @@
 
 import type {Logger} from 'pino';
 import type {Clock, Milliseconds, Random} from '../time/index.js';
-import type {ConfigurationRecord} from '../decisions/configuration/index.js';
 import {CheckpointSchedule} from '../decisions/configuration/index.js';
 import type {SeatState} from '../decisions/membership/index.js';
 import type {PlatformLog} from '../platform/index.js';
@@ -41,10 +40,8 @@
   }
 
   /** Notes checkpoints of all hosts as the log tells of them. */
-  onRecord(body: unknown): void {
-    if (isCheckpoint(body)) {
-      this.schedule.noteCheckpoint();
-    }
+  onCheckpoint(): void {
+    this.schedule.noteCheckpoint();
   }
 
   /** Appends a checkpoint if one is due and this host knows all there is. */
@@ -63,12 +60,3 @@
     }
   }
 }
-
-function isCheckpoint(body: unknown): body is ConfigurationRecord {
-  return (
-    typeof body === 'object' &&
-    body !== null &&
-    'kind' in body &&
-    body.kind === 'checkpoint'
-  );
-}
--- a/src/configuration/log_follower.ts
+++ b/src/configuration/log_follower.ts
@@ -3,6 +3,7 @@
 import type {Logger} from 'pino';
 import type {
   Change,
+  Checkpoint,
   ConfigurationSnapshot,
   Offset,
   Verdict,
@@ -24,6 +25,7 @@
 /** Told of what the log brought. */
 export interface LogListener {
   onConfigured(services: ReadonlySet<string>): void;
+  onCheckpoint(checkpoint: Checkpoint): void;
   /** Every record with its parsed body, for consumers of other streams. */
   onRecord(record: LogRecord, body: unknown): void;
 }
@@ -50,10 +52,6 @@
     return this.clock.now() - this.currentAt;
   }
 
-  get hasGap(): boolean {
-    return this.replay.hasGap;
-  }
-
   /** Whether the state stands on the log, a checkpoint or a peer's state. */
   get isComplete(): boolean {
     const known = this.currentAt > -Infinity || this.restored;
@@ -186,7 +184,11 @@
     const records = page.records.map(record => {
       const body = parseJson(record.body);
       this.listener.onRecord(record, body);
-      return {offset: record.offset, record: parseConfigurationRecord(body)};
+      const parsed = parseConfigurationRecord(body);
+      if (parsed?.kind === 'checkpoint') {
+        this.listener.onCheckpoint(parsed);
+      }
+      return {offset: record.offset, record: parsed};
     });
     const changed = this.replay.feed({records, first: page.first});
     if (changed.size > 0) {
--- a/src/daemon/entry_host.ts
+++ b/src/daemon/entry_host.ts
@@ -266,10 +266,13 @@
     const {log, clock, logger} = this.parts;
     const follower: LogFollower = new LogFollower(log, clock, logger, {
       onConfigured: services => this.services.refresh(follower.store, services),
+      onCheckpoint: checkpoint => {
+        this.fleet.onCheckpoint(checkpoint);
+        this.checkpointer.onCheckpoint();
+      },
       onRecord: (record, body) => {
         this.fleet.onRecord(record, body);
         this.orders.onRecord(record, body);
-        this.checkpointer.onRecord(body);
         this.measuring.onRecord(record, body);
       },
     });
--- a/src/decisions/claims/claim_book.ts
+++ b/src/decisions/claims/claim_book.ts
@@ -96,11 +96,6 @@
     this.budget = new AppendBudget(appendsPerSecond, clock.now());
   }
 
-  /** Claims known, for the memory's sake. */
-  get knownOrders(): number {
-    return this.table.size;
-  }
-
   /** Time of the next `tick` it wants, if any. */
   get wakeAt(): Milliseconds | undefined {
     let at = this.appendAt ?? Infinity;
--- a/src/decisions/configuration/records.ts
+++ b/src/decisions/configuration/records.ts
@@ -58,6 +58,8 @@
   z.infer<typeof configurationRecordSchema>
 >;
 
+export type Checkpoint = Readonly<z.infer<typeof checkpointSchema>>;
+
 /** A record at its place on the log; undefined if it is of no kind we know. */
 export interface PlacedRecord {
   readonly offset: Offset;
--- a/src/decisions/configuration/types.ts
+++ b/src/decisions/configuration/types.ts
@@ -87,7 +87,6 @@
 /** Marks an upstream as leaving by an operator's command. */
 export type Drain = Readonly<z.infer<typeof drainSchema>>;
 export type ConfigurationObject = Service | Upstream | Rule | Drain;
-export type RequestClass = Rule['class'];
 
 /** Identifies an object, e.g. `upstream/listings/lst-1`. */
 export type ObjectKey = string;
--- a/src/decisions/dispatch/dispatcher.ts
+++ b/src/decisions/dispatch/dispatcher.ts
@@ -32,8 +32,6 @@
 const HEDGE_QUANTILE = 0.9;
 const INITIAL_HEDGE_DELAY_MS = 20;
 const SHORTEST_RETRY_AFTER_MS = 50;
-/** Share of the deadline a wait estimate may be off before it refuses. */
-const REFUSAL_MARGIN = 1;
 
 const FAILURE_RESULTS: Readonly<Record<AttemptFailure, AttemptResult>> = {
   unsent: 'error',
@@ -147,11 +145,10 @@
     if (!this.upstreams.hasUsable) {
       return this.refuse(record, 'no-upstream');
     }
-    const now = this.clock.now();
     if (this.waiting.size > 0) {
-      const finishAt = now + this.waitMs(this.waiting.aheadOf(record));
-      const allowed = record.request.deadlineAt - now;
-      if (finishAt - now > allowed * REFUSAL_MARGIN) {
+      const wait = this.waitMs(this.waiting.aheadOf(record));
+      const allowed = record.request.deadlineAt - this.clock.now();
+      if (wait > allowed) {
         return this.refuse(record, 'cannot-meet-deadline');
       }
     }
--- a/src/decisions/membership/fleet_member.ts
+++ b/src/decisions/membership/fleet_member.ts
@@ -4,7 +4,7 @@
  * answers and records, and says what to do.
  */
 
-import type {ConfigurationRecord, Offset} from '../configuration/index.js';
+import type {Offset} from '../configuration/index.js';
 import type {Clock, Milliseconds, Random} from '../../time/index.js';
 import {EXCHANGE_INTERVAL_MS, SEAT_INTERVAL_MS} from './constants.js';
 import type {Currency, CurrencyInput, Watermark} from './currency.js';
@@ -154,17 +154,15 @@
     this.seats.apply(record, appendedAt);
   }
 
-  /** A checkpoint carries the seats of its time. */
-  onCheckpoint(record: ConfigurationRecord | undefined): void {
-    if (record?.kind === 'checkpoint') {
-      this.seats.restore(record.seats);
-    }
-  }
-
+  /** The seats, for checkpoints and for hosts that cannot read the log. */
   seatStates(): readonly SeatState[] {
     return this.seats.snapshot();
   }
 
+  /**
+   * Takes over seats from a checkpoint or a peer: the records that made them
+   * may have fallen out of the log's retention.
+   */
   restoreSeats(states: readonly SeatState[]): void {
     this.seats.restore(states);
   }
--- a/src/orders/order_desk.ts
+++ b/src/orders/order_desk.ts
@@ -43,11 +43,6 @@
     this.book = new ClaimBook(windowMs, appendsPerSecond, clock);
   }
 
-  /** Claims known, for the memory's sake. */
-  get knownOrders(): number {
-    return this.book.knownOrders;
-  }
-
   /** Resolves once it is certain whether this host may run the order. */
   claim(order: NamedOrder): Promise<ClaimedOrder> {
     const nonce = randomUUID();
--- a/src/peers/fleet.ts
+++ b/src/peers/fleet.ts
@@ -10,11 +10,8 @@
   decodeStatement,
   encodeStatement,
 } from '../control/index.js';
-import type {Offset} from '../decisions/configuration/index.js';
-import {
-  parseConfigurationRecord,
-  snapshotSchema,
-} from '../decisions/configuration/index.js';
+import type {Checkpoint, Offset} from '../decisions/configuration/index.js';
+import {snapshotSchema} from '../decisions/configuration/index.js';
 import type {
   Currency,
   FleetDuties,
@@ -122,11 +119,14 @@
     const parsed = seatSchema.safeParse(body);
     if (parsed.success) {
       this.member.onSeat(parsed.data, record.appendedAt);
-    } else {
-      this.member.onCheckpoint(parseConfigurationRecord(body));
     }
   }
 
+  /** A checkpoint carries the seats of its time. */
+  onCheckpoint({seats}: Checkpoint): void {
+    this.member.restoreSeats(seats);
+  }
+
   /**
    * Asks peers directly how far they are, rather than wait for their news to
    * come round: an operator waits for the answer.
--- a/tests/claims.test.ts
+++ b/tests/claims.test.ts
@@ -39,6 +39,17 @@
   return table;
 }
 
+/** Claims an order on an empty log; returns the record to append. */
+function claimOne(book: ClaimBook, deadlineAt: number): OrdersRecord {
+  book.handle({kind: 'read', offset: 0, appendedAt: 0});
+  const order = {key: 'k', fingerprint: 'f', deadlineAt};
+  const [append] = book.handle({kind: 'claimed', order, nonce: 'one'});
+  if (append?.kind !== 'append') {
+    throw new Error('no append');
+  }
+  return append.record;
+}
+
 test('the first claim on the log wins', () => {
   const table = tableOf([
     [claim('one'), 0],
@@ -146,13 +157,7 @@
   // The append took effect but its reply was lost. Refusing the order then
   // would leave a claim on the log that nobody runs or releases.
   const book = new ClaimBook(WINDOW, 100, new ManualClock());
-  book.handle({kind: 'read', offset: 0, appendedAt: 0});
-  const order = {key: 'k', fingerprint: 'f', deadlineAt: 500};
-  const [append] = book.handle({kind: 'claimed', order, nonce: 'one'});
-  if (append?.kind !== 'append') {
-    throw new Error('no append');
-  }
-  const {record} = append;
+  const record = claimOne(book, 500);
   expect(book.handle({kind: 'appended', record, result: 'unknown'})).toEqual(
     [],
   );
@@ -168,13 +173,8 @@
 test('a claim given up at its deadline is released', () => {
   const clock = new ManualClock();
   const book = new ClaimBook(WINDOW, 100, clock);
-  book.handle({kind: 'read', offset: 0, appendedAt: 0});
-  const order = {key: 'k', fingerprint: 'f', deadlineAt: 500};
-  const [append] = book.handle({kind: 'claimed', order, nonce: 'one'});
-  if (append?.kind !== 'append') {
-    throw new Error('no append');
-  }
-  book.handle({kind: 'appended', record: append.record, result: 'unknown'});
+  const record = claimOne(book, 500);
+  book.handle({kind: 'appended', record, result: 'unknown'});
   clock.advance(500);
   expect(book.handle({kind: 'tick'})).toMatchObject([
     {kind: 'verdict', verdict: {reason: 'claims-unavailable'}},
@@ -187,13 +187,7 @@
   // record of its claim is read. Its caller has long been told that it gave up.
   const clock = new ManualClock();
   const book = new ClaimBook(WINDOW, 100, clock);
-  book.handle({kind: 'read', offset: 0, appendedAt: 0});
-  const order = {key: 'k', fingerprint: 'f', deadlineAt: 300};
-  const [append] = book.handle({kind: 'claimed', order, nonce: 'one'});
-  if (append?.kind !== 'append') {
-    throw new Error('no append');
-  }
-  const {record} = append;
+  const record = claimOne(book, 300);
   book.handle({kind: 'appended', record, result: 'done'});
   clock.advance(300);
   const read = {
