Wait at the host for room, share probes, hand readers over at a stop

Change: an unframed answer counts once its connection closed in order; stale peers are left at once and readers step in one after the other; waiting line by rank and due time in front of full upstreams; budget of probes.

--- /dev/null
+++ b/src/decisions/measuring/probe_budget.ts
@@ -0,0 +1,42 @@
+/**
+ * Limits how many probes this host sends.
+ *
+ * The operators allow each upstream a number of probes a second from the whole
+ * fleet. Each host spends an equal part of the sum over all upstreams, so that
+ * hosts need no talk to stay within it, however busy they are.
+ */
+
+import type {Clock, Milliseconds} from '../../time/index.js';
+
+/** Share that is spent; the rest covers hosts that count differently. */
+const SPENT_SHARE = 0.8;
+/** Probes saved for busy moments, as seconds of the rate. */
+const SAVED_SECONDS = 4;
+const MS_PER_SECOND = 1_000;
+
+export class ProbeBudget {
+  private saved: number | undefined;
+  private refilledAt: Milliseconds;
+
+  constructor(
+    private readonly clock: Clock,
+    /** Probes that one upstream may get a second. */
+    private readonly perUpstream: number,
+  ) {
+    this.refilledAt = clock.now();
+  }
+
+  /** Takes up to so many probes; returns how many may be sent. */
+  take(wanted: number, upstreams: number, hosts: number): number {
+    const perSecond =
+      (this.perUpstream * SPENT_SHARE * upstreams) / Math.max(1, hosts);
+    const most = perSecond * SAVED_SECONDS;
+    const now = this.clock.now();
+    const earned = ((now - this.refilledAt) / MS_PER_SECOND) * perSecond;
+    this.refilledAt = now;
+    this.saved = Math.min(most, (this.saved ?? most) + earned);
+    const granted = Math.min(wanted, Math.floor(this.saved));
+    this.saved -= granted;
+    return granted;
+  }
+}
--- a/src/decisions/placement/estimate.ts
+++ b/src/decisions/placement/estimate.ts
@@ -13,6 +13,8 @@
 /** Busy share of slots from which on upstreams slow down, and by how much. */
 const BUSY_SHARE = 0.8;
 const BUSY_SLOWNESS = 1.7;
+/** Share of slots that are filled; above it an upstream gets slower. */
+const USABLE_SHARE = 0.85;
 
 /**
  * Expected time from arrival to answer.
@@ -35,6 +37,16 @@
   return ownMs + turns * stretch(queuedWorkMs, report.slowness) * busy;
 }
 
+/**
+ * Whether an upstream can take one more without slowing down what it runs.
+ * With six slots, six at work get less done together than four do: the last
+ * ones cost more than they bring. One slot is always usable.
+ */
+export function hasRoom({running, waiting, slots}: LoadReport): boolean {
+  const usable = Math.max(1, Math.floor(slots * USABLE_SHARE));
+  return waiting === 0 && running < usable;
+}
+
 /** Work at a slowness that returns to the mean after a while. */
 function stretch(workMs: Milliseconds, slowness: number): Milliseconds {
   const nowMs = Math.min(workMs * slowness, SLOWNESS_LASTS_MS);
--- a/src/decisions/placement/index.ts
+++ b/src/decisions/placement/index.ts
@@ -3,5 +3,5 @@
 export type {UpstreamFailure} from './outcome_book.js';
 export {OutcomeBook} from './outcome_book.js';
 export type {PlacementSurroundings} from './placement_policy.js';
-export {PlacementPolicy} from './placement_policy.js';
+export {MAX_ROUNDS, PlacementPolicy} from './placement_policy.js';
 export {WorkEstimates} from './work_estimates.js';
--- a/src/decisions/placement/placement_policy.ts
+++ b/src/decisions/placement/placement_policy.ts
@@ -9,15 +9,20 @@
 
 import type {UpstreamInService} from '../registry/index.js';
 import type {Clock, Milliseconds, Random} from '../../time/index.js';
-import {estimateCompletion} from './estimate.js';
+import {estimateCompletion, hasRoom} from './estimate.js';
 import type {OutcomeBook} from './outcome_book.js';
-import type {PlacementRequest, PlacementVerdict, ProbeAnswer} from './types.js';
+import type {
+  LoadReport,
+  PlacementRequest,
+  PlacementVerdict,
+  ProbeAnswer,
+} from './types.js';
 import type {WorkEstimates} from './work_estimates.js';
 
 /** Upstreams asked at once. */
 const ASKED = 4;
-/** Rounds of asking before the best of all answers is taken. */
-const MAX_ROUNDS = 3;
+/** Rounds of asking: nearby, then anywhere. */
+export const MAX_ROUNDS = 3;
 /** Factor on the estimate of an upstream that calls itself unhealthy. */
 const UNHEALTHY_FACTOR = 8;
 /** Factor on the estimate of an upstream that has just started. */
@@ -27,10 +32,8 @@
  * so a nearby upstream is taken unless one there is clearly faster.
  */
 const REMOTE_FACTOR = 1.5;
-/** An answer is good enough while it leaves this share of the target unused. */
-const TARGET_MARGIN = 0.1;
-/** Estimate where no load is told. */
-const UNTOLD_SLOTS = 1_000;
+/** Load assumed where none is told. */
+const UNTOLD: LoadReport = {running: 0, waiting: 0, slots: 1_000, slowness: 1};
 
 export interface PlacementSurroundings {
   readonly dataCentre: string;
@@ -44,8 +47,12 @@
 
 interface Rated {
   readonly id: string;
+  /** Time to the answer, weighed by what speaks against the upstream. */
   readonly cost: Milliseconds;
-  readonly finishesAt: Milliseconds;
+  /** Whether it would answer within the target. */
+  readonly inTime: boolean;
+  /** Whether it can run one more without slowing the others down. */
+  readonly hasRoom: boolean;
 }
 
 export class PlacementPolicy {
@@ -69,45 +76,50 @@
   /**
    * Judges the answers so far.
    *
-   * @param round counts from 1
+   * @param exhausted whether no more can be asked
    */
   judge(
     upstreams: readonly UpstreamInService[],
     request: PlacementRequest,
     answers: readonly ProbeAnswer[],
-    round: number,
+    exhausted: boolean,
   ): PlacementVerdict {
-    const best = this.best(upstreams, request, answers);
-    if (!best) {
+    const rated = this.rateAll(upstreams, request, answers);
+    const good = cheapest(rated.filter(one => one.inTime && one.hasRoom));
+    if (good) {
+      return {kind: 'send', id: good.id};
+    }
+    if (!exhausted) {
       return {kind: 'ask-more'};
     }
-    const now = this.surroundings.clock.now();
-    const margin = (request.targetAt - now) * TARGET_MARGIN;
-    const inTime = now + best.cost <= request.targetAt - margin;
-    return inTime || round >= MAX_ROUNDS
-      ? {kind: 'send', id: best.id}
-      : {kind: 'ask-more'};
+    const usable = cheapest(rated.filter(one => one.hasRoom));
+    return usable ? {kind: 'send', id: usable.id} : {kind: 'wait'};
+  }
+
+  /** Latest start for an answer by a time, on an upstream with room. */
+  latestStartAt(request: PlacementRequest, by: Milliseconds): Milliseconds {
+    return by - this.workOf(request);
   }
 
-  /** The best of the answers, whatever it is. */
-  best(
+  /** Whether an upstream that has just told its load can take a request. */
+  suits(
+    upstream: UpstreamInService,
+    request: PlacementRequest,
+    answer: ProbeAnswer,
+  ): boolean {
+    return this.rate(upstream, request, answer).hasRoom;
+  }
+
+  private rateAll(
     upstreams: readonly UpstreamInService[],
     request: PlacementRequest,
     answers: readonly ProbeAnswer[],
-  ): Rated | undefined {
+  ): readonly Rated[] {
     const byId = new Map(upstreams.map(one => [one.id, one]));
-    let best: Rated | undefined;
-    for (const answer of answers) {
+    return answers.flatMap(answer => {
       const upstream = byId.get(answer.id);
-      if (!upstream) {
-        continue;
-      }
-      const rated = this.rate(upstream, request, answer);
-      if (!best || rated.cost < best.cost) {
-        best = rated;
-      }
-    }
-    return best;
+      return upstream ? [this.rate(upstream, request, answer)] : [];
+    });
   }
 
   private rate(
@@ -116,30 +128,31 @@
     answer: ProbeAnswer,
   ): Rated {
     const {clock, outcomes, work, dataCentre, unreported} = this.surroundings;
+    const {id} = upstream;
     const now = clock.now();
-    const targetMs = Math.max(0, request.targetAt - now);
-    const workMs = work.ofRoute(request.route, targetMs);
-    const told = answer.report ?? {
-      running: 0,
-      waiting: 0,
-      slots: UNTOLD_SLOTS,
-      slowness: 1,
-    };
-    const report = {...told, running: told.running + unreported(upstream.id)};
-    const estimate = estimateCompletion(
-      report,
-      workMs,
-      work.ofService(request.service, workMs),
-    );
+    const workMs = this.workOf(request);
+    const told = answer.report ?? UNTOLD;
+    const report = {...told, running: told.running + unreported(id)};
     const cold = now < upstream.warmAt ? COLD_FACTOR : 1;
-    const finishesAt = now + estimate * cold;
-    const cost =
-      estimate *
+    const expectedMs =
       cold *
-      outcomes.factor(upstream.id) *
-      (answer.healthy ? 1 : UNHEALTHY_FACTOR) *
-      (upstream.dataCentre === dataCentre ? 1 : REMOTE_FACTOR);
-    return {id: upstream.id, cost, finishesAt};
+      estimateCompletion(
+        report,
+        workMs,
+        work.ofService(request.service, workMs),
+      );
+    const doubt = outcomes.factor(id) * (answer.healthy ? 1 : UNHEALTHY_FACTOR);
+    const distance = upstream.dataCentre === dataCentre ? 1 : REMOTE_FACTOR;
+    return {
+      id,
+      cost: expectedMs * doubt * distance,
+      inTime: now + expectedMs * doubt <= request.targetAt,
+      hasRoom: hasRoom(report),
+    };
+  }
+
+  private workOf(request: PlacementRequest): Milliseconds {
+    return this.surroundings.work.ofRoute(request.route, request.targetMs);
   }
 
   /** A few at random; those that failed of late are the last to be asked. */
@@ -160,3 +173,13 @@
       .map(({upstream}) => upstream);
   }
 }
+
+function cheapest(rated: readonly Rated[]): Rated | undefined {
+  let best: Rated | undefined;
+  for (const one of rated) {
+    if (!best || one.cost < best.cost) {
+      best = one;
+    }
+  }
+  return best;
+}
--- a/src/decisions/placement/types.ts
+++ b/src/decisions/placement/types.ts
@@ -22,8 +22,11 @@
   readonly service: string;
   /** Names what requests are alike, so that their work is too. */
   readonly route: string;
+  /** 0 is the most urgent. */
+  readonly rank: number;
   /** Upstreams that have had this request. */
   readonly tried: ReadonlySet<string>;
+  readonly targetMs: Milliseconds;
   readonly targetAt: Milliseconds;
   readonly giveUpAt: Milliseconds;
 }
@@ -31,4 +34,6 @@
 export type PlacementVerdict =
   | {readonly kind: 'send'; readonly id: string}
   /** None of those asked will do: ask others. */
-  | {readonly kind: 'ask-more'};
+  | {readonly kind: 'ask-more'}
+  /** No upstream has room: wait at this host. */
+  | {readonly kind: 'wait'};
--- a/src/decisions/registry/upstream_registry.ts
+++ b/src/decisions/registry/upstream_registry.ts
@@ -51,6 +51,13 @@
     return [...this.known.values()].map(({entry}) => entry);
   }
 
+  /** Upstreams in service, of all services. */
+  get count(): number {
+    let count = 0;
+    this.byService.forEach(list => (count += list.length));
+    return count;
+  }
+
   inService(service: string): readonly UpstreamInService[] {
     return this.byService.get(service) ?? [];
   }
--- a/src/decisions/relay/index.ts
+++ b/src/decisions/relay/index.ts
@@ -1,3 +1,3 @@
 export * from './types.js';
-export type {Source} from './source_choice.js';
+export type {PeerFault, Source} from './source_choice.js';
 export {SourceChoice} from './source_choice.js';
--- a/src/decisions/relay/source_choice.ts
+++ b/src/decisions/relay/source_choice.ts
@@ -11,19 +11,40 @@
 import type {Peer} from './types.js';
 
 /** A peer that failed is left alone for this time, doubled each time. */
-const FIRST_SUSPENSION_MS: Milliseconds = 1_000;
-const LONGEST_SUSPENSION_MS: Milliseconds = 16_000;
+const FIRST_SUSPENSION_MS: Readonly<Record<PeerFault, Milliseconds>> = {
+  unreachable: 1_000,
+  stale: 400,
+};
+const LONGEST_SUSPENSION_MS: Milliseconds = 8_000;
+/**
+ * Hosts that lose their reader together begin to read one after the other:
+ * the next finds the one before it reading. The longest delay and the time
+ * after which a peer counts as silent stay within what a change may take.
+ */
+const DELAY_PER_PEER_MS: Milliseconds = 40;
+const LONGEST_DELAY_MS: Milliseconds = 500;
+
+/** Why a peer isn't followed. */
+export type PeerFault =
+  /** It broke off, or said nothing. */
+  | 'unreachable'
+  /** It has no fresh news itself. */
+  | 'stale';
 
 export type Source =
-  {readonly kind: 'peer'; readonly peer: Peer} | {readonly kind: 'store'};
+  | {readonly kind: 'peer'; readonly peer: Peer}
+  | {
+      readonly kind: 'store';
+      /** How long to wait before reading, and then look for peers again. */
+      readonly delayMs: Milliseconds;
+    };
 
 interface Suspension {
   readonly until: Milliseconds;
   readonly lastedMs: Milliseconds;
+  readonly fault: PeerFault;
 }
 
-const STORE: Source = {kind: 'store'};
-
 export class SourceChoice {
   private peers: readonly Peer[] = [];
   private readonly suspensions = new Map<string, Suspension>();
@@ -43,14 +64,19 @@
 
   /** Whom to follow now. */
   preferred(): Source {
-    const own = this.peers.find(({address}) => address === this.self.address);
-    const peer = this.peers.find(
-      one =>
-        one.dataCentre === this.self.dataCentre &&
-        (!own || one.rank < own.rank) &&
-        this.isOpen(one),
+    const before = this.peersBefore();
+    const peer = before.find(one => this.isOpen(one));
+    if (peer) {
+      return {kind: 'peer', peer};
+    }
+    const alive = before.filter(
+      ({address}) => this.suspensions.get(address)?.fault === 'stale',
     );
-    return peer ? {kind: 'peer', peer} : STORE;
+    const delayMs = Math.min(
+      LONGEST_DELAY_MS,
+      DELAY_PER_PEER_MS * alive.length,
+    );
+    return {kind: 'store', delayMs};
   }
 
   /**
@@ -67,15 +93,17 @@
     );
   }
 
-  /** A peer broke off, stayed silent, or told nothing fresh. */
-  failed(peer: Peer): void {
+  /** A peer can't be followed now. */
+  failed(peer: Peer, fault: PeerFault): void {
     const before = this.suspensions.get(peer.address);
     const lastedMs = Math.min(
       LONGEST_SUSPENSION_MS,
-      before ? before.lastedMs * 2 : FIRST_SUSPENSION_MS,
+      before?.fault === fault
+        ? before.lastedMs * 2
+        : FIRST_SUSPENSION_MS[fault],
     );
     const until = this.clock.now() + lastedMs;
-    this.suspensions.set(peer.address, {until, lastedMs});
+    this.suspensions.set(peer.address, {until, lastedMs, fault});
   }
 
   /** A peer told something fresh. */
@@ -83,6 +111,15 @@
     this.suspensions.delete(peer.address);
   }
 
+  /** Peers of the data centre that registered before this host. */
+  private peersBefore(): readonly Peer[] {
+    const {address, dataCentre} = this.self;
+    const own = this.peers.find(one => one.address === address);
+    return this.peers.filter(
+      one => one.dataCentre === dataCentre && (!own || one.rank < own.rank),
+    );
+  }
+
   private isOpen(peer: Peer): boolean {
     const suspension = this.suspensions.get(peer.address);
     return !suspension || this.clock.now() >= suspension.until;
--- a/src/decisions/relay/types.ts
+++ b/src/decisions/relay/types.ts
@@ -28,7 +28,7 @@
       readonly kind: 'alive';
       /** Time since the store was last read with success. */
       readonly ageMs: Milliseconds;
-      /** Address of the host that read it; undefined before the first read. */
+      /** Address of the host that read it; undefined when there is none now. */
       readonly reader: string | undefined;
       /** Hosts that have registered, as far as the sender knows. */
       readonly hosts: number;
--- a/src/fleet/fleet_member.ts
+++ b/src/fleet/fleet_member.ts
@@ -1,7 +1,7 @@
 /** Keeps this host's state fresh, through a peer or from the store itself. */
 
 import type {Logger} from 'pino';
-import type {Peer, Update} from '../decisions/relay/index.js';
+import type {Peer, PeerFault, Update} from '../decisions/relay/index.js';
 import {SourceChoice} from '../decisions/relay/index.js';
 import type {Store} from '../platform/index.js';
 import type {Clock, Milliseconds, Random} from '../time/index.js';
@@ -11,14 +11,12 @@
 import {StoreReader} from './store_reader.js';
 
 /** How often the source is looked at. */
-const CHECK_INTERVAL_MS: Milliseconds = 100;
+const CHECK_INTERVAL_MS: Milliseconds = 50;
 /**
  * A peer whose news are older than this can't read the store. Between two
- * reads they grow to a second, and an answer may take some hundred ms.
+ * answers to a waiting read they grow to 2.3 s; an answer may take 0.7 s.
  */
-const STALE_PEER_MS: Milliseconds = 1_600;
-/** A peer that is tried must prove within this time that it is fresh. */
-const PROOF_MS: Milliseconds = 600;
+const STALE_PEER_MS: Milliseconds = 3_100;
 /** Failed reads after which other hosts are asked. */
 const FAILURES_BEFORE_SUBSTITUTE = 2;
 const REGISTER_PAUSE_MS: Milliseconds = 400;
@@ -39,7 +37,7 @@
   private readonly choice: SourceChoice;
   private readonly reader: StoreReader;
   private client: RelayClient | undefined;
-  private followedAt: Milliseconds = 0;
+  private readAt: Milliseconds | undefined;
   private provedFresh = false;
   private timer: NodeJS.Timeout | undefined;
   private closed = false;
@@ -47,7 +45,7 @@
   constructor(private readonly parts: FleetMemberParts) {
     const {address, dataCentre, store, state, clock, random, logger} = parts;
     this.choice = new SourceChoice({address, dataCentre}, clock);
-    this.reader = new StoreReader(store, state, clock, random, logger);
+    this.reader = new StoreReader(store, state, random, logger);
   }
 
   get isReader(): boolean {
@@ -113,14 +111,9 @@
   }
 
   private check(): void {
-    const {clock, state} = this.parts;
-    if (this.client) {
-      const tooLong =
-        !this.provedFresh && clock.now() - this.followedAt > PROOF_MS;
-      const stale = this.provedFresh && state.ageMs > STALE_PEER_MS;
-      if (tooLong || stale) {
-        this.leave('its news are old');
-      }
+    const {state} = this.parts;
+    if (this.client && this.provedFresh && state.ageMs > STALE_PEER_MS) {
+      this.leave('stale', 'its news are old');
     }
     if (!this.client) {
       this.follow();
@@ -128,12 +121,18 @@
   }
 
   private follow(): void {
+    if (this.closed || this.client) {
+      return;
+    }
     const source = this.choice.preferred();
     if (source.kind === 'peer') {
       this.followPeer(source.peer);
       return;
     }
-    this.reader.start();
+    if (!this.reader.isRunning) {
+      this.readAfter(source.delayMs);
+      return;
+    }
     if (this.reader.failureCount >= FAILURES_BEFORE_SUBSTITUTE) {
       const substitute = this.choice.substitute();
       if (substitute) {
@@ -142,59 +141,80 @@
     }
   }
 
+  private readAfter(delayMs: Milliseconds): void {
+    const {clock} = this.parts;
+    this.readAt ??= clock.now() + delayMs;
+    if (clock.now() >= this.readAt) {
+      this.readAt = undefined;
+      this.reader.start();
+    }
+  }
+
   private followPeer(peer: Peer): void {
-    this.followedAt = this.parts.clock.now();
     this.provedFresh = false;
     this.client = new RelayClient(peer, {
       onUpdate: update => this.take(peer, update),
-      onEnd: reason => this.ended(peer, reason),
+      onEnd: reason => this.ended(peer, 'unreachable', reason),
     });
   }
 
   private take(peer: Peer, update: Update): void {
     this.parts.state.take(update);
-    if (update.kind !== 'alive' || !this.provesFresh(update)) {
+    if (update.kind !== 'alive') {
+      return;
+    }
+    if (!this.isFresh(update)) {
+      this.leave('stale', 'it has no news');
       return;
     }
+    this.readAt = undefined;
     if (!this.provedFresh) {
+      this.provedFresh = true;
+      this.choice.proved(peer);
+      this.reader.stop();
       this.parts.logger.info(
         {event: 'reader', peer: peer.address, ageMs: update.ageMs},
         'following a peer',
       );
     }
-    this.provedFresh = true;
-    this.choice.proved(peer);
-    this.reader.stop();
   }
 
   /**
    * News that this host read itself prove nothing: two hosts that follow each
    * other would both stop reading.
    */
-  private provesFresh(update: Extract<Update, {kind: 'alive'}>): boolean {
+  private isFresh(update: Extract<Update, {kind: 'alive'}>): boolean {
+    const {reader, ageMs} = update;
     return (
-      update.ageMs <= STALE_PEER_MS && update.reader !== this.parts.address
+      reader !== undefined &&
+      reader !== this.parts.address &&
+      ageMs <= STALE_PEER_MS
     );
   }
 
-  private leave(reason: string): void {
+  private leave(fault: PeerFault, reason: string): void {
     const {client} = this;
     if (client) {
       client.close();
-      this.ended(client.peer, reason);
+      this.ended(client.peer, fault, reason);
     }
   }
 
-  private ended(peer: Peer, reason: string): void {
+  private ended(peer: Peer, fault: PeerFault, reason: string): void {
+    const {logger, state} = this.parts;
     this.client = undefined;
-    this.choice.failed(peer);
-    this.parts.logger.info(
-      {event: 'reader', peer: peer.address, reason},
-      'peer left',
-    );
-    if (!this.closed) {
-      this.follow();
+    this.choice.failed(peer, fault);
+    if (this.provedFresh) {
+      logger.info(
+        {event: 'reader', peer: peer.address, fault, reason},
+        'reader lost',
+      );
+      this.provedFresh = false;
+      if (!this.reader.isRunning) {
+        state.loseSource();
+      }
     }
+    this.follow();
   }
 }
 
--- a/src/fleet/fleet_state.ts
+++ b/src/fleet/fleet_state.ts
@@ -11,8 +11,12 @@
 import {RouteBook} from '../decisions/routes/index.js';
 import type {Clock, Milliseconds} from '../time/index.js';
 
-/** From this age on, entries may have lapsed in the store unseen. */
-const STALE_AFTER_MS: Milliseconds = 2_000;
+/**
+ * From this age on, entries may have lapsed in the store unseen, and routes
+ * may have been added. Readers hear from the store every 2.3 s; its answer and
+ * the way here take up to a second more.
+ */
+const STALE_AFTER_MS: Milliseconds = 3_300;
 const TICK_MS: Milliseconds = 200;
 
 /** Told of what changes, to pass it on. */
@@ -128,13 +132,17 @@
     this.tell({kind: 'snapshot', entries, end});
   }
 
-  /**
-   * This host has read the store.
-   *
-   * @param at when the store was asked for what is now known
-   */
-  freshen(at: Milliseconds): void {
-    this.freshenTo(at, this.address);
+  /** The store has just answered this host. */
+  freshen(): void {
+    this.freshenTo(this.clock.now(), this.address);
+  }
+
+  /** What this host knows no longer comes from anywhere. */
+  loseSource(): void {
+    if (this.freshFrom !== undefined) {
+      this.freshFrom = undefined;
+      this.tell(this.alive());
+    }
   }
 
   setHosts(count: number): void {
@@ -146,8 +154,8 @@
   }
 
   private freshenTo(at: Milliseconds, reader: string | undefined): void {
-    if (at > this.freshAt) {
-      this.freshAt = at;
+    if (at > this.freshAt || this.freshFrom === undefined) {
+      this.freshAt = Math.max(this.freshAt, at);
       this.freshFrom = reader;
     }
   }
--- a/src/fleet/relay_client.ts
+++ b/src/fleet/relay_client.ts
@@ -54,6 +54,10 @@
   }
 
   private read(answer: IncomingMessage): void {
+    if (answer.statusCode !== 200) {
+      this.end(`status ${String(answer.statusCode)}`);
+      return;
+    }
     answer.on('data', (chunk: Buffer) => this.take(chunk));
     answer.on('error', error => this.end(error.message));
     answer.on('close', () => this.end('the peer broke off'));
--- a/src/fleet/relay_server.ts
+++ b/src/fleet/relay_server.ts
@@ -17,6 +17,7 @@
   private readonly server: Server;
   private readonly followers = new Set<ServerResponse>();
   private readonly timer: NodeJS.Timeout;
+  private retired = false;
 
   constructor(private readonly state: FleetState) {
     this.server = createServer((request, response) =>
@@ -35,6 +36,12 @@
     return listen(this.server, address.ip, address.port);
   }
 
+  /** Sends followers elsewhere, before this host stops. */
+  retire(): void {
+    this.retired = true;
+    this.followers.forEach(follower => follower.end());
+  }
+
   close(): Promise<void> {
     clearInterval(this.timer);
     return closeNow(this.server);
@@ -42,6 +49,11 @@
 
   private accept(request: IncomingMessage, response: ServerResponse): void {
     request.resume();
+    if (this.retired) {
+      response.writeHead(503);
+      response.end();
+      return;
+    }
     response.writeHead(200, {'content-type': 'application/x-ndjson'});
     response.socket?.setNoDelay(true);
     this.followers.add(response);
--- a/src/fleet/store_reader.ts
+++ b/src/fleet/store_reader.ts
@@ -15,20 +15,22 @@
   decodeConfiguration,
   decodeUpstream,
 } from '../platform/index.js';
-import type {Clock, Milliseconds, Random} from '../time/index.js';
+import type {Milliseconds, Random} from '../time/index.js';
 import type {FleetState} from './fleet_state.js';
 
 /**
- * Upstreams' heartbeats arrive all the time, so waiting reads would return at
- * once, and each call is paid for. An upstream that leaves is known within
- * this time, half of what the operators allow.
+ * Longest wait for a change of an upstream, and so the time after which this
+ * host notices that the store doesn't answer it. A call is paid for whatever
+ * it brings.
  */
-const UPSTREAM_INTERVAL_MS: Milliseconds = 1_000;
+const UPSTREAM_WAIT_MS: Milliseconds = 2_000;
 /**
  * Longest wait for a change of the configuration. A connection that goes
  * silent is noticed after this and the store's answer timeout.
  */
 const CONFIGURATION_WAIT_MS: Milliseconds = 4_000;
+/** Changes that come in quick succession are read together. */
+const GATHER_MS: Milliseconds = 250;
 const FIRST_PAUSE_MS: Milliseconds = 250;
 const LONGEST_PAUSE_MS: Milliseconds = 1_200;
 const PAUSE_GROWTH = 1.6;
@@ -43,7 +45,6 @@
   constructor(
     private readonly store: Store,
     private readonly state: FleetState,
-    private readonly clock: Clock,
     private readonly random: Random,
     private readonly logger: Logger,
   ) {}
@@ -83,13 +84,12 @@
 
   private async loopUpstreams(run: number): Promise<void> {
     while (this.isCurrent(run)) {
-      const at = this.clock.now();
       const failure = this.upstreamsLoaded
         ? await this.readUpstreams()
         : await this.loadUpstreams();
       if (!failure) {
-        this.noteSuccess(at);
-        await sleep(UPSTREAM_INTERVAL_MS);
+        this.noteSuccess();
+        await sleep(GATHER_MS);
         continue;
       }
       if (failure.kind === 'trimmed') {
@@ -135,7 +135,11 @@
 
   private async readUpstreams(): Promise<StoreFailure | undefined> {
     const {cursor} = this.state.registry;
-    const page = await this.store.read(UPSTREAM_TOPIC, cursor, 0);
+    const page = await this.store.read(
+      UPSTREAM_TOPIC,
+      cursor,
+      UPSTREAM_WAIT_MS,
+    );
     if (page.isErr()) {
       return page.error;
     }
@@ -184,7 +188,7 @@
     }
   }
 
-  private noteSuccess(at: Milliseconds): void {
+  private noteSuccess(): void {
     if (this.failures > 0) {
       this.logger.info(
         {event: 'store', failures: this.failures},
@@ -192,11 +196,13 @@
       );
     }
     this.failures = 0;
-    this.state.freshen(at);
+    this.state.freshen();
   }
 
   private noteFailure(read: string, failure: StoreFailure): void {
     this.failures += 1;
+    // Followers look for a host that the store still answers.
+    this.state.loseSource();
     this.logger.warn(
       {event: 'store', read, kind: failure.kind, error: failure.message},
       'cannot read the store',
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -1,7 +1,11 @@
 /** One caller request from its head to its final answer. */
 
 import type {IncomingMessage, ServerResponse} from 'node:http';
-import type {PlacementRequest} from '../decisions/placement/index.js';
+import type {
+  PlacementRequest,
+  ProbeAnswer,
+} from '../decisions/placement/index.js';
+import type {UpstreamInService} from '../decisions/registry/index.js';
 import type {Route, ServiceProfile} from '../decisions/routes/index.js';
 import type {Problem, ProblemReason, RequestBody} from '../http/index.js';
 import {filterHeaders, hasBody, readBody, sendProblem} from '../http/index.js';
@@ -15,7 +19,7 @@
   WholeAnswer,
 } from '../upstreams/index.js';
 import {sendAttempt} from '../upstreams/index.js';
-import type {Placement} from './placer.js';
+import type {Placing} from './scheduler.js';
 import type {GatewayContext} from './types.js';
 
 /** Bodies up to this size are held, so that they can be sent again. */
@@ -23,8 +27,6 @@
 const SERVER_ERROR_FROM = 500;
 /** When to come back if no upstream could be reached. */
 const UNREACHABLE_RETRY_MS: Milliseconds = 150;
-/** Waits this long before it looks for an upstream again. */
-const LOOK_AGAIN_MS: Milliseconds = 40;
 /** Below this, an upstream can't do anything in time. */
 const LEAST_TIME_MS: Milliseconds = 5;
 /** Time that a caller waits who doesn't say. */
@@ -47,6 +49,7 @@
   private readonly tried = new Set<string>();
   private attempt: SentAttempt | undefined;
   private timer: NodeJS.Timeout | undefined;
+  private readonly ended = new AbortController();
   private done = false;
   /** A send of which it isn't known that it wasn't run. */
   private mayHaveRun = false;
@@ -104,62 +107,58 @@
   private async serve(body: RequestBody): Promise<void> {
     const forwarded = this.forwardedRequest(body);
     while (!this.done) {
-      const placement = await this.place();
+      const placing = await this.place();
       if (this.done) {
-        if (placement) {
-          const {upstream, connection} = placement;
-          this.context.placer.release(upstream.id, connection);
-        }
         return;
       }
-      if (!placement) {
-        await this.waitOrRefuse();
-        continue;
-      }
-      const result = await this.send(forwarded, placement);
-      if (this.done) {
+      if (placing.kind === 'refused') {
+        this.refuseOrFail(placing.reason, placing.retryAfterMs);
         return;
       }
-      this.judge(result, placement, body);
+      const {upstream, answer} = placing;
+      const result = await this.send(forwarded, upstream, answer);
+      if (!this.done) {
+        this.judge(result, upstream.id, body);
+      }
     }
   }
 
-  private place(): Promise<Placement | undefined> {
+  private place(): Promise<Placing> {
     const {route, service, tried, giveUpAt} = this;
     const wanted: PlacementRequest = {
       service: service.name,
       route: route.name,
+      rank: route.rank,
       tried,
+      targetMs: route.targetMs,
       targetAt: this.arrivedAt + route.targetMs,
       giveUpAt,
     };
-    return this.context.placer.place(wanted, service.healthPath);
+    return this.context
+      .schedulerOf(service.name)
+      .place(wanted, service.healthPath, this.ended.signal);
   }
 
-  /** No upstream answers: some may return, if there is time. */
-  private async waitOrRefuse(): Promise<void> {
+  /** An upstream's own error says more than that no other could be had. */
+  private refuseOrFail(
+    reason: ProblemReason,
+    retryAfterMs: Milliseconds,
+  ): void {
     if (this.failure) {
       this.deliver(this.failure);
-      return;
+    } else {
+      this.refuse(reason, retryAfterMs);
     }
-    const registered = this.context.state.registry.inService(this.service.name);
-    const untried = registered.some(({id}) => !this.tried.has(id));
-    const {targetMs} = this.route;
-    const waited = this.context.clock.now() - this.arrivedAt;
-    if (!untried || waited > targetMs / 8 || this.leftMs < LOOK_AGAIN_MS) {
-      this.refuse('no-upstream', UNREACHABLE_RETRY_MS);
-      return;
-    }
-    await sleep(LOOK_AGAIN_MS);
   }
 
   private async send(
     forwarded: ForwardedRequest,
-    placement: Placement,
+    upstream: UpstreamInService,
+    answer: ProbeAnswer,
   ): Promise<AttemptResult> {
-    const {upstream, connection, answer} = placement;
-    const {placer, clock} = this.context;
+    const {desk, clock} = this.context;
     const startedAt = clock.now();
+    const connection = desk.connect(upstream);
     this.tried.add(upstream.id);
     this.mayHaveRun = true;
     this.attempt = sendAttempt(
@@ -169,7 +168,7 @@
       this.leftMs,
       reusable => {
         if (reusable) {
-          placer.release(upstream.id, connection);
+          desk.release(upstream.id, connection);
         } else {
           connection.close();
         }
@@ -177,26 +176,36 @@
     );
     const result = await this.attempt.result;
     this.attempt = undefined;
-    if (result.kind === 'answered' && result.status < SERVER_ERROR_FROM) {
-      placer.outcomes.succeeded(upstream.id);
-      placer.work.observe(
-        this.service.name,
-        this.route.name,
-        clock.now() - startedAt,
-        answer.report?.slowness ?? 1,
-      );
-    }
+    this.learn(result, upstream.id, answer, clock.now() - startedAt);
     return result;
   }
 
-  /** Decides what follows from an attempt's result. */
-  private judge(
+  /** Takes in what an attempt tells of its upstream. */
+  private learn(
     result: AttemptResult,
-    placement: Placement,
-    body: RequestBody,
+    id: string,
+    before: ProbeAnswer,
+    elapsedMs: Milliseconds,
   ): void {
-    const {id} = placement.upstream;
-    const {outcomes} = this.context.placer;
+    const {desk, work, schedulerOf} = this.context;
+    if (result.kind === 'answered' && result.status < SERVER_ERROR_FROM) {
+      desk.outcomes.succeeded(id);
+      const slowness = before.report?.slowness ?? 1;
+      work.observe(this.service.name, this.route.name, elapsedMs, slowness);
+    }
+    if (
+      (result.kind === 'answered' || result.kind === 'not-run') &&
+      result.load
+    ) {
+      const answer = {id, report: result.load, healthy: before.healthy};
+      desk.noteAnswer(answer);
+      schedulerOf(this.service.name).offer(id, answer);
+    }
+  }
+
+  /** Decides what follows from an attempt's result. */
+  private judge(result: AttemptResult, id: string, body: RequestBody): void {
+    const {outcomes} = this.context.desk;
     switch (result.kind) {
       case 'answered':
         if (result.status < SERVER_ERROR_FROM) {
@@ -319,6 +328,7 @@
     }
     this.done = true;
     clearTimeout(this.timer);
+    this.ended.abort();
     this.attempt?.cancel();
     this.context.metrics.countOutcome(outcome);
     this.log(outcome);
@@ -348,7 +358,3 @@
     );
   }
 }
-
-function sleep(ms: Milliseconds): Promise<void> {
-  return new Promise(resolve => setTimeout(resolve, ms));
-}
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -4,12 +4,16 @@
 import type {TrafficSplit} from '../decisions/routes/index.js';
 import type {Clock, Random} from '../time/index.js';
 import type {GatewayMetrics} from './gateway_metrics.js';
-import type {Placer} from './placer.js';
+import type {WorkEstimates} from '../decisions/placement/index.js';
+import type {Scheduler} from './scheduler.js';
+import type {UpstreamDesk} from './upstream_desk.js';
 
 /** What exchanges need of the host they run on. */
 export interface GatewayContext {
   readonly state: FleetState;
-  readonly placer: Placer;
+  readonly desk: UpstreamDesk;
+  readonly work: WorkEstimates;
+  readonly schedulerOf: (service: string) => Scheduler;
   readonly split: TrafficSplit;
   /** Repeats that this host may send to a service. */
   readonly budgetOf: (service: string) => WindowBudget;
--- /dev/null
+++ b/src/gateway/upstream_desk.ts
@@ -0,0 +1,191 @@
+/** Connections to upstreams and what they tell of their load. */
+
+import type {Logger} from 'pino';
+import type {ProbeAnswer} from '../decisions/placement/index.js';
+import {OutcomeBook} from '../decisions/placement/index.js';
+import type {
+  RegisteredUpstream,
+  UpstreamInService,
+} from '../decisions/registry/index.js';
+import type {FleetState} from '../fleet/index.js';
+import {parseAddress} from '../platform/index.js';
+import type {Clock, Milliseconds} from '../time/index.js';
+import type {ProbeResult, UpstreamConnection} from '../upstreams/index.js';
+import {ConnectionPool, probe} from '../upstreams/index.js';
+import type {GatewayMetrics} from './gateway_metrics.js';
+
+/** An upstream that answers no probe for this time isn't reachable. */
+const PROBE_TIMEOUT_MS: Milliseconds = 500;
+/** A report of this age is used again: about the time a probe takes. */
+const REUSE_MS: Milliseconds = 4;
+/** Sends are remembered for this time, longer than any probe under way. */
+const SENDS_MEMORY_MS: Milliseconds = 600;
+
+interface Told {
+  readonly answer: ProbeAnswer;
+  readonly at: Milliseconds;
+  /** When the upstream was asked: it may not have counted later sends. */
+  readonly askedAt: Milliseconds;
+}
+
+/** What is kept of one upstream. */
+interface Contact {
+  readonly pool: ConnectionPool;
+  told: Told | undefined;
+  probing: Promise<ProbeAnswer | undefined> | undefined;
+  sends: readonly Milliseconds[];
+}
+
+export interface UpstreamDeskParts {
+  readonly state: FleetState;
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly metrics: GatewayMetrics;
+}
+
+export class UpstreamDesk {
+  readonly outcomes: OutcomeBook;
+  private readonly contacts = new Map<string, Contact>();
+
+  constructor(private readonly parts: UpstreamDeskParts) {
+    this.outcomes = new OutcomeBook(parts.clock);
+  }
+
+  /** Whether asking would cost a probe. */
+  needsProbe({id}: RegisteredUpstream): boolean {
+    const contact = this.contacts.get(id);
+    return !contact?.probing && !this.freshAnswer(contact);
+  }
+
+  /** Asks for the load; resolves with undefined if there is no answer. */
+  ask(
+    upstream: UpstreamInService,
+    healthPath: string,
+  ): Promise<ProbeAnswer | undefined> {
+    const contact = this.contactOf(upstream);
+    const fresh = this.freshAnswer(contact);
+    if (fresh) {
+      return Promise.resolve(fresh);
+    }
+    contact.probing ??= this.probe(upstream, contact, healthPath).finally(
+      () => {
+        contact.probing = undefined;
+      },
+    );
+    return contact.probing;
+  }
+
+  /** Takes in a load that came with the answer to a request. */
+  noteAnswer(answer: ProbeAnswer): void {
+    const contact = this.contacts.get(answer.id);
+    const now = this.parts.clock.now();
+    if (contact) {
+      contact.told = {answer, at: now, askedAt: now};
+    }
+  }
+
+  /** Requests sent there that its last report can't have counted. */
+  unreported(id: string): number {
+    const contact = this.contacts.get(id);
+    const since = contact?.told?.askedAt ?? 0;
+    return contact?.sends.filter(at => at >= since).length ?? 0;
+  }
+
+  /** A connection for a request that is sent now. */
+  connect(upstream: UpstreamInService): UpstreamConnection {
+    const contact = this.contactOf(upstream);
+    const now = this.parts.clock.now();
+    const recent = contact.sends.filter(at => now - at < SENDS_MEMORY_MS);
+    contact.sends = [...recent, now];
+    return contact.pool.acquire();
+  }
+
+  release(id: string, connection: UpstreamConnection): void {
+    const contact = this.contacts.get(id);
+    if (contact) {
+      contact.pool.release(connection);
+    } else {
+      connection.close();
+    }
+  }
+
+  /** Drops what belongs to upstreams that are no longer in service. */
+  prune(): void {
+    for (const [id, {pool}] of this.contacts) {
+      const upstream = this.parts.state.registry.find(id);
+      if (upstream && !upstream.leaving) {
+        continue;
+      }
+      pool.remove();
+      if (!upstream) {
+        this.contacts.delete(id);
+        this.outcomes.forget(id);
+      }
+    }
+  }
+
+  close(): void {
+    this.contacts.forEach(({pool}) => pool.closeAll());
+    this.contacts.clear();
+  }
+
+  private freshAnswer(contact: Contact | undefined): ProbeAnswer | undefined {
+    const told = contact?.told;
+    const isFresh = told && this.parts.clock.now() - told.at <= REUSE_MS;
+    return isFresh ? told.answer : undefined;
+  }
+
+  private async probe(
+    upstream: UpstreamInService,
+    contact: Contact,
+    healthPath: string,
+  ): Promise<ProbeAnswer | undefined> {
+    const {clock, metrics} = this.parts;
+    const {id, address} = upstream;
+    const connection = contact.pool.acquire();
+    const askedAt = clock.now();
+    metrics.countProbe();
+    const result = await probe(
+      connection,
+      id,
+      address,
+      healthPath,
+      PROBE_TIMEOUT_MS,
+    );
+    if (result.kind === 'told') {
+      contact.told = {answer: result.answer, at: clock.now(), askedAt};
+      contact.pool.release(connection);
+      return result.answer;
+    }
+    this.noteFailure(id, result);
+    return undefined;
+  }
+
+  private noteFailure(
+    id: string,
+    result: Exclude<ProbeResult, {kind: 'told'}>,
+  ): void {
+    this.outcomes.failed(id, 'unreachable');
+    const reason = result.kind === 'failed' ? result.detail : result.kind;
+    this.parts.logger.debug(
+      {event: 'probe', upstream: id, reason},
+      'no answer to a probe',
+    );
+  }
+
+  private contactOf(upstream: RegisteredUpstream): Contact {
+    const known = this.contacts.get(upstream.id);
+    if (known) {
+      return known;
+    }
+    const address = parseAddress(upstream.address);
+    const contact: Contact = {
+      pool: new ConnectionPool(address?.ip ?? '', address?.port ?? 0),
+      told: undefined,
+      probing: undefined,
+      sends: [],
+    };
+    this.contacts.set(upstream.id, contact);
+    return contact;
+  }
+}
--- a/src/host/gateway_host.ts
+++ b/src/host/gateway_host.ts
@@ -1,14 +1,17 @@
 /** An entry host on the platform: its parts put together and stopped in order. */
 
 import type {Logger} from 'pino';
+import {ProbeBudget} from '../decisions/measuring/index.js';
+import {PlacementPolicy, WorkEstimates} from '../decisions/placement/index.js';
 import {WindowBudget} from '../decisions/retries/index.js';
 import {TrafficSplit} from '../decisions/routes/index.js';
 import {FleetMember, FleetState, RelayServer} from '../fleet/index.js';
 import {
   GatewayMetrics,
   GatewayServer,
-  Placer,
   ReadinessServer,
+  Scheduler,
+  UpstreamDesk,
 } from '../gateway/index.js';
 import {LifeCycle} from '../lifecycle/index.js';
 import type {HostSettings, Store} from '../platform/index.js';
@@ -23,7 +26,7 @@
 /** What begins later could not be finished within the grace. */
 const FINISH_SHARE = 0.5;
 /** Time kept for closing before the platform kills the process. */
-const LAST_MS: Milliseconds = 300;
+const LAST_MS: Milliseconds = 800;
 const PRUNE_INTERVAL_MS: Milliseconds = 500;
 
 export interface GatewayHostParts {
@@ -41,7 +44,10 @@
   private readonly relay: RelayServer;
   private readonly gateway: GatewayServer;
   private readonly readiness: ReadinessServer;
-  private readonly placer: Placer;
+  private readonly desk: UpstreamDesk;
+  private readonly policy: PlacementPolicy;
+  private readonly probes: ProbeBudget;
+  private readonly schedulers = new Map<string, Scheduler>();
   private readonly budgets = new Map<string, WindowBudget>();
   private stopping = false;
   private wasReady = false;
@@ -57,18 +63,21 @@
       one => one.close(),
     );
     const metrics = new GatewayMetrics();
-    this.placer = this.lifeCycle.own(
+    this.desk = this.lifeCycle.own(
       'upstream connections',
-      new Placer({
-        state: this.state,
-        dataCentre,
-        clock,
-        random,
-        logger,
-        metrics,
-      }),
+      new UpstreamDesk({state: this.state, clock, logger, metrics}),
       one => one.close(),
     );
+    const work = new WorkEstimates();
+    this.probes = new ProbeBudget(clock, settings.probesPerSecond);
+    this.policy = new PlacementPolicy({
+      dataCentre,
+      clock,
+      random,
+      outcomes: this.desk.outcomes,
+      work,
+      unreported: id => this.desk.unreported(id),
+    });
     this.relay = this.lifeCycle.own('relay', new RelayServer(this.state), one =>
       one.close(),
     );
@@ -98,7 +107,9 @@
     });
     this.gateway = new GatewayServer({
       state: this.state,
-      placer: this.placer,
+      desk: this.desk,
+      work,
+      schedulerOf: service => this.schedulerOf(service),
       split,
       budgetOf: service => this.budgetOf(service),
       retryReserve: () => this.retryReserve(),
@@ -133,6 +144,7 @@
     const {logger, settings, clock} = this.parts;
     const startedAt = clock.now();
     logger.info({event: 'stop', host: settings.host}, 'stopping');
+    this.relay.retire();
     this.gateway.setPhase('announced');
     await sleep(Math.min(ANNOUNCED_MS, settings.graceMs * FINISH_SHARE));
     this.gateway.setPhase('finishing');
@@ -154,6 +166,22 @@
     return ready;
   }
 
+  private schedulerOf(service: string): Scheduler {
+    const known = this.schedulers.get(service);
+    if (known) {
+      return known;
+    }
+    const {clock, random} = this.parts;
+    const {state, desk, policy, probes} = this;
+    const scheduler = this.lifeCycle.own(
+      `scheduler of ${service}`,
+      new Scheduler({service, state, desk, policy, probes, clock, random}),
+      one => one.close(),
+    );
+    this.schedulers.set(service, scheduler);
+    return scheduler;
+  }
+
   private budgetOf(service: string): WindowBudget {
     const known = this.budgets.get(service);
     if (known) {
@@ -177,7 +205,7 @@
   }
 
   private ownTimer(): void {
-    const timer = setInterval(() => this.placer.prune(), PRUNE_INTERVAL_MS);
+    const timer = setInterval(() => this.desk.prune(), PRUNE_INTERVAL_MS);
     timer.unref();
     this.lifeCycle.own('prune timer', timer, one => clearInterval(one));
   }
--- a/src/platform/headers.ts
+++ b/src/platform/headers.ts
@@ -1,5 +1,6 @@
 /** The platform's header names and the texts that they carry. */
 
+import type {IncomingHttpHeaders} from 'node:http';
 import type {LoadReport} from '../decisions/placement/index.js';
 
 /** In lower case, as Node's parser hands them over. */
@@ -28,8 +29,9 @@
  * Parses running, waiting, slots and optionally the time that work takes in
  * percent of the usual. Undefined when the header is missing or malformed.
  */
-export function parseLoad(text: string | undefined): LoadReport | undefined {
-  if (!text) {
+export function readLoad(headers: IncomingHttpHeaders): LoadReport | undefined {
+  const text = headers[HEADERS.load];
+  if (typeof text !== 'string') {
     return undefined;
   }
   const figures = text.split(',').map(Number);
--- a/src/platform/index.ts
+++ b/src/platform/index.ts
@@ -4,7 +4,7 @@
   HEADERS,
   READINESS_PATH,
   WRONG_UPSTREAM_STATUS,
-  parseLoad,
+  readLoad,
 } from './headers.js';
 export {
   CONFIGURATION_KEY,
--- a/src/upstreams/attempt.ts
+++ b/src/upstreams/attempt.ts
@@ -2,7 +2,7 @@
 
 import type {ClientRequest, IncomingMessage} from 'node:http';
 import type {RequestBody} from '../http/index.js';
-import {HEADERS, WRONG_UPSTREAM_STATUS} from '../platform/index.js';
+import {HEADERS, WRONG_UPSTREAM_STATUS, readLoad} from '../platform/index.js';
 import type {Milliseconds} from '../time/index.js';
 import type {UpstreamConnection} from './connection.js';
 import type {AttemptResult, ForwardedRequest, SentAttempt} from './types.js';
@@ -18,6 +18,7 @@
   'DELETE',
   'OPTIONS',
 ]);
+const BODILESS_STATUSES: ReadonlySet<number> = new Set([204, 304]);
 const SUCCESS_FROM = 200;
 const SUCCESS_BELOW = 300;
 
@@ -98,7 +99,7 @@
     this.settle(
       this.sent
         ? {kind: 'broken', detail}
-        : {kind: 'not-run', reason: 'unsent', detail},
+        : {kind: 'not-run', reason: 'unsent', detail, load: undefined},
       false,
     );
   }
@@ -113,9 +114,6 @@
         this.passOn(answer, Buffer.concat(chunks));
       }
     });
-    // An answer without a length ends with its connection. When that is
-    // reset, the error comes before the end, so that what arrived until then
-    // doesn't pass for the whole.
     answer.on('error', error => this.fail(error.message));
     answer.on('aborted', () => this.fail('the answer was cut off'));
     answer.on('end', () => {
@@ -123,7 +121,27 @@
         this.fail('the answer was cut off');
         return;
       }
-      this.take(answer, Buffer.concat(chunks));
+      this.takeWhole(answer, Buffer.concat(chunks));
+    });
+  }
+
+  /**
+   * An answer without a length ends with its connection, and one whose
+   * connection is reset looks just like it: the parser says that it is over
+   * before the error is known. Only a connection that closed in order proves
+   * that the answer is whole; a cut one would reach the caller as complete.
+   */
+  private takeWhole(answer: IncomingMessage, body: Buffer): void {
+    if (isFramed(answer) || this.request.method === 'HEAD') {
+      this.take(answer, body);
+      return;
+    }
+    answer.socket.once('close', hadError => {
+      if (hadError) {
+        this.fail('the connection was reset before the answer was whole');
+      } else {
+        this.take(answer, body);
+      }
     });
   }
 
@@ -145,7 +163,8 @@
   private take(answer: IncomingMessage, body: Buffer): void {
     const result = this.judge(answer, body);
     const wanted = result.kind !== 'broken';
-    const kept = answer.headers.connection?.toLowerCase() !== 'close';
+    const kept =
+      isFramed(answer) && answer.headers.connection?.toLowerCase() !== 'close';
     this.settle(
       result,
       wanted && kept && this.outgoing?.writableFinished === true,
@@ -158,22 +177,29 @@
     if (echoed !== undefined && echoed !== this.request.id) {
       return {kind: 'broken', detail: 'the answer is to another request'};
     }
+    const load = readLoad(headers);
     if (status === WRONG_UPSTREAM_STATUS) {
       return {
         kind: 'not-run',
         reason: 'wrong-upstream',
         detail: `the address belongs to ${String(headers[HEADERS.upstream])}`,
+        load: undefined,
       };
     }
     if (headers[HEADERS.notRun] !== undefined) {
-      return {kind: 'not-run', reason: 'shed', detail: `status ${status}`};
+      return {
+        kind: 'not-run',
+        reason: 'shed',
+        detail: `status ${status}`,
+        load,
+      };
     }
     const success = status >= SUCCESS_FROM && status < SUCCESS_BELOW;
     const signed = headers[HEADERS.signature] !== undefined;
     if (success && !(signed && echoed === this.request.id)) {
       return {kind: 'broken', detail: 'the answer is not signed'};
     }
-    return {kind: 'answered', status, headers: answer.rawHeaders, body};
+    return {kind: 'answered', status, headers: answer.rawHeaders, body, load};
   }
 }
 
@@ -206,3 +232,12 @@
       body satisfies never;
   }
 }
+
+/** Whether an answer says itself where it ends. */
+function isFramed({headers, statusCode}: IncomingMessage): boolean {
+  return (
+    BODILESS_STATUSES.has(statusCode ?? 0) ||
+    headers['content-length'] !== undefined ||
+    headers['transfer-encoding'] !== undefined
+  );
+}
--- a/src/upstreams/probe.ts
+++ b/src/upstreams/probe.ts
@@ -2,7 +2,7 @@
 
 import type {IncomingMessage} from 'node:http';
 import type {ProbeAnswer} from '../decisions/placement/index.js';
-import {HEADERS, parseLoad} from '../platform/index.js';
+import {HEADERS, readLoad} from '../platform/index.js';
 import type {Milliseconds} from '../time/index.js';
 import type {UpstreamConnection} from './connection.js';
 
@@ -75,12 +75,11 @@
   if (upstream !== undefined && upstream !== id) {
     return {kind: 'wrong-upstream'};
   }
-  const load = headers[HEADERS.load];
   return {
     kind: 'told',
     answer: {
       id,
-      report: parseLoad(typeof load === 'string' ? load : undefined),
+      report: readLoad(headers),
       healthy: statusCode === HEALTHY_STATUS,
     },
   };
--- a/src/upstreams/types.ts
+++ b/src/upstreams/types.ts
@@ -1,3 +1,4 @@
+import type {LoadReport} from '../decisions/placement/index.js';
 import type {IncomingMessage} from 'node:http';
 import type {RequestBody} from '../http/index.js';
 import type {RawHeaders} from '../transport/index.js';
@@ -18,6 +19,8 @@
   readonly status: number;
   readonly headers: RawHeaders;
   readonly body: Buffer;
+  /** The upstream's load as it answered; undefined when it tells none. */
+  readonly load: LoadReport | undefined;
 }
 
 /** An answer too large to hold; its end is still to come. */
@@ -46,6 +49,7 @@
       readonly kind: 'not-run';
       readonly reason: NotRunReason;
       readonly detail: string;
+      readonly load: LoadReport | undefined;
     }
   /** No whole and genuine answer: it may have run. */
   | {readonly kind: 'broken'; readonly detail: string}
