Judge upstreams by the slowness that holds for the whole run

Ruled out: leaving the last slots empty (only what starts there is slower, so they still add throughput). Change: estimate by reported slowness; a request waits for an upstream where it is in time while it still can be; a host fetches only what it lacks.

--- a/src/decisions/placement/placement_policy.ts
+++ b/src/decisions/placement/placement_policy.ts
@@ -9,7 +9,7 @@
 
 import type {UpstreamInService} from '../registry/index.js';
 import type {Clock, Milliseconds, Random} from '../../time/index.js';
-import {estimateCompletion, hasRoom} from './estimate.js';
+import {estimateCompletion, hasSlot} from './estimate.js';
 import type {OutcomeBook} from './outcome_book.js';
 import type {
   LoadReport,
@@ -32,6 +32,11 @@
  * so a nearby upstream is taken unless one there is clearly faster.
  */
 const REMOTE_FACTOR = 1.5;
+/**
+ * How much longer than usual a run may take for an upstream to count as safe:
+ * nine in ten runs of the same kind took at most 1.45 times the median.
+ */
+const LONG_RUN = 1.5;
 /** Load assumed where none is told. */
 const UNTOLD: LoadReport = {running: 0, waiting: 0, slots: 1_000, slowness: 1};
 
@@ -49,24 +54,31 @@
   readonly id: string;
   /** Time to the answer, weighed by what speaks against the upstream. */
   readonly cost: Milliseconds;
-  /** Whether it would answer within the target. */
+  /** Whether it would answer within the target, even if it takes longer. */
+  readonly safe: boolean;
+  /** Whether it is expected to answer within the target. */
   readonly inTime: boolean;
-  /** Whether it can run one more without slowing the others down. */
-  readonly hasRoom: boolean;
-  /** Whether it can run one more at once. */
+  /** Whether it is expected to answer before the caller gives up. */
+  readonly atAll: boolean;
+  /** Whether it would start at once. */
   readonly hasSlot: boolean;
   readonly isNear: boolean;
 }
 
+type Tier = (rated: Rated) => boolean;
+
 /** What is looked for, the best first. */
-const FIRST_TIERS: readonly ((rated: Rated) => boolean)[] = [
-  ({inTime, hasRoom, isNear}) => inTime && hasRoom && isNear,
+const NEAR_TIERS: readonly Tier[] = [
+  ({safe, hasSlot, isNear}) => safe && hasSlot && isNear,
+];
+const TIERS_IN_TIME: readonly Tier[] = [
+  ...NEAR_TIERS,
+  ({safe, hasSlot}) => safe && hasSlot,
+  ({inTime, hasSlot}) => inTime && hasSlot,
 ];
-const ALL_TIERS: readonly ((rated: Rated) => boolean)[] = [
-  ...FIRST_TIERS,
-  ({inTime, hasSlot, isNear}) => inTime && hasSlot && isNear,
-  ({inTime, hasRoom}) => inTime && hasRoom,
-  ({hasRoom}) => hasRoom,
+const TIERS_LATE: readonly Tier[] = [
+  ...TIERS_IN_TIME,
+  ({atAll, hasSlot}) => atAll && hasSlot,
 ];
 
 export class PlacementPolicy {
@@ -99,7 +111,7 @@
     exhausted: boolean,
   ): PlacementVerdict {
     const rated = this.rateAll(upstreams, request, answers);
-    const tiers = exhausted ? ALL_TIERS : FIRST_TIERS;
+    const tiers = exhausted ? this.lastTiers(request) : NEAR_TIERS;
     for (const tier of tiers) {
       const best = cheapest(rated.filter(tier));
       if (best) {
@@ -109,7 +121,7 @@
     return exhausted ? {kind: 'wait'} : {kind: 'ask-more'};
   }
 
-  /** Latest start for an answer by a time, on an upstream with room. */
+  /** Latest start for an answer by a time, on an upstream that isn't slow. */
   latestStartAt(request: PlacementRequest, by: Milliseconds): Milliseconds {
     return by - this.workOf(request);
   }
@@ -120,7 +132,18 @@
     request: PlacementRequest,
     answer: ProbeAnswer,
   ): boolean {
-    return this.rate(upstream, request, answer).hasRoom;
+    const rated = this.rate(upstream, request, answer);
+    return this.lastTiers(request).some(tier => tier(rated));
+  }
+
+  /**
+   * While a request can still be in time, it waits for an upstream where it
+   * will be: a slot at a slow one is soon followed by one that is not.
+   */
+  private lastTiers(request: PlacementRequest): readonly Tier[] {
+    const latest = this.latestStartAt(request, request.targetAt);
+    const canBeInTime = this.surroundings.clock.now() <= latest;
+    return canBeInTime ? TIERS_IN_TIME : TIERS_LATE;
   }
 
   private rateAll(
@@ -159,9 +182,10 @@
     return {
       id,
       cost: expectedMs * doubt * distance,
+      safe: now + expectedMs * doubt * LONG_RUN <= request.targetAt,
       inTime: now + expectedMs * doubt <= request.targetAt,
-      hasRoom: hasRoom(report),
-      hasSlot: report.waiting === 0 && report.running < report.slots,
+      atAll: now + expectedMs <= request.giveUpAt,
+      hasSlot: hasSlot(report),
       isNear: upstream.dataCentre === dataCentre,
     };
   }
--- a/src/fleet/fleet_member.ts
+++ b/src/fleet/fleet_member.ts
@@ -153,7 +153,7 @@
 
   private followPeer(peer: Peer): void {
     this.provedFresh = false;
-    this.client = new RelayClient(peer, {
+    this.client = new RelayClient(peer, this.parts.state.known, {
       onUpdate: update => this.take(peer, update),
       onEnd: reason => this.ended(peer, 'unreachable', reason),
     });
--- a/src/fleet/fleet_state.ts
+++ b/src/fleet/fleet_state.ts
@@ -9,6 +9,7 @@
 import {UpstreamRegistry} from '../decisions/registry/index.js';
 import type {RouteTable} from '../decisions/routes/index.js';
 import {RouteBook} from '../decisions/routes/index.js';
+import type {KnownState} from './types.js';
 import type {Clock, Milliseconds} from '../time/index.js';
 
 /**
@@ -65,14 +66,27 @@
     return () => this.listeners.delete(listener);
   }
 
-  /** Everything that a host needs which knows nothing yet. */
-  summary(): readonly Update[] {
+  /** Whether what is known still comes from the store, by whatever way. */
+  get hasSource(): boolean {
+    return this.freshFrom !== undefined;
+  }
+
+  /** How far this host has come. */
+  get known(): KnownState {
+    const {version = ''} = this.routes;
+    const offset = this.registry.isLoaded ? this.registry.cursor : '';
+    return {version: String(version), offset: String(offset)};
+  }
+
+  /** What another host lacks that has come so far. */
+  newsFor(known: URLSearchParams): readonly Update[] {
     const updates: Update[] = [];
+    const own = this.known;
     const table = this.routes.current;
-    if (table) {
+    if (table && known.get('version') !== own.version) {
       updates.push({kind: 'table', table});
     }
-    if (this.registry.isLoaded) {
+    if (this.registry.isLoaded && known.get('offset') !== own.offset) {
       const {all: entries, cursor: end} = this.registry;
       updates.push({kind: 'snapshot', entries, end});
     }
--- a/src/fleet/relay_client.ts
+++ b/src/fleet/relay_client.ts
@@ -3,6 +3,7 @@
 import type {ClientRequest, IncomingMessage} from 'node:http';
 import {request} from 'node:http';
 import {StringDecoder} from 'node:string_decoder';
+import type {KnownState} from './types.js';
 import type {Peer, Update} from '../decisions/relay/index.js';
 import {parseAddress} from '../platform/index.js';
 import type {Milliseconds} from '../time/index.js';
@@ -26,15 +27,17 @@
   private rest = '';
   private ended = false;
 
+  /** @param known what this host knows already, so that it isn't sent */
   constructor(
     readonly peer: Peer,
+    known: KnownState,
     private readonly following: Following,
   ) {
     const address = parseAddress(peer.address);
     this.outgoing = request({
       host: address?.ip,
       port: address?.port,
-      path: '/updates',
+      path: `/updates?${new URLSearchParams(known).toString()}`,
       agent: false,
     });
     this.timer = setTimeout(
--- a/src/fleet/relay_server.ts
+++ b/src/fleet/relay_server.ts
@@ -56,9 +56,16 @@
     }
     response.writeHead(200, {'content-type': 'application/x-ndjson'});
     response.socket?.setNoDelay(true);
+    response.write(encode(this.state.alive()));
+    if (!this.state.hasSource) {
+      // It will look elsewhere, and needs nothing from here.
+      response.end();
+      return;
+    }
     this.followers.add(response);
     response.on('close', () => this.followers.delete(response));
-    for (const update of [...this.state.summary(), this.state.alive()]) {
+    const query = new URLSearchParams(request.url?.split('?', 2)[1]);
+    for (const update of this.state.newsFor(query)) {
       response.write(encode(update));
     }
   }
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -2,6 +2,7 @@
 
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {
+  LoadReport,
   PlacementRequest,
   ProbeAnswer,
 } from '../decisions/placement/index.js';
@@ -42,11 +43,26 @@
 const REFRAMED: ReadonlySet<string> = new Set(['content-length']);
 const BODILESS_STATUSES: ReadonlySet<number> = new Set([204, 304]);
 
+/** One send, as the log tells of it. */
+interface Sent {
+  readonly upstream: string;
+  /** Whether it is in this host's data centre. */
+  readonly near: boolean;
+  /** What it told of its load just before. */
+  readonly load: LoadReport | undefined;
+  readonly healthy: boolean;
+  /** When it was sent, from the request's arrival. */
+  readonly atMs: Milliseconds;
+  result: AttemptResult['kind'] | 'pending';
+  ms: Milliseconds;
+}
+
 export class Exchange {
   private readonly arrivedAt: Milliseconds;
   private readonly giveUpAt: Milliseconds;
   private readonly id: string;
   private readonly tried = new Set<string>();
+  private readonly sends: Sent[] = [];
   private attempt: SentAttempt | undefined;
   private timer: NodeJS.Timeout | undefined;
   private readonly ended = new AbortController();
@@ -174,8 +190,20 @@
         }
       },
     );
+    const sent: Sent = {
+      upstream: upstream.id,
+      near: upstream.dataCentre === this.context.dataCentre,
+      load: answer.report,
+      healthy: answer.healthy,
+      atMs: Math.round(startedAt - this.arrivedAt),
+      result: 'pending',
+      ms: 0,
+    };
+    this.sends.push(sent);
     const result = await this.attempt.result;
     this.attempt = undefined;
+    sent.result = result.kind;
+    sent.ms = Math.round(clock.now() - startedAt);
     this.learn(result, upstream.id, answer, clock.now() - startedAt);
     return result;
   }
@@ -351,7 +379,7 @@
         service: this.service.name,
         outcome,
         ms: Math.round(clock.now() - this.arrivedAt),
-        tried: [...this.tried],
+        sends: this.sends,
         version: state.routes.version,
       },
       'request ended',
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -10,6 +10,7 @@
 
 /** What exchanges need of the host they run on. */
 export interface GatewayContext {
+  readonly dataCentre: string;
   readonly state: FleetState;
   readonly desk: UpstreamDesk;
   readonly work: WorkEstimates;
--- a/src/host/gateway_host.ts
+++ b/src/host/gateway_host.ts
@@ -106,6 +106,7 @@
       }
     });
     this.gateway = new GatewayServer({
+      dataCentre,
       state: this.state,
       desk: this.desk,
       work,
