Tell a reset from an orderly end; stand-ins and tests of the gateway

Ruled out: waiting for the connection's close (no error shows there either). Change: an empty line is written at such an end, which fails after a reset. Agents leaked an error listener a reuse. Equals are told apart by chance.

--- a/src/decisions/placement/placement_policy.ts
+++ b/src/decisions/placement/placement_policy.ts
@@ -37,6 +37,8 @@
  * nine in ten runs of the same kind took at most 1.45 times the median.
  */
 const LONG_RUN = 1.5;
+/** Equals are told apart by chance, or all hosts would take the same one. */
+const TIE_SPREAD = 0.05;
 /** Load assumed where none is told. */
 const UNTOLD: LoadReport = {running: 0, waiting: 0, slots: 1_000, slowness: 1};
 
@@ -163,7 +165,8 @@
     request: PlacementRequest,
     answer: ProbeAnswer,
   ): Rated {
-    const {clock, outcomes, work, dataCentre, unreported} = this.surroundings;
+    const {clock, random, outcomes, work, dataCentre, unreported} =
+      this.surroundings;
     const {id} = upstream;
     const now = clock.now();
     const workMs = this.workOf(request);
@@ -181,7 +184,7 @@
     const distance = upstream.dataCentre === dataCentre ? 1 : REMOTE_FACTOR;
     return {
       id,
-      cost: expectedMs * doubt * distance,
+      cost: expectedMs * doubt * distance * (1 + TIE_SPREAD * random()),
       safe: now + expectedMs * doubt * LONG_RUN <= request.targetAt,
       inTime: now + expectedMs * doubt <= request.targetAt,
       atAll: now + expectedMs <= request.giveUpAt,
--- a/src/decisions/relay/source_choice.ts
+++ b/src/decisions/relay/source_choice.ts
@@ -47,16 +47,19 @@
 
 export class SourceChoice {
   private peers: readonly Peer[] = [];
+  private address = '';
   private readonly suspensions = new Map<string, Suspension>();
 
   constructor(
-    private readonly self: {
-      readonly address: string;
-      readonly dataCentre: string;
-    },
+    private readonly dataCentre: string,
     private readonly clock: Clock,
   ) {}
 
+  /** @param address of this host */
+  identify(address: string): void {
+    this.address = address;
+  }
+
   /** Peers as registered; this host is among them once it is. */
   setPeers(peers: readonly Peer[]): void {
     this.peers = [...peers].sort((a, b) => a.rank - b.rank);
@@ -85,11 +88,10 @@
    */
   substitute(): Peer | undefined {
     const open = this.peers.filter(
-      one => one.address !== this.self.address && this.isOpen(one),
+      one => one.address !== this.address && this.isOpen(one),
     );
     return (
-      open.find(({dataCentre}) => dataCentre === this.self.dataCentre) ??
-      open[0]
+      open.find(({dataCentre}) => dataCentre === this.dataCentre) ?? open[0]
     );
   }
 
@@ -113,7 +115,7 @@
 
   /** Peers of the data centre that registered before this host. */
   private peersBefore(): readonly Peer[] {
-    const {address, dataCentre} = this.self;
+    const {address, dataCentre} = this;
     const own = this.peers.find(one => one.address === address);
     return this.peers.filter(
       one => one.dataCentre === dataCentre && (!own || one.rank < own.rank),
--- a/src/fleet/fleet_member.ts
+++ b/src/fleet/fleet_member.ts
@@ -25,7 +25,6 @@
 const RELIST_MS: Milliseconds = 5_000;
 
 export interface FleetMemberParts {
-  readonly address: string;
   readonly dataCentre: string;
   readonly store: Store;
   readonly state: FleetState;
@@ -44,8 +43,8 @@
   private closed = false;
 
   constructor(private readonly parts: FleetMemberParts) {
-    const {address, dataCentre, store, state, clock, random, logger} = parts;
-    this.choice = new SourceChoice({address, dataCentre}, clock);
+    const {dataCentre, store, state, clock, random, logger} = parts;
+    this.choice = new SourceChoice(dataCentre, clock);
     this.reader = new StoreReader(store, state, random, logger);
   }
 
@@ -53,7 +52,9 @@
     return this.reader.isRunning;
   }
 
+  /** Registers and keeps the state fresh from then on. */
   async start(): Promise<void> {
+    this.choice.identify(this.parts.state.address);
     await this.register();
     if (this.closed) {
       return;
@@ -72,9 +73,9 @@
 
   /** Registers and learns of the others. Until that works, it reads alone. */
   private async register(): Promise<void> {
-    const {store, address, dataCentre, logger} = this.parts;
+    const {store, state, dataCentre, logger} = this.parts;
     while (!this.closed) {
-      const rank = await registerHost(store, address, dataCentre);
+      const rank = await registerHost(store, state.address, dataCentre);
       if (rank.isOk() && (await this.list())) {
         return;
       }
@@ -188,7 +189,7 @@
     const {reader, ageMs} = update;
     return (
       reader !== undefined &&
-      reader !== this.parts.address &&
+      reader !== this.parts.state.address &&
       ageMs <= STALE_PEER_MS
     );
   }
--- a/src/fleet/fleet_state.ts
+++ b/src/fleet/fleet_state.ts
@@ -31,9 +31,9 @@
   private freshAt: Milliseconds = -Infinity;
   private freshFrom: string | undefined;
   private hosts = 0;
+  private ownAddress = '';
 
   constructor(
-    private readonly address: string,
     private readonly clock: Clock,
     private readonly logger: Logger,
   ) {
@@ -42,6 +42,15 @@
     this.timer.unref();
   }
 
+  /** Address of this host for others; known once it listens. */
+  get address(): string {
+    return this.ownAddress;
+  }
+
+  identify(address: string): void {
+    this.ownAddress = address;
+  }
+
   /** Time since the store was last known to have been read. */
   get ageMs(): Milliseconds {
     return this.clock.now() - this.freshAt;
--- a/src/gateway/gateway_server.ts
+++ b/src/gateway/gateway_server.ts
@@ -86,6 +86,12 @@
     this.server.closeIdleConnections();
   }
 
+  /** Cuts what is still open. */
+  cutOff(): void {
+    this.server.close();
+    this.server.closeAllConnections();
+  }
+
   /**
    * Connections that are open were promised the time that was in force when
    * they last answered, so a shorter one must not cut them off: the longest
--- a/src/host/gateway_host.ts
+++ b/src/host/gateway_host.ts
@@ -37,6 +37,13 @@
   readonly logger: Logger;
 }
 
+/** The ports that a host listens on. */
+export interface HostPorts {
+  readonly callers: number;
+  readonly readiness: number;
+  readonly peers: number;
+}
+
 export class GatewayHost {
   private readonly lifeCycle: LifeCycle;
   private readonly state: FleetState;
@@ -54,12 +61,11 @@
 
   constructor(private readonly parts: GatewayHostParts) {
     const {settings, clock, random, logger, store} = parts;
-    const address = `${settings.peers.ip}:${settings.peers.port}`;
     const {dataCentre} = settings;
     this.lifeCycle = new LifeCycle(logger);
     this.state = this.lifeCycle.own(
       'state',
-      new FleetState(address, clock, logger),
+      new FleetState(clock, logger),
       one => one.close(),
     );
     const metrics = new GatewayMetrics();
@@ -84,7 +90,6 @@
     this.member = this.lifeCycle.own(
       'fleet member',
       new FleetMember({
-        address,
         dataCentre,
         store,
         state: this.state,
@@ -122,15 +127,20 @@
     this.ownTimer();
   }
 
-  async start(): Promise<void> {
+  /** Listens and joins the fleet; resolves with the ports in use. */
+  async start(): Promise<HostPorts> {
     const {settings, logger} = this.parts;
-    await Promise.all([
+    const [callers, readiness, peers] = await Promise.all([
       this.gateway.listen(settings.callers),
       this.readiness.listen(settings.readiness),
       this.relay.listen(settings.peers),
     ]);
+    this.state.identify(`${settings.peers.ip}:${peers}`);
     logger.info({event: 'start', host: settings.host}, 'listening');
-    await this.member.start();
+    this.member.start().catch((error: unknown) => {
+      logger.error({error}, 'cannot join the fleet');
+    });
+    return {callers, readiness, peers};
   }
 
   /**
@@ -158,6 +168,13 @@
     );
   }
 
+  /** Stops at once and cuts what is in flight. */
+  async stopNow(): Promise<void> {
+    this.stopping = true;
+    this.gateway.cutOff();
+    await this.lifeCycle.close();
+  }
+
   private isReady(): boolean {
     const ready = this.state.isComplete && !this.stopping;
     if (ready !== this.wasReady) {
--- /dev/null
+++ b/src/standins/reporting_upstream.ts
@@ -0,0 +1,238 @@
+/** Stands in for an upstream that reports its load, on raw sockets. */
+
+import type {Server, Socket} from 'node:net';
+import {createServer} from 'node:net';
+import type {Milliseconds} from '../time/index.js';
+
+/** How the upstream answers requests; health checks stay in order. */
+export type ReportingFault =
+  | 'none'
+  /** Refuses, saying that it hasn't run the request. */
+  | 'shed'
+  | 'error'
+  /** Runs the request and resets the connection instead of an answer. */
+  | 'lose-answer'
+  /** Breaks off in the middle of a body whose length it told. */
+  | 'cut'
+  /** Sends half of a body without a length, then resets. */
+  | 'cut-unframed'
+  /** Sends a whole body without a length and closes. */
+  | 'unframed'
+  /** Answers twice. */
+  | 'answer-twice'
+  /** Answers with the id of another request. */
+  | 'wrong-id'
+  /** Sends bytes that are no answer. */
+  | 'garbage'
+  /** Runs the request and never answers. */
+  | 'hang'
+  | 'unsigned';
+
+/** A request that reached the upstream and was run. */
+export interface UpstreamRun {
+  readonly id: string;
+  readonly method: string;
+  readonly target: string;
+  readonly body: string;
+  readonly timeLeftMs: Milliseconds;
+  readonly headers: ReadonlyMap<string, string>;
+}
+
+export interface ReportedLoad {
+  readonly running: number;
+  readonly waiting: number;
+  readonly slots: number;
+  readonly percent: number;
+}
+
+const DEFAULT_LOAD: ReportedLoad = {
+  running: 0,
+  waiting: 0,
+  slots: 6,
+  percent: 100,
+};
+
+export class ReportingUpstream {
+  fault: ReportingFault = 'none';
+  healthy = true;
+  workMs: Milliseconds = 0;
+  load: ReportedLoad = DEFAULT_LOAD;
+  readonly runs: UpstreamRun[] = [];
+  /** Connections that closed while a request was at work. */
+  abandoned = 0;
+  probes = 0;
+  private readonly server: Server;
+  private readonly sockets = new Set<Socket>();
+
+  /** @param id names this start of the upstream */
+  constructor(readonly id: string) {
+    this.server = createServer(socket => this.accept(socket));
+  }
+
+  /** IP number and port; empty before it listens. */
+  get address(): string {
+    const address = this.server.address();
+    return typeof address === 'object' && address
+      ? `127.0.0.1:${address.port}`
+      : '';
+  }
+
+  listen(): Promise<string> {
+    return new Promise(resolve => {
+      this.server.listen(0, '127.0.0.1', () => resolve(this.address));
+    });
+  }
+
+  close(): Promise<void> {
+    return new Promise(resolve => {
+      this.server.close(() => resolve());
+      this.sockets.forEach(socket => socket.destroy());
+    });
+  }
+
+  private accept(socket: Socket): void {
+    this.sockets.add(socket);
+    let held = '';
+    socket.on('error', () => undefined);
+    socket.on('close', () => this.sockets.delete(socket));
+    socket.on('data', chunk => {
+      held += chunk.toString('latin1');
+      for (;;) {
+        const request = parse(held);
+        if (!request) {
+          return;
+        }
+        held = held.slice(request.size);
+        this.serve(socket, request.run);
+      }
+    });
+  }
+
+  private serve(socket: Socket, run: UpstreamRun): void {
+    const expected = run.headers.get('cyclamenlever-expect-instance');
+    if (expected !== undefined && expected !== this.id) {
+      socket.write(this.answer(run, 421, 'another upstream'));
+      return;
+    }
+    if (run.target === '/health') {
+      this.probes += 1;
+      socket.write(this.answer(run, this.healthy ? 200 : 503, ''));
+      return;
+    }
+    if (this.fault === 'shed') {
+      socket.write(
+        this.answer(run, 503, '', ['Cyclamenlever-Not-Executed: 1']),
+      );
+      return;
+    }
+    this.runs.push(run);
+    const abandon = (): void => {
+      this.abandoned += 1;
+    };
+    socket.once('close', abandon);
+    setTimeout(() => {
+      socket.off('close', abandon);
+      this.finish(socket, run);
+    }, this.workMs);
+  }
+
+  private finish(socket: Socket, run: UpstreamRun): void {
+    const stamp = ['Cyclamenlever-Server-Stamp: signed'];
+    const body = `${run.method} ${run.target} ${run.body}`;
+    const whole = this.answer(run, 200, body, stamp);
+    switch (this.fault) {
+      case 'error':
+        socket.write(this.answer(run, 500, 'failed', stamp));
+        return;
+      case 'lose-answer':
+        socket.resetAndDestroy();
+        return;
+      case 'cut':
+        socket.write(whole.slice(0, -2), () => socket.destroy());
+        return;
+      case 'cut-unframed':
+        socket.write(unframed(whole).slice(0, -2), () =>
+          socket.resetAndDestroy(),
+        );
+        return;
+      case 'unframed':
+        socket.end(unframed(whole));
+        return;
+      case 'answer-twice':
+        socket.write(whole + whole);
+        return;
+      case 'wrong-id':
+        socket.write(whole.replace(run.id, 'another'));
+        return;
+      case 'garbage':
+        socket.write('not an answer at all\r\n\r\n');
+        return;
+      case 'unsigned':
+        socket.write(this.answer(run, 200, body));
+        return;
+      case 'hang':
+        return;
+      default:
+        socket.write(whole);
+    }
+  }
+
+  private answer(
+    run: UpstreamRun,
+    status: number,
+    body: string,
+    more: readonly string[] = [],
+  ): string {
+    const {running, waiting, slots, percent} = this.load;
+    return [
+      `HTTP/1.1 ${status} Status`,
+      `Cyclamenlever-Request-Id: ${run.id}`,
+      `Cyclamenlever-Instance-Id: ${this.id}`,
+      `Cyclamenlever-Server-Load: ${running},${waiting},${slots},${percent}`,
+      'Keep-Alive: timeout=10',
+      `Content-Length: ${body.length}`,
+      ...more,
+      '',
+      body,
+    ].join('\r\n');
+  }
+}
+
+function unframed(answer: string): string {
+  return answer.replace(/Content-Length: \d+\r\n/, '');
+}
+
+interface Parsed {
+  readonly run: UpstreamRun;
+  readonly size: number;
+}
+
+/** Parses one request whose body, if any, has a length. */
+function parse(held: string): Parsed | undefined {
+  const headEnd = held.indexOf('\r\n\r\n');
+  if (headEnd < 0) {
+    return undefined;
+  }
+  const [line = '', ...lines] = held.slice(0, headEnd).split('\r\n');
+  const headers = new Map(
+    lines.map(one => {
+      const at = one.indexOf(':');
+      return [one.slice(0, at).toLowerCase(), one.slice(at + 1).trim()];
+    }),
+  );
+  const [method = '', target = ''] = line.split(' ');
+  const bodyAt = headEnd + 4;
+  const length = Number(headers.get('content-length') ?? 0);
+  if (held.length < bodyAt + length) {
+    return undefined;
+  }
+  const run: UpstreamRun = {
+    id: headers.get('cyclamenlever-request-id') ?? '',
+    method,
+    target,
+    body: held.slice(bodyAt, bodyAt + length),
+    timeLeftMs: Number(headers.get('cyclamenlever-deadline-ms') ?? NaN),
+    headers,
+  };
+  return {run, size: bodyAt + length};
+}
--- a/src/upstreams/attempt.ts
+++ b/src/upstreams/attempt.ts
@@ -12,6 +12,7 @@
  * cut off can be fetched from elsewhere without the caller noticing.
  */
 const MAX_HELD_BYTES = 1024 * 1024;
+const EMPTY_LINE = '\r\n';
 const BODILESS_METHODS: ReadonlySet<string> = new Set([
   'GET',
   'HEAD',
@@ -47,6 +48,8 @@
   private settled = false;
   /** Some byte of the request may have left this host. */
   private sent = false;
+  /** The parser says that the answer is over. */
+  private ended = false;
 
   constructor(
     private readonly connection: UpstreamConnection,
@@ -74,7 +77,11 @@
       }
     });
     outgoing.on('error', error => this.fail(error.message));
-    outgoing.on('close', () => this.fail('the connection closed'));
+    outgoing.on('close', () => {
+      if (!this.ended) {
+        this.fail('the connection closed');
+      }
+    });
     outgoing.on('response', answer => this.collect(answer));
     writeBody(outgoing, body);
     return new Promise(resolve => {
@@ -114,9 +121,14 @@
         this.passOn(answer, Buffer.concat(chunks));
       }
     });
+    if (!isFramed(answer)) {
+      const {socket} = answer;
+      socket.prependListener('end', () => socket.write(EMPTY_LINE));
+    }
     answer.on('error', error => this.fail(error.message));
     answer.on('aborted', () => this.fail('the answer was cut off'));
     answer.on('end', () => {
+      this.ended = true;
       if (!answer.complete) {
         this.fail('the answer was cut off');
         return;
@@ -126,23 +138,30 @@
   }
 
   /**
-   * An answer without a length ends with its connection, and one whose
-   * connection is reset looks just like it: the parser says that it is over
-   * before the error is known. Only a connection that closed in order proves
-   * that the answer is whole; a cut one would reach the caller as complete.
+   * An answer without a length ends with its connection, and is whole only if
+   * that closed in order. A reset that arrives together with the last bytes is
+   * reported as an orderly end by libuv, and half an answer would pass for a
+   * whole one. Writing tells them apart: it fails at once on a connection that
+   * was reset. An empty line between messages means nothing in HTTP/1.1.
    */
   private takeWhole(answer: IncomingMessage, body: Buffer): void {
     if (isFramed(answer) || this.request.method === 'HEAD') {
       this.take(answer, body);
       return;
     }
-    answer.socket.once('close', hadError => {
-      if (hadError) {
+    const {socket} = answer;
+    const judge = (): void => {
+      if (socket.errored) {
         this.fail('the connection was reset before the answer was whole');
       } else {
         this.take(answer, body);
       }
-    });
+    };
+    if (socket.closed) {
+      judge();
+    } else {
+      socket.once('close', judge);
+    }
   }
 
   /** Hands a large answer over while it still arrives. */
--- a/src/upstreams/connection.ts
+++ b/src/upstreams/connection.ts
@@ -45,7 +45,8 @@
     return true;
   }
 
-  override reuseSocket(socket: Duplex): void {
+  override reuseSocket(socket: Duplex, outgoing: ClientRequest): void {
+    super.reuseSocket(socket, outgoing);
     socket.off('data', this.drop);
     socket.off('close', this.onIdleEnd);
     this.watched = undefined;
--- /dev/null
+++ b/tests/gateway.test.ts
@@ -0,0 +1,229 @@
+import {connect} from 'node:net';
+import {afterEach, beforeEach, expect, test} from 'vitest';
+import type {ReportingUpstream} from '../src/standins/index.js';
+import {GatewaySystem, type RunningHost, until} from './support/gateway.js';
+
+let system: GatewaySystem;
+let host: RunningHost;
+let one: ReportingUpstream;
+
+const ORDER = {method: 'POST', path: '/order/7', body: 'a bundle'};
+
+beforeEach(async () => {
+  system = new GatewaySystem();
+  await system.start();
+  system.configure(3);
+  one = await system.addUpstream('i-1');
+  host = await system.startReadyHost();
+});
+
+afterEach(() => system.close());
+
+test('a request reaches an upstream unchanged and its answer comes back', async () => {
+  const reply = await system.call(host, {...ORDER, path: '/order/7?size=2'});
+  expect(reply.status).toBe(200);
+  expect(reply.body).toBe('POST /order/7?size=2 a bundle');
+  expect(reply.headers['cyclamenlever-server-stamp']).toBe('signed');
+});
+
+test('the time left shrinks and names the upstream that is meant', async () => {
+  await system.call(host, {timeLeftMs: 900});
+  expect(one.runs[0]?.timeLeftMs).toBeLessThanOrEqual(900);
+  expect(one.runs[0]?.headers.get('cyclamenlever-expect-instance')).toBe('i-1');
+});
+
+test('the longest prefix wins, and what matches none is 404', async () => {
+  expect((await system.call(host, {path: '/other/1'})).status).toBe(404);
+  expect((await system.call(host, {host: 'elsewhere.example'})).status).toBe(
+    404,
+  );
+});
+
+test('a host that knows no configuration answers 503, not 404', async () => {
+  // A host restarts while the store is away. Callers never repeat a request
+  // after 404, so it must not say that a route is missing.
+  system.storeServer.fault = 'refuse';
+  const fresh = await system.startHost('west');
+  const reply = await system.call(fresh);
+  expect(reply.status).toBe(503);
+  expect(Number(reply.headers['retry-after'])).toBeGreaterThan(0);
+});
+
+test('a lookup whose answer is lost goes to another upstream', async () => {
+  one.fault = 'lose-answer';
+  const two = await system.addUpstream('i-2');
+  two.load = {running: 3, waiting: 0, slots: 6, percent: 200};
+  await until(async () => (await system.call(host)).status === 200);
+  expect(two.runs.length).toBeGreaterThan(0);
+});
+
+test('an order whose answer is lost runs once and is answered 502', async () => {
+  // The upstream runs the order and its connection breaks. Whether it ran
+  // can't be known, so it must not be sent again, and the caller must not be
+  // told that it has not run.
+  one.fault = 'lose-answer';
+  const two = await system.addUpstream('i-2');
+  two.load = {running: 3, waiting: 0, slots: 6, percent: 200};
+  const reply = await system.call(host, ORDER);
+  expect(reply.status).toBe(502);
+  expect(one.runs.length + two.runs.length).toBe(1);
+});
+
+test('an order that was shed is sent again', async () => {
+  one.fault = 'shed';
+  const two = await system.addUpstream('i-2');
+  two.load = {running: 3, waiting: 0, slots: 6, percent: 200};
+  await until(async () => (await system.call(host, ORDER)).status === 200);
+  expect(one.runs).toHaveLength(0);
+});
+
+test('an order that every upstream sheds is refused as not run', async () => {
+  one.fault = 'shed';
+  const reply = await system.call(host, ORDER);
+  expect(reply.status).toBe(503);
+  expect(Number(reply.headers['retry-after'])).toBeGreaterThan(0);
+  expect(one.runs).toHaveLength(0);
+});
+
+test.each(['cut', 'cut-unframed', 'wrong-id', 'garbage', 'unsigned'] as const)(
+  'an answer that is %s never reaches a caller',
+  async fault => {
+    // An upstream breaks off, or sends what isn't the answer. Passed on, it
+    // would reach the caller as a whole answer to its own request.
+    one.fault = fault;
+    const reply = await system.call(host, ORDER);
+    expect(reply.status).toBe(502);
+  },
+);
+
+test('an answer without a length whose connection is reset is not whole', async () => {
+  // The upstream sends half of a body without a length and resets. Node's
+  // parser reports the end of the answer before the error, so that the half
+  // looked like the whole.
+  one.fault = 'cut-unframed';
+  const replies = await Promise.all(
+    Array.from({length: 20}, () => system.call(host, ORDER)),
+  );
+  expect(replies.map(({status}) => status)).not.toContain(200);
+});
+
+test('an answer without a length that closes in order is whole', async () => {
+  one.fault = 'unframed';
+  const reply = await system.call(host, ORDER);
+  expect(reply.status).toBe(200);
+  expect(reply.body).toBe('POST /order/7 a bundle');
+});
+
+test('a second answer never reaches the next caller', async () => {
+  one.fault = 'answer-twice';
+  for (let i = 0; i < 10; i += 1) {
+    const reply = await system.call(host, {...ORDER, path: `/order/${i}`});
+    expect(reply.body).toBe(`POST /order/${i} a bundle`);
+  }
+});
+
+test('an address that belongs to another upstream runs nothing', async () => {
+  // An upstream ends and its address goes to another one; the registry still
+  // names the first. Without the check the wrong service would run the order.
+  const taken = await system.addUpstream('i-9');
+  await one.close();
+  system.register('i-1', taken.address, 'ready');
+  await until(async () => (await system.call(host, ORDER)).status === 200);
+  expect(
+    taken.runs.every(
+      run => run.headers.get('cyclamenlever-expect-instance') === 'i-9',
+    ),
+  ).toBe(true);
+});
+
+test('an upstream that hangs costs the route its timeout and no more', async () => {
+  one.fault = 'hang';
+  system.configure(4, [
+    {path_prefix: '/order/', kind: 'non_idempotent', timeout: '200ms'},
+  ]);
+  await until(async () => (await system.call(host, ORDER)).status === 504);
+});
+
+test('a caller that leaves ends the work at the upstream', async () => {
+  one.workMs = 60_000;
+  const socket = connect(host.ports.callers, '127.0.0.1');
+  socket.write(
+    'GET /lookup/1 HTTP/1.1\r\nHost: shop.example\r\n' +
+      'Cyclamenlever-Request-Id: leaves\r\nCyclamenlever-Deadline-Ms: 50000\r\n\r\n',
+  );
+  await until(() => one.runs.length === 1);
+  socket.destroy();
+  await until(() => one.abandoned === 1);
+});
+
+test('a chunked body arrives whole', async () => {
+  const socket = connect(host.ports.callers, '127.0.0.1');
+  socket.write(
+    'POST /order/1 HTTP/1.1\r\nHost: shop.example\r\n' +
+      'Cyclamenlever-Request-Id: chunks\r\nCyclamenlever-Deadline-Ms: 5000\r\n' +
+      'Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n4\r\ndefg\r\n0\r\n\r\n',
+  );
+  await until(() => one.runs.length === 1);
+  socket.destroy();
+  expect(one.runs[0]?.body).toBe('abcdefg');
+});
+
+test('a body beyond the limit is refused before anything is sent', async () => {
+  const socket = connect(host.ports.callers, '127.0.0.1');
+  let answer = '';
+  socket.on('data', chunk => (answer += chunk.toString()));
+  socket.write(
+    'POST /order/1 HTTP/1.1\r\nHost: shop.example\r\n' +
+      'Cyclamenlever-Request-Id: big\r\nContent-Length: 99999999999\r\n\r\n',
+  );
+  await until(() => answer.includes('\r\n\r\n'));
+  socket.destroy();
+  expect(answer).toContain('413');
+  expect(one.runs).toHaveLength(0);
+});
+
+test('a host that stops finishes what is in flight and is unready at once', async () => {
+  one.workMs = 400;
+  const reply = system.call(host, ORDER);
+  await until(() => one.runs.length === 1);
+  const stopped = host.host.stop();
+  expect((await reply).status).toBe(200);
+  expect((await reply).headers.connection).toBe('close');
+  await stopped;
+});
+
+test('a configuration in force is never replaced by an older one', async () => {
+  system.configure(9, [{path_prefix: '/new/', kind: 'idempotent'}]);
+  await until(
+    async () => (await system.call(host, {path: '/new/1'})).status === 200,
+  );
+  system.configure(5);
+  system.configure(10, [
+    {path_prefix: '/new/', kind: 'idempotent'},
+    {path_prefix: '/newer/', kind: 'idempotent'},
+  ]);
+  await until(
+    async () => (await system.call(host, {path: '/newer/1'})).status === 200,
+  );
+  expect((await system.call(host, {path: '/lookup/1'})).status).toBe(404);
+});
+
+test('an upstream that leaves gets nothing more', async () => {
+  const two = await system.addUpstream('i-2');
+  await until(async () => {
+    await system.call(host);
+    return two.runs.length > 0;
+  });
+  system.register('i-1', one.address, 'draining');
+  system.configure(4, [{path_prefix: '/marker/', kind: 'idempotent'}]);
+  await until(
+    async () => (await system.call(host, {path: '/marker/1'})).status === 200,
+  );
+  await until(async () => {
+    const before = one.runs.length;
+    for (let i = 0; i < 10; i += 1) {
+      await system.call(host, {path: '/marker/1'});
+    }
+    return one.runs.length === before;
+  });
+});
--- /dev/null
+++ b/tests/support/gateway.ts
@@ -0,0 +1,221 @@
+/** Starts a store, upstreams and entry hosts that speak the platform's protocol. */
+
+import type {IncomingMessage} from 'node:http';
+import {request} from 'node:http';
+import {pino} from 'pino';
+import type {HostPorts} from '../../src/host/gateway_host.js';
+import {GatewayHost} from '../../src/host/gateway_host.js';
+import type {HostSettings} from '../../src/platform/index.js';
+import {
+  OPERATOR_TOPIC,
+  StoreClient,
+  UPSTREAM_TOPIC,
+} from '../../src/platform/index.js';
+import {ReportingUpstream, StoreServer} from '../../src/standins/index.js';
+import {seededRandom, systemClock} from '../../src/time/index.js';
+
+const ANY = {ip: '127.0.0.1', port: 0};
+
+export interface RunningHost {
+  readonly host: GatewayHost;
+  readonly ports: HostPorts;
+  readonly store: StoreClient;
+}
+
+export interface Reply {
+  readonly status: number;
+  readonly headers: IncomingMessage['headers'];
+  readonly body: string;
+}
+
+export interface Call {
+  readonly method?: string;
+  readonly path?: string;
+  readonly host?: string;
+  readonly id?: string;
+  readonly body?: string;
+  readonly timeLeftMs?: number;
+}
+
+export interface RouteSpec {
+  readonly path_prefix: string;
+  readonly kind: 'idempotent' | 'non_idempotent';
+  readonly [field: string]: unknown;
+}
+
+export class GatewaySystem {
+  readonly storeServer = new StoreServer();
+  readonly hosts: RunningHost[] = [];
+  readonly upstreams: ReportingUpstream[] = [];
+  private storePort = 0;
+  private nextId = 1;
+
+  async start(): Promise<void> {
+    this.storePort = await this.storeServer.listen();
+  }
+
+  /** A configuration with one route for lookups and one for orders. */
+  configure(
+    version: number,
+    routes: readonly RouteSpec[] = DEFAULT_ROUTES,
+  ): void {
+    const resources = [
+      ...routes.map((route, index) => ({
+        resource_kind: 'routes',
+        metadata: {name: `r${index}`},
+        spec: {
+          hostname: 'shop.example',
+          timeout: '1500ms',
+          target_latency: '600ms',
+          priority: 1,
+          max_attempts: 2,
+          ...(route['traffic_split'] ? {} : {service: 'listings'}),
+          ...route,
+        },
+      })),
+      ...['listings', 'swaps'].map(name => ({
+        resource_kind: 'services',
+        metadata: {name},
+        spec: {health_path: '/health', max_conns: 100},
+      })),
+    ];
+    this.storeServer.put(
+      OPERATOR_TOPIC,
+      'config',
+      JSON.stringify({version: `r${version}`, resources}),
+    );
+  }
+
+  async addUpstream(
+    id: string,
+    service = 'listings',
+  ): Promise<ReportingUpstream> {
+    const upstream = new ReportingUpstream(id);
+    this.upstreams.push(upstream);
+    const address = await upstream.listen();
+    this.register(id, address, 'ready', service);
+    return upstream;
+  }
+
+  register(
+    id: string,
+    address: string,
+    state: 'ready' | 'draining',
+    service = 'listings',
+  ): void {
+    const info = {service, zone: 'east', version: 'v1', slots: 6};
+    const status = {state, seq: 1, warmup_left: '0ms'};
+    this.storeServer.put(
+      UPSTREAM_TOPIC,
+      id,
+      JSON.stringify({address, info, status}),
+    );
+  }
+
+  async startHost(dataCentre = 'east'): Promise<RunningHost> {
+    const store = new StoreClient({ip: '127.0.0.1', port: this.storePort});
+    const settings: HostSettings = {
+      host: `entry-${this.hosts.length}`,
+      ip: '127.0.0.1',
+      dataCentre,
+      dataCentres: ['east', 'west'],
+      callers: ANY,
+      readiness: ANY,
+      peers: ANY,
+      metrics: ANY,
+      store: {ip: '127.0.0.1', port: this.storePort},
+      graceMs: 2_000,
+      retryRatio: 0.2,
+      retryWindowMs: 10_000,
+      retrySlack: 20,
+      probesPerSecond: 60,
+    };
+    const host = new GatewayHost({
+      settings,
+      store,
+      clock: systemClock,
+      random: seededRandom(this.hosts.length + 1),
+      logger: pino({level: 'silent'}),
+    });
+    const running = {host, store, ports: await host.start()};
+    this.hosts.push(running);
+    return running;
+  }
+
+  async startReadyHost(dataCentre?: string): Promise<RunningHost> {
+    const running = await this.startHost(dataCentre);
+    await until(async () => {
+      const reply = await get(running.ports.readiness, '/api/readiness');
+      return reply.status === 200;
+    });
+    return running;
+  }
+
+  call({ports}: RunningHost, call: Call = {}): Promise<Reply> {
+    const id = call.id ?? `request-${this.nextId}`;
+    this.nextId += 1;
+    const timeLeft = call.timeLeftMs ?? 2_000;
+    return send(ports.callers, call, {
+      host: call.host ?? 'shop.example',
+      'cyclamenlever-request-id': id,
+      'cyclamenlever-deadline-ms': String(timeLeft),
+    });
+  }
+
+  async close(): Promise<void> {
+    await Promise.all(this.hosts.map(({host}) => host.stopNow()));
+    this.hosts.forEach(({store}) => store.close());
+    await Promise.all(this.upstreams.map(upstream => upstream.close()));
+    await this.storeServer.close();
+  }
+}
+
+export const DEFAULT_ROUTES: readonly RouteSpec[] = [
+  {path_prefix: '/lookup/', kind: 'idempotent'},
+  {path_prefix: '/order/', kind: 'non_idempotent'},
+];
+
+/** Waits for a state that other tasks bring about. */
+export async function until(
+  reached: () => boolean | Promise<boolean>,
+): Promise<void> {
+  while (!(await reached())) {
+    await new Promise(resolve => setTimeout(resolve, 10));
+  }
+}
+
+export function get(port: number, path: string): Promise<Reply> {
+  return send(port, {path}, {host: 'any'});
+}
+
+function send(
+  port: number,
+  call: Call,
+  headers: Record<string, string>,
+): Promise<Reply> {
+  return new Promise((resolve, reject) => {
+    const outgoing = request({
+      host: '127.0.0.1',
+      port,
+      method: call.method ?? 'GET',
+      path: call.path ?? '/lookup/1',
+      headers,
+      agent: false,
+    });
+    outgoing.on('error', reject);
+    outgoing.on('response', answer => {
+      const chunks: Buffer[] = [];
+      answer.on('error', reject);
+      answer.on('data', (chunk: Buffer) => chunks.push(chunk));
+      answer.on('end', () => {
+        const body = Buffer.concat(chunks).toString();
+        resolve({
+          status: answer.statusCode ?? 0,
+          headers: answer.headers,
+          body,
+        });
+      });
+    });
+    outgoing.end(call.body);
+  });
+}
