--- a/src/host/gateway_host.ts
+++ b/src/host/gateway_host.ts
@@ -127,6 +127,11 @@
     this.ownTimer();
   }
 
+  /** Whether this host reads the store, for itself and its followers. */
+  get isReader(): boolean {
+    return this.member.isReader;
+  }
+
   /** Listens and joins the fleet; resolves with the ports in use. */
   async start(): Promise<HostPorts> {
     const {settings, logger} = this.parts;
--- /dev/null
+++ b/tests/fleet.test.ts
@@ -0,0 +1,94 @@
+import {afterEach, beforeEach, expect, test} from 'vitest';
+import {GatewaySystem, until} from './support/gateway.js';
+
+let system: GatewaySystem;
+
+beforeEach(async () => {
+  system = new GatewaySystem();
+  await system.start();
+  system.configure(1);
+  await system.addUpstream('i-1');
+});
+
+afterEach(() => system.close());
+
+async function serves(index: number, path: string): Promise<boolean> {
+  const host = system.hosts[index];
+  return !!host && (await system.call(host, {path})).status === 200;
+}
+
+test('one host of a data centre reads the store for the others', async () => {
+  await system.startReadyHost();
+  await system.startReadyHost();
+  await system.startReadyHost();
+  await until(
+    () => system.hosts.filter(({host}) => host.isReader).length === 1,
+  );
+});
+
+test('a change reaches those that follow', async () => {
+  await system.startReadyHost();
+  await system.startReadyHost();
+  await until(() => system.hosts[1]?.host.isReader === false);
+  system.configure(2, [{path_prefix: '/new/', kind: 'idempotent'}]);
+  await until(() => serves(1, '/new/1'));
+});
+
+test('another host reads when the reader dies', async () => {
+  // The host that reads for its data centre is killed. A change made right
+  // then must reach the others, or they send by a configuration that the
+  // operator believes is gone.
+  const reader = await system.startReadyHost();
+  await system.startReadyHost();
+  await until(() => system.hosts[1]?.host.isReader === false);
+  await reader.host.stopNow();
+  system.configure(2, [{path_prefix: '/new/', kind: 'idempotent'}]);
+  await until(() => serves(1, '/new/1'));
+  expect(system.hosts[1]?.host.isReader).toBe(true);
+});
+
+test('a reader that stops hands over before it has ended', async () => {
+  const reader = await system.startReadyHost();
+  await system.startReadyHost();
+  await until(() => system.hosts[1]?.host.isReader === false);
+  const stopped = reader.host.stop();
+  await until(() => system.hosts[1]?.host.isReader === true);
+  await stopped;
+});
+
+test('hosts serve on while the store is away and hear of changes after', async () => {
+  await system.startReadyHost();
+  system.storeServer.fault = 'silent';
+  expect(await serves(0, '/lookup/1')).toBe(true);
+  system.configure(2, [{path_prefix: '/new/', kind: 'idempotent'}]);
+  system.storeServer.fault = 'none';
+  await until(() => serves(0, '/new/1'));
+});
+
+test('a host that starts while the store is away is ready after its return', async () => {
+  system.storeServer.fault = 'refuse';
+  const host = await system.startHost();
+  expect((await system.call(host)).status).toBe(503);
+  system.storeServer.fault = 'none';
+  await until(() => serves(0, '/lookup/1'));
+});
+
+test('a history that is gone is read anew from the newest records', async () => {
+  await system.startReadyHost();
+  system.storeServer.trim('keyed.op');
+  system.storeServer.trim('keyed.servers');
+  system.configure(2, [{path_prefix: '/new/', kind: 'idempotent'}]);
+  await until(() => serves(0, '/new/1'));
+});
+
+test('a record that cannot be read leaves the last good one in force', async () => {
+  await system.startReadyHost();
+  system.storeServer.put('keyed.op', 'config', '{"version":"r7"');
+  system.storeServer.put('keyed.servers', 'i-1', 'nonsense');
+  system.configure(8, [
+    {path_prefix: '/lookup/', kind: 'idempotent'},
+    {path_prefix: '/new/', kind: 'idempotent'},
+  ]);
+  await until(() => serves(0, '/new/1'));
+  expect(await serves(0, '/lookup/1')).toBe(true);
+});
--- /dev/null
+++ b/tests/placement.test.ts
@@ -0,0 +1,209 @@
+import {beforeEach, expect, test} from 'vitest';
+import type {
+  LoadReport,
+  PlacementRequest,
+  ProbeAnswer,
+} from '../src/decisions/placement/index.js';
+import {
+  OutcomeBook,
+  PlacementPolicy,
+  WorkEstimates,
+  estimateCompletion,
+} from '../src/decisions/placement/index.js';
+import type {UpstreamInService} from '../src/decisions/registry/index.js';
+import {ManualClock, seededRandom} from '../src/time/index.js';
+
+const IDLE: LoadReport = {running: 0, waiting: 0, slots: 6, slowness: 1};
+
+let clock: ManualClock;
+let outcomes: OutcomeBook;
+let work: WorkEstimates;
+let policy: PlacementPolicy;
+let unreported: Map<string, number>;
+
+beforeEach(() => {
+  clock = new ManualClock();
+  outcomes = new OutcomeBook(clock);
+  work = new WorkEstimates();
+  unreported = new Map();
+  policy = new PlacementPolicy({
+    dataCentre: 'east',
+    clock,
+    random: seededRandom(1),
+    outcomes,
+    work,
+    unreported: id => unreported.get(id) ?? 0,
+  });
+  work.observe('s', 'r', 200, 1);
+});
+
+function upstream(
+  id: string,
+  dataCentre = 'east',
+  warmAt = 0,
+): UpstreamInService {
+  return {
+    id,
+    address: '10.0.0.1:80',
+    service: 's',
+    dataCentre,
+    slots: 6,
+    leaving: false,
+    coldMs: 0,
+    warmAt,
+  };
+}
+
+function told(
+  id: string,
+  load: Partial<LoadReport> = {},
+  healthy = true,
+): ProbeAnswer {
+  return {id, report: {...IDLE, ...load}, healthy};
+}
+
+function request(more: Partial<PlacementRequest> = {}): PlacementRequest {
+  return {
+    service: 's',
+    route: 'r',
+    rank: 1,
+    tried: new Set(),
+    targetMs: 600,
+    targetAt: 600,
+    giveUpAt: 1_500,
+    ...more,
+  };
+}
+
+const NEAR = [upstream('a'), upstream('b')];
+const BOTH = [upstream('a'), upstream('far', 'west')];
+
+test('slowness holds for the whole run, however long', () => {
+  expect(estimateCompletion({...IDLE, slowness: 4}, 880, 0)).toBe(3_520);
+  expect(estimateCompletion({...IDLE, slowness: 4}, 150, 0)).toBe(600);
+});
+
+test('what starts in the last slots is slower, what queues later still', () => {
+  const free = estimateCompletion({...IDLE, running: 2}, 200, 200);
+  const last = estimateCompletion({...IDLE, running: 5}, 200, 200);
+  const queued = estimateCompletion(
+    {...IDLE, running: 6, waiting: 3},
+    200,
+    200,
+  );
+  expect(last).toBeGreaterThan(free);
+  expect(queued).toBeGreaterThan(last);
+});
+
+test('a slow upstream is passed over for one that is not', () => {
+  const answers = [told('a', {slowness: 4}), told('b', {running: 3})];
+  const verdict = policy.judge(NEAR, request(), answers, false);
+  expect(verdict).toEqual({kind: 'send', id: 'b'});
+});
+
+test('others are asked when none nearby is safe', () => {
+  const answers = [told('a', {slowness: 4}), told('b', {running: 6})];
+  const verdict = policy.judge(NEAR, request(), answers, false);
+  expect(verdict.kind).toBe('ask-more');
+});
+
+test('a near upstream goes before a far one that is as good', () => {
+  const answers = [told('a', {running: 2}), told('far')];
+  expect(policy.judge(BOTH, request(), answers, true)).toEqual({
+    kind: 'send',
+    id: 'a',
+  });
+});
+
+test('a far upstream is taken when near ones would be late', () => {
+  const answers = [told('a', {slowness: 4}), told('far')];
+  expect(policy.judge(BOTH, request(), answers, true)).toEqual({
+    kind: 'send',
+    id: 'far',
+  });
+});
+
+test('a request waits while it can still be in time', () => {
+  // All upstreams are slow at this moment. Sent now, the request would be
+  // late for certain; the next report may tell of one that isn't slow.
+  const answers = [told('a', {slowness: 4}), told('b', {slowness: 4})];
+  expect(policy.judge(NEAR, request(), answers, true).kind).toBe('wait');
+});
+
+test('a request that can no longer be in time takes any free slot', () => {
+  clock.set(450);
+  const answers = [told('a', {slowness: 4}), told('b', {running: 6})];
+  expect(policy.judge(NEAR, request(), answers, true)).toEqual({
+    kind: 'send',
+    id: 'a',
+  });
+});
+
+test('a full upstream is never sent to', () => {
+  clock.set(450);
+  const answers = [
+    told('a', {running: 6}),
+    told('b', {running: 6, waiting: 2}),
+  ];
+  expect(policy.judge(NEAR, request(), answers, true).kind).toBe('wait');
+});
+
+test('requests that a report has not counted fill slots too', () => {
+  unreported.set('a', 6);
+  const answers = [told('a'), told('b', {running: 3})];
+  expect(policy.judge(NEAR, request(), answers, true)).toEqual({
+    kind: 'send',
+    id: 'b',
+  });
+});
+
+test('an upstream that has just started gets less', () => {
+  const cold = [upstream('a', 'east', 3_000), upstream('b')];
+  const answers = [told('a'), told('b', {running: 3})];
+  expect(policy.judge(cold, request(), answers, true)).toEqual({
+    kind: 'send',
+    id: 'b',
+  });
+});
+
+test('an upstream that fails while it looks idle is avoided, then tried again', () => {
+  // Its health and load are good while it fails what it runs, so that a
+  // choice by load alone prefers it to all others.
+  outcomes.failed('a', 'error');
+  outcomes.failed('a', 'error');
+  const answers = [told('a'), told('b', {running: 3})];
+  expect(policy.judge(NEAR, request(), answers, true)).toEqual({
+    kind: 'send',
+    id: 'b',
+  });
+  clock.advance(20_000);
+  const later = request({targetAt: 20_600, giveUpAt: 21_500});
+  const idle = [told('a'), told('b', {slowness: 2})];
+  expect(policy.judge(NEAR, later, idle, true)).toEqual({
+    kind: 'send',
+    id: 'a',
+  });
+});
+
+test('when all say that they are ill, one of them is used', () => {
+  clock.set(450);
+  const answers = [told('a', {}, false), told('b', {}, false)];
+  expect(policy.judge(NEAR, request(), answers, true).kind).toBe('send');
+});
+
+test('equals share the requests', () => {
+  const chosen = Array.from({length: 40}, () =>
+    policy.judge(NEAR, request(), [told('a'), told('b')], true),
+  );
+  const ids = new Set(chosen.map(one => (one.kind === 'send' ? one.id : '')));
+  expect(ids).toEqual(new Set(['a', 'b']));
+});
+
+test('those tried or asked are not asked again, and near ones come first', () => {
+  const all = [upstream('a'), upstream('b'), upstream('far', 'west')];
+  const tried = request({tried: new Set(['a'])});
+  const first = policy.candidates(all, tried, new Set());
+  expect(first.map(({id}) => id)).toEqual(['b']);
+  const next = policy.candidates(all, tried, new Set(['b']));
+  expect(next.map(({id}) => id)).toEqual(['far']);
+});
--- /dev/null
+++ b/tests/platform.test.ts
@@ -0,0 +1,209 @@
+import {afterEach, beforeEach, expect, test} from 'vitest';
+import {
+  StoreClient,
+  decodeConfiguration,
+  decodeUpstream,
+  parseSettings,
+  readLoad,
+  readSettingsFile,
+} from '../src/platform/index.js';
+import {StoreServer} from '../src/standins/index.js';
+
+const SETTINGS = `self.node=edge-1
+self.ip=10.1.0.35
+self.zone=east
+network.listen.front=10.1.0.35:8144
+network.listen.ready=10.1.0.35:8140
+network.internal_ports=7660,7675
+network.zones.east=connacht
+network.zones.west=connacht
+platform.platform.address=10.200.1.7:8142
+terms.bounds.grace=6s
+terms.bounds.retry_ratio=0.2
+some.new.field=ignored
+`;
+
+test('a settings file is read into typed settings', () => {
+  const settings = parseSettings(SETTINGS)._unsafeUnwrap();
+  expect(settings.callers).toEqual({ip: '10.1.0.35', port: 8144});
+  expect(settings.peers.port).toBe(7660);
+  expect(settings.graceMs).toBe(6_000);
+  expect(settings.dataCentres).toEqual(['east', 'west']);
+});
+
+test.each([
+  ['self.ip', /self\.ip=.*\n/, ''],
+  ['network.listen.front', /8144/, 'port'],
+  ['terms.bounds.grace', /6s/, 'six'],
+  ['terms.bounds.retry_ratio', /=0\.2/, '=some'],
+])('a bad %s is named', (field, pattern, replacement) => {
+  const text = SETTINGS.replace(pattern, replacement);
+  const error = parseSettings(text)._unsafeUnwrapErr();
+  expect(error.field).toBe(field);
+});
+
+test('a settings file that is missing is an error with a remedy', () => {
+  expect(readSettingsFile(undefined)._unsafeUnwrapErr().message).toContain(
+    'CYCLAMENLEVER_SETTINGS',
+  );
+  expect(readSettingsFile('/nowhere')._unsafeUnwrapErr().message).toContain(
+    'make it readable',
+  );
+});
+
+const ROUTE = {
+  resource_kind: 'routes',
+  metadata: {name: 'r1'},
+  spec: {
+    hostname: 'Shop.example',
+    path_prefix: '/a/',
+    kind: 'non_idempotent',
+    timeout: '1200ms',
+    target_latency: '0.8s',
+    priority: 1,
+    max_attempts: 2,
+    traffic_split: [
+      {service: 's1', weight: 90},
+      {service: 's2', weight: 10},
+    ],
+    unheard_of: true,
+  },
+};
+
+test('a configuration becomes routes, services and limits', () => {
+  const table = decodeConfiguration(
+    JSON.stringify({
+      version: 'r12',
+      resources: [
+        ROUTE,
+        {
+          resource_kind: 'services',
+          metadata: {name: 's1'},
+          spec: {health_path: '/health', max_conns: 220},
+        },
+        {
+          resource_kind: 'limits',
+          metadata: {},
+          spec: {max_body_bytes: 10, idle_timeout: '15s'},
+        },
+        {resource_kind: 'something-new', spec: {}},
+      ],
+    }),
+  )._unsafeUnwrap();
+  expect(table.version).toBe(12);
+  expect(table.routes[0]).toMatchObject({
+    host: 'shop.example',
+    repeatable: false,
+    timeoutMs: 1_200,
+    targetMs: 800,
+    rank: 1,
+    attempts: 2,
+  });
+  expect(table.routes[0]?.destinations).toHaveLength(2);
+  expect(table.limits.bodyBytes).toBe(10);
+  expect(table.limits.idleMs).toBe(15_000);
+});
+
+test.each([
+  ['version', {version: '12', resources: []}],
+  ['resources', {version: 'r1'}],
+  [
+    'r1.timeout',
+    {
+      version: 'r1',
+      resources: [{...ROUTE, spec: {...ROUTE.spec, timeout: 'long'}}],
+    },
+  ],
+])('a configuration with a bad %s names it', (field, record) => {
+  const error = decodeConfiguration(JSON.stringify(record))._unsafeUnwrapErr();
+  expect(error.field).toBe(field);
+});
+
+test('a record that is no JSON is an error, not a crash', () => {
+  expect(decodeConfiguration('{').isErr()).toBe(true);
+  expect(decodeUpstream('i-1', 'null').isErr()).toBe(true);
+});
+
+test('an upstream record tells address, place and state', () => {
+  const upstream = decodeUpstream(
+    'i-1',
+    JSON.stringify({
+      address: '10.1.0.9:80',
+      info: {service: 's1', version: 'v1', zone: 'east', slots: 6},
+      status: {state: 'draining', seq: 4, warmup_left: '1.5s'},
+    }),
+  )._unsafeUnwrap();
+  expect(upstream).toEqual({
+    id: 'i-1',
+    address: '10.1.0.9:80',
+    service: 's1',
+    dataCentre: 'east',
+    slots: 6,
+    leaving: true,
+    coldMs: 1_500,
+  });
+});
+
+test('a load tells running, waiting, slots and slowness', () => {
+  const name = 'cyclamenlever-server-load';
+  expect(readLoad({[name]: '3,1,6,400'})).toEqual({
+    running: 3,
+    waiting: 1,
+    slots: 6,
+    slowness: 4,
+  });
+  expect(readLoad({[name]: '3,0,8'})?.slowness).toBe(1);
+  expect(readLoad({[name]: '3,x'})).toBeUndefined();
+  expect(readLoad({})).toBeUndefined();
+});
+
+let server: StoreServer;
+let store: StoreClient;
+
+beforeEach(async () => {
+  server = new StoreServer();
+  store = new StoreClient({ip: '127.0.0.1', port: await server.listen()});
+});
+
+afterEach(async () => {
+  store.close();
+  await server.close();
+});
+
+test('records that are put are read back under their offsets', async () => {
+  expect((await store.put('keyed.a', 'one', 'first'))._unsafeUnwrap()).toBe(0);
+  await store.put('keyed.a', 'two', 'second');
+  const page = (await store.read('keyed.a', 1, 0))._unsafeUnwrap();
+  expect(page.records).toEqual([{key: 'two', offset: 1, value: 'second'}]);
+  expect(page.next).toBe(2);
+});
+
+test('a waiting read returns as soon as there is a record', async () => {
+  const read = store.read('keyed.a', 0, 30_000);
+  server.put('keyed.a', 'one', undefined);
+  const page = (await read)._unsafeUnwrap();
+  expect(page.records).toEqual([{key: 'one', offset: 0, value: undefined}]);
+});
+
+test('the newest record of each key is found after a trim', async () => {
+  server.put('keyed.a', 'one', 'old');
+  server.put('keyed.a', 'one', 'new');
+  server.trim('keyed.a');
+  const read = await store.read('keyed.a', 0, 0);
+  expect(read._unsafeUnwrapErr().kind).toBe('trimmed');
+  const snapshot = (await store.newest('keyed.a'))._unsafeUnwrap();
+  expect(snapshot.records).toEqual([{key: 'one', offset: 1, value: 'new'}]);
+  expect(snapshot.end).toBe(2);
+});
+
+test('a refusal says that nothing was done, and silence that it is unknown', async () => {
+  server.fault = 'refuse';
+  const refused = await store.put('keyed.a', 'one', 'x');
+  expect(refused._unsafeUnwrapErr().kind).toBe('refused');
+  server.fault = 'lose-answers';
+  const lost = await store.put('keyed.a', 'one', 'x');
+  expect(lost._unsafeUnwrapErr().kind).toBe('unknown');
+  server.fault = 'none';
+  const page = (await store.read('keyed.a', 0, 0))._unsafeUnwrap();
+  expect(page.records).toHaveLength(1);
+});
