Metrics of entry hosts, and log lines bounded in number

Cause: on-call engineers have only logs and metrics; a flood of requests would have written a line each, and nothing was counted for them. Ruled out: sampling failures (they are what is looked for). Change: prom-client on port 9464, histograms by class (rank), counters by outcome; at most 40 lines a second of requests that went well and 200 of those that didn't, what is left out is said; held lines end at 2 MB.

--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -203,6 +203,7 @@
     const result = await this.attempt.result;
     this.attempt = undefined;
     sent.result = result.kind;
+    this.context.metrics.countAttempt(result.kind);
     sent.ms = Math.round(clock.now() - startedAt);
     this.learn(result, upstream.id, answer, clock.now() - startedAt);
     return result;
@@ -279,8 +280,12 @@
     if (this.tried.size >= this.route.attempts) {
       return false;
     }
-    const {budgetOf, retryReserve} = this.context;
-    return budgetOf(this.service.name).spend(retryReserve());
+    const {budgetOf, retryReserve, metrics} = this.context;
+    const granted = budgetOf(this.service.name).spend(retryReserve());
+    if (!granted) {
+      metrics.countRefusedRepeat();
+    }
+    return granted;
   }
 
   private forwardedRequest(body: RequestBody): ForwardedRequest {
@@ -358,31 +363,36 @@
     clearTimeout(this.timer);
     this.ended.abort();
     this.attempt?.cancel();
-    this.context.metrics.countOutcome(outcome);
-    this.log(outcome);
+    const elapsed = this.context.clock.now() - this.arrivedAt;
+    this.context.metrics.countRequest(this.route.rank, outcome, elapsed);
+    this.log(outcome, elapsed);
   }
 
   private logFailure(upstream: string, reason: string, detail: string): void {
-    this.context.logger.info(
+    this.context.log.failed(
       {event: 'attempt', request: this.id, upstream, reason, detail},
       'attempt failed',
     );
   }
 
-  private log(outcome: string): void {
-    const {clock, logger, state} = this.context;
-    logger.info(
-      {
-        event: 'request',
-        request: this.id,
-        route: this.route.name,
-        service: this.service.name,
-        outcome,
-        ms: Math.round(clock.now() - this.arrivedAt),
-        sends: this.sends,
-        version: state.routes.version,
-      },
-      'request ended',
-    );
+  private log(outcome: string, elapsedMs: Milliseconds): void {
+    const {log, state} = this.context;
+    const fields = {
+      event: 'request',
+      request: this.id,
+      route: this.route.name,
+      service: this.service.name,
+      outcome,
+      ms: Math.round(elapsedMs),
+      leftMs: Math.round(this.leftMs),
+      sends: this.sends,
+      version: state.routes.version,
+      ageMs: Math.round(state.ageMs),
+    };
+    if (outcome === 'answered-200') {
+      log.succeeded(fields, 'request ended');
+    } else {
+      log.failed(fields, 'request ended');
+    }
   }
 }
--- a/src/gateway/gateway_metrics.ts
+++ b/src/gateway/gateway_metrics.ts
@@ -1,20 +1,134 @@
-/** Counts that the gateway keeps; cheap enough for every request. */
+/** What an entry host counts, for Prometheus. */
 
-export type AttemptKind = 'first' | 'retry';
+import {performance} from 'node:perf_hooks';
+import {Counter, Gauge, Histogram, Registry} from 'prom-client';
+import type {Milliseconds} from '../time/index.js';
+
+/** Upper bounds in seconds: around targets of 0.4 to 2 s. */
+const BUCKETS = [0.01, 0.05, 0.1, 0.2, 0.3, 0.4, 0.6, 0.8, 1.2, 2, 4, 6, 10];
+const MS_PER_SECOND = 1_000;
+
+/** Figures that are read when metrics are asked for. */
+export interface HostFigures {
+  readonly ready: boolean;
+  readonly isReader: boolean;
+  readonly version: number | undefined;
+  readonly ageMs: Milliseconds;
+  readonly upstreams: number;
+  readonly hosts: number;
+  readonly inFlight: number;
+  readonly waiting: number;
+}
 
 export class GatewayMetrics {
-  readonly outcomes = new Map<string, number>();
-  private probeCount = 0;
+  private readonly registry = new Registry();
+  private readonly registers = [this.registry];
+  private lastUtilization = performance.eventLoopUtilization();
+  private readonly requests = new Counter({
+    name: 'cyclamenlever_requests_total',
+    help: 'Requests by class (rank of their route) and outcome',
+    labelNames: ['class', 'outcome'] as const,
+    registers: this.registers,
+  });
+  private readonly seconds = new Histogram({
+    name: 'cyclamenlever_request_seconds',
+    help: 'Time from arrival to the final answer, by class',
+    labelNames: ['class'] as const,
+    buckets: BUCKETS,
+    registers: this.registers,
+  });
+  private readonly attempts = new Counter({
+    name: 'cyclamenlever_attempts_total',
+    help: 'Sends to upstreams by result',
+    labelNames: ['result'] as const,
+    registers: this.registers,
+  });
+  private readonly refusedRepeats = new Counter({
+    name: 'cyclamenlever_repeats_refused_total',
+    help: 'Repeats that the budget of retries did not allow',
+    registers: this.registers,
+  });
+  private readonly probes = new Counter({
+    name: 'cyclamenlever_probes_total',
+    help: 'Load probes sent: the measuring cost',
+    registers: this.registers,
+  });
+  private readonly storeCalls = new Counter({
+    name: 'cyclamenlever_store_calls_total',
+    help: 'Calls to the platform store by call and outcome',
+    labelNames: ['call', 'outcome'] as const,
+    registers: this.registers,
+  });
+  private readonly droppedLines = new Counter({
+    name: 'cyclamenlever_log_lines_dropped_total',
+    help: 'Log lines left out to bound their volume',
+    registers: this.registers,
+  });
+  private readonly host = new Gauge({
+    name: 'cyclamenlever_host',
+    help: 'State of this host: ready, reader, version, age_seconds, upstreams, hosts, in_flight, waiting',
+    labelNames: ['figure'] as const,
+    registers: this.registers,
+  });
+  private readonly utilization = new Gauge({
+    name: 'cyclamenlever_event_loop_utilization',
+    help: 'Share of the time since the last reading that the loop was busy',
+    registers: this.registers,
+  });
+
+  countRequest(rank: number, outcome: string, elapsedMs: Milliseconds): void {
+    const labels = {class: `rank-${rank}`};
+    this.requests.inc({...labels, outcome});
+    this.seconds.observe(labels, elapsedMs / MS_PER_SECOND);
+  }
+
+  /** A request that was refused before it had a route. */
+  countRefusal(outcome: string): void {
+    this.requests.inc({class: 'none', outcome});
+  }
 
-  get probes(): number {
-    return this.probeCount;
+  countAttempt(result: string): void {
+    this.attempts.inc({result});
   }
 
-  countOutcome(outcome: string): void {
-    this.outcomes.set(outcome, (this.outcomes.get(outcome) ?? 0) + 1);
+  countRefusedRepeat(): void {
+    this.refusedRepeats.inc();
   }
 
   countProbe(): void {
-    this.probeCount += 1;
+    this.probes.inc();
+  }
+
+  countStoreCall(call: string, outcome: string): void {
+    this.storeCalls.inc({call, outcome});
+  }
+
+  countDroppedLine(): void {
+    this.droppedLines.inc();
+  }
+
+  /** All of it in Prometheus' text format. */
+  text(figures: HostFigures): Promise<string> {
+    const values: Readonly<Record<string, number>> = {
+      ready: Number(figures.ready),
+      reader: Number(figures.isReader),
+      version: figures.version ?? 0,
+      age_seconds: figures.ageMs / MS_PER_SECOND,
+      upstreams: figures.upstreams,
+      hosts: figures.hosts,
+      in_flight: figures.inFlight,
+      waiting: figures.waiting,
+    };
+    for (const [figure, value] of Object.entries(values)) {
+      this.host.set({figure}, value);
+    }
+    const before = this.lastUtilization;
+    this.lastUtilization = performance.eventLoopUtilization();
+    const since = performance.eventLoopUtilization(
+      this.lastUtilization,
+      before,
+    );
+    this.utilization.set(since.utilization);
+    return this.registry.metrics();
   }
 }
--- a/src/gateway/gateway_server.ts
+++ b/src/gateway/gateway_server.ts
@@ -6,6 +6,7 @@
 import type {ProblemReason} from '../http/index.js';
 import {findFramingFault, sendProblem} from '../http/index.js';
 import type {SocketAddress} from '../platform/index.js';
+import {HEADERS} from '../platform/index.js';
 import {listen} from '../servers/index.js';
 import type {Milliseconds} from '../time/index.js';
 import {Exchange} from './exchange.js';
@@ -181,7 +182,21 @@
     reason: ProblemReason,
     more: {readonly detail?: string; readonly retryAfterMs?: Milliseconds},
   ): void {
-    this.context.metrics.countOutcome(reason);
+    const {metrics, log, state} = this.context;
+    metrics.countRefusal(reason);
+    const {method, url, headers} = response.req;
+    log.failed(
+      {
+        event: 'request',
+        request: headers[HEADERS.requestId],
+        method,
+        target: url,
+        outcome: reason,
+        version: state.routes.version,
+        ageMs: Math.round(state.ageMs),
+      },
+      'request refused',
+    );
     if (!response.req.complete) {
       // The body that may follow must not be read as the next request.
       response.setHeader('connection', 'close');
--- /dev/null
+++ b/src/gateway/metrics_server.ts
@@ -0,0 +1,35 @@
+/** Serves the metrics of an entry host as text. */
+
+import type {Server} from 'node:http';
+import {createServer} from 'node:http';
+import type {SocketAddress} from '../platform/index.js';
+import {closeNow, listen} from '../servers/index.js';
+
+const METRICS_PATH = '/metrics';
+const NOT_FOUND = 404;
+
+export class MetricsServer {
+  private readonly server: Server;
+
+  constructor(text: () => Promise<string>) {
+    this.server = createServer((request, response) => {
+      if (request.url !== METRICS_PATH) {
+        response.statusCode = NOT_FOUND;
+        response.end();
+        return;
+      }
+      text().then(
+        metrics => response.end(metrics),
+        () => response.destroy(),
+      );
+    });
+  }
+
+  listen(address: SocketAddress): Promise<number> {
+    return listen(this.server, address.ip, address.port);
+  }
+
+  close(): Promise<void> {
+    return closeNow(this.server);
+  }
+}
--- /dev/null
+++ b/src/gateway/request_log.ts
@@ -0,0 +1,67 @@
+/**
+ * Log lines about requests, bounded in number.
+ *
+ * A host that is flooded would spend its processor on telling so. Lines about
+ * requests that went well are left out first; what is left out is counted.
+ */
+
+import type {Logger} from 'pino';
+import type {Clock, Milliseconds} from '../time/index.js';
+import type {GatewayMetrics} from './gateway_metrics.js';
+
+/** Lines a second; at 13 hosts, a busy day has some 15 requests a second each. */
+const SUCCESSES_PER_SECOND = 40;
+const FAILURES_PER_SECOND = 200;
+const MS_PER_SECOND = 1_000;
+
+/** Fields of a line, for the logger. */
+export type LineFields = Readonly<Record<string, unknown>>;
+
+class LineBudget {
+  private spent = 0;
+  private since: Milliseconds = -Infinity;
+
+  constructor(private readonly perSecond: number) {}
+
+  take(now: Milliseconds): boolean {
+    if (now - this.since >= MS_PER_SECOND) {
+      this.since = now;
+      this.spent = 0;
+    }
+    this.spent += 1;
+    return this.spent <= this.perSecond;
+  }
+}
+
+export class RequestLog {
+  private readonly successes = new LineBudget(SUCCESSES_PER_SECOND);
+  private readonly failures = new LineBudget(FAILURES_PER_SECOND);
+  private dropped = 0;
+
+  constructor(
+    private readonly logger: Logger,
+    private readonly clock: Clock,
+    private readonly metrics: GatewayMetrics,
+  ) {}
+
+  succeeded(fields: LineFields, message: string): void {
+    this.write(this.successes, fields, message);
+  }
+
+  failed(fields: LineFields, message: string): void {
+    this.write(this.failures, fields, message);
+  }
+
+  private write(budget: LineBudget, fields: LineFields, message: string): void {
+    if (!budget.take(this.clock.now())) {
+      this.dropped += 1;
+      this.metrics.countDroppedLine();
+      return;
+    }
+    if (this.dropped > 0) {
+      this.logger.warn({event: 'log', dropped: this.dropped}, 'lines left out');
+      this.dropped = 0;
+    }
+    this.logger.info(fields, message);
+  }
+}
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -1,4 +1,5 @@
 import type {Logger} from 'pino';
+import type {RequestLog} from './request_log.js';
 import type {FleetState} from '../fleet/index.js';
 import type {WindowBudget} from '../decisions/retries/index.js';
 import type {TrafficSplit} from '../decisions/routes/index.js';
@@ -22,6 +23,7 @@
   readonly retryReserve: () => number;
   readonly metrics: GatewayMetrics;
   readonly logger: Logger;
+  readonly log: RequestLog;
   readonly clock: Clock;
   readonly random: Random;
 }
--- a/src/host/gateway_host.ts
+++ b/src/host/gateway_host.ts
@@ -6,10 +6,12 @@
 import {WindowBudget} from '../decisions/retries/index.js';
 import {TrafficSplit} from '../decisions/routes/index.js';
 import {FleetMember, FleetState, RelayServer} from '../fleet/index.js';
+import type {GatewayMetrics, HostFigures} from '../gateway/index.js';
 import {
-  GatewayMetrics,
   GatewayServer,
+  MetricsServer,
   ReadinessServer,
+  RequestLog,
   Scheduler,
   UpstreamDesk,
 } from '../gateway/index.js';
@@ -35,6 +37,7 @@
   readonly clock: Clock;
   readonly random: Random;
   readonly logger: Logger;
+  readonly metrics: GatewayMetrics;
 }
 
 /** The ports that a host listens on. */
@@ -42,6 +45,7 @@
   readonly callers: number;
   readonly readiness: number;
   readonly peers: number;
+  readonly metrics: number;
 }
 
 export class GatewayHost {
@@ -51,6 +55,7 @@
   private readonly relay: RelayServer;
   private readonly gateway: GatewayServer;
   private readonly readiness: ReadinessServer;
+  private readonly metricsServer: MetricsServer;
   private readonly desk: UpstreamDesk;
   private readonly policy: PlacementPolicy;
   private readonly probes: ProbeBudget;
@@ -68,7 +73,12 @@
       new FleetState(clock, logger),
       one => one.close(),
     );
-    const metrics = new GatewayMetrics();
+    const {metrics} = parts;
+    this.metricsServer = this.lifeCycle.own(
+      'metrics',
+      new MetricsServer(() => metrics.text(this.figures())),
+      one => one.close(),
+    );
     this.desk = this.lifeCycle.own(
       'upstream connections',
       new UpstreamDesk({state: this.state, clock, logger, metrics}),
@@ -104,26 +114,7 @@
       new ReadinessServer(() => this.isReady()),
       one => one.close(),
     );
-    const split = new TrafficSplit(random);
-    this.state.listen(update => {
-      if (update.kind === 'table') {
-        split.reset();
-      }
-    });
-    this.gateway = new GatewayServer({
-      dataCentre,
-      state: this.state,
-      desk: this.desk,
-      work,
-      schedulerOf: service => this.schedulerOf(service),
-      split,
-      budgetOf: service => this.budgetOf(service),
-      retryReserve: () => this.retryReserve(),
-      metrics,
-      logger,
-      clock,
-      random,
-    });
+    this.gateway = this.createGateway(work);
     this.ownTimer();
   }
 
@@ -135,17 +126,18 @@
   /** Listens and joins the fleet; resolves with the ports in use. */
   async start(): Promise<HostPorts> {
     const {settings, logger} = this.parts;
-    const [callers, readiness, peers] = await Promise.all([
+    const [callers, readiness, peers, metrics] = await Promise.all([
       this.gateway.listen(settings.callers),
       this.readiness.listen(settings.readiness),
       this.relay.listen(settings.peers),
+      this.metricsServer.listen(settings.metrics),
     ]);
     this.state.identify(`${settings.peers.ip}:${peers}`);
     logger.info({event: 'start', host: settings.host}, 'listening');
     this.member.start().catch((error: unknown) => {
       logger.error({error}, 'cannot join the fleet');
     });
-    return {callers, readiness, peers};
+    return {callers, readiness, peers, metrics};
   }
 
   /**
@@ -180,6 +172,22 @@
     await this.lifeCycle.close();
   }
 
+  private figures(): HostFigures {
+    const {state} = this;
+    let waiting = 0;
+    this.schedulers.forEach(one => (waiting += one.waitingCount));
+    return {
+      ready: state.isComplete && !this.stopping,
+      isReader: this.isReader,
+      version: state.routes.version,
+      ageMs: state.ageMs,
+      upstreams: state.registry.count,
+      hosts: state.hostCount,
+      inFlight: this.gateway.inFlightCount,
+      waiting,
+    };
+  }
+
   private isReady(): boolean {
     const ready = this.state.isComplete && !this.stopping;
     if (ready !== this.wasReady) {
@@ -189,6 +197,31 @@
     return ready;
   }
 
+  private createGateway(work: WorkEstimates): GatewayServer {
+    const {clock, random, logger, metrics} = this.parts;
+    const split = new TrafficSplit(random);
+    this.state.listen(update => {
+      if (update.kind === 'table') {
+        split.reset();
+      }
+    });
+    return new GatewayServer({
+      dataCentre: this.parts.settings.dataCentre,
+      state: this.state,
+      desk: this.desk,
+      work,
+      schedulerOf: service => this.schedulerOf(service),
+      split,
+      budgetOf: service => this.budgetOf(service),
+      retryReserve: () => this.retryReserve(),
+      metrics,
+      logger,
+      log: new RequestLog(logger, clock, metrics),
+      clock,
+      random,
+    });
+  }
+
   private schedulerOf(service: string): Scheduler {
     const known = this.schedulers.get(service);
     if (known) {
--- a/src/host/main.ts
+++ b/src/host/main.ts
@@ -3,6 +3,7 @@
 
 import {randomInt} from 'node:crypto';
 import {pino} from 'pino';
+import {GatewayMetrics} from '../gateway/index.js';
 import {
   SETTINGS_FILE_VARIABLE,
   StoreClient,
@@ -15,6 +16,11 @@
 const SEED_RANGE = 2 ** 31;
 /** Log lines are written in pieces of this size, off the loop. */
 const LOG_CHUNK_BYTES = 4_096;
+/**
+ * Lines that wait for a reader who has stopped reading. More are dropped:
+ * they would grow until the process is killed for its memory.
+ */
+const LOG_HELD_BYTES = 2 * 1024 * 1024;
 
 async function main(): Promise<void> {
   const settings = readSettingsFile(process.env[SETTINGS_FILE_VARIABLE]);
@@ -25,15 +31,24 @@
   }
   const logger = pino(
     {base: undefined},
-    pino.destination({dest: 1, sync: false, minLength: LOG_CHUNK_BYTES}),
+    pino.destination({
+      dest: 1,
+      sync: false,
+      minLength: LOG_CHUNK_BYTES,
+      maxLength: LOG_HELD_BYTES,
+    }),
+  );
+  const metrics = new GatewayMetrics();
+  const store = new StoreClient(settings.value.store, (call, outcome) =>
+    metrics.countStoreCall(call, outcome),
   );
-  const store = new StoreClient(settings.value.store);
   const host = new GatewayHost({
     settings: settings.value,
     store,
     clock: systemClock,
     random: seededRandom(randomInt(SEED_RANGE)),
     logger,
+    metrics,
   });
   const stop = async (): Promise<void> => {
     await host.stop();
--- a/src/platform/settings_file.ts
+++ b/src/platform/settings_file.ts
@@ -45,6 +45,8 @@
 const DEFAULT_RETRY_WINDOW_MS: Milliseconds = 10_000;
 const DEFAULT_RETRY_SLACK = 0;
 const DEFAULT_PROBES_PER_SECOND = 40;
+/** The deploy file names it too; it lies outside the ports of a day. */
+const METRICS_PORT = 9_464;
 const ZONE_FIELD = 'network.zones.';
 
 type Fields = ReadonlyMap<string, string>;
@@ -92,13 +94,10 @@
 
 function settingsOf(fields: Fields): HostSettings {
   const ip = required(fields, 'self.ip');
-  const [firstPort = NaN, lastPort = NaN] = required(
-    fields,
-    'network.internal_ports',
-  )
+  const [firstPort = NaN] = required(fields, 'network.internal_ports')
     .split(',')
     .map(Number);
-  if (!(firstPort >= 0) || !(lastPort > firstPort || firstPort === 0)) {
+  if (!(firstPort >= 0)) {
     throw new SettingsFileError('network.internal_ports', 'give FIRST,LAST');
   }
   return {
@@ -111,7 +110,7 @@
     callers: address(fields, 'network.listen.front'),
     readiness: address(fields, 'network.listen.ready'),
     peers: {ip, port: firstPort},
-    metrics: {ip, port: lastPort},
+    metrics: {ip, port: METRICS_PORT},
     store: address(fields, 'platform.platform.address'),
     graceMs: duration(fields, 'terms.bounds.grace', DEFAULT_GRACE_MS),
     retryRatio: number(fields, 'terms.bounds.retry_ratio', DEFAULT_RETRY_RATIO),
--- a/tests/support/gateway.ts
+++ b/tests/support/gateway.ts
@@ -3,6 +3,7 @@
 import type {IncomingMessage} from 'node:http';
 import {request} from 'node:http';
 import {pino} from 'pino';
+import {GatewayMetrics} from '../../src/gateway/index.js';
 import type {HostPorts} from '../../src/host/gateway_host.js';
 import {GatewayHost} from '../../src/host/gateway_host.js';
 import type {HostSettings} from '../../src/platform/index.js';
@@ -136,6 +137,7 @@
       clock: systemClock,
       random: seededRandom(this.hosts.length + 1),
       logger: pino({level: 'silent'}),
+      metrics: new GatewayMetrics(),
     });
     const running = {host, store, ports: await host.start()};
     this.hosts.push(running);
