Move what follows from an attempt, stops and pauses into decisions

Cause: these decided inside shells with sockets and could be tested only there. Ruled out: a rewrite of the waiting line. Measured: tests only. Conclusion: behaviour as before.

--- /dev/null
+++ b/src/decisions/attempts/index.ts
@@ -0,0 +1,2 @@
+export * from './types.js';
+export {AttemptRecord} from './attempt_record.js';
--- a/src/fleet/store_reader.ts
+++ b/src/fleet/store_reader.ts
@@ -1,6 +1,7 @@
 /** Reads the store for this host and those that follow it. */
 
 import type {Logger} from 'pino';
+import {pauseAfter} from '../decisions/relay/index.js';
 import type {RegistryEntry} from '../decisions/registry/index.js';
 import type {
   KeyedRecord,
@@ -33,9 +34,6 @@
 const CONFIGURATION_WAIT_MS: Milliseconds = 1_400;
 /** Changes that come in quick succession are read together. */
 const GATHER_MS: Milliseconds = 250;
-const FIRST_PAUSE_MS: Milliseconds = 250;
-const LONGEST_PAUSE_MS: Milliseconds = 1_200;
-const PAUSE_GROWTH = 1.6;
 
 export class StoreReader {
   /** Changes with each start, so that loops of an earlier one end. */
@@ -101,7 +99,7 @@
         continue;
       }
       this.noteFailure('upstreams', failure);
-      await sleep(this.pauseMs());
+      await sleep(pauseAfter(this.failures, this.random));
     }
   }
 
@@ -134,7 +132,10 @@
         {event: 'store', read: 'configuration', error: found.error.message},
         'cannot read the store',
       );
-      await sleep(this.pauseMs(failures), this.configurationRead.signal);
+      await sleep(
+        pauseAfter(failures, this.random),
+        this.configurationRead.signal,
+      );
     }
   }
 
@@ -220,12 +221,6 @@
       'cannot read the store',
     );
   }
-
-  /** Spread, so that hosts that lost the store together don't return so. */
-  private pauseMs(failures = this.failures): Milliseconds {
-    const pause = FIRST_PAUSE_MS * PAUSE_GROWTH ** (failures - 1);
-    return Math.min(LONGEST_PAUSE_MS, pause) * (0.5 + this.random());
-  }
 }
 
 /** Ends early when the signal is given. */
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -1,6 +1,8 @@
 /** One caller request from its head to its final answer. */
 
 import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {AttemptEnd} from '../decisions/attempts/index.js';
+import {AttemptRecord} from '../decisions/attempts/index.js';
 import type {
   LoadReport,
   PlacementRequest,
@@ -28,8 +30,6 @@
 const SERVER_ERROR_FROM = 500;
 /** When to come back if no upstream could be reached. */
 const UNREACHABLE_RETRY_MS: Milliseconds = 150;
-/** Below this, an upstream can't do anything in time. */
-const LEAST_TIME_MS: Milliseconds = 5;
 /** Time that a caller waits who doesn't say. */
 const DEFAULT_TIME_MS: Milliseconds = 60_000;
 
@@ -61,14 +61,12 @@
   private readonly arrivedAt: Milliseconds;
   private readonly giveUpAt: Milliseconds;
   private readonly id: string;
-  private readonly tried = new Set<string>();
+  private readonly record: AttemptRecord;
   private readonly sends: Sent[] = [];
   private attempt: SentAttempt | undefined;
   private timer: NodeJS.Timeout | undefined;
   private readonly ended = new AbortController();
   private done = false;
-  /** A send of which it isn't known that it wasn't run. */
-  private mayHaveRun = false;
   /** An upstream's own error, delivered if nothing better comes. */
   private failure: WholeAnswer | undefined;
 
@@ -79,6 +77,7 @@
     private readonly service: ServiceProfile,
     private readonly context: GatewayContext,
   ) {
+    this.record = new AttemptRecord(route);
     this.arrivedAt = context.clock.now();
     const asked = Number(request.headers[HEADERS.timeLeft] ?? NaN);
     const allowed = asked >= 0 ? asked : DEFAULT_TIME_MS;
@@ -140,7 +139,8 @@
   }
 
   private place(): Promise<Placing> {
-    const {route, service, tried, giveUpAt} = this;
+    const {route, service, giveUpAt} = this;
+    const {tried} = this.record;
     const wanted: PlacementRequest = {
       service: service.name,
       route: route.name,
@@ -158,7 +158,7 @@
   /** An upstream's own error says more than that no other could be had. */
   private refuseOrFail(
     reason: ProblemReason,
-    retryAfterMs: Milliseconds,
+    retryAfterMs?: Milliseconds,
   ): void {
     if (this.failure) {
       this.deliver(this.failure);
@@ -175,8 +175,7 @@
     const {desk, clock} = this.context;
     const startedAt = clock.now();
     const connection = desk.connect(upstream);
-    this.tried.add(upstream.id);
-    this.mayHaveRun = true;
+    this.record.noteSend(upstream.id);
     this.attempt = sendAttempt(
       connection,
       forwarded,
@@ -232,54 +231,67 @@
     }
   }
 
-  /** Decides what follows from an attempt's result. */
+  /** Carries out what follows from an attempt's result. */
   private judge(result: AttemptResult, id: string, body: RequestBody): void {
+    if (result.kind === 'cancelled') {
+      return;
+    }
+    if (result.kind === 'long') {
+      this.passOn(result);
+      return;
+    }
+    this.noteFailure(result, id);
+    const step = this.record.noteEnd(endOf(result), {
+      leftMs: this.leftMs,
+      bodyHeld: body.kind !== 'stream',
+      spendRepeat: () => this.spendRepeat(),
+    });
+    switch (step.kind) {
+      case 'deliver':
+        if (result.kind === 'answered') {
+          this.deliver(result);
+        }
+        return;
+      case 'repeat':
+        return;
+      case 'refuse':
+        this.refuseOrFail(
+          step.reason,
+          this.record.outcome === 'not-run' ? UNREACHABLE_RETRY_MS : undefined,
+        );
+        return;
+      default:
+        step satisfies never;
+    }
+  }
+
+  /** Remembers against the upstream what went wrong there. */
+  private noteFailure(
+    result: Exclude<AttemptResult, {kind: 'long' | 'cancelled'}>,
+    id: string,
+  ): void {
     const {outcomes} = this.context.desk;
     switch (result.kind) {
       case 'answered':
-        if (result.status < SERVER_ERROR_FROM) {
-          this.deliver(result);
-          return;
-        }
-        outcomes.failed(id, 'error');
-        this.failure = result;
-        if (!this.route.repeatable || !this.mayRepeat(body)) {
-          this.deliver(result);
+        if (result.status >= SERVER_ERROR_FROM) {
+          outcomes.failed(id, 'error');
+          this.failure = result;
         }
         return;
-      case 'long':
-        this.passOn(result);
-        return;
       case 'not-run':
-        this.mayHaveRun = this.failure !== undefined;
         outcomes.failed(id, result.reason === 'shed' ? 'shed' : 'unreachable');
         this.logFailure(id, result.reason, result.detail);
-        if (!this.mayRepeat(body)) {
-          this.refuse('upstreams-refused', UNREACHABLE_RETRY_MS);
-        }
         return;
       case 'broken':
         outcomes.failed(id, 'broken');
         this.logFailure(id, 'broken', result.detail);
-        if (!this.route.repeatable || !this.mayRepeat(body)) {
-          this.refuse('attempt-broken');
-        }
-        return;
-      case 'cancelled':
         return;
       default:
         result satisfies never;
     }
   }
 
-  /** Whether the request may go to another upstream. */
-  private mayRepeat(body: RequestBody): boolean {
-    if (body.kind === 'stream' || this.leftMs < LEAST_TIME_MS) {
-      return false;
-    }
-    if (this.tried.size >= this.route.attempts) {
-      return false;
-    }
+  private spendRepeat(): boolean {
     const {budgetOf, retryReserve, metrics} = this.context;
     const granted = budgetOf(this.service.name).spend(retryReserve());
     if (!granted) {
@@ -331,17 +343,18 @@
       this.deliver(this.failure);
       return;
     }
-    this.refuse(
-      this.mayHaveRun ? 'attempt-timed-out' : 'waited-too-long',
-      this.mayHaveRun ? undefined : UNREACHABLE_RETRY_MS,
-    );
+    if (this.record.outcome === 'unknown') {
+      this.refuse('attempt-timed-out');
+    } else {
+      this.refuse('waited-too-long', UNREACHABLE_RETRY_MS);
+    }
   }
 
   private refuse(reason: ProblemReason, retryAfterMs?: Milliseconds): void {
     if (this.done) {
       return;
     }
-    const outcome = this.mayHaveRun ? 'unknown' : 'not-run';
+    const {outcome} = this.record;
     const problem: Problem = {reason, outcome, retryAfterMs, fractions: true};
     if (!this.request.complete) {
       // What is left of the body must not be read as the next request.
@@ -396,3 +409,12 @@
     }
   }
 }
+
+function endOf(
+  result: Exclude<AttemptResult, {kind: 'long' | 'cancelled'}>,
+): AttemptEnd {
+  if (result.kind !== 'answered') {
+    return result.kind;
+  }
+  return result.status >= SERVER_ERROR_FROM ? 'failed' : 'answered';
+}
--- a/src/gateway/scheduler.ts
+++ b/src/gateway/scheduler.ts
@@ -9,7 +9,7 @@
 import {MAX_ROUNDS} from '../decisions/placement/index.js';
 import type {ProbeBudget} from '../decisions/measuring/index.js';
 import type {UpstreamInService} from '../decisions/registry/index.js';
-import {WaitingLine} from '../decisions/waiting/index.js';
+import {WaitingLine, chooseRetryAfter} from '../decisions/waiting/index.js';
 import type {FleetState} from '../fleet/index.js';
 import type {Clock, Milliseconds, Random} from '../time/index.js';
 import type {UpstreamDesk} from './upstream_desk.js';
@@ -22,11 +22,6 @@
 const LOOK_INTERVAL_MS: Milliseconds = 40;
 /** Least time that a request may wait, whatever its work is thought to be. */
 const LEAST_WAIT_MS: Milliseconds = 60;
-const SHORTEST_RETRY_MS: Milliseconds = 60;
-/** Callers honour up to this share of their time. */
-const RETRY_SHARE = 1 / 3;
-/** Spread of the time to come back, so that callers don't return together. */
-const RETRY_SPREAD = 0.5;
 
 export type Placing =
   | {
@@ -256,10 +251,11 @@
     request: PlacementRequest,
   ): Placing {
     const {clock, random} = this.parts;
-    const left = Math.max(0, request.giveUpAt - clock.now());
-    const wanted = Math.max(SHORTEST_RETRY_MS, this.line.drainMs);
-    const spread = 1 + RETRY_SPREAD * random();
-    const retryAfterMs = Math.min(left * RETRY_SHARE, wanted * spread);
+    const retryAfterMs = chooseRetryAfter(
+      request.giveUpAt - clock.now(),
+      this.line.drainMs,
+      random,
+    );
     return {kind: 'refused', reason, retryAfterMs};
   }
 }
--- a/src/host/gateway_host.ts
+++ b/src/host/gateway_host.ts
@@ -4,6 +4,7 @@
 import {ProbeBudget} from '../decisions/measuring/index.js';
 import {PlacementPolicy, WorkEstimates} from '../decisions/placement/index.js';
 import {WindowBudget} from '../decisions/retries/index.js';
+import {planStop} from '../decisions/stopping/index.js';
 import {TrafficSplit} from '../decisions/routes/index.js';
 import {FleetMember, FleetState, RelayServer} from '../fleet/index.js';
 import type {GatewayMetrics, HostFigures} from '../gateway/index.js';
@@ -23,12 +24,6 @@
 const RETRY_SHARE = 0.85;
 /** Share of the fleet's repeats beyond the ratio that hosts spend. */
 const RESERVE_SHARE = 0.5;
-/** The platform takes a host out after two questions, one a second. */
-const ANNOUNCED_MS: Milliseconds = 2_600;
-/** What begins later could not be finished within the grace. */
-const FINISH_SHARE = 0.5;
-/** Time kept for closing before the platform kills the process. */
-const LAST_MS: Milliseconds = 800;
 const PRUNE_INTERVAL_MS: Milliseconds = 500;
 
 export interface GatewayHostParts {
@@ -151,12 +146,13 @@
     this.stopping = true;
     const {logger, settings, clock} = this.parts;
     const startedAt = clock.now();
+    const plan = planStop(settings.graceMs);
     logger.info({event: 'stop', host: settings.host}, 'stopping');
     this.relay.retire();
     this.gateway.setPhase('announced');
-    await sleep(Math.min(ANNOUNCED_MS, settings.graceMs * FINISH_SHARE));
+    await sleep(plan.servingMs);
     this.gateway.setPhase('finishing');
-    const left = settings.graceMs - LAST_MS - (clock.now() - startedAt);
+    const left = plan.lastAnswerMs - (clock.now() - startedAt);
     await Promise.race([this.gateway.close(), sleep(left)]);
     await this.lifeCycle.close();
     logger.info(
