--- a/src/decisions/measuring/index.ts
+++ b/src/decisions/measuring/index.ts
@@ -8,4 +8,3 @@
   measureSchema,
 } from './measure_rights.js';
 export {ProbeSchedule} from './probe_schedule.js';
-export {ProbeBudget} from './probe_budget.js';
--- /dev/null
+++ b/src/decisions/probing/index.ts
@@ -0,0 +1,1 @@
+export {ProbeBudget} from './probe_budget.js';
--- a/src/gateway/gateway_server.ts
+++ b/src/gateway/gateway_server.ts
@@ -23,6 +23,8 @@
 const BACKLOG = 2_048;
 /** When to come back to a host that doesn't know its configuration yet. */
 const UNKNOWN_RETRY_MS: Milliseconds = 300;
+/** How long a request waits for the configuration after a start. */
+const HOLD_MS: Milliseconds = 150;
 /** When to come back, elsewhere, if this host is about to exit. */
 const STOPPING_RETRY_MS: Milliseconds = 20;
 const SWEEP_MS: Milliseconds = 50;
@@ -128,7 +130,7 @@
   private route(request: IncomingMessage, response: ServerResponse): void {
     const {state, split} = this.context;
     if (!state.isComplete) {
-      this.refuse(response, 'not-ready', {retryAfterMs: UNKNOWN_RETRY_MS});
+      this.hold(request, response);
       return;
     }
     const {host = ''} = request.headers;
@@ -145,6 +147,31 @@
     this.start(request, response, route, split.next(route) ?? '');
   }
 
+  /**
+   * A host that has just started knows its configuration within some 100 ms.
+   * Refused meanwhile, callers would come back later than they could have been
+   * answered.
+   */
+  private hold(request: IncomingMessage, response: ServerResponse): void {
+    const {state} = this.context;
+    const stopListening = state.listen(() => {
+      if (state.isComplete && !response.destroyed) {
+        release();
+        this.route(request, response);
+      }
+    });
+    const timer = setTimeout(() => {
+      release();
+      this.refuse(response, 'not-ready', {retryAfterMs: UNKNOWN_RETRY_MS});
+    }, HOLD_MS);
+    const release = (): void => {
+      stopListening();
+      clearTimeout(timer);
+      response.off('close', release);
+    };
+    response.once('close', release);
+  }
+
   private start(
     request: IncomingMessage,
     response: ServerResponse,
--- a/src/gateway/scheduler.ts
+++ b/src/gateway/scheduler.ts
@@ -7,7 +7,7 @@
   ProbeAnswer,
 } from '../decisions/placement/index.js';
 import {MAX_ROUNDS} from '../decisions/placement/index.js';
-import type {ProbeBudget} from '../decisions/measuring/index.js';
+import type {ProbeBudget} from '../decisions/probing/index.js';
 import type {UpstreamInService} from '../decisions/registry/index.js';
 import {WaitingLine, chooseRetryAfter} from '../decisions/waiting/index.js';
 import type {FleetState} from '../fleet/index.js';
--- a/src/host/gateway_host.ts
+++ b/src/host/gateway_host.ts
@@ -1,7 +1,7 @@
 /** An entry host on the platform: its parts put together and stopped in order. */
 
 import type {Logger} from 'pino';
-import {ProbeBudget} from '../decisions/measuring/index.js';
+import {ProbeBudget} from '../decisions/probing/index.js';
 import {PlacementPolicy, WorkEstimates} from '../decisions/placement/index.js';
 import {WindowBudget} from '../decisions/retries/index.js';
 import {planStop} from '../decisions/stopping/index.js';
--- a/tests/gateway.test.ts
+++ b/tests/gateway.test.ts
@@ -49,6 +49,13 @@
   expect(Number(reply.headers['retry-after'])).toBeGreaterThan(0);
 });
 
+test('a request that meets a host as it starts is served, not refused', async () => {
+  // All hosts lose power and return. The first requests arrive before their
+  // host knows the configuration; refused, they come back too late.
+  const fresh = await system.startHost('west');
+  expect((await system.call(fresh)).status).toBe(200);
+});
+
 test('a lookup whose answer is lost goes to another upstream', async () => {
   one.fault = 'lose-answer';
   const two = await system.addUpstream('i-2');
--- a/tests/window_budget.test.ts
+++ b/tests/window_budget.test.ts
@@ -1,6 +1,6 @@
 import fc from 'fast-check';
 import {expect, test} from 'vitest';
-import {ProbeBudget} from '../src/decisions/measuring/index.js';
+import {ProbeBudget} from '../src/decisions/probing/index.js';
 import {WindowBudget} from '../src/decisions/retries/index.js';
 import {ManualClock} from '../src/time/index.js';
 
