Never refuse as not run what may have run; keep to a share of connections

Cause: a lookup whose answer was lost was repeated, found no other upstream and was refused with 503, which promises that nothing has run. Ruled out: delivering the repeat's refusal with another header (callers go by the status). Change: refusals of what may have run become 502 or 504; a host opens no more connections to an upstream for probes than its share of the limit; fields that nothing used are gone. Measured: the test answered 503 before, 502 now.

--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -41,8 +41,17 @@
   'expect',
 ]);
 const REFRAMED: ReadonlySet<string> = new Set(['content-length']);
+const NOTHING: ReadonlySet<string> = new Set();
 const BODILESS_STATUSES: ReadonlySet<number> = new Set([204, 304]);
 
+/** What is said instead of a refusal if the request may have run. */
+const UNCERTAIN_REASONS: ReadonlyMap<ProblemReason, ProblemReason> = new Map([
+  ['no-upstream', 'attempt-broken'],
+  ['queue-full', 'attempt-broken'],
+  ['upstreams-refused', 'attempt-broken'],
+  ['waited-too-long', 'attempt-timed-out'],
+]);
+
 /** One send, as the log tells of it. */
 interface Sent {
   readonly upstream: string;
@@ -152,7 +161,7 @@
     };
     return this.context
       .schedulerOf(service.name)
-      .place(wanted, service.healthPath, this.ended.signal);
+      .place(wanted, service, this.ended.signal);
   }
 
   /** An upstream's own error says more than that no other could be had. */
@@ -310,9 +319,9 @@
     if (this.done) {
       return;
     }
-    const kept = filterHeaders(headers, REFRAMED);
     const bodiless =
       this.request.method === 'HEAD' || BODILESS_STATUSES.has(status);
+    const kept = filterHeaders(headers, bodiless ? NOTHING : REFRAMED);
     if (!bodiless) {
       kept.push('content-length', String(body.length));
     }
@@ -331,7 +340,7 @@
     rest.on('aborted', cutOff);
     rest.on('error', cutOff);
     response.once('close', () => rest.destroy());
-    response.writeHead(status, filterHeaders(headers, new Set()));
+    response.writeHead(status, filterHeaders(headers, NOTHING));
     response.write(begun);
     rest.pipe(response);
     this.finish(`answered-${status}`);
@@ -354,14 +363,25 @@
     if (this.done) {
       return;
     }
-    const {outcome} = this.record;
-    const problem: Problem = {reason, outcome, retryAfterMs, fractions: true};
+    const problem = this.truthful(reason, retryAfterMs);
     if (!this.request.complete) {
       // What is left of the body must not be read as the next request.
       this.response.setHeader('connection', 'close');
     }
     sendProblem(this.response, problem);
-    this.finish(reason);
+    this.finish(problem.reason);
+  }
+
+  /** A refusal promises that nothing has run; only where that is certain. */
+  private truthful(
+    reason: ProblemReason,
+    retryAfterMs?: Milliseconds,
+  ): Problem {
+    const {outcome} = this.record;
+    if (outcome === 'not-run') {
+      return {reason, outcome, retryAfterMs, fractions: true};
+    }
+    return {reason: UNCERTAIN_REASONS.get(reason) ?? reason, outcome};
   }
 
   private callerClosed(): void {
--- a/src/gateway/scheduler.ts
+++ b/src/gateway/scheduler.ts
@@ -8,6 +8,7 @@
 } from '../decisions/placement/index.js';
 import {MAX_ROUNDS} from '../decisions/placement/index.js';
 import type {ProbeBudget} from '../decisions/probing/index.js';
+import type {ServiceProfile} from '../decisions/routes/index.js';
 import type {UpstreamInService} from '../decisions/registry/index.js';
 import {WaitingLine, chooseRetryAfter} from '../decisions/waiting/index.js';
 import type {FleetState} from '../fleet/index.js';
@@ -38,7 +39,7 @@
 /** A request in the waiting line. */
 interface Ticket {
   readonly request: PlacementRequest;
-  readonly healthPath: string;
+  readonly service: ServiceProfile;
   readonly resolve: (placing: Placing) => void;
 }
 
@@ -76,7 +77,7 @@
   /** @param signal ends the wait: the request has its answer by now */
   async place(
     request: PlacementRequest,
-    healthPath: string,
+    service: ServiceProfile,
     signal: AbortSignal,
   ): Promise<Placing> {
     const untried = this.upstreams.some(({id}) => !request.tried.has(id));
@@ -84,13 +85,13 @@
       return this.refusal('no-upstream', request);
     }
     if (this.line.length === 0) {
-      const look = await this.look(request, healthPath);
+      const look = await this.look(request, service);
       const placed = this.placed(look);
       if (placed) {
         return placed;
       }
     }
-    return this.wait(request, healthPath, signal);
+    return this.wait(request, service, signal);
   }
 
   /** An upstream has just told that it has room. */
@@ -122,7 +123,7 @@
 
   private wait(
     request: PlacementRequest,
-    healthPath: string,
+    service: ServiceProfile,
     signal: AbortSignal,
   ): Promise<Placing> {
     const {policy, clock} = this.parts;
@@ -138,7 +139,7 @@
       return Promise.resolve(this.refusal('queue-full', request));
     }
     return new Promise(resolve => {
-      this.tickets.set(id, {request, healthPath, resolve});
+      this.tickets.set(id, {request, service, resolve});
       this.line.add({id, rank: request.rank, latestStartAt, lastStartAt});
       signal.addEventListener('abort', () => this.drop(id), {once: true});
       this.timer ??= setInterval(() => this.tick(), LOOK_INTERVAL_MS);
@@ -177,7 +178,7 @@
       if (!first || !ticket) {
         return;
       }
-      const look = await this.look(ticket.request, ticket.healthPath);
+      const look = await this.look(ticket.request, ticket.service);
       const placed = this.placed(look);
       if (!placed) {
         return;
@@ -208,7 +209,7 @@
   /** Asks in rounds until one will do or all rounds are over. */
   private async look(
     request: PlacementRequest,
-    healthPath: string,
+    service: ServiceProfile,
   ): Promise<Look> {
     const {policy, desk} = this.parts;
     const asked = new Set<string>();
@@ -220,7 +221,7 @@
       );
       next.forEach(({id}) => asked.add(id));
       await gather(
-        next.map(one => desk.ask(one, healthPath)),
+        next.map(one => desk.ask(one, service)),
         answers,
       );
       const exhausted = round >= MAX_ROUNDS || next.length === 0;
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -1,11 +1,11 @@
 import type {Logger} from 'pino';
-import type {RequestLog} from './request_log.js';
-import type {FleetState} from '../fleet/index.js';
+import type {WorkEstimates} from '../decisions/placement/index.js';
 import type {WindowBudget} from '../decisions/retries/index.js';
 import type {TrafficSplit} from '../decisions/routes/index.js';
-import type {Clock, Random} from '../time/index.js';
+import type {FleetState} from '../fleet/index.js';
+import type {Clock} from '../time/index.js';
 import type {GatewayMetrics} from './gateway_metrics.js';
-import type {WorkEstimates} from '../decisions/placement/index.js';
+import type {RequestLog} from './request_log.js';
 import type {Scheduler} from './scheduler.js';
 import type {UpstreamDesk} from './upstream_desk.js';
 
@@ -25,5 +25,4 @@
   readonly logger: Logger;
   readonly log: RequestLog;
   readonly clock: Clock;
-  readonly random: Random;
 }
--- a/src/gateway/upstream_desk.ts
+++ b/src/gateway/upstream_desk.ts
@@ -7,6 +7,7 @@
   RegisteredUpstream,
   UpstreamInService,
 } from '../decisions/registry/index.js';
+import type {ServiceProfile} from '../decisions/routes/index.js';
 import type {FleetState} from '../fleet/index.js';
 import {parseAddress} from '../platform/index.js';
 import type {Clock, Milliseconds} from '../time/index.js';
@@ -21,6 +22,9 @@
 /** Sends are remembered for this time, longer than any probe under way. */
 const SENDS_MEMORY_MS: Milliseconds = 600;
 
+/** Connections that a host may open to any upstream, however many hosts. */
+const LEAST_CONNECTIONS = 4;
+
 interface Told {
   readonly answer: ProbeAnswer;
   readonly at: Milliseconds;
@@ -60,18 +64,23 @@
   /** Asks for the load; resolves with undefined if there is no answer. */
   ask(
     upstream: UpstreamInService,
-    healthPath: string,
+    service: ServiceProfile,
   ): Promise<ProbeAnswer | undefined> {
     const contact = this.contactOf(upstream);
     const fresh = this.freshAnswer(contact);
     if (fresh) {
       return Promise.resolve(fresh);
     }
-    contact.probing ??= this.probe(upstream, contact, healthPath).finally(
-      () => {
-        contact.probing = undefined;
-      },
-    );
+    if (this.isAtShare(contact, service)) {
+      return Promise.resolve(undefined);
+    }
+    contact.probing ??= this.probe(
+      upstream,
+      contact,
+      service.healthPath,
+    ).finally(() => {
+      contact.probing = undefined;
+    });
     return contact.probing;
   }
 
@@ -129,6 +138,20 @@
     this.contacts.clear();
   }
 
+  /**
+   * An upstream resets connections beyond its limit, also those that carry
+   * requests. Each host keeps to its part of the limit; while no connection
+   * is idle, it asks others instead of opening one more.
+   */
+  private isAtShare({pool}: Contact, service: ServiceProfile): boolean {
+    const hosts = Math.max(1, this.parts.state.hostCount);
+    const share = Math.max(
+      LEAST_CONNECTIONS,
+      Math.floor(service.maxConnections / hosts),
+    );
+    return pool.wouldOpen && pool.openCount >= share;
+  }
+
   private freshAnswer(contact: Contact | undefined): ProbeAnswer | undefined {
     const told = contact?.told;
     const isFresh = told && this.parts.clock.now() - told.at <= REUSE_MS;
--- a/src/host/gateway_host.ts
+++ b/src/host/gateway_host.ts
@@ -214,7 +214,6 @@
       logger,
       log: new RequestLog(logger, clock, metrics),
       clock,
-      random,
     });
   }
 
--- a/src/platform/settings_file.ts
+++ b/src/platform/settings_file.ts
@@ -20,7 +20,6 @@
   readonly host: string;
   readonly ip: string;
   readonly dataCentre: string;
-  readonly dataCentres: readonly string[];
   /** Where callers connect. */
   readonly callers: SocketAddress;
   /** Where the platform asks for readiness. */
@@ -47,7 +46,6 @@
 const DEFAULT_PROBES_PER_SECOND = 40;
 /** The deploy file names it too; it lies outside the ports of a day. */
 const METRICS_PORT = 9_464;
-const ZONE_FIELD = 'network.zones.';
 
 type Fields = ReadonlyMap<string, string>;
 
@@ -104,9 +102,6 @@
     host: required(fields, 'self.node'),
     ip,
     dataCentre: required(fields, 'self.zone'),
-    dataCentres: [...fields.keys()]
-      .filter(name => name.startsWith(ZONE_FIELD))
-      .map(name => name.slice(ZONE_FIELD.length)),
     callers: address(fields, 'network.listen.front'),
     readiness: address(fields, 'network.listen.ready'),
     peers: {ip, port: firstPort},
--- a/src/upstreams/connection.ts
+++ b/src/upstreams/connection.ts
@@ -61,7 +61,6 @@
   private readonly agent: SingleSocketAgent;
   private idleTimer: NodeJS.Timeout | undefined;
   private closed = false;
-  private used = false;
 
   /** @param onClosed called once, when the connection can't be used again */
   constructor(
@@ -76,15 +75,9 @@
     return this.closed;
   }
 
-  /** Whether an exchange has begun on it before. */
-  get wasUsed(): boolean {
-    return this.used;
-  }
-
   /** Begins an exchange; the caller writes the body and ends it. */
   begin(head: OutgoingHead): ClientRequest {
     clearTimeout(this.idleTimer);
-    this.used = true;
     const outgoing = request({
       agent: this.agent,
       host: this.host,
--- a/src/upstreams/pool.ts
+++ b/src/upstreams/pool.ts
@@ -16,6 +16,11 @@
     return this.open.size;
   }
 
+  /** Whether the next exchange would open one more connection. */
+  get wouldOpen(): boolean {
+    return this.idle.length === 0;
+  }
+
   /** An idle connection, or one that will be opened by its first exchange. */
   acquire(): UpstreamConnection {
     const known = this.idle.pop();
--- a/tests/gateway.test.ts
+++ b/tests/gateway.test.ts
@@ -76,6 +76,15 @@
   expect(one.runs.length + two.runs.length).toBe(1);
 });
 
+test('a lookup that may have run is never refused as not run', async () => {
+  // The upstream runs the lookup and its answer is lost; no other upstream is
+  // left for a repeat. 503 would promise the caller that nothing has run.
+  one.fault = 'lose-answer';
+  const reply = await system.call(host);
+  expect(one.runs).toHaveLength(1);
+  expect(reply.status).toBe(502);
+});
+
 test('an order that was shed is sent again', async () => {
   one.fault = 'shed';
   const two = await system.addUpstream('i-2');
--- a/tests/platform.test.ts
+++ b/tests/platform.test.ts
@@ -28,7 +28,6 @@
   expect(settings.callers).toEqual({ip: '10.1.0.35', port: 8144});
   expect(settings.peers.port).toBe(7660);
   expect(settings.graceMs).toBe(6_000);
-  expect(settings.dataCentres).toEqual(['east', 'west']);
 });
 
 test.each([
--- a/tests/support/gateway.ts
+++ b/tests/support/gateway.ts
@@ -119,7 +119,6 @@
       host: `entry-${this.hosts.length}`,
       ip: '127.0.0.1',
       dataCentre,
-      dataCentres: ['east', 'west'],
       callers: ANY,
       readiness: ANY,
       peers: ANY,
