A large answer that is cut never looks whole; split the exchange

Cause: answers beyond 1 MB are streamed; one without a length whose connection is reset with its last bytes ended in order towards the caller. Ruled out: a cut that is seen as such (a test of it passed before). Change: the check of an answer's end serves held and streamed answers alike (answer_end.ts); what writes answers to callers stands in reply.ts. Measured: the test got 200 without the guard, an error with it.

--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -22,6 +22,7 @@
   WholeAnswer,
 } from '../upstreams/index.js';
 import {sendAttempt} from '../upstreams/index.js';
+import {streamLong, writeWhole} from './reply.js';
 import type {Placing} from './scheduler.js';
 import type {GatewayContext} from './types.js';
 
@@ -40,9 +41,6 @@
   'content-length',
   'expect',
 ]);
-const REFRAMED: ReadonlySet<string> = new Set(['content-length']);
-const NOTHING: ReadonlySet<string> = new Set();
-const BODILESS_STATUSES: ReadonlySet<number> = new Set([204, 304]);
 
 /** What is said instead of a refusal if the request may have run. */
 const UNCERTAIN_REASONS: ReadonlyMap<ProblemReason, ProblemReason> = new Map([
@@ -315,35 +313,16 @@
     return {id: this.id, method, target, headers, body};
   }
 
-  private deliver({status, headers, body}: WholeAnswer): void {
-    if (this.done) {
-      return;
+  private deliver(answer: WholeAnswer): void {
+    if (!this.done) {
+      writeWhole(this.response, answer);
+      this.finish(`answered-${answer.status}`);
     }
-    const bodiless =
-      this.request.method === 'HEAD' || BODILESS_STATUSES.has(status);
-    const kept = filterHeaders(headers, bodiless ? NOTHING : REFRAMED);
-    if (!bodiless) {
-      kept.push('content-length', String(body.length));
-    }
-    this.response.writeHead(status, kept);
-    this.response.end(bodiless ? undefined : body);
-    this.finish(`answered-${status}`);
   }
 
-  /** Streams an answer too large to hold. */
-  private passOn({status, headers, begun, rest}: LongAnswer): void {
-    const {response} = this;
-    // A cut answer must not look whole: the caller's connection ends with it.
-    const cutOff = (): void => {
-      response.destroy();
-    };
-    rest.on('aborted', cutOff);
-    rest.on('error', cutOff);
-    response.once('close', () => rest.destroy());
-    response.writeHead(status, filterHeaders(headers, NOTHING));
-    response.write(begun);
-    rest.pipe(response);
-    this.finish(`answered-${status}`);
+  private passOn(answer: LongAnswer): void {
+    streamLong(this.response, answer);
+    this.finish(`answered-${answer.status}`);
   }
 
   /** The time is over: says so at once, and what is certain. */
--- /dev/null
+++ b/src/gateway/reply.ts
@@ -0,0 +1,45 @@
+/** Writes upstreams' answers to callers, unchanged but for their framing. */
+
+import type {ServerResponse} from 'node:http';
+import {filterHeaders} from '../http/index.js';
+import type {LongAnswer, WholeAnswer} from '../upstreams/index.js';
+
+const REFRAMED: ReadonlySet<string> = new Set(['content-length']);
+const NOTHING: ReadonlySet<string> = new Set();
+const BODILESS_STATUSES: ReadonlySet<number> = new Set([204, 304]);
+
+/** Delivers an answer that has arrived whole, with its length. */
+export function writeWhole(
+  response: ServerResponse,
+  {status, headers, body}: WholeAnswer,
+): void {
+  if (response.req.method === 'HEAD' || BODILESS_STATUSES.has(status)) {
+    response.writeHead(status, filterHeaders(headers, NOTHING));
+    response.end();
+    return;
+  }
+  const kept = filterHeaders(headers, REFRAMED);
+  kept.push('content-length', String(body.length));
+  response.writeHead(status, kept);
+  response.end(body);
+}
+
+/**
+ * Streams an answer too large to hold. One that is cut off must not look
+ * whole: the caller's connection ends with it.
+ */
+export function streamLong(
+  response: ServerResponse,
+  {status, headers, begun, rest, end}: LongAnswer,
+): void {
+  const cutOff = (): void => {
+    response.destroy();
+  };
+  rest.on('aborted', cutOff);
+  rest.on('error', cutOff);
+  response.once('close', () => rest.destroy());
+  response.writeHead(status, filterHeaders(headers, NOTHING));
+  response.write(begun);
+  rest.pipe(response, {end: false});
+  rest.on('end', () => end.confirm(() => response.end(), cutOff));
+}
--- a/src/standins/reporting_upstream.ts
+++ b/src/standins/reporting_upstream.ts
@@ -45,6 +45,8 @@
   readonly percent: number;
 }
 
+const LAST_BYTES_DELAY_MS: Milliseconds = 20;
+
 const DEFAULT_LOAD: ReportedLoad = {
   running: 0,
   waiting: 0,
@@ -56,6 +58,8 @@
   fault: ReportingFault = 'none';
   healthy = true;
   workMs: Milliseconds = 0;
+  /** Bytes that follow the usual body. */
+  extraBytes = 0;
   load: ReportedLoad = DEFAULT_LOAD;
   readonly runs: UpstreamRun[] = [];
   /** Connections that closed while a request was at work. */
@@ -138,7 +142,8 @@
 
   private finish(socket: Socket, run: UpstreamRun): void {
     const stamp = ['Cyclamenlever-Server-Stamp: signed'];
-    const body = `${run.method} ${run.target} ${run.body}`;
+    const extra = 'x'.repeat(this.extraBytes);
+    const body = `${run.method} ${run.target} ${run.body}${extra}`;
     const whole = this.answer(run, 200, body, stamp);
     switch (this.fault) {
       case 'error':
@@ -151,9 +156,7 @@
         socket.write(whole.slice(0, -2), () => socket.destroy());
         return;
       case 'cut-unframed':
-        socket.write(unframed(whole).slice(0, -2), () =>
-          socket.resetAndDestroy(),
-        );
+        this.cutUnframed(socket, unframed(whole).slice(0, -2));
         return;
       case 'unframed':
         socket.end(unframed(whole));
@@ -177,6 +180,15 @@
     }
   }
 
+  /** The reset comes right after the last bytes, once all others are read. */
+  private cutUnframed(socket: Socket, half: string): void {
+    const lastBytes = half.slice(-20);
+    socket.write(half.slice(0, -20));
+    setTimeout(() => {
+      socket.write(lastBytes, () => socket.resetAndDestroy());
+    }, LAST_BYTES_DELAY_MS);
+  }
+
   private answer(
     run: UpstreamRun,
     status: number,
--- a/src/upstreams/attempt.ts
+++ b/src/upstreams/attempt.ts
@@ -4,6 +4,7 @@
 import type {RequestBody} from '../http/index.js';
 import {HEADERS, WRONG_UPSTREAM_STATUS, readLoad} from '../platform/index.js';
 import type {Milliseconds} from '../time/index.js';
+import {AnswerEnd, isFramed} from './answer_end.js';
 import type {UpstreamConnection} from './connection.js';
 import type {AttemptResult, ForwardedRequest, SentAttempt} from './types.js';
 
@@ -12,14 +13,12 @@
  * cut off can be fetched from elsewhere without the caller noticing.
  */
 const MAX_HELD_BYTES = 1024 * 1024;
-const EMPTY_LINE = '\r\n';
 const BODILESS_METHODS: ReadonlySet<string> = new Set([
   'GET',
   'HEAD',
   'DELETE',
   'OPTIONS',
 ]);
-const BODILESS_STATUSES: ReadonlySet<number> = new Set([204, 304]);
 const SUCCESS_FROM = 200;
 const SUCCESS_BELOW = 300;
 
@@ -112,19 +111,16 @@
   }
 
   private collect(answer: IncomingMessage): void {
+    const closing = new AnswerEnd(answer, this.request.method);
     const chunks: Buffer[] = [];
     let held = 0;
     answer.on('data', (chunk: Buffer) => {
       chunks.push(chunk);
       held += chunk.length;
       if (held > MAX_HELD_BYTES && !this.settled) {
-        this.passOn(answer, Buffer.concat(chunks));
+        this.passOn(answer, Buffer.concat(chunks), closing);
       }
     });
-    if (!isFramed(answer)) {
-      const {socket} = answer;
-      socket.prependListener('end', () => socket.write(EMPTY_LINE));
-    }
     answer.on('error', error => this.fail(error.message));
     answer.on('aborted', () => this.fail('the answer was cut off'));
     answer.on('end', () => {
@@ -133,39 +129,16 @@
         this.fail('the answer was cut off');
         return;
       }
-      this.takeWhole(answer, Buffer.concat(chunks));
+      const body = Buffer.concat(chunks);
+      closing.confirm(
+        () => this.take(answer, body),
+        () => this.fail('the connection was reset before the end'),
+      );
     });
   }
 
-  /**
-   * An answer without a length ends with its connection, and is whole only if
-   * that closed in order. A reset that arrives together with the last bytes is
-   * reported as an orderly end by libuv, and half an answer would pass for a
-   * whole one. Writing tells them apart: it fails at once on a connection that
-   * was reset. An empty line between messages means nothing in HTTP/1.1.
-   */
-  private takeWhole(answer: IncomingMessage, body: Buffer): void {
-    if (isFramed(answer) || this.request.method === 'HEAD') {
-      this.take(answer, body);
-      return;
-    }
-    const {socket} = answer;
-    const judge = (): void => {
-      if (socket.errored) {
-        this.fail('the connection was reset before the answer was whole');
-      } else {
-        this.take(answer, body);
-      }
-    };
-    if (socket.closed) {
-      judge();
-    } else {
-      socket.once('close', judge);
-    }
-  }
-
   /** Hands a large answer over while it still arrives. */
-  private passOn(answer: IncomingMessage, begun: Buffer): void {
+  private passOn(answer: IncomingMessage, begun: Buffer, end: AnswerEnd): void {
     answer.pause();
     answer.removeAllListeners('data');
     const judged = this.judge(answer, begun);
@@ -176,7 +149,7 @@
     this.settled = true;
     const {status, headers} = judged;
     answer.once('close', () => this.onSettled(false));
-    this.resolve({kind: 'long', status, headers, begun, rest: answer});
+    this.resolve({kind: 'long', status, headers, begun, rest: answer, end});
   }
 
   private take(answer: IncomingMessage, body: Buffer): void {
@@ -251,12 +224,3 @@
       body satisfies never;
   }
 }
-
-/** Whether an answer says itself where it ends. */
-function isFramed({headers, statusCode}: IncomingMessage): boolean {
-  return (
-    BODILESS_STATUSES.has(statusCode ?? 0) ||
-    headers['content-length'] !== undefined ||
-    headers['transfer-encoding'] !== undefined
-  );
-}
--- a/src/upstreams/types.ts
+++ b/src/upstreams/types.ts
@@ -1,5 +1,6 @@
 import type {LoadReport} from '../decisions/placement/index.js';
 import type {IncomingMessage} from 'node:http';
+import type {AnswerEnd} from './answer_end.js';
 import type {RequestBody} from '../http/index.js';
 import type {RawHeaders} from '../transport/index.js';
 
@@ -31,6 +32,8 @@
   readonly begun: Buffer;
   /** Paused; emits 'aborted' or 'error' when it is cut off. */
   readonly rest: IncomingMessage;
+  /** Tells at the end whether it was whole. */
+  readonly end: AnswerEnd;
 }
 
 export type NotRunReason =
--- a/tests/gateway.test.ts
+++ b/tests/gateway.test.ts
@@ -130,6 +130,32 @@
   expect(reply.body).toBe('POST /order/7 a bundle');
 });
 
+test.each(['none', 'unframed'] as const)(
+  'an answer too large to hold arrives whole (%s)',
+  async fault => {
+    one.extraBytes = 3_000_000;
+    one.fault = fault;
+    const reply = await system.call(host, ORDER);
+    expect(reply.body).toHaveLength(
+      3_000_000 + 'POST /order/7 a bundle'.length,
+    );
+  },
+);
+
+test.each(['cut', 'cut-unframed'] as const)(
+  'an answer too large to hold that is %s does not look whole',
+  async fault => {
+    // The answer is on its way to the caller when its upstream breaks off. An
+    // orderly end towards the caller would make half of it pass for all.
+    one.extraBytes = 3_000_000;
+    one.fault = fault;
+    for (let i = 0; i < 20; i += 1) {
+      const reply = await system.call(host, ORDER).catch(() => undefined);
+      expect(reply?.status).not.toBe(200);
+    }
+  },
+);
+
 test('a second answer never reaches the next caller', async () => {
   one.fault = 'answer-twice';
   for (let i = 0; i < 10; i += 1) {
