--- a/src/platform/index.ts
+++ b/src/platform/index.ts
@@ -20,4 +20,5 @@
   parseSettings,
   readSettingsFile,
 } from './settings_file.js';
+export {encodeKeyedRecord} from './keyed_records.js';
 export {StoreClient} from './store_client.js';
--- a/src/standins/store_server.ts
+++ b/src/standins/store_server.ts
@@ -2,6 +2,7 @@
 
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import {createServer} from 'node:http';
+import {encodeKeyedRecord} from '../platform/index.js';
 import {closeNow, listen} from '../servers/index.js';
 import type {Milliseconds} from '../time/index.js';
 
@@ -163,7 +164,10 @@
     const head = Buffer.alloc(2 * OFFSET_BYTES);
     head.writeBigUInt64BE(BigInt(topic.records.length), 0);
     head.writeBigUInt64BE(BigInt(topic.first), OFFSET_BYTES);
-    return Buffer.concat([head, ...topic.records.slice(from).map(encode)]);
+    const records = topic.records
+      .slice(from)
+      .map(({key, value = ''}) => encodeKeyedRecord(key, value));
+    return Buffer.concat([head, ...records]);
   }
 }
 
@@ -179,18 +183,6 @@
   });
 }
 
-function encode({key, value = ''}: StoredRecord): Buffer {
-  const keyBytes = Buffer.from(key);
-  const content = Buffer.concat([
-    Buffer.from([keyBytes.length]),
-    keyBytes,
-    Buffer.from(value),
-  ]);
-  const length = Buffer.alloc(LENGTH_BYTES);
-  length.writeUInt32BE(content.length);
-  return Buffer.concat([length, content]);
-}
-
 async function readAll(request: IncomingMessage): Promise<Buffer> {
   const chunks: Buffer[] = [];
   for await (const chunk of request) {
