--- a/tests/gateway.test.ts
+++ b/tests/gateway.test.ts
@@ -1,7 +1,12 @@
 import {connect} from 'node:net';
 import {afterEach, beforeEach, expect, test} from 'vitest';
 import type {ReportingUpstream} from '../src/standins/index.js';
-import {GatewaySystem, type RunningHost, until} from './support/gateway.js';
+import {
+  GatewaySystem,
+  type RunningHost,
+  get,
+  until,
+} from './support/gateway.js';
 
 let system: GatewaySystem;
 let host: RunningHost;
@@ -229,6 +234,8 @@
   const reply = system.call(host, ORDER);
   await until(() => one.runs.length === 1);
   const stopped = host.host.stop();
+  const readiness = await get(host.ports.readiness, '/api/readiness');
+  expect(readiness.status).toBe(503);
   expect((await reply).status).toBe(200);
   expect((await reply).headers.connection).toBe('close');
   await stopped;
@@ -269,3 +276,19 @@
     return one.runs.length === before;
   });
 });
+
+test('metrics tell requests by class and outcome', async () => {
+  await system.call(host);
+  const {body} = await get(host.ports.metrics, '/metrics');
+  expect(body).toContain(
+    'cyclamenlever_requests_total{class="rank-1",outcome="answered-200"} 1',
+  );
+  expect(body).toContain('cyclamenlever_request_seconds_bucket');
+  expect(body).toContain('cyclamenlever_host{figure="ready"} 1');
+});
+
+test('a target too long or of another form is refused, not passed on', async () => {
+  const path = `/lookup/${'x'.repeat(9_000)}`;
+  expect((await system.call(host, {path})).status).toBe(414);
+  expect(one.runs).toHaveLength(0);
+});
