--- /dev/null
+++ b/src/standins/platform_records.ts
@@ -0,0 +1,54 @@
+/** Writes records as the platform's operator and upstreams do. */
+
+/** A route in the operator's own form; other fields have usual values. */
+export interface RouteSpec {
+  readonly path_prefix: string;
+  readonly kind: 'idempotent' | 'non_idempotent';
+  readonly [field: string]: unknown;
+}
+
+const USUAL_ROUTE = {
+  hostname: 'shop.example',
+  timeout: '1500ms',
+  target_latency: '600ms',
+  priority: 1,
+  max_attempts: 2,
+};
+
+/** A configuration record with the given routes and services. */
+export function configurationRecord(
+  version: number,
+  routes: readonly RouteSpec[],
+  services: readonly string[],
+): string {
+  const [firstService] = services;
+  const resources = [
+    ...routes.map((route, index) => ({
+      resource_kind: 'routes',
+      metadata: {name: `r${index}`},
+      spec: {
+        ...USUAL_ROUTE,
+        ...(route['traffic_split'] ? {} : {service: firstService}),
+        ...route,
+      },
+    })),
+    ...services.map(name => ({
+      resource_kind: 'services',
+      metadata: {name},
+      spec: {health_path: '/health', max_conns: 100},
+    })),
+  ];
+  return JSON.stringify({version: `r${version}`, resources});
+}
+
+/** An upstream's own record. */
+export function upstreamRecord(
+  address: string,
+  service: string,
+  dataCentre: string,
+  state: 'ready' | 'draining',
+): string {
+  const info = {service, zone: dataCentre, version: 'v1', slots: 6};
+  const status = {state, seq: 1, warmup_left: '0ms'};
+  return JSON.stringify({address, info, status});
+}
--- a/tests/support/gateway.ts
+++ b/tests/support/gateway.ts
@@ -12,7 +12,13 @@
   StoreClient,
   UPSTREAM_TOPIC,
 } from '../../src/platform/index.js';
-import {ReportingUpstream, StoreServer} from '../../src/standins/index.js';
+import type {RouteSpec} from '../../src/standins/index.js';
+import {
+  ReportingUpstream,
+  StoreServer,
+  configurationRecord,
+  upstreamRecord,
+} from '../../src/standins/index.js';
 import {seededRandom, systemClock} from '../../src/time/index.js';
 
 const ANY = {ip: '127.0.0.1', port: 0};
@@ -38,12 +44,6 @@
   readonly timeLeftMs?: number;
 }
 
-export interface RouteSpec {
-  readonly path_prefix: string;
-  readonly kind: 'idempotent' | 'non_idempotent';
-  readonly [field: string]: unknown;
-}
-
 export class GatewaySystem {
   readonly storeServer = new StoreServer();
   readonly hosts: RunningHost[] = [];
@@ -60,30 +60,10 @@
     version: number,
     routes: readonly RouteSpec[] = DEFAULT_ROUTES,
   ): void {
-    const resources = [
-      ...routes.map((route, index) => ({
-        resource_kind: 'routes',
-        metadata: {name: `r${index}`},
-        spec: {
-          hostname: 'shop.example',
-          timeout: '1500ms',
-          target_latency: '600ms',
-          priority: 1,
-          max_attempts: 2,
-          ...(route['traffic_split'] ? {} : {service: 'listings'}),
-          ...route,
-        },
-      })),
-      ...['listings', 'swaps'].map(name => ({
-        resource_kind: 'services',
-        metadata: {name},
-        spec: {health_path: '/health', max_conns: 100},
-      })),
-    ];
     this.storeServer.put(
       OPERATOR_TOPIC,
       'config',
-      JSON.stringify({version: `r${version}`, resources}),
+      configurationRecord(version, routes, ['listings', 'swaps']),
     );
   }
 
@@ -104,12 +84,10 @@
     state: 'ready' | 'draining',
     service = 'listings',
   ): void {
-    const info = {service, zone: 'east', version: 'v1', slots: 6};
-    const status = {state, seq: 1, warmup_left: '0ms'};
     this.storeServer.put(
       UPSTREAM_TOPIC,
       id,
-      JSON.stringify({address, info, status}),
+      upstreamRecord(address, service, 'east', state),
     );
   }
 
