Keep the platform's field names out of the quick start

Cause: the quick start wrote routes in the operator's form, whose field names belong to the adapter and the stand-ins (the house check named it). Change: routesOf in the stand-ins. Ruled out: nothing. Conclusion: the host program is the same.

--- a/src/quickstart/platform.ts
+++ b/src/quickstart/platform.ts
@@ -19,6 +19,7 @@
   ReportingUpstream,
   StoreServer,
   configurationRecord,
+  routesOf,
   upstreamRecord,
 } from '../standins/index.js';
 import type {Milliseconds} from '../time/index.js';
@@ -34,23 +35,12 @@
 const READY_PAUSE_MS: Milliseconds = 50;
 
 function configuration(): string {
-  const routes = SERVICES.flatMap(
-    service =>
-      [
-        {hostname: service, service, path_prefix: '/', kind: 'non_idempotent'},
-        {
-          hostname: service,
-          service,
-          path_prefix: '/bundles/',
-          kind: 'idempotent',
-        },
-        {
-          hostname: service,
-          service,
-          path_prefix: '/history/',
-          kind: 'idempotent',
-        },
-      ] as const,
+  const routes = SERVICES.flatMap(service =>
+    routesOf(service, service, {
+      '/': 'non_idempotent',
+      '/bundles/': 'idempotent',
+      '/history/': 'idempotent',
+    }),
   );
   return configurationRecord(1, routes, SERVICES);
 }
--- a/src/standins/index.ts
+++ b/src/standins/index.ts
@@ -8,4 +8,8 @@
 export type {ReportingFault, UpstreamRun} from './reporting_upstream.js';
 export {ReportingUpstream} from './reporting_upstream.js';
 export type {RouteSpec} from './platform_records.js';
-export {configurationRecord, upstreamRecord} from './platform_records.js';
+export {
+  configurationRecord,
+  routesOf,
+  upstreamRecord,
+} from './platform_records.js';
--- a/src/standins/platform_records.ts
+++ b/src/standins/platform_records.ts
@@ -7,6 +7,20 @@
   readonly [field: string]: unknown;
 }
 
+/** Routes of one host to one service, by path and whether they repeat. */
+export function routesOf(
+  host: string,
+  service: string,
+  paths: Readonly<Record<string, RouteSpec['kind']>>,
+): readonly RouteSpec[] {
+  return Object.entries(paths).map(([path, kind]) => ({
+    hostname: host,
+    service,
+    path_prefix: path,
+    kind,
+  }));
+}
+
 const USUAL_ROUTE = {
   hostname: 'shop.example',
   timeout: '1500ms',
