One sleep, one list of bodiless statuses, one test of kept connections

Cause: reading the change once more: sleep stood four times, the statuses without a body three times (one in the stand-alone transport), the test of Connection: close twice; a getter and a failure weight were used by nothing. Change: src/time/sleep.ts, BODILESS_STATUSES in src/http, keepsConnection beside the end of answers; the dead code is gone. Ruled out: merging the readiness, metrics and admin servers (their ports and paths differ by who asks). Conclusion: behaviour as before.

--- a/src/daemon/entry_host.ts
+++ b/src/daemon/entry_host.ts
@@ -15,6 +15,7 @@
 import {ServiceDirectory} from '../service/index.js';
 import type {Settings} from '../settings/index.js';
 import type {Clock, Milliseconds, Random} from '../time/index.js';
+import {sleep} from '../time/index.js';
 import type {Transport} from '../transport/index.js';
 import {HttpTransport} from '../transport/index.js';
 import {AdminServer} from './admin_server.js';
@@ -376,7 +377,3 @@
 function withPort(address: string, port: number): string {
   return `${address.slice(0, address.lastIndexOf(':'))}:${port}`;
 }
-
-function sleep(ms: Milliseconds): Promise<void> {
-  return new Promise(resolve => setTimeout(resolve, ms).unref());
-}
--- a/src/decisions/placement/outcome_book.ts
+++ b/src/decisions/placement/outcome_book.ts
@@ -18,12 +18,11 @@
 /** Factor on the estimate for each failure remembered. */
 const FACTOR_PER_FAILURE = 3;
 
-/** How bad a failure is: a stall costs a caller all its time. */
-export const FAILURE_WEIGHTS = {
+/** How bad a failure is. */
+const FAILURE_WEIGHTS = {
   shed: 0.3,
   error: 1,
   broken: 1,
-  stalled: 2,
   unreachable: 3,
 } as const;
 
--- a/src/fleet/fleet_member.ts
+++ b/src/fleet/fleet_member.ts
@@ -5,6 +5,7 @@
 import {SourceChoice} from '../decisions/relay/index.js';
 import type {Store} from '../platform/index.js';
 import type {Clock, Milliseconds, Random} from '../time/index.js';
+import {sleep} from '../time/index.js';
 import type {FleetState} from './fleet_state.js';
 import {listHosts, registerHost} from './host_list.js';
 import {RelayClient} from './relay_client.js';
@@ -219,7 +220,3 @@
     this.follow();
   }
 }
-
-function sleep(ms: Milliseconds): Promise<void> {
-  return new Promise(resolve => setTimeout(resolve, ms).unref());
-}
--- a/src/fleet/relay_server.ts
+++ b/src/fleet/relay_server.ts
@@ -28,10 +28,6 @@
     this.timer.unref();
   }
 
-  get followerCount(): number {
-    return this.followers.size;
-  }
-
   listen(address: SocketAddress): Promise<number> {
     return listen(this.server, address.ip, address.port);
   }
--- a/src/fleet/store_reader.ts
+++ b/src/fleet/store_reader.ts
@@ -17,6 +17,7 @@
   decodeUpstream,
 } from '../platform/index.js';
 import type {Milliseconds, Random} from '../time/index.js';
+import {sleep} from '../time/index.js';
 import type {FleetState} from './fleet_state.js';
 
 /**
@@ -222,15 +223,3 @@
     );
   }
 }
-
-/** Ends early when the signal is given. */
-function sleep(ms: Milliseconds, signal?: AbortSignal): Promise<void> {
-  return new Promise(resolve => {
-    const timer = setTimeout(resolve, ms);
-    timer.unref();
-    signal?.addEventListener('abort', () => {
-      clearTimeout(timer);
-      resolve();
-    });
-  });
-}
--- a/src/gateway/reply.ts
+++ b/src/gateway/reply.ts
@@ -1,12 +1,11 @@
 /** Writes upstreams' answers to callers, unchanged but for their framing. */
 
 import type {ServerResponse} from 'node:http';
-import {filterHeaders} from '../http/index.js';
+import {BODILESS_STATUSES, filterHeaders} from '../http/index.js';
 import type {LongAnswer, WholeAnswer} from '../upstreams/index.js';
 
 const REFRAMED: ReadonlySet<string> = new Set(['content-length']);
 const NOTHING: ReadonlySet<string> = new Set();
-const BODILESS_STATUSES: ReadonlySet<number> = new Set([204, 304]);
 
 /** Delivers an answer that has arrived whole, with its length. */
 export function writeWhole(
--- a/src/host/gateway_host.ts
+++ b/src/host/gateway_host.ts
@@ -19,6 +19,7 @@
 import {LifeCycle} from '../lifecycle/index.js';
 import type {HostSettings, Store} from '../platform/index.js';
 import type {Clock, Milliseconds, Random} from '../time/index.js';
+import {sleep} from '../time/index.js';
 
 /** Share of the fleet's repeats that hosts spend, with room for edges. */
 const RETRY_SHARE = 0.85;
@@ -261,7 +262,3 @@
     this.lifeCycle.own('prune timer', timer, one => clearInterval(one));
   }
 }
-
-function sleep(ms: Milliseconds): Promise<void> {
-  return new Promise(resolve => setTimeout(resolve, Math.max(0, ms)));
-}
--- a/src/http/constants.ts
+++ b/src/http/constants.ts
@@ -28,3 +28,5 @@
 export const REQUEST_TIMEOUT_MS: Milliseconds = 60_000;
 /** Above the balancer's usual 60 s, so that it closes idle connections. */
 export const KEEP_ALIVE_MS: Milliseconds = 65_000;
+/** Statuses whose answers never have a body. */
+export const BODILESS_STATUSES: ReadonlySet<number> = new Set([204, 304]);
--- /dev/null
+++ b/src/time/sleep.ts
@@ -0,0 +1,17 @@
+import type {Milliseconds} from './clock.js';
+
+/**
+ * Waits without keeping the process alive for it.
+ *
+ * @param signal ends the wait early
+ */
+export function sleep(ms: Milliseconds, signal?: AbortSignal): Promise<void> {
+  return new Promise(resolve => {
+    const timer = setTimeout(resolve, Math.max(0, ms));
+    timer.unref();
+    signal?.addEventListener('abort', () => {
+      clearTimeout(timer);
+      resolve();
+    });
+  });
+}
--- a/src/transport/http_transport.ts
+++ b/src/transport/http_transport.ts
@@ -3,6 +3,7 @@
 import type {Dispatcher} from 'undici';
 import {Pool} from 'undici';
 import type {Milliseconds} from '../time/index.js';
+import {BODILESS_STATUSES} from '../http/index.js';
 import {SecondStartError, UnframedAnswerError} from './errors.js';
 import type {
   AnswerHead,
@@ -18,7 +19,6 @@
 const CONNECT_TIMEOUT_MS: Milliseconds = 1_000;
 /** Shorter than the usual 5 s of servers, so that we close idle ones first. */
 const KEEP_ALIVE_MS: Milliseconds = 4_000;
-const BODILESS_STATUSES: ReadonlySet<number> = new Set([204, 304]);
 
 export class HttpTransport implements Transport {
   private readonly pools = new Map<string, Pool>();
--- a/src/upstreams/answer_end.ts
+++ b/src/upstreams/answer_end.ts
@@ -9,9 +9,9 @@
  */
 
 import type {IncomingMessage} from 'node:http';
+import {BODILESS_STATUSES} from '../http/index.js';
 
 const EMPTY_LINE = '\r\n';
-const BODILESS_STATUSES: ReadonlySet<number> = new Set([204, 304]);
 
 /** Whether an answer says itself where it ends. */
 export function isFramed({headers, statusCode}: IncomingMessage): boolean {
@@ -22,6 +22,11 @@
   );
 }
 
+/** Whether the upstream leaves the connection open for a next request. */
+export function keepsConnection({headers}: IncomingMessage): boolean {
+  return headers.connection?.toLowerCase() !== 'close';
+}
+
 export class AnswerEnd {
   private readonly framed: boolean;
 
--- a/src/upstreams/attempt.ts
+++ b/src/upstreams/attempt.ts
@@ -4,7 +4,7 @@
 import type {RequestBody} from '../http/index.js';
 import {HEADERS, WRONG_UPSTREAM_STATUS, readLoad} from '../platform/index.js';
 import type {Milliseconds} from '../time/index.js';
-import {AnswerEnd, isFramed} from './answer_end.js';
+import {AnswerEnd, isFramed, keepsConnection} from './answer_end.js';
 import type {UpstreamConnection} from './connection.js';
 import type {AttemptResult, ForwardedRequest, SentAttempt} from './types.js';
 
@@ -155,8 +155,7 @@
   private take(answer: IncomingMessage, body: Buffer): void {
     const result = this.judge(answer, body);
     const wanted = result.kind !== 'broken';
-    const kept =
-      isFramed(answer) && answer.headers.connection?.toLowerCase() !== 'close';
+    const kept = isFramed(answer) && keepsConnection(answer);
     this.settle(
       result,
       wanted && kept && this.outgoing?.writableFinished === true,
--- a/src/upstreams/probe.ts
+++ b/src/upstreams/probe.ts
@@ -4,6 +4,7 @@
 import type {ProbeAnswer} from '../decisions/placement/index.js';
 import {HEADERS, readLoad} from '../platform/index.js';
 import type {Milliseconds} from '../time/index.js';
+import {keepsConnection} from './answer_end.js';
 import type {UpstreamConnection} from './connection.js';
 
 const HEALTHY_STATUS = 200;
@@ -56,7 +57,7 @@
       answer.resume();
       answer.on('error', error => fail(error.message));
       answer.on('end', () => {
-        const kept = answer.headers.connection?.toLowerCase() !== 'close';
+        const kept = keepsConnection(answer);
         const result = judge(answer, id);
         settle(result, kept && answer.complete && result.kind === 'told');
       });
