Enforce the operator's time for headers and limit on chunked bodies

Cause: the limits of the configuration bound headers by size and bodies by their announced length only; a body in chunks could grow without bound, and headers could take 120 s to arrive. Ruled out: a timer of our own a connection; Node keeps one list of what is due. Change: the header time follows the configuration, with 2 s above it for a host that was frozen, looked at once a second; bodies are counted as they arrive. A connection that never sent a byte is closed without an answer. Before: the new tests fail (a chunked body of 16 bytes ran at limit 10; no answer to endless headers within 120 s).

--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -11,7 +11,13 @@
 import type {UpstreamInService} from '../decisions/registry/index.js';
 import type {Route, ServiceProfile} from '../decisions/routes/index.js';
 import type {Problem, ProblemReason, RequestBody} from '../http/index.js';
-import {filterHeaders, hasBody, readBody, sendProblem} from '../http/index.js';
+import {
+  BodyTooLargeError,
+  filterHeaders,
+  hasBody,
+  readBody,
+  sendProblem,
+} from '../http/index.js';
 import {HEADERS} from '../platform/index.js';
 import type {Milliseconds} from '../time/index.js';
 import type {
@@ -111,18 +117,28 @@
     if (!hasBody(this.request)) {
       return {kind: 'none'};
     }
-    const {bodyBytes} = this.context.state.routes.current?.limits ?? {};
-    const length = Number(this.request.headers['content-length'] ?? 0);
-    if (bodyBytes !== undefined && length > bodyBytes) {
-      this.refuse('body-too-large');
+    const limits = this.context.state.routes.current?.limits;
+    try {
+      const body = await readBody(this.request, {
+        heldBytes: HELD_BODY_BYTES,
+        mostBytes: limits?.bodyBytes ?? Infinity,
+      });
+      if (body.kind === 'stream') {
+        body.stream.once('error', error => this.refuseBody(error));
+      }
+      return body;
+    } catch (error) {
+      this.refuseBody(error);
       return undefined;
     }
-    try {
-      return await readBody(this.request, HELD_BODY_BYTES);
-    } catch {
-      // Nothing was forwarded, and the caller is gone.
+  }
+
+  private refuseBody(error: unknown): void {
+    if (error instanceof BodyTooLargeError) {
+      this.refuse('body-too-large');
+    } else {
+      // The caller is gone, and what arrived of the body was not a whole one.
       this.finish('body-broken');
-      return undefined;
     }
   }
 
--- a/src/gateway/gateway_server.ts
+++ b/src/gateway/gateway_server.ts
@@ -9,7 +9,9 @@
 import {HEADERS} from '../platform/index.js';
 import {listen} from '../servers/index.js';
 import type {Milliseconds} from '../time/index.js';
+import {endFaultyConnection} from './connection_faults.js';
 import {Exchange} from './exchange.js';
+import type {LineFields} from './request_log.js';
 import type {GatewayContext} from './types.js';
 
 /** Room above any limit that an operator sets; that one is checked here. */
@@ -17,8 +19,15 @@
 const DEFAULT_IDLE_MS: Milliseconds = 15_000;
 /** Above what callers were promised, so that they close first. */
 const IDLE_MARGIN_MS: Milliseconds = 2_000;
-/** Whole requests must arrive within this time; connections may idle as long. */
+/** Whole requests must arrive within this time. */
 const REQUEST_TIMEOUT_MS: Milliseconds = 120_000;
+/**
+ * Above the time that an operator allows for headers: a host that was frozen
+ * for a moment looks at its clock before it reads what has arrived meanwhile.
+ */
+const HEADER_MARGIN_MS: Milliseconds = 2_000;
+/** How often connections are checked for headers that are late. */
+const HEADER_CHECK_MS: Milliseconds = 1_000;
 /** New connections that may wait to be accepted. */
 const BACKLOG = 2_048;
 /** When to come back to a host that doesn't know its configuration yet. */
@@ -49,6 +58,7 @@
         maxHeaderSize: MAX_HEADER_BYTES,
         headersTimeout: REQUEST_TIMEOUT_MS,
         requestTimeout: REQUEST_TIMEOUT_MS,
+        connectionsCheckingInterval: HEADER_CHECK_MS,
         keepAliveTimeout: DEFAULT_IDLE_MS + IDLE_MARGIN_MS,
         requireHostHeader: false,
         noDelay: true,
@@ -60,9 +70,17 @@
       delete request.headers.expect;
       this.accept(request, response);
     });
+    this.server.on('clientError', (error, socket) => {
+      const {reason, answered} = endFaultyConnection(error, socket);
+      if (answered) {
+        this.note(reason, {event: 'connection', error: error.message});
+      }
+    });
     context.state.listen(update => {
       if (update.kind === 'table') {
-        this.setIdleTime(update.table.limits.idleMs);
+        const {idleMs, headerMs} = update.table.limits;
+        this.setIdleTime(idleMs);
+        this.server.headersTimeout = headerMs + HEADER_MARGIN_MS;
       }
     });
   }
@@ -209,21 +227,9 @@
     reason: ProblemReason,
     more: {readonly detail?: string; readonly retryAfterMs?: Milliseconds},
   ): void {
-    const {metrics, log, state} = this.context;
-    metrics.countRefusal(reason);
-    const {method, url, headers} = response.req;
-    log.failed(
-      {
-        event: 'request',
-        request: headers[HEADERS.requestId],
-        method,
-        target: url,
-        outcome: reason,
-        version: state.routes.version,
-        ageMs: Math.round(state.ageMs),
-      },
-      'request refused',
-    );
+    const {method, url: target, headers} = response.req;
+    const request = headers[HEADERS.requestId];
+    this.note(reason, {event: 'request', request, method, target});
     if (!response.req.complete) {
       // The body that may follow must not be read as the next request.
       response.setHeader('connection', 'close');
@@ -235,6 +241,20 @@
       fractions: true,
     });
   }
+
+  private note(outcome: ProblemReason, fields: LineFields): void {
+    const {metrics, log, state} = this.context;
+    metrics.countRefusal(outcome);
+    log.failed(
+      {
+        ...fields,
+        outcome,
+        version: state.routes.version,
+        ageMs: Math.round(state.ageMs),
+      },
+      'request refused',
+    );
+  }
 }
 
 /** Size of the headers as they were sent. */
--- a/src/host/gateway_host.ts
+++ b/src/host/gateway_host.ts
@@ -119,6 +119,11 @@
     return this.member.isReader;
   }
 
+  /** Version of the configuration in force; undefined before the first. */
+  get version(): number | undefined {
+    return this.state.routes.version;
+  }
+
   /** Listens and joins the fleet; resolves with the ports in use. */
   async start(): Promise<HostPorts> {
     const {settings, logger} = this.parts;
--- a/src/http/index.ts
+++ b/src/http/index.ts
@@ -4,5 +4,5 @@
 export type {Problem, ProblemReason} from './problem.js';
 export {sendProblem} from './problem.js';
 export {filterHeaders, findHeader} from './raw_headers.js';
-export type {RequestBody} from './request_body.js';
-export {hasBody, readBody} from './request_body.js';
+export type {BodyBounds, RequestBody} from './request_body.js';
+export {BodyTooLargeError, hasBody, readBody} from './request_body.js';
--- a/src/http/request_body.ts
+++ b/src/http/request_body.ts
@@ -10,7 +10,25 @@
   /** Can be sent once only. */
   | {readonly kind: 'stream'; readonly stream: Readable};
 
+export interface BodyBounds {
+  /** Bodies up to this size are held. */
+  readonly heldBytes: number;
+  /** Larger ones are refused, also while they arrive in chunks. */
+  readonly mostBytes: number;
+}
+
+/** The body is larger than callers may send. */
+export class BodyTooLargeError extends Error {
+  constructor(mostBytes: number) {
+    super(`send at most ${mostBytes} bytes`);
+  }
+}
+
 const NO_BODY: RequestBody = {kind: 'none'};
+const DEFAULT_BOUNDS: BodyBounds = {
+  heldBytes: HELD_BODY_BYTES,
+  mostBytes: Infinity,
+};
 
 /** Whether the request's framing announces a body. */
 export function hasBody(request: IncomingMessage): boolean {
@@ -24,16 +42,22 @@
 
 /**
  * Reads the body until it ends or grows too large to hold. Rejects when the
- * caller breaks off first: nothing has been forwarded then.
+ * caller breaks off first, or with BodyTooLargeError: nothing has been
+ * forwarded then. A stream that grows too large later fails with the same
+ * error.
  */
 export function readBody(
   request: IncomingMessage,
-  heldBytes = HELD_BODY_BYTES,
+  bounds = DEFAULT_BOUNDS,
 ): Promise<RequestBody> {
   if (!hasBody(request)) {
     request.resume();
     return Promise.resolve(NO_BODY);
   }
+  const {heldBytes, mostBytes} = bounds;
+  if (Number(request.headers['content-length'] ?? 0) > mostBytes) {
+    return Promise.reject(new BodyTooLargeError(mostBytes));
+  }
   return new Promise((resolve, reject) => {
     const chunks: Buffer[] = [];
     let size = 0;
@@ -43,9 +67,12 @@
     const onData = (chunk: Buffer): void => {
       chunks.push(chunk);
       size += chunk.length;
-      if (size > heldBytes) {
+      if (size > mostBytes) {
         settle();
-        resolve({kind: 'stream', stream: resume(request, chunks)});
+        reject(new BodyTooLargeError(mostBytes));
+      } else if (size > heldBytes) {
+        settle();
+        resolve({kind: 'stream', stream: resume(request, chunks, mostBytes)});
       }
     };
     const onEnd = (): void => {
@@ -61,9 +88,23 @@
 }
 
 /** What was read, followed by what is still to come. */
-function resume(request: IncomingMessage, chunks: readonly Buffer[]): Readable {
+function resume(
+  request: IncomingMessage,
+  chunks: readonly Buffer[],
+  mostBytes: number,
+): Readable {
   const stream = new PassThrough({highWaterMark: HELD_BODY_BYTES});
-  chunks.forEach(chunk => stream.write(chunk));
+  let size = 0;
+  chunks.forEach(chunk => {
+    size += chunk.length;
+    stream.write(chunk);
+  });
+  request.on('data', (chunk: Buffer) => {
+    size += chunk.length;
+    if (size > mostBytes) {
+      stream.destroy(new BodyTooLargeError(mostBytes));
+    }
+  });
   request.on('close', () => {
     // A body cut short must not look like one that ended.
     if (!request.complete) {
--- a/src/standins/platform_records.ts
+++ b/src/standins/platform_records.ts
@@ -7,6 +7,12 @@
   readonly [field: string]: unknown;
 }
 
+/** What callers may send, in the operator's own form. */
+export interface LimitsSpec {
+  readonly max_body_bytes?: number;
+  readonly header_timeout?: string;
+}
+
 /** Routes of one host to one service, by path and whether they repeat. */
 export function routesOf(
   host: string,
@@ -34,6 +40,7 @@
   version: number,
   routes: readonly RouteSpec[],
   services: readonly string[],
+  limits: LimitsSpec = {},
 ): string {
   const [firstService] = services;
   const resources = [
@@ -51,6 +58,7 @@
       metadata: {name},
       spec: {health_path: '/health', max_conns: 100},
     })),
+    {resource_kind: 'limits', metadata: {name: 'limits'}, spec: limits},
   ];
   return JSON.stringify({version: `r${version}`, resources});
 }
--- a/tests/gateway.test.ts
+++ b/tests/gateway.test.ts
@@ -2,6 +2,7 @@
 import {afterEach, beforeEach, expect, test} from 'vitest';
 import type {ReportingUpstream} from '../src/standins/index.js';
 import {
+  DEFAULT_ROUTES,
   GatewaySystem,
   type RunningHost,
   get,
@@ -229,6 +230,50 @@
   expect(one.runs).toHaveLength(0);
 });
 
+test('a body in chunks beyond the limit is refused', async () => {
+  // A caller sends more than the operator allows, in chunks, so that no length
+  // gives it away. Unbounded, it would fill the host's memory.
+  system.configure(4, DEFAULT_ROUTES, {max_body_bytes: 10});
+  await until(() => host.host.version === 4);
+  const chunk = '8\r\n12345678\r\n';
+  const socket = connect(host.ports.callers, '127.0.0.1');
+  let answer = '';
+  socket.on('data', bytes => (answer += bytes.toString()));
+  socket.write(
+    'POST /order/1 HTTP/1.1\r\nHost: shop.example\r\n' +
+      `Transfer-Encoding: chunked\r\n\r\n${chunk}${chunk}0\r\n\r\n`,
+  );
+  await until(() => answer.includes('\r\n\r\n'));
+  socket.destroy();
+  expect(answer).toContain('413');
+  expect(one.runs).toHaveLength(0);
+});
+
+test('headers that never end are answered 408', async () => {
+  // A caller sends its headers a byte at a time. Without a limit each such
+  // connection holds a descriptor for two minutes.
+  system.configure(4, DEFAULT_ROUTES, {header_timeout: '10ms'});
+  await until(() => host.host.version === 4);
+  const socket = connect(host.ports.callers, '127.0.0.1');
+  let answer = '';
+  socket.on('data', bytes => (answer += bytes.toString()));
+  socket.write('GET /lookup/1 HTTP/1.1\r\nHost: shop');
+  await new Promise(resolve => socket.once('close', resolve));
+  expect(answer).toContain('408');
+});
+
+test('a connection that sends nothing is closed without an answer', async () => {
+  // A caller opens a connection ahead of its request. An answer to nothing
+  // would be taken for the answer to the request that follows.
+  system.configure(4, DEFAULT_ROUTES, {header_timeout: '10ms'});
+  await until(() => host.host.version === 4);
+  const socket = connect(host.ports.callers, '127.0.0.1');
+  let answer = '';
+  socket.on('data', bytes => (answer += bytes.toString()));
+  await new Promise(resolve => socket.once('close', resolve));
+  expect(answer).toBe('');
+});
+
 test('a host that stops finishes what is in flight and is unready at once', async () => {
   one.workMs = 400;
   const reply = system.call(host, ORDER);
--- a/tests/support/gateway.ts
+++ b/tests/support/gateway.ts
@@ -12,7 +12,7 @@
   StoreClient,
   UPSTREAM_TOPIC,
 } from '../../src/platform/index.js';
-import type {RouteSpec} from '../../src/standins/index.js';
+import type {LimitsSpec, RouteSpec} from '../../src/standins/index.js';
 import {
   ReportingUpstream,
   StoreServer,
@@ -59,11 +59,12 @@
   configure(
     version: number,
     routes: readonly RouteSpec[] = DEFAULT_ROUTES,
+    limits: LimitsSpec = {},
   ): void {
     this.storeServer.put(
       OPERATOR_TOPIC,
       'config',
-      configurationRecord(version, routes, ['listings', 'swaps']),
+      configurationRecord(version, routes, ['listings', 'swaps'], limits),
     );
   }
 
