One reader of the store for the fleet; restarted hosts keep their place

Ruled out: the store's groups (a join a host and second); one reader without a reader at hand in each data centre (a cut would leave it without news). Change: the first of a data centre follows the first of the fleet and reads the store itself until that one has proved fresh, at the latest after 80 ms, and at once when it is lost. Hosts follow only hosts that registered earlier. A host that starts again lists first and registers only if it is missing. A host that walks through dead peers reads after 0.8 s. Fresher news go on at once. A read that ends after its reader stopped concerns nobody.

--- a/src/decisions/relay/source_choice.ts
+++ b/src/decisions/relay/source_choice.ts
@@ -1,10 +1,16 @@
 /**
- * Decides from whom a host hears of changes: from a peer that reads the store
- * for its data centre, or from the store itself.
+ * Decides from whom a host hears of changes: from a peer, or from the store.
  *
- * Hosts of a data centre follow the one that registered first. No election is
- * held: a host that finds nobody before it reads the store itself, so that two
- * readers at a time cost calls and nothing else.
+ * Hosts of a data centre follow the one that registered first; that one
+ * follows the first of the fleet, which reads the store for all. So calls grow
+ * with changes, and one stream crosses to each other data centre. Everybody
+ * follows only hosts that registered earlier, so that no two can follow each
+ * other in a circle in which nobody reads.
+ *
+ * No election is held: a host that finds nobody before it reads the store
+ * itself, so that two readers at a time cost calls and nothing else. The first
+ * of a data centre also reads until a host elsewhere has proved fresh, so that
+ * a data centre that is cut off from the others waits for nobody.
  */
 
 import type {Clock, Milliseconds} from '../../time/index.js';
@@ -23,6 +29,16 @@
  */
 const DELAY_PER_PEER_MS: Milliseconds = 40;
 const LONGEST_DELAY_MS: Milliseconds = 500;
+/**
+ * Time for a host of another data centre to prove fresh before this one reads
+ * the store: some three round trips of 2 ms, and the peer's own turn.
+ */
+const FAR_HEAD_START_MS: Milliseconds = 80;
+/**
+ * The same for peers of the data centre. Dead hosts stay registered: one that
+ * asked them all in turn, 0.7 s each, would hear of nothing meanwhile.
+ */
+const NEAR_HEAD_START_MS: Milliseconds = 800;
 
 /** Why a peer isn't followed. */
 export type PeerFault =
@@ -32,7 +48,12 @@
   | 'stale';
 
 export type Source =
-  | {readonly kind: 'peer'; readonly peer: Peer}
+  | {
+      readonly kind: 'peer';
+      readonly peer: Peer;
+      /** This host reads the store too unless the peer proves fresh by then. */
+      readonly headStartMs: Milliseconds;
+    }
   | {
       readonly kind: 'store';
       /** How long to wait before reading, and then look for peers again. */
@@ -65,14 +86,24 @@
     this.peers = [...peers].sort((a, b) => a.rank - b.rank);
   }
 
+  /** Whether this host is registered, as far as it knows. */
+  get isListed(): boolean {
+    return this.peers.some(({address}) => address === this.address);
+  }
+
   /** Whom to follow now. */
   preferred(): Source {
     const before = this.peersBefore();
-    const peer = before.find(one => this.isOpen(one));
+    const near = before.filter(one => this.isNear(one));
+    const peer = near.find(one => this.isOpen(one));
     if (peer) {
-      return {kind: 'peer', peer};
+      return {kind: 'peer', peer, headStartMs: NEAR_HEAD_START_MS};
     }
-    const alive = before.filter(
+    const far = before.find(one => !this.isNear(one) && this.isOpen(one));
+    if (far) {
+      return {kind: 'peer', peer: far, headStartMs: FAR_HEAD_START_MS};
+    }
+    const alive = near.filter(
       ({address}) => this.suspensions.get(address)?.fault === 'stale',
     );
     const delayMs = Math.min(
@@ -90,9 +121,11 @@
     const open = this.peers.filter(
       one => one.address !== this.address && this.isOpen(one),
     );
-    return (
-      open.find(({dataCentre}) => dataCentre === this.dataCentre) ?? open[0]
-    );
+    return open.find(one => this.isNear(one)) ?? open[0];
+  }
+
+  isNear({dataCentre}: Peer): boolean {
+    return dataCentre === this.dataCentre;
   }
 
   /** A peer can't be followed now. */
@@ -113,13 +146,10 @@
     this.suspensions.delete(peer.address);
   }
 
-  /** Peers of the data centre that registered before this host. */
+  /** Peers that registered before this host. */
   private peersBefore(): readonly Peer[] {
-    const {address, dataCentre} = this;
-    const own = this.peers.find(one => one.address === address);
-    return this.peers.filter(
-      one => one.dataCentre === dataCentre && (!own || one.rank < own.rank),
-    );
+    const own = this.peers.find(({address}) => address === this.address);
+    return own ? this.peers.filter(({rank}) => rank < own.rank) : this.peers;
   }
 
   private isOpen(peer: Peer): boolean {
--- a/src/fleet/fleet_member.ts
+++ b/src/fleet/fleet_member.ts
@@ -27,6 +27,8 @@
 
 export interface FleetMemberParts {
   readonly dataCentre: string;
+  /** Whether the whole fleet starts for the first time. */
+  readonly firstStart: boolean;
   readonly store: Store;
   readonly state: FleetState;
   readonly clock: Clock;
@@ -56,7 +58,7 @@
   /** Registers and keeps the state fresh from then on. */
   async start(): Promise<void> {
     this.choice.identify(this.parts.state.address);
-    await this.register();
+    await this.join();
     if (this.closed) {
       return;
     }
@@ -73,24 +75,29 @@
   }
 
   /** Registers and learns of the others. Until that works, it reads alone. */
-  private async register(): Promise<void> {
-    const {store, state, dataCentre, logger} = this.parts;
-    while (!this.closed) {
-      const rank = await registerHost(store, state.address, dataCentre);
-      if (rank.isOk() && (await this.list())) {
-        return;
-      }
-      if (rank.isErr()) {
-        logger.warn(
-          {event: 'store', error: rank.error.message},
-          'cannot register',
-        );
+  private async join(): Promise<void> {
+    let registered = !this.parts.firstStart && (await this.list());
+    while (!this.closed && !(registered && this.choice.isListed)) {
+      registered = (await this.register()) && (await this.list());
+      if (!registered) {
+        this.reader.start();
+        await sleep(REGISTER_PAUSE_MS * (1 + this.parts.random()));
       }
-      this.reader.start();
-      await sleep(REGISTER_PAUSE_MS * (1 + this.parts.random()));
     }
   }
 
+  private async register(): Promise<boolean> {
+    const {store, state, dataCentre, logger} = this.parts;
+    const rank = await registerHost(store, state.address, dataCentre);
+    if (rank.isErr()) {
+      logger.warn(
+        {event: 'store', error: rank.error.message},
+        'cannot register',
+      );
+    }
+    return rank.isOk();
+  }
+
   private async list(): Promise<boolean> {
     const {store, logger, state} = this.parts;
     const hosts = await listHosts(store);
@@ -114,13 +121,17 @@
   }
 
   private check(): void {
-    const {state} = this.parts;
+    const {state, clock} = this.parts;
     if (this.client && this.provedFresh && state.ageMs > STALE_PEER_MS) {
       this.leave('stale', 'its news are old');
     }
     if (!this.client) {
       this.follow();
     }
+    if (this.readAt !== undefined && clock.now() >= this.readAt) {
+      this.readAt = undefined;
+      this.reader.start();
+    }
   }
 
   private follow(): void {
@@ -129,6 +140,7 @@
     }
     const source = this.choice.preferred();
     if (source.kind === 'peer') {
+      this.readAfter(source.headStartMs);
       this.followPeer(source.peer);
       return;
     }
@@ -144,12 +156,11 @@
     }
   }
 
+  /** Reads the store from then on, unless a peer proves fresh before. */
   private readAfter(delayMs: Milliseconds): void {
-    const {clock} = this.parts;
-    this.readAt ??= clock.now() + delayMs;
-    if (clock.now() >= this.readAt) {
-      this.readAt = undefined;
-      this.reader.start();
+    if (!this.reader.isRunning) {
+      const at = this.parts.clock.now() + delayMs;
+      this.readAt = Math.min(this.readAt ?? at, at);
     }
   }
 
@@ -213,6 +224,10 @@
         'reader lost',
       );
       this.provedFresh = false;
+      if (!this.choice.isNear(peer)) {
+        // The hosts around it keep to this one, which reads from now on.
+        this.reader.start();
+      }
       if (!this.reader.isRunning) {
         state.loseSource();
       }
--- a/src/fleet/fleet_state.ts
+++ b/src/fleet/fleet_state.ts
@@ -19,6 +19,12 @@
  */
 const STALE_AFTER_MS: Milliseconds = 2_200;
 const TICK_MS: Milliseconds = 200;
+/**
+ * News that are fresher by this much are told at once. Told with the next sign
+ * of life only, they would look 0.2 s older a hop than they are, and a store
+ * that answers slowly would be taken for one that doesn't.
+ */
+const WORTH_TELLING_MS: Milliseconds = 300;
 
 /** Told of what changes, to pass it on. */
 export type UpdateListener = (update: Update) => void;
@@ -177,10 +183,14 @@
   }
 
   private freshenTo(at: Milliseconds, reader: string | undefined): void {
-    if (at > this.freshAt || this.freshFrom === undefined) {
+    const gained = at - this.freshAt;
+    if (gained > 0 || this.freshFrom === undefined) {
       this.freshAt = Math.max(this.freshAt, at);
       this.freshFrom = reader;
     }
+    if (gained > WORTH_TELLING_MS) {
+      this.tell(this.alive());
+    }
   }
 
   private tick(): void {
--- a/src/fleet/store_reader.ts
+++ b/src/fleet/store_reader.ts
@@ -42,6 +42,8 @@
   private running = false;
   private failures = 0;
   private upstreamsLoaded = false;
+  /** Whether the store has answered since the start. */
+  private proved = false;
   /** Ends the wait for a configuration, on a connection that may be dead. */
   private configurationRead = new AbortController();
 
@@ -69,6 +71,7 @@
     this.run += 1;
     this.failures = 0;
     this.upstreamsLoaded = this.state.registry.isLoaded;
+    this.proved = false;
     this.logger.info({event: 'reader'}, 'reading the store');
     void this.loopUpstreams(this.run);
     void this.loopConfiguration(this.run);
@@ -90,6 +93,10 @@
       const failure = this.upstreamsLoaded
         ? await this.readUpstreams()
         : await this.loadUpstreams();
+      if (!this.isCurrent(run)) {
+        // A peer is followed by now: how this read ended concerns nobody.
+        return;
+      }
       if (!failure) {
         this.noteSuccess();
         await sleep(GATHER_MS);
@@ -142,11 +149,10 @@
 
   private async readUpstreams(): Promise<StoreFailure | undefined> {
     const {cursor} = this.state.registry;
-    const page = await this.store.read(
-      UPSTREAM_TOPIC,
-      cursor,
-      UPSTREAM_WAIT_MS,
-    );
+    // A host that takes over has heard nothing for a while: if the store
+    // doesn't answer it either, its followers must learn that soon.
+    const waitMs = this.proved ? UPSTREAM_WAIT_MS : 0;
+    const page = await this.store.read(UPSTREAM_TOPIC, cursor, waitMs);
     if (page.isErr()) {
       return page.error;
     }
@@ -204,6 +210,7 @@
       );
     }
     this.failures = 0;
+    this.proved = true;
     this.state.freshen();
   }
 
--- a/src/host/gateway_host.ts
+++ b/src/host/gateway_host.ts
@@ -97,6 +97,7 @@
       'fleet member',
       new FleetMember({
         dataCentre,
+        firstStart: settings.firstStart,
         store,
         state: this.state,
         clock,
--- a/src/platform/settings_file.ts
+++ b/src/platform/settings_file.ts
@@ -20,6 +20,8 @@
   readonly host: string;
   readonly ip: string;
   readonly dataCentre: string;
+  /** Whether the whole system starts for the first time. */
+  readonly firstStart: boolean;
   /** Where callers connect. */
   readonly callers: SocketAddress;
   /** Where the platform asks for readiness. */
@@ -102,6 +104,7 @@
     host: required(fields, 'self.node'),
     ip,
     dataCentre: required(fields, 'self.zone'),
+    firstStart: fields.get('self.bootstrap') === 'true',
     callers: address(fields, 'network.listen.front'),
     readiness: address(fields, 'network.listen.ready'),
     peers: {ip, port: firstPort},
--- a/tests/fleet.test.ts
+++ b/tests/fleet.test.ts
@@ -26,6 +26,47 @@
   );
 });
 
+test('one host reads the store for all data centres', async () => {
+  // Calls to the store are paid for: one reader a data centre made four times
+  // as many of them as the fleet needs.
+  for (const dataCentre of ['east', 'west', 'north']) {
+    await system.startReadyHost(dataCentre);
+    await system.startReadyHost(dataCentre);
+  }
+  await until(
+    () => system.hosts.filter(({host}) => host.isReader).length === 1,
+  );
+  system.configure(2, [{path_prefix: '/new/', kind: 'idempotent'}]);
+  for (const index of system.hosts.keys()) {
+    await until(() => serves(index, '/new/1'));
+  }
+});
+
+test('each data centre reads on its own once the reader is gone', async () => {
+  // The reader of the fleet dies as the configuration changes. Hosts of other
+  // data centres must not wait until a new one is found.
+  const reader = await system.startReadyHost('east');
+  await system.startReadyHost('west');
+  await system.startReadyHost('north');
+  await until(() => system.hosts.filter(({host}) => host.isReader).length <= 1);
+  await reader.host.stopNow();
+  system.configure(2, [{path_prefix: '/new/', kind: 'idempotent'}]);
+  await until(() => serves(1, '/new/1'));
+  await until(() => serves(2, '/new/1'));
+});
+
+test('a host that starts again keeps its place and registers once', async () => {
+  // All hosts lose power and return. Each call that they make then is paid
+  // for, and a hundred of them meet the store in the same second.
+  const first = await system.startReadyHost();
+  const {ports} = first;
+  await first.host.stopNow();
+  const registered = system.storeServer.calls.get('/api/log-append');
+  await system.startHost('east', {peers: ports.peers, firstStart: false});
+  await until(() => serves(1, '/lookup/1'));
+  expect(system.storeServer.calls.get('/api/log-append')).toBe(registered);
+});
+
 test('a change reaches those that follow', async () => {
   await system.startReadyHost();
   await system.startReadyHost();
--- a/tests/support/gateway.ts
+++ b/tests/support/gateway.ts
@@ -29,6 +29,13 @@
   readonly store: StoreClient;
 }
 
+/** How a host's start differs from the usual one. */
+export interface StartOptions {
+  /** Port for other hosts; any by default. */
+  readonly peers?: number;
+  readonly firstStart?: boolean;
+}
+
 export interface Reply {
   readonly status: number;
   readonly headers: IncomingMessage['headers'];
@@ -92,15 +99,19 @@
     );
   }
 
-  async startHost(dataCentre = 'east'): Promise<RunningHost> {
+  async startHost(
+    dataCentre = 'east',
+    {peers = 0, firstStart = true}: StartOptions = {},
+  ): Promise<RunningHost> {
     const store = new StoreClient({ip: '127.0.0.1', port: this.storePort});
     const settings: HostSettings = {
       host: `entry-${this.hosts.length}`,
       ip: '127.0.0.1',
       dataCentre,
+      firstStart,
       callers: ANY,
       readiness: ANY,
-      peers: ANY,
+      peers: {...ANY, port: peers},
       metrics: ANY,
       store: {ip: '127.0.0.1', port: this.storePort},
       graceMs: 2_000,
