A follower introduces itself; stand-in store with rates, late effects, doors

Cause: a host that registered first knows only itself. Turned away by the store, it finds nobody to ask and keeps its old configuration (found by the new test with a way to the store of each host's own: no change within 60 s with refuse, limit, reset and silent). Ruled out: listing the hosts again while the store refuses. Change: a follower sends its address, data centre and rank as it connects. The stand-in store gets a way in for each host, call rates, late effects, resets, delays and pages; its topics stand in a file of their own. Groups aren't in the stand-in: nothing uses them.

--- a/src/decisions/relay/source_choice.ts
+++ b/src/decisions/relay/source_choice.ts
@@ -86,9 +86,20 @@
     this.peers = [...peers].sort((a, b) => a.rank - b.rank);
   }
 
-  /** Whether this host is registered, as far as it knows. */
-  get isListed(): boolean {
-    return this.peers.some(({address}) => address === this.address);
+  /** Takes in a host that registered after this one had listed the others. */
+  addPeer(peer: Peer): void {
+    const others = this.peers.filter(({address}) => address !== peer.address);
+    this.setPeers([...others, peer]);
+  }
+
+  /** Hosts known to have registered. */
+  get peerCount(): number {
+    return this.peers.length;
+  }
+
+  /** This host as it registered; undefined while it isn't listed. */
+  get self(): Peer | undefined {
+    return this.peers.find(({address}) => address === this.address);
   }
 
   /** Whom to follow now. */
@@ -148,7 +159,7 @@
 
   /** Peers that registered before this host. */
   private peersBefore(): readonly Peer[] {
-    const own = this.peers.find(({address}) => address === this.address);
+    const own = this.self;
     return own ? this.peers.filter(({rank}) => rank < own.rank) : this.peers;
   }
 
--- a/src/fleet/fleet_member.ts
+++ b/src/fleet/fleet_member.ts
@@ -77,7 +77,7 @@
   /** Registers and learns of the others. Until that works, it reads alone. */
   private async join(): Promise<void> {
     let registered = !this.parts.firstStart && (await this.list());
-    while (!this.closed && !(registered && this.choice.isListed)) {
+    while (!this.closed && !(registered && this.choice.self)) {
       registered = (await this.register()) && (await this.list());
       if (!registered) {
         this.reader.start();
@@ -113,6 +113,16 @@
     return true;
   }
 
+  /**
+   * A host has begun to follow this one. It may have registered after this
+   * one listed the others; if the store turns this host away, the followers
+   * are the ones to ask.
+   */
+  meet(follower: Peer): void {
+    this.choice.addPeer(follower);
+    this.parts.state.setHosts(this.choice.peerCount);
+  }
+
   /** Readers tell their followers how many hosts there are. */
   private async relist(): Promise<void> {
     if (this.reader.isRunning && !this.closed) {
@@ -166,10 +176,15 @@
 
   private followPeer(peer: Peer): void {
     this.provedFresh = false;
-    this.client = new RelayClient(peer, this.parts.state.known, {
-      onUpdate: update => this.take(peer, update),
-      onEnd: reason => this.ended(peer, 'unreachable', reason),
-    });
+    this.client = new RelayClient(
+      peer,
+      this.choice.self,
+      this.parts.state.known,
+      {
+        onUpdate: update => this.take(peer, update),
+        onEnd: reason => this.ended(peer, 'unreachable', reason),
+      },
+    );
   }
 
   private take(peer: Peer, update: Update): void {
--- a/src/fleet/relay_client.ts
+++ b/src/fleet/relay_client.ts
@@ -3,10 +3,11 @@
 import type {ClientRequest, IncomingMessage} from 'node:http';
 import {request} from 'node:http';
 import {StringDecoder} from 'node:string_decoder';
-import type {KnownState} from './types.js';
 import type {Peer, Update} from '../decisions/relay/index.js';
 import {parseAddress} from '../platform/index.js';
 import type {Milliseconds} from '../time/index.js';
+import {introduce} from './introduction.js';
+import type {KnownState} from './types.js';
 
 /**
  * A peer that says nothing for this time is dead, frozen or cut off, or the
@@ -27,17 +28,23 @@
   private rest = '';
   private ended = false;
 
-  /** @param known what this host knows already, so that it isn't sent */
+  /**
+   * @param self this host, if it is registered
+   * @param known what this host knows already, so that it isn't sent
+   */
   constructor(
     readonly peer: Peer,
+    self: Peer | undefined,
     known: KnownState,
     private readonly following: Following,
   ) {
     const address = parseAddress(peer.address);
+    const query = self ? introduce(self) : new URLSearchParams();
+    Object.entries(known).forEach(([name, value]) => query.set(name, value));
     this.outgoing = request({
       host: address?.ip,
       port: address?.port,
-      path: `/updates?${new URLSearchParams(known).toString()}`,
+      path: `/updates?${query.toString()}`,
       agent: false,
     });
     this.timer = setTimeout(
--- a/src/fleet/relay_server.ts
+++ b/src/fleet/relay_server.ts
@@ -7,6 +7,8 @@
 import {closeNow, listen} from '../servers/index.js';
 import type {Milliseconds} from '../time/index.js';
 import type {FleetState} from './fleet_state.js';
+import {readIntroduction} from './introduction.js';
+import type {FollowerListener} from './types.js';
 
 /** Signs of life; several fit into the time after which silence counts. */
 const ALIVE_INTERVAL_MS: Milliseconds = 200;
@@ -19,7 +21,10 @@
   private readonly timer: NodeJS.Timeout;
   private retired = false;
 
-  constructor(private readonly state: FleetState) {
+  constructor(
+    private readonly state: FleetState,
+    private readonly onFollower: FollowerListener,
+  ) {
     this.server = createServer((request, response) =>
       this.accept(request, response),
     );
@@ -50,6 +55,11 @@
       response.end();
       return;
     }
+    const query = new URLSearchParams(request.url?.split('?', 2)[1]);
+    const follower = readIntroduction(query);
+    if (follower) {
+      this.onFollower(follower);
+    }
     response.writeHead(200, {'content-type': 'application/x-ndjson'});
     response.socket?.setNoDelay(true);
     response.write(encode(this.state.alive()));
@@ -60,7 +70,6 @@
     }
     this.followers.add(response);
     response.on('close', () => this.followers.delete(response));
-    const query = new URLSearchParams(request.url?.split('?', 2)[1]);
     for (const update of this.state.newsFor(query)) {
       response.write(encode(update));
     }
--- a/src/host/gateway_host.ts
+++ b/src/host/gateway_host.ts
@@ -90,8 +90,10 @@
       work,
       unreported: id => this.desk.unreported(id),
     });
-    this.relay = this.lifeCycle.own('relay', new RelayServer(this.state), one =>
-      one.close(),
+    this.relay = this.lifeCycle.own(
+      'relay',
+      new RelayServer(this.state, follower => this.member.meet(follower)),
+      one => one.close(),
     );
     this.member = this.lifeCycle.own(
       'fleet member',
--- a/src/standins/store_server.ts
+++ b/src/standins/store_server.ts
@@ -5,47 +5,72 @@
 import {encodeKeyedRecord} from '../platform/index.js';
 import {closeNow, listen} from '../servers/index.js';
 import type {Milliseconds} from '../time/index.js';
+import {systemClock} from '../time/index.js';
+import {CallRate} from './call_rate.js';
+import type {TopicPage} from './store_topics.js';
+import {StoreTopics} from './store_topics.js';
 
 /** How the store misbehaves. */
 export type StoreFault =
   | 'none'
   /** Refuses with 503: nothing is done. */
   | 'refuse'
+  /** Refuses with 429, as for calls beyond the rate. */
+  | 'limit'
+  /** Resets the connection. */
+  | 'reset'
   /** Takes requests and never answers. */
   | 'silent'
   /** Does what it is asked, and loses the answer. */
   | 'lose-answers'
+  /** Loses the answer, and does what it was asked a while later. */
+  | 'late'
   /** Those who wait hear of nothing until their wait is over. */
   | 'deaf';
 
-interface StoredRecord {
-  readonly key: string;
-  readonly value: string | undefined;
+/** One way to the store, which may be in trouble while others work. */
+export interface StoreDoor {
+  readonly port: number;
+  fault: StoreFault;
+  /** Added to each answer. */
+  delayMs: Milliseconds;
 }
 
-interface Topic {
-  readonly records: StoredRecord[];
-  /** First offset that can still be read. */
-  first: number;
-  readonly waiting: Set<() => void>;
+interface Answer {
+  readonly status: number;
+  readonly body: Buffer;
 }
 
 const LENGTH_BYTES = 4;
 const OFFSET_BYTES = 8;
+/** How late a late effect comes; the platform's may take seconds. */
+const LATE_MS: Milliseconds = 400;
+const MANY = 1e9;
+
+const STATUS = {ok: 200, trimmed: 410, moved: 412, limited: 429, down: 503};
 
 export class StoreServer {
-  fault: StoreFault = 'none';
+  readonly topics = new StoreTopics();
   /** Calls so far, by path. */
   readonly calls = new Map<string, number>();
+  readonly reads = new CallRate(systemClock, MANY);
+  readonly writes = new CallRate(systemClock, MANY);
+  /** Calls that were refused because of the rate. */
+  limited = 0;
   /** Longest time that a read asked to wait. */
   longestWaitMs: Milliseconds = 0;
-  private readonly topics = new Map<string, Topic>();
-  private readonly server: Server;
+  private readonly doors: StoreDoor[] = [];
+  private readonly servers: Server[] = [];
+  private common: StoreFault = 'none';
 
-  constructor() {
-    this.server = createServer((request, response) => {
-      void this.serve(request, response);
-    });
+  /** Trouble that all ways to the store have. */
+  get fault(): StoreFault {
+    return this.common;
+  }
+
+  set fault(fault: StoreFault) {
+    this.common = fault;
+    this.topics.deaf = fault === 'deaf';
   }
 
   get callCount(): number {
@@ -54,133 +79,159 @@
     return count;
   }
 
-  listen(): Promise<number> {
-    return listen(this.server, '127.0.0.1', 0);
+  async listen(): Promise<number> {
+    return (await this.addDoor()).port;
+  }
+
+  /** Opens one more way to the store, for a host of its own. */
+  async addDoor(): Promise<StoreDoor> {
+    const door = {port: 0, fault: 'none' as StoreFault, delayMs: 0};
+    const server = createServer((request, response) => {
+      void this.serve(request, response, door);
+    });
+    this.servers.push(server);
+    this.doors.push(door);
+    door.port = await listen(server, '127.0.0.1', 0);
+    return door;
   }
 
-  close(): Promise<void> {
-    return closeNow(this.server);
+  async close(): Promise<void> {
+    await Promise.all(this.servers.map(closeNow));
   }
 
   /** Writes as the operator or an upstream does; without value, removes. */
   put(name: string, key: string, value: string | undefined): number {
-    const topic = this.topic(name);
-    topic.records.push({key, value});
-    if (this.fault !== 'deaf') {
-      topic.waiting.forEach(wake => wake());
-    }
-    return topic.records.length - 1;
+    return this.topics.put(name, key, value);
   }
 
-  /** Forgets the history; the newest record of each key stays. */
   trim(name: string): void {
-    const topic = this.topic(name);
-    topic.first = topic.records.length;
-  }
-
-  private topic(name: string): Topic {
-    const known = this.topics.get(name);
-    if (known) {
-      return known;
-    }
-    const topic: Topic = {records: [], first: 0, waiting: new Set()};
-    this.topics.set(name, topic);
-    return topic;
+    this.topics.trim(name);
   }
 
   private async serve(
     request: IncomingMessage,
     response: ServerResponse,
+    door: StoreDoor,
   ): Promise<void> {
     const url = new URL(request.url ?? '/', 'http://store');
     this.calls.set(url.pathname, (this.calls.get(url.pathname) ?? 0) + 1);
-    const body = await readAll(request);
-    if (this.fault === 'refuse') {
-      response.writeHead(503).end();
+    const body = await readAll(request).catch(() => undefined);
+    if (!body) {
       return;
     }
-    if (this.fault === 'silent') {
-      return;
-    }
-    const answer = await this.answer(url, body);
-    if (this.fault !== 'lose-answers') {
-      response.writeHead(answer ? 200 : 410).end(answer);
+    await pause(door.delayMs);
+    const fault = this.common === 'none' ? door.fault : this.common;
+    switch (fault) {
+      case 'refuse':
+        respond(response, {status: STATUS.down, body: json({})});
+        return;
+      case 'limit':
+        respond(response, {status: STATUS.limited, body: json({})});
+        return;
+      case 'reset':
+        request.socket.resetAndDestroy();
+        return;
+      case 'silent':
+        return;
+      case 'lose-answers':
+        await this.answer(url, body);
+        return;
+      case 'late':
+        setTimeout(() => void this.answer(url, body), LATE_MS).unref();
+        return;
+      case 'none':
+      case 'deaf':
+        respond(response, await this.answer(url, body));
+        return;
+      default:
+        fault satisfies never;
     }
   }
 
-  private async answer(url: URL, body: Buffer): Promise<Buffer | undefined> {
-    const name = url.searchParams.get('topic') ?? '';
+  private async answer(url: URL, body: Buffer): Promise<Answer> {
+    const isWrite = url.pathname === '/api/log-append';
+    if (!(isWrite ? this.writes : this.reads).take()) {
+      this.limited += 1;
+      return {status: STATUS.limited, body: json({})};
+    }
+    const query = url.searchParams;
+    const name = query.get('topic') ?? '';
     switch (url.pathname) {
       case '/api/log-append':
-        return this.append(name, body);
+        return this.append(name, body, query.get('as_of'));
       case '/api/log-newest':
-        return json(this.newest(name));
+        return this.newest(name, query.get('after') ?? '');
       case '/api/log-read':
         return this.read(
           name,
-          Number(url.searchParams.get('from')),
-          Number(url.searchParams.get('wait_ms') ?? 0),
+          Number(query.get('from')),
+          Number(query.get('wait_ms') ?? 0),
         );
       default:
-        return json({error: 'no such call'});
+        return {status: 404, body: json({error: 'no such call'})};
     }
   }
 
-  private append(name: string, body: Buffer): Buffer {
+  private append(name: string, body: Buffer, asOf: string | null): Answer {
+    const end = this.topics.end(name);
+    if (asOf !== null && Number(asOf) !== end) {
+      return {status: STATUS.moved, body: json({end_offset: end})};
+    }
     const content = body.subarray(LENGTH_BYTES);
     const keyEnd = 1 + (content[0] ?? 0);
     const key = content.toString('utf8', 1, keyEnd);
     const value = content.toString('utf8', keyEnd);
     const offset = this.put(name, key, value || undefined);
-    return json({offset, end_offset: offset + 1});
+    return {
+      status: STATUS.ok,
+      body: json({offset, end_offset: offset + 1}),
+    };
   }
 
-  private newest(name: string): object {
-    const {records} = this.topic(name);
-    const newest = new Map<string, number>();
-    records.forEach(({key}, offset) => newest.set(key, offset));
-    const items = [...newest].flatMap(([key, offset]) => {
-      const value = records[offset]?.value;
-      return value === undefined
-        ? []
-        : [{key, offset, value: Buffer.from(value).toString('base64')}];
-    });
-    return {items, has_more: false, end_offset: records.length};
+  private newest(name: string, after: string): Answer {
+    const {items, more, end} = this.topics.newest(name, after);
+    const listed = items.map(({key, offset, value}) => ({
+      key,
+      offset,
+      value: Buffer.from(value).toString('base64'),
+    }));
+    return {
+      status: STATUS.ok,
+      body: json({items: listed, has_more: more, end_offset: end}),
+    };
   }
 
   private async read(
     name: string,
     from: number,
     waitMs: Milliseconds,
-  ): Promise<Buffer | undefined> {
-    const topic = this.topic(name);
+  ): Promise<Answer> {
     this.longestWaitMs = Math.max(this.longestWaitMs, waitMs);
-    if (from < topic.first) {
-      return undefined;
-    }
-    if (from >= topic.records.length && waitMs > 0) {
-      await wait(topic, waitMs);
-    }
-    const head = Buffer.alloc(2 * OFFSET_BYTES);
-    head.writeBigUInt64BE(BigInt(topic.records.length), 0);
-    head.writeBigUInt64BE(BigInt(topic.first), OFFSET_BYTES);
-    const records = topic.records
-      .slice(from)
-      .map(({key, value = ''}) => encodeKeyedRecord(key, value));
-    return Buffer.concat([head, ...records]);
+    const page = await this.topics.read(name, from, waitMs);
+    return page
+      ? {status: STATUS.ok, body: encodePage(page)}
+      : {status: STATUS.trimmed, body: json({first: this.topics.end(name)})};
   }
 }
 
-function wait(topic: Topic, waitMs: Milliseconds): Promise<void> {
-  return new Promise(resolve => {
-    const wake = (): void => {
-      clearTimeout(timer);
-      topic.waiting.delete(wake);
-      resolve();
-    };
-    const timer = setTimeout(wake, waitMs);
-    topic.waiting.add(wake);
-  });
+function encodePage({first, end, records}: TopicPage): Buffer {
+  const head = Buffer.alloc(2 * OFFSET_BYTES);
+  head.writeBigUInt64BE(BigInt(end), 0);
+  head.writeBigUInt64BE(BigInt(first), OFFSET_BYTES);
+  const encoded = records.map(({key, value = ''}) =>
+    encodeKeyedRecord(key, value),
+  );
+  return Buffer.concat([head, ...encoded]);
+}
+
+function respond(response: ServerResponse, {status, body}: Answer): void {
+  response.writeHead(status, {'content-length': body.length}).end(body);
+}
+
+async function pause(ms: Milliseconds): Promise<void> {
+  if (ms > 0) {
+    await new Promise(resolve => setTimeout(resolve, ms));
+  }
 }
 
 async function readAll(request: IncomingMessage): Promise<Buffer> {
--- /dev/null
+++ b/src/standins/store_topics.ts
@@ -0,0 +1,115 @@
+/** The topics of the stand-in for the platform's store. */
+
+import type {Milliseconds} from '../time/index.js';
+
+export interface StoredRecord {
+  readonly key: string;
+  readonly value: string | undefined;
+}
+
+/** The newest record of a key, as the store lists it. */
+export interface NewestItem {
+  readonly key: string;
+  readonly offset: number;
+  readonly value: string;
+}
+
+export interface NewestItems {
+  readonly items: readonly NewestItem[];
+  readonly more: boolean;
+  readonly end: number;
+}
+
+interface Topic {
+  readonly records: StoredRecord[];
+  /** First offset that can still be read. */
+  first: number;
+  readonly waiting: Set<() => void>;
+}
+
+/** Where a topic begins and ends, and what stands from an offset on. */
+export interface TopicPage {
+  readonly first: number;
+  readonly end: number;
+  readonly records: readonly StoredRecord[];
+}
+
+export class StoreTopics {
+  /** Those who wait hear of nothing until their wait is over. */
+  deaf = false;
+  /** Most keys of one answer of `newest`. */
+  pageSize = 500;
+  private readonly topics = new Map<string, Topic>();
+
+  /** Appends; without a value, removes the key. */
+  put(name: string, key: string, value: string | undefined): number {
+    const topic = this.topic(name);
+    topic.records.push({key, value});
+    if (!this.deaf) {
+      topic.waiting.forEach(wake => wake());
+    }
+    return topic.records.length - 1;
+  }
+
+  end(name: string): number {
+    return this.topic(name).records.length;
+  }
+
+  /** Forgets the history; the newest record of each key stays. */
+  trim(name: string): void {
+    const topic = this.topic(name);
+    topic.first = topic.records.length;
+  }
+
+  newest(name: string, after: string): NewestItems {
+    const {records} = this.topic(name);
+    const offsets = new Map<string, number>();
+    records.forEach(({key}, offset) => offsets.set(key, offset));
+    const left = [...offsets]
+      .map(([key, offset]) => ({key, offset, value: records[offset]?.value}))
+      .filter((item): item is NewestItem => item.value !== undefined)
+      .filter(({key}) => key > after)
+      .sort((a, b) => (a.key < b.key ? -1 : 1));
+    const items = left.slice(0, this.pageSize);
+    return {items, more: items.length < left.length, end: records.length};
+  }
+
+  /** Undefined when the history before the offset is gone. */
+  async read(
+    name: string,
+    from: number,
+    waitMs: Milliseconds,
+  ): Promise<TopicPage | undefined> {
+    const topic = this.topic(name);
+    if (from < topic.first) {
+      return undefined;
+    }
+    if (from >= topic.records.length && waitMs > 0) {
+      await wait(topic, waitMs);
+    }
+    const {first, records} = topic;
+    return {first, end: records.length, records: records.slice(from)};
+  }
+
+  private topic(name: string): Topic {
+    const known = this.topics.get(name);
+    if (known) {
+      return known;
+    }
+    const topic: Topic = {records: [], first: 0, waiting: new Set()};
+    this.topics.set(name, topic);
+    return topic;
+  }
+}
+
+function wait(topic: Topic, waitMs: Milliseconds): Promise<void> {
+  return new Promise(resolve => {
+    const wake = (): void => {
+      clearTimeout(timer);
+      topic.waiting.delete(wake);
+      resolve();
+    };
+    const timer = setTimeout(wake, waitMs);
+    topic.waiting.add(wake);
+  });
+}
--- a/tests/fleet.test.ts
+++ b/tests/fleet.test.ts
@@ -5,7 +5,6 @@
 
 beforeEach(async () => {
   system = new GatewaySystem();
-  await system.start();
   system.configure(1);
   await system.addUpstream('i-1');
 });
@@ -144,3 +143,30 @@
   await until(() => serves(0, '/new/1'));
   expect(await serves(0, '/lookup/1')).toBe(true);
 });
+
+test.each(['refuse', 'limit', 'reset', 'silent'] as const)(
+  'a host that the store meets with %s hears of changes from another',
+  async fault => {
+    // The store turns single hosts away and serves the others. The one that
+    // reads for all is among them, so that nobody would hear of a change.
+    const first = await system.startReadyHost('east');
+    await system.startReadyHost('west');
+    await until(() => system.hosts[1]?.host.isReader === false);
+    first.door.fault = fault;
+    // The read that waits already is still answered, the next one isn't.
+    system.configure(2, [{path_prefix: '/new/', kind: 'idempotent'}]);
+    await until(() => serves(0, '/new/1'));
+    system.configure(3, [{path_prefix: '/newer/', kind: 'idempotent'}]);
+    await until(() => serves(1, '/newer/1'));
+    await until(() => serves(0, '/newer/1'));
+  },
+);
+
+test('many hosts that start at once get along with a slow rate of calls', async () => {
+  // All hosts lose power and return in the same second. The store refuses
+  // calls beyond its rate; hosts that repeat at once would keep it refusing.
+  system.storeServer.reads.perSecond = 15;
+  const starts = Array.from({length: 12}, () => system.startReadyHost());
+  await Promise.all(starts);
+  expect(system.hosts).toHaveLength(12);
+});
--- a/tests/gateway.test.ts
+++ b/tests/gateway.test.ts
@@ -17,7 +17,6 @@
 
 beforeEach(async () => {
   system = new GatewaySystem();
-  await system.start();
   system.configure(3);
   one = await system.addUpstream('i-1');
   host = await system.startReadyHost();
--- a/tests/platform.test.ts
+++ b/tests/platform.test.ts
@@ -206,3 +206,32 @@
   const page = (await store.read('keyed.a', 0, 0))._unsafeUnwrap();
   expect(page.records).toHaveLength(1);
 });
+
+test('a topic of many keys is read page by page', async () => {
+  server.topics.pageSize = 3;
+  for (let i = 0; i < 10; i += 1) {
+    server.put('keyed.a', `key-${i}`, `${i}`);
+  }
+  const snapshot = (await store.newest('keyed.a'))._unsafeUnwrap();
+  expect(snapshot.records.map(({value}) => value).join('')).toBe('0123456789');
+  expect(snapshot.end).toBe(10);
+});
+
+test('a call beyond the rate is refused: nothing was done', async () => {
+  server.writes.perSecond = 1;
+  await store.put('keyed.a', 'one', 'x');
+  const refused = await store.put('keyed.a', 'two', 'x');
+  expect(refused._unsafeUnwrapErr().kind).toBe('refused');
+  expect(server.topics.end('keyed.a')).toBe(1);
+});
+
+test('a write that is done after its caller gave up is unknown', async () => {
+  // The store loses the answer and carries the write out later. A caller that
+  // took silence for a refusal would believe that nothing was written.
+  server.fault = 'late';
+  const late = await store.put('keyed.a', 'one', 'x');
+  expect(late._unsafeUnwrapErr().kind).toBe('unknown');
+  server.fault = 'none';
+  const page = (await store.read('keyed.a', 0, 5_000))._unsafeUnwrap();
+  expect(page.records).toHaveLength(1);
+});
--- a/tests/support/gateway.ts
+++ b/tests/support/gateway.ts
@@ -12,7 +12,11 @@
   StoreClient,
   UPSTREAM_TOPIC,
 } from '../../src/platform/index.js';
-import type {LimitsSpec, RouteSpec} from '../../src/standins/index.js';
+import type {
+  LimitsSpec,
+  RouteSpec,
+  StoreDoor,
+} from '../../src/standins/index.js';
 import {
   ReportingUpstream,
   StoreServer,
@@ -27,6 +31,8 @@
   readonly host: GatewayHost;
   readonly ports: HostPorts;
   readonly store: StoreClient;
+  /** This host's own way to the store. */
+  readonly door: StoreDoor;
 }
 
 /** How a host's start differs from the usual one. */
@@ -55,13 +61,8 @@
   readonly storeServer = new StoreServer();
   readonly hosts: RunningHost[] = [];
   readonly upstreams: ReportingUpstream[] = [];
-  private storePort = 0;
   private nextId = 1;
 
-  async start(): Promise<void> {
-    this.storePort = await this.storeServer.listen();
-  }
-
   /** A configuration with one route for lookups and one for orders. */
   configure(
     version: number,
@@ -103,7 +104,8 @@
     dataCentre = 'east',
     {peers = 0, firstStart = true}: StartOptions = {},
   ): Promise<RunningHost> {
-    const store = new StoreClient({ip: '127.0.0.1', port: this.storePort});
+    const door = await this.storeServer.addDoor();
+    const store = new StoreClient({ip: '127.0.0.1', port: door.port});
     const settings: HostSettings = {
       host: `entry-${this.hosts.length}`,
       ip: '127.0.0.1',
@@ -113,7 +115,7 @@
       readiness: ANY,
       peers: {...ANY, port: peers},
       metrics: ANY,
-      store: {ip: '127.0.0.1', port: this.storePort},
+      store: {ip: '127.0.0.1', port: door.port},
       graceMs: 2_000,
       retryRatio: 0.2,
       retryWindowMs: 10_000,
@@ -128,7 +130,7 @@
       logger: pino({level: 'silent'}),
       metrics: new GatewayMetrics(),
     });
-    const running = {host, store, ports: await host.start()};
+    const running = {host, store, door, ports: await host.start()};
     this.hosts.push(running);
     return running;
   }
