A fault soak of real host processes; log lines are written within a second

Change: npm run soak starts hosts as processes with settings files of their own, a store and upstreams behind a proxy that delays, resets, cuts one way or silences, and sends signals in series that overlap; callers keep connections until the process is gone. History is checked for whole answers, unchanged and single runs, true refusals, draining, versions, graceful stops, recovery. Lines of a quiet host waited for 4 kB, and a killed one lost them: they are written each second. The metrics' port can be set, so that hosts share one IP number.

--- a/src/host/gateway_host.ts
+++ b/src/host/gateway_host.ts
@@ -137,11 +137,12 @@
       this.metricsServer.listen(settings.metrics),
     ]);
     this.state.identify(`${settings.peers.ip}:${peers}`);
-    logger.info({event: 'start', host: settings.host}, 'listening');
+    const ports = {callers, readiness, peers, metrics};
+    logger.info({event: 'start', host: settings.host, ports}, 'listening');
     this.member.start().catch((error: unknown) => {
       logger.error({error}, 'cannot join the fleet');
     });
-    return {callers, readiness, peers, metrics};
+    return ports;
   }
 
   /**
--- a/src/host/main.ts
+++ b/src/host/main.ts
@@ -4,11 +4,8 @@
 import {randomInt} from 'node:crypto';
 import {pino} from 'pino';
 import {GatewayMetrics} from '../gateway/index.js';
-import {
-  SETTINGS_FILE_VARIABLE,
-  StoreClient,
-  readSettingsFile,
-} from '../platform/index.js';
+import {StoreClient, readSettings} from '../platform/index.js';
+import type {Milliseconds} from '../time/index.js';
 import {seededRandom, systemClock} from '../time/index.js';
 import {GatewayHost} from './gateway_host.js';
 
@@ -21,9 +18,14 @@
  * they would grow until the process is killed for its memory.
  */
 const LOG_HELD_BYTES = 2 * 1024 * 1024;
+/**
+ * Lines wait no longer than this to be written: those of a process that is
+ * killed are lost, and they are what tells why.
+ */
+const LOG_FLUSH_MS: Milliseconds = 1_000;
 
 async function main(): Promise<void> {
-  const settings = readSettingsFile(process.env[SETTINGS_FILE_VARIABLE]);
+  const settings = readSettings(process.env);
   if (settings.isErr()) {
     process.stderr.write(`cyclamenlever: ${settings.error.message}\n`);
     process.exitCode = EXIT_BAD_SETTINGS;
@@ -64,7 +66,9 @@
       'settings changed; they hold from the next start',
     );
   });
+  setInterval(() => logger.flush(), LOG_FLUSH_MS).unref();
   await host.start();
+  logger.flush();
 }
 
 await main();
--- a/src/platform/index.ts
+++ b/src/platform/index.ts
@@ -15,9 +15,11 @@
 } from './records.js';
 export type {HostSettings, SocketAddress} from './settings_file.js';
 export {
+  METRICS_PORT_VARIABLE,
   SETTINGS_FILE_VARIABLE,
   parseAddress,
   parseSettings,
+  readSettings,
   readSettingsFile,
 } from './settings_file.js';
 export {encodeKeyedRecord} from './keyed_records.js';
--- a/src/platform/settings_file.ts
+++ b/src/platform/settings_file.ts
@@ -1,13 +1,15 @@
 /** Reads the settings file that the platform writes for each process. */
 
 import {readFileSync} from 'node:fs';
-import {Result, err} from 'neverthrow';
+import {Result, err, ok} from 'neverthrow';
 import type {Milliseconds} from '../time/index.js';
 import {parseDuration} from './duration.js';
 import {SettingsFileError} from './errors.js';
 
 /** Names the variable that holds the file's path. */
 export const SETTINGS_FILE_VARIABLE = 'CYCLAMENLEVER_SETTINGS';
+/** Names the variable that moves the metrics to another port; 0 takes any. */
+export const METRICS_PORT_VARIABLE = 'CYCLAMENLEVER_METRICS_PORT';
 
 /** IP number and port. */
 export interface SocketAddress {
@@ -48,9 +50,31 @@
 const DEFAULT_PROBES_PER_SECOND = 40;
 /** The deploy file names it too; it lies outside the ports of a day. */
 const METRICS_PORT = 9_464;
+const MAX_PORT = 65_535;
 
 type Fields = ReadonlyMap<string, string>;
 
+/** Reads what the environment names: the settings file, and the exceptions. */
+export function readSettings(
+  environment: Readonly<Record<string, string | undefined>>,
+): Result<HostSettings, SettingsFileError> {
+  const port = environment[METRICS_PORT_VARIABLE];
+  return readSettingsFile(environment[SETTINGS_FILE_VARIABLE]).andThen(
+    settings =>
+      port === undefined ? ok(settings) : withMetricsPort(settings, port),
+  );
+}
+
+function withMetricsPort(
+  settings: HostSettings,
+  text: string,
+): Result<HostSettings, SettingsFileError> {
+  const port = Number(text);
+  return Number.isInteger(port) && port >= 0 && port <= MAX_PORT
+    ? ok({...settings, metrics: {...settings.metrics, port}})
+    : err(new SettingsFileError(METRICS_PORT_VARIABLE, 'give a port'));
+}
+
 export function readSettingsFile(
   path: string | undefined,
 ): Result<HostSettings, SettingsFileError> {
--- /dev/null
+++ b/src/soak/callers.ts
@@ -0,0 +1,138 @@
+/** Callers that keep their connections until the other side ends them. */
+
+import {Agent, request} from 'node:http';
+import type {Milliseconds, Random} from '../time/index.js';
+import {sleep} from '../time/index.js';
+import type {History} from './history.js';
+import type {HostProcess} from './host_process.js';
+import type {RequestEnd, SentRequest} from './types.js';
+
+const TIME_LEFT_MS: Milliseconds = 2_000;
+/** A little longer than what the host was told: its last answer counts. */
+const PATIENCE_MS: Milliseconds = 2_600;
+const LEAST_PAUSE_MS: Milliseconds = 20;
+const PAUSE_SPREAD_MS: Milliseconds = 40;
+/** Requests on one connection before the caller goes elsewhere. */
+const REQUESTS_A_VISIT = 25;
+const ORDER_SHARE = 0.5;
+export const CALLERS_HOST = 'shop.example';
+
+export class Callers {
+  private nextId = 1;
+  private stopped = false;
+  private readonly loops: Promise<void>[] = [];
+
+  constructor(
+    private readonly hosts: readonly HostProcess[],
+    private readonly history: History,
+    private readonly random: Random,
+  ) {}
+
+  start(count: number): void {
+    for (let i = 0; i < count; i += 1) {
+      this.loops.push(this.loop());
+    }
+  }
+
+  async stop(): Promise<void> {
+    this.stopped = true;
+    await Promise.all(this.loops);
+  }
+
+  /** Asks one host for one target; the history keeps it as a lookup. */
+  ask(host: number, target: string): Promise<RequestEnd> {
+    return this.send(
+      this.noted(host, 'lookup', target),
+      new Agent({keepAlive: false}),
+    );
+  }
+
+  private async loop(): Promise<void> {
+    while (!this.stopped) {
+      const host = Math.floor(this.random() * this.hosts.length);
+      const agent = new Agent({keepAlive: true, maxSockets: 1});
+      for (let i = 0; i < REQUESTS_A_VISIT && !this.stopped; i += 1) {
+        const end = await this.send(this.next(host), agent);
+        await sleep(LEAST_PAUSE_MS + PAUSE_SPREAD_MS * this.random());
+        if (end.kind !== 'answered') {
+          break;
+        }
+      }
+      agent.destroy();
+    }
+  }
+
+  private next(host: number): SentRequest {
+    const kind = this.random() < ORDER_SHARE ? 'order' : 'lookup';
+    return this.noted(host, kind, `/${kind}/${this.nextId}`);
+  }
+
+  private noted(
+    host: number,
+    kind: SentRequest['kind'],
+    target: string,
+  ): SentRequest {
+    const number = this.nextId;
+    this.nextId += 1;
+    const isOrder = kind === 'order';
+    const sent: SentRequest = {
+      id: `r${number}`,
+      host,
+      kind,
+      method: isOrder ? 'POST' : 'GET',
+      target,
+      body: isOrder ? `bundle ${number}` : '',
+      at: this.history.clock.now(),
+    };
+    this.history.noteSent(sent);
+    return sent;
+  }
+
+  private async send(sent: SentRequest, agent: Agent): Promise<RequestEnd> {
+    const end = await this.exchange(sent, agent);
+    this.history.noteEnd(sent.id, end);
+    return end;
+  }
+
+  private exchange(sent: SentRequest, agent: Agent): Promise<RequestEnd> {
+    const {clock} = this.history;
+    return new Promise(resolve => {
+      const port = this.hosts[sent.host]?.ports?.callers;
+      const outgoing = request({
+        agent,
+        host: '127.0.0.1',
+        port,
+        method: sent.method,
+        path: sent.target,
+        headers: {
+          host: CALLERS_HOST,
+          'cyclamenlever-request-id': sent.id,
+          'cyclamenlever-deadline-ms': String(TIME_LEFT_MS),
+          ...(sent.body && {'content-length': String(sent.body.length)}),
+        },
+      });
+      const settle = (end: RequestEnd): void => {
+        clearTimeout(timer);
+        resolve(end);
+      };
+      const cut = (error: Error): void =>
+        settle({kind: 'cut', error: error.message, at: clock.now()});
+      const timer = setTimeout(() => {
+        settle({kind: 'given-up', at: clock.now()});
+        outgoing.destroy();
+      }, PATIENCE_MS);
+      outgoing.on('error', cut);
+      outgoing.on('response', answer => {
+        const chunks: Buffer[] = [];
+        answer.on('error', cut);
+        answer.on('data', (chunk: Buffer) => chunks.push(chunk));
+        answer.on('end', () => {
+          const status = answer.statusCode ?? 0;
+          const body = Buffer.concat(chunks).toString();
+          settle({kind: 'answered', status, body, at: clock.now()});
+        });
+      });
+      outgoing.end(sent.body);
+    });
+  }
+}
--- /dev/null
+++ b/src/soak/checks.ts
@@ -0,0 +1,122 @@
+/** The promises of the project's pages, checked on a run's history. */
+
+import type {Milliseconds} from '../time/index.js';
+import type {History} from './history.js';
+import {overlaps} from './history.js';
+import type {Finding, ObservedRun, RequestEnd, SentRequest} from './types.js';
+
+/** Statuses that promise that a request has not run and never will. */
+const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
+/** Within this time an upstream that leaves gets nothing more. */
+const DRAIN_MS: Milliseconds = 2_000;
+/** A busy machine that runs all of it may be late by so much. */
+const SLACK_MS: Milliseconds = 1_500;
+/** Hosts that were in trouble are held to times only after this rest. */
+const REST_MS: Milliseconds = 3_000;
+
+type Check = (history: History) => readonly Finding[];
+
+/** Each check reads the whole history once the run is over. */
+export const CHECKS: readonly Check[] = [
+  findMixedAnswers,
+  findUnaskedRuns,
+  findRepeatedOrders,
+  findFalseRefusals,
+  findRunsAfterLeaving,
+  findCutRequests,
+];
+
+function findMixedAnswers(history: History): readonly Finding[] {
+  return pairs(history).flatMap(([request, end]) => {
+    const expected = `${request.method} ${request.target} ${request.body}`;
+    return end.kind === 'answered' &&
+      end.status === 200 &&
+      end.body !== expected
+      ? [finding('whole', request, `got ${end.body.slice(0, 80)}`)]
+      : [];
+  });
+}
+
+function findUnaskedRuns(history: History): readonly Finding[] {
+  return history.runs.flatMap(run => {
+    const request = history.sent.get(run.id);
+    const same =
+      request?.method === run.method &&
+      request.target === run.target &&
+      request.body === run.body;
+    return same ? [] : [{promise: 'unchanged', detail: describe(run)}];
+  });
+}
+
+function findRepeatedOrders(history: History): readonly Finding[] {
+  return pairs(history).flatMap(([request]) => {
+    const runs = request.kind === 'order' ? history.runsOf(request.id) : [];
+    return runs.length > 1
+      ? [finding('once', request, runs.map(describe).join('; '))]
+      : [];
+  });
+}
+
+function findFalseRefusals(history: History): readonly Finding[] {
+  return pairs(history).flatMap(([request, end]) => {
+    const refused = end.kind === 'answered' && NOT_RUN_STATUSES.has(end.status);
+    const [run] = refused ? history.runsOf(request.id) : [];
+    return run ? [finding('true refusal', request, describe(run))] : [];
+  });
+}
+
+/** Only sends of hosts that could hear of the leaving count. */
+function findRunsAfterLeaving(history: History): readonly Finding[] {
+  return history.runs.flatMap(run => {
+    const leftAt = history.leftAt.get(run.upstream) ?? Infinity;
+    const request = history.sent.get(run.id);
+    const lateBy = run.at - leftAt - DRAIN_MS - SLACK_MS;
+    if (!request || lateBy <= 0) {
+      return [];
+    }
+    const span = {from: leftAt - REST_MS, to: run.at};
+    const excused =
+      overlaps(span, history.storeTroubles) ||
+      overlaps(span, [...history.hostTroubles.values()].flat());
+    const detail = `${describe(run)}, ${Math.round(lateBy)} ms too late`;
+    return excused ? [] : [finding('drain', request, detail)];
+  });
+}
+
+/** A planned stop cuts nothing off that had reached an upstream. */
+function findCutRequests(history: History): readonly Finding[] {
+  return pairs(history).flatMap(([request, end]) => {
+    if (end.kind !== 'cut' || history.runsOf(request.id).length === 0) {
+      return [];
+    }
+    const span = {from: request.at, to: end.at};
+    const planned = overlaps(span, history.stops.get(request.host) ?? []);
+    const excused =
+      overlaps(span, history.hostTroubles.get(request.host) ?? []) ||
+      overlaps(span, history.upstreamTroubles);
+    return planned && !excused
+      ? [finding('graceful stop', request, end.error)]
+      : [];
+  });
+}
+
+function pairs(
+  history: History,
+): readonly (readonly [SentRequest, RequestEnd])[] {
+  return [...history.sent.values()].flatMap(request => {
+    const end = history.ends.get(request.id);
+    return end ? [[request, end] as const] : [];
+  });
+}
+
+function finding(
+  promise: string,
+  {id, kind, host}: SentRequest,
+  detail: string,
+): Finding {
+  return {promise, detail: `${kind} ${id} at host ${host}: ${detail}`};
+}
+
+function describe({id, upstream, method, target, at}: ObservedRun): string {
+  return `${upstream} ran ${id} (${method} ${target}) at ${Math.round(at)} ms`;
+}
--- /dev/null
+++ b/src/soak/fault_proxy.ts
@@ -0,0 +1,107 @@
+/** A loopback proxy whose connections can be disturbed from outside. */
+
+import type {Server, Socket} from 'node:net';
+import {connect, createServer} from 'node:net';
+import type {Milliseconds} from '../time/index.js';
+
+/** How connections through the proxy are disturbed. */
+export type LinkFault =
+  | 'none'
+  | 'delay'
+  /** Open connections are reset, new ones too. */
+  | 'reset'
+  /** What the far side sends is lost. */
+  | 'one-way'
+  /** Nothing passes in either direction; connections stay open. */
+  | 'silent';
+
+const DELAY_MS: Milliseconds = 150;
+
+export class FaultProxy {
+  private current: LinkFault = 'none';
+  private readonly server: Server;
+  private readonly sockets = new Set<Socket>();
+
+  constructor(private readonly target: {ip: string; port: number}) {
+    this.server = createServer({allowHalfOpen: true}, near =>
+      this.accept(near),
+    );
+  }
+
+  get fault(): LinkFault {
+    return this.current;
+  }
+
+  set fault(fault: LinkFault) {
+    this.current = fault;
+    if (fault === 'reset') {
+      this.sockets.forEach(socket => socket.resetAndDestroy());
+    }
+  }
+
+  listen(): Promise<number> {
+    return new Promise(resolve => {
+      this.server.listen(0, '127.0.0.1', () => {
+        const address = this.server.address();
+        resolve(typeof address === 'object' ? (address?.port ?? 0) : 0);
+      });
+    });
+  }
+
+  close(): Promise<void> {
+    return new Promise(resolve => {
+      this.server.close(() => resolve());
+      this.sockets.forEach(socket => socket.destroy());
+    });
+  }
+
+  private accept(near: Socket): void {
+    if (this.current === 'reset') {
+      near.resetAndDestroy();
+      return;
+    }
+    const far = connect({
+      host: this.target.ip,
+      port: this.target.port,
+      allowHalfOpen: true,
+    });
+    this.join(near, far, ['silent']);
+    this.join(far, near, ['silent', 'one-way']);
+  }
+
+  /**
+   * Passes on what one side sends, in order. Once a fault has swallowed
+   * something, nothing passes any more: no byte of a TCP stream is ever
+   * skipped, but a connection may stay silent for good.
+   */
+  private join(
+    from: Socket,
+    to: Socket,
+    swallowing: readonly LinkFault[],
+  ): void {
+    this.sockets.add(from);
+    from.setNoDelay(true);
+    let silent = false;
+    let before = Promise.resolve();
+    const inOrder = (action: () => void): void => {
+      silent ||= swallowing.includes(this.current);
+      if (!silent) {
+        const delayMs = this.current === 'delay' ? DELAY_MS : 0;
+        before = before.then(() => pause(delayMs)).then(action);
+      }
+    };
+    from.on('data', chunk => inOrder(() => to.write(chunk)));
+    from.on('end', () => inOrder(() => to.end()));
+    from.on('error', () => to.resetAndDestroy());
+    from.on('close', () => {
+      this.sockets.delete(from);
+      inOrder(() => to.destroy());
+    });
+  }
+}
+
+async function pause(ms: Milliseconds): Promise<void> {
+  if (ms > 0) {
+    await new Promise(resolve => setTimeout(resolve, ms));
+  }
+}
--- /dev/null
+++ b/src/soak/history.ts
@@ -0,0 +1,51 @@
+/** What callers sent and got, and what upstreams ran, in one run. */
+
+import type {Clock, Milliseconds} from '../time/index.js';
+import type {ObservedRun, RequestEnd, SentRequest, Span} from './types.js';
+
+export class History {
+  readonly sent = new Map<string, SentRequest>();
+  readonly ends = new Map<string, RequestEnd>();
+  readonly runs: ObservedRun[] = [];
+  /** Trouble with any upstream or with the way to it. */
+  readonly upstreamTroubles: Span[] = [];
+  /** Trouble with the store or the way to it, of any host. */
+  readonly storeTroubles: Span[] = [];
+  /** Signals to each host and their after-effects. */
+  readonly hostTroubles = new Map<number, Span[]>();
+  /** When each upstream's leaving was known to the store. */
+  readonly leftAt = new Map<string, Milliseconds>();
+  /** Planned stops of each host. */
+  readonly stops = new Map<number, Span[]>();
+
+  constructor(readonly clock: Clock) {}
+
+  noteSent(request: SentRequest): void {
+    this.sent.set(request.id, request);
+  }
+
+  noteEnd(id: string, end: RequestEnd): void {
+    this.ends.set(id, end);
+  }
+
+  noteRun(run: Omit<ObservedRun, 'at'>): void {
+    this.runs.push({...run, at: this.clock.now()});
+  }
+
+  noteHostTrouble(host: number, span: Span): void {
+    this.hostTroubles.set(host, [...(this.hostTroubles.get(host) ?? []), span]);
+  }
+
+  noteStop(host: number, span: Span): void {
+    this.stops.set(host, [...(this.stops.get(host) ?? []), span]);
+  }
+
+  runsOf(id: string): readonly ObservedRun[] {
+    return this.runs.filter(run => run.id === id);
+  }
+}
+
+/** Whether a span overlaps any of the others. */
+export function overlaps(span: Span, others: readonly Span[]): boolean {
+  return others.some(({from, to}) => from <= span.to && to >= span.from);
+}
--- /dev/null
+++ b/src/soak/host_process.ts
@@ -0,0 +1,133 @@
+/** One entry host as a process of its own. */
+
+import type {ChildProcess} from 'node:child_process';
+import {spawn} from 'node:child_process';
+import {createWriteStream, writeFileSync} from 'node:fs';
+import {join} from 'node:path';
+import {createInterface} from 'node:readline';
+import type {HostPorts} from '../host/gateway_host.js';
+import {
+  METRICS_PORT_VARIABLE,
+  SETTINGS_FILE_VARIABLE,
+} from '../platform/index.js';
+import type {Milliseconds} from '../time/index.js';
+
+const PROGRAM = 'dist/host/main.js';
+const START_TIMEOUT_MS: Milliseconds = 20_000;
+export const GRACE_MS: Milliseconds = 6_000;
+
+export interface HostPlace {
+  readonly name: string;
+  readonly dataCentre: string;
+  readonly storePort: number;
+  readonly folder: string;
+}
+
+export class HostProcess {
+  private child: ChildProcess | undefined;
+  private known: HostPorts | undefined;
+  private starts = 0;
+
+  constructor(readonly place: HostPlace) {}
+
+  /** Ports of this life or of the last one. */
+  get ports(): HostPorts | undefined {
+    return this.known;
+  }
+
+  get isRunning(): boolean {
+    return this.child !== undefined;
+  }
+
+  /** Counts the lives of the process. */
+  get life(): number {
+    return this.starts;
+  }
+
+  /** Starts the program; resolves once it listens. */
+  async start(): Promise<void> {
+    const {name, folder} = this.place;
+    const settings = join(folder, `${name}.conf`);
+    writeFileSync(settings, this.settings());
+    const child = spawn(process.execPath, [PROGRAM], {
+      env: {
+        ...process.env,
+        [SETTINGS_FILE_VARIABLE]: settings,
+        [METRICS_PORT_VARIABLE]: '0',
+      },
+      stdio: ['ignore', 'pipe', 'inherit'],
+    });
+    this.child = child;
+    this.starts += 1;
+    child.once('exit', () => {
+      if (this.child === child) {
+        this.child = undefined;
+      }
+    });
+    const log = createWriteStream(join(folder, `${name}.log`), {flags: 'a'});
+    child.stdout.pipe(log);
+    this.known = await readPorts(child);
+  }
+
+  /** Sends a signal to this process alone. */
+  signal(signal: NodeJS.Signals): void {
+    this.child?.kill(signal);
+  }
+
+  /** Resolves when the process is gone. */
+  async gone(): Promise<void> {
+    const {child} = this;
+    if (child && child.exitCode === null && child.signalCode === null) {
+      await new Promise(resolve => child.once('exit', resolve));
+    }
+  }
+
+  /** Ports stay the same over restarts, as those of a host do. */
+  private settings(): string {
+    const {name, dataCentre, storePort} = this.place;
+    const ports = this.known;
+    return [
+      `self.node=${name}`,
+      'self.ip=127.0.0.1',
+      `self.zone=${dataCentre}`,
+      `self.bootstrap=${String(this.starts === 0)}`,
+      `network.listen.front=127.0.0.1:${ports?.callers ?? 0}`,
+      `network.listen.ready=127.0.0.1:${ports?.readiness ?? 0}`,
+      `network.internal_ports=${ports?.peers ?? 0},0`,
+      `platform.platform.address=127.0.0.1:${storePort}`,
+      `terms.bounds.grace=${GRACE_MS}ms`,
+      'terms.bounds.retry_ratio=0.2',
+      'terms.bounds.retry_slack=50',
+      'terms.bounds.probe_per_s=60',
+      '',
+    ].join('\n');
+  }
+}
+
+/** The first line of the log tells the ports. */
+function readPorts(child: ChildProcess): Promise<HostPorts> {
+  return new Promise((resolve, reject) => {
+    const fail = (reason: string): void => {
+      clearTimeout(timer);
+      reject(new Error(`a host did not start: ${reason}; read its log`));
+    };
+    const timer = setTimeout(() => fail('no line'), START_TIMEOUT_MS);
+    child.once('exit', code => fail(`exit code ${String(code)}`));
+    if (!child.stdout) {
+      fail('its output is not read');
+      return;
+    }
+    const lines = createInterface({input: child.stdout});
+    lines.on('line', line => {
+      const {event, ports} = JSON.parse(line) as {
+        event?: string;
+        ports?: HostPorts;
+      };
+      if (event === 'start' && ports) {
+        clearTimeout(timer);
+        lines.removeAllListeners('line');
+        resolve(ports);
+      }
+    });
+  });
+}
--- /dev/null
+++ b/src/soak/main.ts
@@ -0,0 +1,119 @@
+#!/usr/bin/env node
+/** Plays seeded runs of faults against real host processes. */
+
+import {mkdtempSync} from 'node:fs';
+import {tmpdir} from 'node:os';
+import {join} from 'node:path';
+import {Builtins, Cli, Command, Option} from 'clipanion';
+import {REGRESSIONS} from './regressions.js';
+import type {RunPlan} from './run.js';
+import {runOnce} from './run.js';
+import type {RunReport} from './types.js';
+
+const EXIT = {clean: 0, findings: 1} as const;
+const SECOND_MS = 1_000;
+
+class SoakCommand extends Command {
+  static override paths = [Command.Default];
+  static override usage = Command.Usage({
+    description: 'plays seeded runs of faults against real host processes',
+    details:
+      'Prints one line a seed and each broken promise; exits with 1 if any is.',
+  });
+
+  readonly seeds = Option.String('--seeds', '10', {
+    description: 'how many seeds; 0 plays the regressions alone',
+  });
+  readonly from = Option.String('--from', '1', {description: 'first seed'});
+  readonly regressions = Option.Boolean('--regressions', false, {
+    description: 'also plays the seeds that ever failed',
+  });
+  readonly hosts = Option.String('--hosts', '5');
+  readonly upstreams = Option.String('--upstreams', '6');
+  readonly callers = Option.String('--callers', '20');
+  readonly faults = Option.String('--faults', '14');
+  readonly seconds = Option.String('--seconds', '8', {
+    description: 'how long faults begin',
+  });
+  readonly jobs = Option.String('--jobs', '2', {
+    description: 'runs at the same time',
+  });
+  readonly logs = Option.String('--logs', {
+    description: 'folder for the hosts’ logs; a new one by default',
+  });
+
+  override async execute(): Promise<number> {
+    const logFolder = this.logs ?? mkdtempSync(join(tmpdir(), 'soak-'));
+    const seeds = this.chosenSeeds();
+    const reports: RunReport[] = [];
+    const next = async (): Promise<void> => {
+      for (let seed = seeds.shift(); seed !== undefined; seed = seeds.shift()) {
+        const report = await runOnce(this.plan(seed, logFolder));
+        reports.push(report);
+        this.print(report);
+      }
+    };
+    await Promise.all(Array.from({length: Number(this.jobs)}, next));
+    return this.summarize(reports);
+  }
+
+  private chosenSeeds(): number[] {
+    const first = Number(this.from);
+    const count = Number(this.seeds);
+    const fresh = Array.from({length: count}, (_, index) => first + index);
+    const known = this.regressions ? REGRESSIONS.map(({seed}) => seed) : [];
+    return [...known, ...fresh];
+  }
+
+  private plan(seed: number, logFolder: string): RunPlan {
+    return {
+      seed,
+      logFolder,
+      hosts: Number(this.hosts),
+      upstreams: Number(this.upstreams),
+      callers: Number(this.callers),
+      faults: Number(this.faults),
+      lengthMs: Number(this.seconds) * SECOND_MS,
+    };
+  }
+
+  private print(report: RunReport): void {
+    const {seed, requests, served, findings, logFolder} = report;
+    const share = (served / Math.max(1, requests)).toFixed(3);
+    this.context.stdout.write(
+      `seed ${seed}: ${requests} requests, ${share} served, ` +
+        `${findings.length} findings\n`,
+    );
+    for (const {promise, detail} of findings) {
+      this.context.stdout.write(`  ${promise}: ${detail} (${logFolder})\n`);
+    }
+  }
+
+  private summarize(reports: readonly RunReport[]): number {
+    const faults = new Map<string, number>();
+    let requests = 0;
+    let findings = 0;
+    for (const report of reports) {
+      requests += report.requests;
+      findings += report.findings.length;
+      for (const [kind, count] of Object.entries(report.faults)) {
+        faults.set(kind, (faults.get(kind) ?? 0) + count);
+      }
+    }
+    const kinds = [...faults].map(([kind, count]) => `${kind} ${count}`);
+    this.context.stdout.write(
+      `${reports.length} runs, ${requests} requests, ${findings} findings; ` +
+        `faults: ${kinds.sort().join(', ')}\n`,
+    );
+    return findings > 0 ? EXIT.findings : EXIT.clean;
+  }
+}
+
+const cli = new Cli({
+  binaryName: 'soak',
+  binaryLabel: 'Fault soak',
+  binaryVersion: '0.1.0',
+});
+cli.register(SoakCommand);
+cli.register(Builtins.HelpCommand);
+await cli.runExit(process.argv.slice(2));
--- /dev/null
+++ b/src/soak/run.ts
@@ -0,0 +1,151 @@
+/** One seeded run: a fleet, a load, a series of faults, and the checks. */
+
+import {mkdirSync} from 'node:fs';
+import {join} from 'node:path';
+import type {Milliseconds} from '../time/index.js';
+import {seededRandom, sleep, systemClock} from '../time/index.js';
+import {Callers} from './callers.js';
+import {CHECKS} from './checks.js';
+import type {FaultKind} from './faults.js';
+import {FAULTS, FAULT_KINDS, stop} from './faults.js';
+import {History} from './history.js';
+import {GRACE_MS} from './host_process.js';
+import {MarkerWatch} from './marker_watch.js';
+import type {Finding, RunReport} from './types.js';
+import type {WorldSize} from './world.js';
+import {World} from './world.js';
+
+export interface RunPlan extends WorldSize {
+  readonly seed: number;
+  /** How long faults begin, after the fleet serves. */
+  readonly lengthMs: Milliseconds;
+  readonly faults: number;
+  readonly callers: number;
+  readonly logFolder: string;
+}
+
+/** All hosts serve again within this time after the last fault. */
+const RECOVERY_MS: Milliseconds = 15_000;
+/** The platform kills what still runs at the end of the grace. */
+const STOP_SLACK_MS: Milliseconds = 1_500;
+const SHORTEST_MS: Milliseconds = 300;
+const LONGEST_MS: Milliseconds = 4_000;
+const POLL_MS: Milliseconds = 100;
+/** Time for a refused request to run after all. */
+const SETTLE_MS: Milliseconds = 500;
+
+export async function runOnce(plan: RunPlan): Promise<RunReport> {
+  const logFolder = join(plan.logFolder, `seed-${plan.seed}`);
+  mkdirSync(logFolder, {recursive: true});
+  const history = new History(systemClock);
+  const world = new World(history, seededRandom(plan.seed), logFolder);
+  // Callers draw at moments that differ: the faults must not depend on them.
+  const callers = new Callers(world.hosts, history, seededRandom(-plan.seed));
+  const watch = new MarkerWatch(world, callers);
+  const counts = new Map<FaultKind, number>();
+  const findings: Finding[] = [];
+  try {
+    await world.build(plan);
+    await awaitService(world, callers);
+    callers.start(plan.callers);
+    watch.start();
+    findings.push(...(await playFaults(world, plan, counts)));
+    world.heal();
+    findings.push(...(await awaitService(world, callers)));
+    await watch.stop();
+    findings.push(...(await stopAll(world)));
+    await callers.stop();
+    await sleep(SETTLE_MS);
+  } finally {
+    await callers.stop();
+    await watch.stop();
+    await world.close();
+  }
+  findings.push(...watch.findings);
+  CHECKS.forEach(check => findings.push(...check(history)));
+  return {
+    seed: plan.seed,
+    requests: history.sent.size,
+    served: countServed(history),
+    faults: Object.fromEntries(counts),
+    findings,
+    logFolder,
+  };
+}
+
+/** Begins faults at random moments, so that they overlap. */
+async function playFaults(
+  world: World,
+  {faults, lengthMs}: RunPlan,
+  counts: Map<FaultKind, number>,
+): Promise<readonly Finding[]> {
+  const {random} = world;
+  const begins = Array.from({length: faults}, () => random() * lengthMs);
+  begins.sort((a, b) => a - b);
+  const pending: Promise<void>[] = [];
+  let now: Milliseconds = 0;
+  for (const at of begins) {
+    await sleep(at - now);
+    now = at;
+    const kind = FAULT_KINDS[Math.floor(random() * FAULT_KINDS.length)];
+    if (kind) {
+      counts.set(kind, (counts.get(kind) ?? 0) + 1);
+      const lastsMs = SHORTEST_MS + random() * (LONGEST_MS - SHORTEST_MS);
+      pending.push(FAULTS[kind](world, lastsMs));
+    }
+  }
+  const ends = await Promise.allSettled(pending);
+  return ends.flatMap(end =>
+    end.status === 'rejected'
+      ? [{promise: 'starts again', detail: String(end.reason)}]
+      : [],
+  );
+}
+
+/** Waits until each host serves; one that doesn't in time is a finding. */
+async function awaitService(
+  world: World,
+  callers: Callers,
+): Promise<readonly Finding[]> {
+  const {clock} = world.history;
+  const until = clock.now() + RECOVERY_MS;
+  const late = await Promise.all(
+    [...world.hosts.keys()].map(async host => {
+      while (clock.now() < until) {
+        const end = await callers.ask(host, '/lookup/ready');
+        if (end.kind === 'answered' && end.status === 200) {
+          return undefined;
+        }
+        await sleep(POLL_MS);
+      }
+      return {promise: 'recovery', detail: `host ${host} serves nothing`};
+    }),
+  );
+  return late.filter(one => one !== undefined);
+}
+
+/** Stops all hosts while callers go on; none may outlast its grace. */
+async function stopAll(world: World): Promise<readonly Finding[]> {
+  const all = [...world.hosts.keys()];
+  const late = await Promise.all(
+    all.map(async host => {
+      const gone = stop(world, host).then(() => true);
+      const inTime = await Promise.race([
+        gone,
+        sleep(GRACE_MS + STOP_SLACK_MS).then(() => false),
+      ]);
+      return inTime
+        ? undefined
+        : {promise: 'grace', detail: `host ${host} outlasts its grace`};
+    }),
+  );
+  return late.filter(one => one !== undefined);
+}
+
+function countServed({ends}: History): number {
+  let served = 0;
+  ends.forEach(end => {
+    served += end.kind === 'answered' && end.status === 200 ? 1 : 0;
+  });
+  return served;
+}
--- /dev/null
+++ b/src/soak/world.ts
@@ -0,0 +1,171 @@
+/** A fleet of real host processes, and stand-ins for all around them. */
+
+import {OPERATOR_TOPIC, UPSTREAM_TOPIC} from '../platform/index.js';
+import type {StoreDoor} from '../standins/index.js';
+import {
+  ReportingUpstream,
+  StoreServer,
+  configurationRecord,
+  upstreamRecord,
+} from '../standins/index.js';
+import type {Milliseconds, Random} from '../time/index.js';
+import {FaultProxy} from './fault_proxy.js';
+import type {History} from './history.js';
+import {HostProcess} from './host_process.js';
+
+const SERVICE = 'listings';
+const DATA_CENTRES = ['east', 'west', 'north'];
+const WORK_MS: Milliseconds = 25;
+const LOCAL = '127.0.0.1';
+
+export interface WorldSize {
+  readonly hosts: number;
+  readonly upstreams: number;
+}
+
+/** A host's own way to the store: a door, and a proxy before it. */
+export interface StoreWay {
+  readonly door: StoreDoor;
+  readonly link: FaultProxy;
+}
+
+export interface SoakUpstream {
+  readonly server: ReportingUpstream;
+  readonly link: FaultProxy;
+  readonly address: string;
+  readonly dataCentre: string;
+}
+
+export class World {
+  readonly store = new StoreServer();
+  readonly hosts: HostProcess[] = [];
+  readonly ways: StoreWay[] = [];
+  /** Those in service; one that leaves is taken out at once. */
+  upstreams: readonly SoakUpstream[] = [];
+  private readonly all: SoakUpstream[] = [];
+  private currentVersion = 0;
+  private nextUpstream = 1;
+
+  constructor(
+    readonly history: History,
+    readonly random: Random,
+    private readonly folder: string,
+  ) {}
+
+  get version(): number {
+    return this.currentVersion;
+  }
+
+  async build({hosts, upstreams}: WorldSize): Promise<void> {
+    this.configure();
+    for (let i = 0; i < upstreams; i += 1) {
+      await this.addUpstream();
+    }
+    for (let i = 0; i < hosts; i += 1) {
+      await this.addHost(i);
+    }
+    await Promise.all(this.hosts.map(host => host.start()));
+  }
+
+  /** Writes the next version; its only new route is named after it. */
+  configure(): void {
+    this.currentVersion += 1;
+    const routes = [
+      {path_prefix: '/lookup/', kind: 'idempotent'},
+      {path_prefix: '/order/', kind: 'non_idempotent'},
+      {path_prefix: markerOf(this.currentVersion), kind: 'idempotent'},
+    ] as const;
+    this.store.put(
+      OPERATOR_TOPIC,
+      'config',
+      configurationRecord(this.currentVersion, routes, [SERVICE]),
+    );
+  }
+
+  async addUpstream(): Promise<void> {
+    const id = `i-${this.nextUpstream}`;
+    this.nextUpstream += 1;
+    const server = new ReportingUpstream(id, run =>
+      this.history.noteRun({...run, upstream: id}),
+    );
+    server.workMs = WORK_MS;
+    const [ip = LOCAL, port] = (await server.listen()).split(':');
+    const link = new FaultProxy({ip, port: Number(port)});
+    const address = `${LOCAL}:${await link.listen()}`;
+    const dataCentre = dataCentreOf(this.nextUpstream);
+    const upstream = {server, link, address, dataCentre};
+    this.all.push(upstream);
+    this.upstreams = [...this.upstreams, upstream];
+    this.register(upstream, 'ready');
+  }
+
+  /** Says that an upstream leaves; it serves on until it is removed. */
+  drain(upstream: SoakUpstream): void {
+    this.upstreams = this.upstreams.filter(one => one !== upstream);
+    this.register(upstream, 'draining');
+    this.history.leftAt.set(upstream.server.id, this.history.clock.now());
+  }
+
+  remove({server}: SoakUpstream): void {
+    this.store.put(UPSTREAM_TOPIC, server.id, undefined);
+  }
+
+  /** Ends all trouble at the store, the upstreams and the links. */
+  heal(): void {
+    this.store.fault = 'none';
+    for (const {door, link} of this.ways) {
+      door.fault = 'none';
+      door.delayMs = 0;
+      link.fault = 'none';
+    }
+    for (const {server, link} of this.all) {
+      server.fault = 'none';
+      server.healthy = true;
+      link.fault = 'none';
+    }
+  }
+
+  async close(): Promise<void> {
+    this.hosts.forEach(host => host.signal('SIGKILL'));
+    await Promise.all(this.hosts.map(host => host.gone()));
+    await Promise.all(this.ways.map(({link}) => link.close()));
+    await Promise.all(
+      this.all.flatMap(({server, link}) => [link.close(), server.close()]),
+    );
+    await this.store.close();
+  }
+
+  private async addHost(index: number): Promise<void> {
+    const door = await this.store.addDoor();
+    const link = new FaultProxy({ip: LOCAL, port: door.port});
+    this.ways.push({door, link});
+    this.hosts.push(
+      new HostProcess({
+        name: `entry-${index}`,
+        dataCentre: dataCentreOf(index),
+        storePort: await link.listen(),
+        folder: this.folder,
+      }),
+    );
+  }
+
+  private register(
+    {server, address, dataCentre}: SoakUpstream,
+    state: 'ready' | 'draining',
+  ): void {
+    this.store.put(
+      UPSTREAM_TOPIC,
+      server.id,
+      upstreamRecord(address, SERVICE, dataCentre, state),
+    );
+  }
+}
+
+/** Prefix of the route that only this version has. */
+export function markerOf(version: number): string {
+  return `/v${version}/`;
+}
+
+function dataCentreOf(index: number): string {
+  return DATA_CENTRES[index % DATA_CENTRES.length] ?? '';
+}
--- a/src/standins/reporting_upstream.ts
+++ b/src/standins/reporting_upstream.ts
@@ -68,8 +68,14 @@
   private readonly server: Server;
   private readonly sockets = new Set<Socket>();
 
-  /** @param id names this start of the upstream */
-  constructor(readonly id: string) {
+  /**
+   * @param id names this start of the upstream
+   * @param onRun told of each request as its run begins
+   */
+  constructor(
+    readonly id: string,
+    private readonly onRun: (run: UpstreamRun) => void = () => undefined,
+  ) {
     this.server = createServer(socket => this.accept(socket));
   }
 
@@ -130,6 +136,7 @@
       return;
     }
     this.runs.push(run);
+    this.onRun(run);
     const abandon = (): void => {
       this.abandoned += 1;
     };
