Explain a request from logs; a taken port ends with a remedy; soak mended

Change: the proxy ends as the other side ended; hosts have loopback addresses of their own; the daemon ends with code 3 and what to do. cyclamenlever explain tells a request's way from log lines, also with a time and host before them.

--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -10,6 +10,7 @@
   RollbackCommand,
   RunCommand,
 } from './change_commands.js';
+import {ExplainCommand} from './explain_command.js';
 import {ShowCommand} from './show_command.js';
 
 const cli = new Cli({
@@ -19,6 +20,7 @@
 });
 const COMMANDS = [
   ShowCommand,
+  ExplainCommand,
   RunCommand,
   PlanCommand,
   ApplyCommand,
--- /dev/null
+++ b/src/explain/explain.ts
@@ -0,0 +1,117 @@
+/** Tells the way of one request in plain words, from the hosts' logs. */
+
+import {meaningOf} from './outcomes.js';
+import type {LocatedLine, RequestLine, Send} from './types.js';
+
+/** Undefined when no line names the request. */
+export function explain(
+  id: string,
+  lines: readonly LocatedLine[],
+): string | undefined {
+  const own = lines.flatMap(({origin, line}) =>
+    line.event === 'request' && line.request === id ? [{origin, line}] : [],
+  );
+  return own.length > 0
+    ? own.map(({origin, line}) => tell(line, origin, lines)).join('\n\n')
+    : undefined;
+}
+
+function tell(
+  request: RequestLine,
+  origin: string,
+  lines: readonly LocatedLine[],
+): string {
+  const {meaning, advice} = meaningOf(request.outcome);
+  return [
+    tellArrival(request, origin),
+    ...request.sends.map(send => tellSend(request.request, send, lines)),
+    ...(request.sends.length === 0 ? ['It was sent to no upstream.'] : []),
+    tellTime(request),
+    meaning,
+    `Next: ${advice}`,
+  ].join('\n');
+}
+
+function tellArrival(request: RequestLine, origin: string): string {
+  const {route, service, method, target, version, ageMs} = request;
+  const where = route
+    ? `route ${route}, service ${service ?? 'unknown'}`
+    : `${method ?? ''} ${target ?? ''}`.trim();
+  const known =
+    version === undefined
+      ? 'no configuration was known'
+      : `configuration ${version} was in force, last confirmed ${ageMs ?? '?'} ms before`;
+  const from = origin ? ` (${origin})` : '';
+  return `Request ${request.request}${from}: ${where}; ${known}.`;
+}
+
+function tellSend(
+  id: string,
+  send: Send,
+  lines: readonly LocatedLine[],
+): string {
+  const place = send.near
+    ? 'in the same data centre'
+    : 'in another data centre';
+  return [
+    `After ${send.atMs} ms it was sent to ${send.upstream}, ${place}.`,
+    `Just before, that upstream ${tellLoad(send)}.`,
+    `Result after ${send.ms} ms: ${send.result}${tellDetail(id, send, lines)}.`,
+    ...tellState(send, lines),
+  ].join(' ');
+}
+
+function tellLoad({load, healthy}: Send): string {
+  const health = healthy ? 'healthy' : 'unhealthy';
+  if (!load) {
+    return `told no load and called itself ${health}`;
+  }
+  const {running, waiting, slots, slowness} = load;
+  return (
+    `told ${running} of ${slots} slots in use, ${waiting} waiting, ` +
+    `work taking ${slowness} times the usual, and called itself ${health}`
+  );
+}
+
+function tellDetail(
+  id: string,
+  send: Send,
+  lines: readonly LocatedLine[],
+): string {
+  const found = lines.find(
+    ({line}) =>
+      line.event === 'attempt' &&
+      line.request === id &&
+      line.upstream === send.upstream,
+  );
+  return found?.line.event === 'attempt' ? ` (${found.line.detail})` : '';
+}
+
+/** What hosts heard of the upstream, where it wasn't simply in service. */
+function tellState(
+  {upstream}: Send,
+  lines: readonly LocatedLine[],
+): readonly string[] {
+  const states = new Set(
+    lines.flatMap(({line}) =>
+      line.event === 'upstream' && line.upstream === upstream
+        ? [line.state]
+        : [],
+    ),
+  );
+  states.delete('ready');
+  return states.size > 0
+    ? [`The logs also say of it: ${[...states].join(', ')}.`]
+    : [];
+}
+
+function tellTime({ms, leftMs, sends}: RequestLine): string {
+  if (ms === undefined) {
+    return 'It was answered at once.';
+  }
+  const atUpstreams = sends.reduce((sum, send) => sum + send.ms, 0);
+  return (
+    `It took ${ms} ms: ${Math.max(0, ms - atUpstreams)} ms at this host, ` +
+    `${atUpstreams} ms at upstreams; ${leftMs ?? 0} ms were left.`
+  );
+}
--- /dev/null
+++ b/src/explain/types.ts
@@ -0,0 +1,66 @@
+import {z} from 'zod';
+
+const LOAD = z.object({
+  running: z.number(),
+  waiting: z.number(),
+  slots: z.number(),
+  slowness: z.number(),
+});
+
+const SEND = z.object({
+  upstream: z.string(),
+  near: z.boolean(),
+  load: LOAD.optional(),
+  healthy: z.boolean(),
+  atMs: z.number(),
+  result: z.string(),
+  ms: z.number(),
+});
+
+/** The line that an entry host writes when a request has its final answer. */
+export const REQUEST_LINE = z.object({
+  event: z.literal('request'),
+  request: z.string(),
+  outcome: z.string(),
+  route: z.string().optional(),
+  service: z.string().optional(),
+  method: z.string().optional(),
+  target: z.string().optional(),
+  ms: z.number().optional(),
+  leftMs: z.number().optional(),
+  sends: z.array(SEND).default([]),
+  version: z.number().optional(),
+  ageMs: z.number().nullish(),
+});
+
+/** The line about a send that failed. */
+export const ATTEMPT_LINE = z.object({
+  event: z.literal('attempt'),
+  request: z.string(),
+  upstream: z.string(),
+  reason: z.string(),
+  detail: z.string(),
+});
+
+/** The line about an upstream that appeared, leaves or is gone. */
+export const UPSTREAM_LINE = z.object({
+  event: z.literal('upstream'),
+  upstream: z.string(),
+  state: z.string(),
+});
+
+export const LOG_LINE = z.discriminatedUnion('event', [
+  REQUEST_LINE,
+  ATTEMPT_LINE,
+  UPSTREAM_LINE,
+]);
+
+export type Send = Readonly<z.infer<typeof SEND>>;
+export type RequestLine = Readonly<z.infer<typeof REQUEST_LINE>>;
+export type LogLine = Readonly<z.infer<typeof LOG_LINE>>;
+
+/** A line, and what stood before its JSON: a time, a host, or nothing. */
+export interface LocatedLine {
+  readonly origin: string;
+  readonly line: LogLine;
+}
--- a/src/host/main.ts
+++ b/src/host/main.ts
@@ -10,6 +10,7 @@
 import {GatewayHost} from './gateway_host.js';
 
 const EXIT_BAD_SETTINGS = 2;
+const EXIT_CANNOT_LISTEN = 3;
 const SEED_RANGE = 2 ** 31;
 /** Log lines are written in pieces of this size, off the loop. */
 const LOG_CHUNK_BYTES = 4_096;
@@ -67,7 +68,16 @@
     );
   });
   setInterval(() => logger.flush(), LOG_FLUSH_MS).unref();
-  await host.start();
+  try {
+    await host.start();
+  } catch (error) {
+    // The logger writes later; this process ends now.
+    process.stderr.write(
+      `cyclamenlever: cannot listen (${String(error)}): ` +
+        'end what holds the address, or change the settings\n',
+    );
+    process.exit(EXIT_CANNOT_LISTEN);
+  }
   logger.flush();
 }
 
--- a/src/soak/callers.ts
+++ b/src/soak/callers.ts
@@ -97,11 +97,11 @@
   private exchange(sent: SentRequest, agent: Agent): Promise<RequestEnd> {
     const {clock} = this.history;
     return new Promise(resolve => {
-      const port = this.hosts[sent.host]?.ports?.callers;
+      const host = this.hosts[sent.host];
       const outgoing = request({
         agent,
-        host: '127.0.0.1',
-        port,
+        host: host?.place.ip,
+        port: host?.ports?.callers,
         method: sent.method,
         path: sent.target,
         headers: {
--- a/src/soak/fault_proxy.ts
+++ b/src/soak/fault_proxy.ts
@@ -91,7 +91,7 @@
       }
     };
     from.on('data', chunk => inOrder(() => to.write(chunk)));
-    from.on('end', () => inOrder(() => to.end()));
+    from.on('end', () => inOrder(() => endLike(from, to)));
     from.on('error', () => to.resetAndDestroy());
     from.on('close', () => {
       this.sockets.delete(from);
@@ -100,6 +100,21 @@
   }
 }
 
+/**
+ * Ends one side as the other ended. A reset that comes with the last bytes is
+ * reported as an orderly end; writing tells them apart, and an empty line
+ * between messages means nothing.
+ */
+function endLike(from: Socket, to: Socket): void {
+  from.write('\r\n', error => {
+    if (error) {
+      to.resetAndDestroy();
+    } else {
+      to.end();
+    }
+  });
+}
+
 async function pause(ms: Milliseconds): Promise<void> {
   if (ms > 0) {
     await new Promise(resolve => setTimeout(resolve, ms));
--- a/src/soak/host_process.ts
+++ b/src/soak/host_process.ts
@@ -18,6 +18,11 @@
 
 export interface HostPlace {
   readonly name: string;
+  /**
+   * A loopback address of its own. On 127.0.0.1 its ports could be taken by
+   * somebody's outgoing connection while the process is down.
+   */
+  readonly ip: string;
   readonly dataCentre: string;
   readonly storePort: number;
   readonly folder: string;
@@ -44,7 +49,7 @@
     return this.starts;
   }
 
-  /** Starts the program; resolves once it listens. */
+  /** Starts the program; resolves once it listens, or was killed before. */
   async start(): Promise<void> {
     const {name, folder} = this.place;
     const settings = join(folder, `${name}.conf`);
@@ -55,7 +60,7 @@
         [SETTINGS_FILE_VARIABLE]: settings,
         [METRICS_PORT_VARIABLE]: '0',
       },
-      stdio: ['ignore', 'pipe', 'inherit'],
+      stdio: ['ignore', 'pipe', 'pipe'],
     });
     this.child = child;
     this.starts += 1;
@@ -65,8 +70,13 @@
       }
     });
     const log = createWriteStream(join(folder, `${name}.log`), {flags: 'a'});
-    child.stdout.pipe(log);
-    this.known = await readPorts(child);
+    child.stdout.pipe(log, {end: false});
+    child.stderr.pipe(log, {end: false});
+    // A soak that is stopped leaves no hosts behind.
+    const end = (): void => void child.kill('SIGKILL');
+    process.once('exit', end);
+    child.once('exit', () => process.off('exit', end));
+    this.known = (await readPorts(child)) ?? this.known;
   }
 
   /** Sends a signal to this process alone. */
@@ -84,15 +94,15 @@
 
   /** Ports stay the same over restarts, as those of a host do. */
   private settings(): string {
-    const {name, dataCentre, storePort} = this.place;
+    const {name, ip, dataCentre, storePort} = this.place;
     const ports = this.known;
     return [
       `self.node=${name}`,
-      'self.ip=127.0.0.1',
+      `self.ip=${ip}`,
       `self.zone=${dataCentre}`,
       `self.bootstrap=${String(this.starts === 0)}`,
-      `network.listen.front=127.0.0.1:${ports?.callers ?? 0}`,
-      `network.listen.ready=127.0.0.1:${ports?.readiness ?? 0}`,
+      `network.listen.front=${ip}:${ports?.callers ?? 0}`,
+      `network.listen.ready=${ip}:${ports?.readiness ?? 0}`,
       `network.internal_ports=${ports?.peers ?? 0},0`,
       `platform.platform.address=127.0.0.1:${storePort}`,
       `terms.bounds.grace=${GRACE_MS}ms`,
@@ -104,15 +114,22 @@
   }
 }
 
-/** The first line of the log tells the ports. */
-function readPorts(child: ChildProcess): Promise<HostPorts> {
+/** The first line of the log tells the ports; undefined if it was killed. */
+function readPorts(child: ChildProcess): Promise<HostPorts | undefined> {
   return new Promise((resolve, reject) => {
     const fail = (reason: string): void => {
       clearTimeout(timer);
       reject(new Error(`a host did not start: ${reason}; read its log`));
     };
     const timer = setTimeout(() => fail('no line'), START_TIMEOUT_MS);
-    child.once('exit', code => fail(`exit code ${String(code)}`));
+    child.once('exit', code => {
+      if (code === null) {
+        clearTimeout(timer);
+        resolve(undefined);
+      } else {
+        fail(`exit code ${code}`);
+      }
+    });
     if (!child.stdout) {
       fail('its output is not read');
       return;
--- a/src/soak/main.ts
+++ b/src/soak/main.ts
@@ -10,7 +10,7 @@
 import {runOnce} from './run.js';
 import type {RunReport} from './types.js';
 
-const EXIT = {clean: 0, findings: 1} as const;
+const EXIT = {clean: 0, findings: 1, stopped: 2} as const;
 const SECOND_MS = 1_000;
 
 class SoakCommand extends Command {
@@ -109,6 +109,10 @@
   }
 }
 
+process.once('SIGTERM', () => process.exit(EXIT.stopped));
+process.once('SIGINT', () => process.exit(EXIT.stopped));
+process.setMaxListeners(0);
+
 const cli = new Cli({
   binaryName: 'soak',
   binaryLabel: 'Fault soak',
--- a/src/soak/regressions.ts
+++ b/src/soak/regressions.ts
@@ -5,4 +5,13 @@
   readonly cause: string;
 }
 
-export const REGRESSIONS: readonly Regression[] = [];
+export const REGRESSIONS: readonly Regression[] = [
+  {
+    seed: 39,
+    cause: 'the soak: a port of a host that was down was taken meanwhile',
+  },
+  {
+    seed: 44,
+    cause: 'the soak: its proxy turned an upstream’s reset into an orderly end',
+  },
+];
--- a/src/soak/run.ts
+++ b/src/soak/run.ts
@@ -38,7 +38,7 @@
   const logFolder = join(plan.logFolder, `seed-${plan.seed}`);
   mkdirSync(logFolder, {recursive: true});
   const history = new History(systemClock);
-  const world = new World(history, seededRandom(plan.seed), logFolder);
+  const world = new World(history, plan.seed, logFolder);
   // Callers draw at moments that differ: the faults must not depend on them.
   const callers = new Callers(world.hosts, history, seededRandom(-plan.seed));
   const watch = new MarkerWatch(world, callers);
@@ -82,6 +82,7 @@
   const {random} = world;
   const begins = Array.from({length: faults}, () => random() * lengthMs);
   begins.sort((a, b) => a - b);
+  const findings: Finding[] = [];
   const pending: Promise<void>[] = [];
   let now: Milliseconds = 0;
   for (const at of begins) {
@@ -91,15 +92,15 @@
     if (kind) {
       counts.set(kind, (counts.get(kind) ?? 0) + 1);
       const lastsMs = SHORTEST_MS + random() * (LONGEST_MS - SHORTEST_MS);
-      pending.push(FAULTS[kind](world, lastsMs));
+      pending.push(
+        FAULTS[kind](world, lastsMs).catch((error: unknown) => {
+          findings.push({promise: 'starts again', detail: String(error)});
+        }),
+      );
     }
   }
-  const ends = await Promise.allSettled(pending);
-  return ends.flatMap(end =>
-    end.status === 'rejected'
-      ? [{promise: 'starts again', detail: String(end.reason)}]
-      : [],
-  );
+  await Promise.all(pending);
+  return findings;
 }
 
 /** Waits until each host serves; one that doesn't in time is a finding. */
--- a/src/soak/world.ts
+++ b/src/soak/world.ts
@@ -9,6 +9,7 @@
   upstreamRecord,
 } from '../standins/index.js';
 import type {Milliseconds, Random} from '../time/index.js';
+import {seededRandom} from '../time/index.js';
 import {FaultProxy} from './fault_proxy.js';
 import type {History} from './history.js';
 import {HostProcess} from './host_process.js';
@@ -37,6 +38,7 @@
 }
 
 export class World {
+  readonly random: Random;
   readonly store = new StoreServer();
   readonly hosts: HostProcess[] = [];
   readonly ways: StoreWay[] = [];
@@ -48,9 +50,11 @@
 
   constructor(
     readonly history: History,
-    readonly random: Random,
+    private readonly seed: number,
     private readonly folder: string,
-  ) {}
+  ) {
+    this.random = seededRandom(seed);
+  }
 
   get version(): number {
     return this.currentVersion;
@@ -142,6 +146,7 @@
     this.hosts.push(
       new HostProcess({
         name: `entry-${index}`,
+        ip: `127.1.${this.seed % 250}.${index + 2}`,
         dataCentre: dataCentreOf(index),
         storePort: await link.listen(),
         folder: this.folder,
--- /dev/null
+++ b/tests/explain.test.ts
@@ -0,0 +1,66 @@
+import {expect, test} from 'vitest';
+import {explain, readLines} from '../src/explain/index.js';
+
+const LOST =
+  '{"event":"attempt","request":"r1","upstream":"i-8","reason":"broken","detail":"socket hang up"}\n' +
+  '{"event":"request","request":"r1","route":"orders","service":"listings","outcome":"attempt-broken","ms":50,"leftMs":1150,"sends":[{"upstream":"i-8","near":true,"load":{"running":3,"waiting":0,"slots":6,"slowness":1},"healthy":true,"atMs":1,"result":"broken","ms":48}],"version":13,"ageMs":577}\n';
+
+test('an order whose answer was lost is told from arrival to cause', () => {
+  const told = explain('r1', readLines(LOST));
+  expect(told).toContain('configuration 13 was in force');
+  expect(told).toContain('After 1 ms it was sent to i-8');
+  expect(told).toContain('3 of 6 slots');
+  expect(told).toContain('broken (socket hang up)');
+  expect(told).toContain('2 ms at this host, 48 ms at upstreams');
+  expect(told).toContain('It may have run');
+});
+
+test('a refusal says that nothing was sent and that it has not run', () => {
+  const told = explain(
+    'r2',
+    readLines(
+      '{"event":"request","request":"r2","route":"a","service":"s","outcome":"waited-too-long","ms":437,"leftMs":763,"sends":[],"version":13,"ageMs":400}',
+    ),
+  );
+  expect(told).toContain('sent to no upstream');
+  expect(told).toContain('refused as not run');
+});
+
+test('a request that never had a route is told too', () => {
+  const told = explain(
+    'r3',
+    readLines(
+      '{"event":"request","request":"r3","method":"GET","target":"/x","outcome":"not-ready","ageMs":null}',
+    ),
+  );
+  expect(told).toContain('no configuration was known');
+});
+
+test('a time and a host before the line are kept', () => {
+  const told = explain(
+    'r1',
+    readLines(LOST.replaceAll('{"event"', '  12.34 entry-1 {"event"')),
+  );
+  expect(told).toContain('(12.34 entry-1)');
+});
+
+test('an upstream that the logs call leaving is told of', () => {
+  const told = explain(
+    'r1',
+    readLines(
+      `{"event":"upstream","upstream":"i-8","state":"leaving"}\n${LOST}`,
+    ),
+  );
+  expect(told).toContain('leaving');
+});
+
+test('lines that are cut off or of other kinds are left out', () => {
+  const lines = readLines(
+    `built in 3 s\n{"event":"start"}\n{"event":"request","req\n${LOST}`,
+  );
+  expect(lines).toHaveLength(2);
+});
+
+test('a request that no line names is not explained', () => {
+  expect(explain('r9', readLines(LOST))).toBeUndefined();
+});
--- a/tests/host_process.test.ts
+++ b/tests/host_process.test.ts
@@ -1,5 +1,7 @@
 import {spawnSync} from 'node:child_process';
 import {mkdtempSync, rmSync, writeFileSync} from 'node:fs';
+import type {AddressInfo} from 'node:net';
+import {createServer} from 'node:net';
 import {tmpdir} from 'node:os';
 import {join} from 'node:path';
 import {afterEach, beforeEach, expect, test} from 'vitest';
@@ -33,3 +35,23 @@
   expect(code).toBe(2);
   expect(told).toContain('settings field');
 });
+
+test('a host whose port is taken ends with code 3 and a remedy', async () => {
+  const taken = createServer();
+  await new Promise<void>(resolve => taken.listen(0, '127.0.0.1', resolve));
+  const {port} = taken.address() as AddressInfo;
+  const {code, told} = start(
+    [
+      'self.node=entry-1',
+      'self.ip=127.0.0.1',
+      'self.zone=east',
+      `network.listen.front=127.0.0.1:${port}`,
+      'network.listen.ready=127.0.0.1:0',
+      'network.internal_ports=0,0',
+      'platform.platform.address=127.0.0.1:1',
+    ].join('\n'),
+  );
+  taken.close();
+  expect(code).toBe(3);
+  expect(told).toContain('end what holds the address');
+});
