A shed raises an upstream's cost, not its expected time

Change: sheds raise the cost by which upstreams are ranked; whether one is in time goes by failures that may cost a request, relative to the service's median.

--- a/src/decisions/placement/placement_policy.ts
+++ b/src/decisions/placement/placement_policy.ts
@@ -39,6 +39,8 @@
 const LONG_RUN = 1.5;
 /** Equals are told apart by chance, or all hosts would take the same one. */
 const TIE_SPREAD = 0.05;
+/** How long what is usual in a service is taken to hold. */
+const USUAL_HOLDS_MS: Milliseconds = 100;
 /** Load assumed where none is told. */
 const UNTOLD: LoadReport = {running: 0, waiting: 0, slots: 1_000, slowness: 1};
 
@@ -52,6 +54,12 @@
   readonly unreported: (id: string) => number;
 }
 
+/** What counts as usual among a service's upstreams. */
+interface Usual {
+  readonly harmFactor: number;
+  readonly at: Milliseconds;
+}
+
 interface Rated {
   readonly id: string;
   /** Time to the answer, weighed by what speaks against the upstream. */
@@ -84,6 +92,8 @@
 ];
 
 export class PlacementPolicy {
+  private readonly usualByService = new Map<string, Usual>();
+
   constructor(private readonly surroundings: PlacementSurroundings) {}
 
   /** Whom to ask next; none when all have been asked. */
@@ -112,6 +122,7 @@
     answers: readonly ProbeAnswer[],
     exhausted: boolean,
   ): PlacementVerdict {
+    this.refreshUsual(request.service, upstreams);
     const rated = this.rateAll(upstreams, request, answers);
     const tiers = exhausted ? this.lastTiers(request) : NEAR_TIERS;
     for (const tier of tiers) {
@@ -180,19 +191,49 @@
         workMs,
         work.ofService(request.service, workMs),
       );
-    const doubt = outcomes.factor(id) * (answer.healthy ? 1 : UNHEALTHY_FACTOR);
+    const health = answer.healthy ? 1 : UNHEALTHY_FACTOR;
+    const doubt = outcomes.factor(id) * health;
+    const riskyMs = expectedMs * this.risk(request.service, id) * health;
     const distance = upstream.dataCentre === dataCentre ? 1 : REMOTE_FACTOR;
     return {
       id,
       cost: expectedMs * doubt * distance * (1 + TIE_SPREAD * random()),
-      safe: now + expectedMs * doubt * LONG_RUN <= request.targetAt,
-      inTime: now + expectedMs * doubt <= request.targetAt,
+      safe: now + riskyMs * LONG_RUN <= request.targetAt,
+      inTime: now + riskyMs <= request.targetAt,
       atAll: now + expectedMs <= request.giveUpAt,
       hasSlot: hasSlot(report),
       isNear: upstream.dataCentre === dataCentre,
     };
   }
 
+  /**
+   * How much more an upstream fails than is usual in its service. Where all
+   * fail alike there is nothing better to wait for: measured against a sound
+   * upstream, all slots of a service would stay free while its requests wait
+   * until they are refused.
+   */
+  private risk(service: string, id: string): number {
+    const usual = this.usualByService.get(service)?.harmFactor ?? 1;
+    return Math.max(1, this.surroundings.outcomes.harmFactor(id) / usual);
+  }
+
+  private refreshUsual(
+    service: string,
+    upstreams: readonly UpstreamInService[],
+  ): void {
+    const {clock, outcomes} = this.surroundings;
+    const at = clock.now();
+    const known = this.usualByService.get(service);
+    if (known && at - known.at < USUAL_HOLDS_MS) {
+      return;
+    }
+    const factors = upstreams
+      .map(({id}) => outcomes.harmFactor(id))
+      .sort((a, b) => a - b);
+    const harmFactor = factors[Math.floor(factors.length / 2)] ?? 1;
+    this.usualByService.set(service, {harmFactor, at});
+  }
+
   private workOf(request: PlacementRequest): Milliseconds {
     return this.surroundings.work.ofRoute(request.route, request.targetMs);
   }
--- a/tests/placement.test.ts
+++ b/tests/placement.test.ts
@@ -185,6 +185,40 @@
   });
 });
 
+test('an upstream that sheds is used when nothing else has room', () => {
+  // Upstreams with free slots shed half of what they get. Counted as time, the
+  // sheds made all of them look too slow: requests waited until they were
+  // refused while four of six slots were free.
+  for (let i = 0; i < 20; i += 1) {
+    outcomes.failed('a', 'shed');
+  }
+  const answers = [told('a', {running: 2}), told('b', {running: 6})];
+  expect(policy.judge(NEAR, request(), answers, true)).toEqual({
+    kind: 'send',
+    id: 'a',
+  });
+});
+
+test('one that sheds comes after one that does not', () => {
+  outcomes.failed('a', 'shed');
+  outcomes.failed('a', 'shed');
+  const answers = [told('a'), told('b', {running: 3})];
+  expect(policy.judge(NEAR, request(), answers, true)).toEqual({
+    kind: 'send',
+    id: 'b',
+  });
+});
+
+test('when all fail alike, none is waited for', () => {
+  // Every upstream of a service fails part of its requests. There is none
+  // better to wait for, and half of what is sent is still served.
+  for (const {id} of NEAR) {
+    Array.from({length: 6}, () => outcomes.failed(id, 'error'));
+  }
+  const answers = [told('a'), told('b', {running: 6})];
+  expect(policy.judge(NEAR, request(), answers, true).kind).toBe('send');
+});
+
 test('when all say that they are ill, one of them is used', () => {
   clock.set(450);
   const answers = [told('a', {}, false), told('b', {}, false)];
