Hosts share the calls to a store that is away

Change: only the first three hosts of a data centre that can be reached are asked for news, and ask the store often; beyond the tenth, hosts read after 3 s, then each 4 s. One read finds out for upstreams and configuration. A peer without news is asked again within 1 s. Substitutes are asked one by one, each third in another data centre; only the first of a data centre follows elsewhere.

--- a/src/decisions/relay/source_choice.ts
+++ b/src/decisions/relay/source_choice.ts
@@ -21,14 +21,32 @@
   unreachable: 1_000,
   stale: 400,
 };
-const LONGEST_SUSPENSION_MS: Milliseconds = 8_000;
+/**
+ * A dead host is seldom asked again. One that is merely without news is: when
+ * the store returns, the hosts that follow must hear of it within seconds.
+ */
+const LONGEST_SUSPENSION_MS: Readonly<Record<PeerFault, Milliseconds>> = {
+  unreachable: 8_000,
+  stale: 1_000,
+};
+/**
+ * Peers of the data centre that are asked, of those that can be reached. If
+ * none of them has news, the later ones have none either: in an outage of the
+ * store, thirty hosts that ask each other each second are 900 connections.
+ */
+const ASKED_PEERS = 3;
 /**
  * Hosts that lose their reader together begin to read one after the other:
- * the next finds the one before it reading. The longest delay and the time
- * after which a peer counts as silent stay within what a change may take.
+ * the next finds the one before it reading.
  */
 const DELAY_PER_PEER_MS: Milliseconds = 40;
-const LONGEST_DELAY_MS: Milliseconds = 500;
+/**
+ * That many hosts of a data centre read at once. If the store answered none of
+ * them it is down for all, and each further call is paid for in vain.
+ */
+const MOST_READERS = 10;
+/** Later hosts read after this time, in case the store meets only some. */
+const LATE_READ_MS: Milliseconds = 3_000;
 /**
  * Time for a host of another data centre to prove fresh before this one reads
  * the store: some three round trips of 2 ms, and the peer's own turn.
@@ -40,6 +58,9 @@
  */
 const NEAR_HEAD_START_MS: Milliseconds = 800;
 
+/** Each so many substitutes, one of another data centre is asked first. */
+const FAR_SUBSTITUTE_EACH = 3;
+
 /** Why a peer isn't followed. */
 export type PeerFault =
   /** It broke off, or said nothing. */
@@ -51,7 +72,7 @@
   | {
       readonly kind: 'peer';
       readonly peer: Peer;
-      /** This host reads the store too unless the peer proves fresh by then. */
+      /** This host reads the store too unless a peer has answered by then. */
       readonly headStartMs: Milliseconds;
     }
   | {
@@ -69,6 +90,7 @@
 export class SourceChoice {
   private peers: readonly Peer[] = [];
   private address = '';
+  private substitutes = 0;
   private readonly suspensions = new Map<string, Suspension>();
 
   constructor(
@@ -104,35 +126,42 @@
 
   /** Whom to follow now. */
   preferred(): Source {
-    const before = this.peersBefore();
+    const before = this.reachableBefore();
     const near = before.filter(one => this.isNear(one));
-    const peer = near.find(one => this.isOpen(one));
+    const delayMs = readDelay(near.length);
+    const peer = this.firstOpen(near);
     if (peer) {
       return {kind: 'peer', peer, headStartMs: NEAR_HEAD_START_MS};
     }
-    const far = before.find(one => !this.isNear(one) && this.isOpen(one));
-    if (far) {
-      return {kind: 'peer', peer: far, headStartMs: FAR_HEAD_START_MS};
-    }
-    const alive = near.filter(
-      ({address}) => this.suspensions.get(address)?.fault === 'stale',
-    );
-    const delayMs = Math.min(
-      LONGEST_DELAY_MS,
-      DELAY_PER_PEER_MS * alive.length,
-    );
-    return {kind: 'store', delayMs};
+    // Only the first of a data centre asks elsewhere: bytes between data
+    // centres are paid for.
+    const far = near.length === 0 ? this.firstOpen(before) : undefined;
+    return far
+      ? {kind: 'peer', peer: far, headStartMs: FAR_HEAD_START_MS}
+      : {kind: 'store', delayMs};
   }
 
   /**
    * Whom to ask when the store turns this host away: any other host may be
-   * served by it, first those nearby.
+   * served by it. Those nearby go first, but now and then one elsewhere is
+   * asked: the store may be away for a whole data centre.
    */
   substitute(): Peer | undefined {
+    this.substitutes += 1;
+    const farFirst = this.substitutes % FAR_SUBSTITUTE_EACH === 0;
     const open = this.peers.filter(
       one => one.address !== this.address && this.isOpen(one),
     );
-    return open.find(one => this.isNear(one)) ?? open[0];
+    return open.find(one => this.isNear(one) !== farFirst) ?? open[0];
+  }
+
+  /**
+   * Whether as many hosts come before this one as others ask: those find out
+   * when the store is back, and this one hears of it from them.
+   */
+  get isBehind(): boolean {
+    const near = this.reachableBefore().filter(one => this.isNear(one));
+    return near.length >= ASKED_PEERS;
   }
 
   isNear({dataCentre}: Peer): boolean {
@@ -143,7 +172,7 @@
   failed(peer: Peer, fault: PeerFault): void {
     const before = this.suspensions.get(peer.address);
     const lastedMs = Math.min(
-      LONGEST_SUSPENSION_MS,
+      LONGEST_SUSPENSION_MS[fault],
       before?.fault === fault
         ? before.lastedMs * 2
         : FIRST_SUSPENSION_MS[fault],
@@ -163,8 +192,29 @@
     return own ? this.peers.filter(({rank}) => rank < own.rank) : this.peers;
   }
 
+  /** Peers before this host that aren't known to be dead. */
+  private reachableBefore(): readonly Peer[] {
+    return this.peersBefore().filter(
+      one => this.isOpen(one) || this.faultOf(one) !== 'unreachable',
+    );
+  }
+
+  private firstOpen(peers: readonly Peer[]): Peer | undefined {
+    return peers.slice(0, ASKED_PEERS).find(one => this.isOpen(one));
+  }
+
+  /** What was last found wrong with a peer, if it hasn't proved since. */
+  private faultOf({address}: Peer): PeerFault | undefined {
+    return this.suspensions.get(address)?.fault;
+  }
+
   private isOpen(peer: Peer): boolean {
     const suspension = this.suspensions.get(peer.address);
     return !suspension || this.clock.now() >= suspension.until;
   }
 }
+
+/** @param before hosts of the data centre that read before this one */
+function readDelay(before: number): Milliseconds {
+  return before > MOST_READERS ? LATE_READ_MS : DELAY_PER_PEER_MS * before;
+}
--- a/src/fleet/fleet_member.ts
+++ b/src/fleet/fleet_member.ts
@@ -21,6 +21,8 @@
 const STALE_PEER_MS: Milliseconds = 1_700;
 /** Failed reads after which other hosts are asked. */
 const FAILURES_BEFORE_SUBSTITUTE = 2;
+/** Others are asked one by one: when the store is down, nobody has news. */
+const SUBSTITUTE_INTERVAL_MS: Milliseconds = 250;
 const REGISTER_PAUSE_MS: Milliseconds = 400;
 /** Hosts start together: the list is read again when all have registered. */
 const RELIST_MS: Milliseconds = 5_000;
@@ -40,15 +42,25 @@
   private readonly choice: SourceChoice;
   private readonly reader: StoreReader;
   private client: RelayClient | undefined;
+  /** When this host reads the store, unless a peer proves fresh before. */
   private readAt: Milliseconds | undefined;
+  /** The same, unless a peer answers before, with or without news. */
+  private silentUntil: Milliseconds | undefined;
   private provedFresh = false;
+  private substitutedAt: Milliseconds = -Infinity;
   private timer: NodeJS.Timeout | undefined;
   private closed = false;
 
   constructor(private readonly parts: FleetMemberParts) {
     const {dataCentre, store, state, clock, random, logger} = parts;
     this.choice = new SourceChoice(dataCentre, clock);
-    this.reader = new StoreReader(store, state, random, logger);
+    this.reader = new StoreReader(
+      store,
+      state,
+      random,
+      logger,
+      () => this.choice.isBehind,
+    );
   }
 
   get isReader(): boolean {
@@ -138,8 +150,13 @@
     if (!this.client) {
       this.follow();
     }
-    if (this.readAt !== undefined && clock.now() >= this.readAt) {
+    const readAt = Math.min(
+      this.readAt ?? Infinity,
+      this.silentUntil ?? Infinity,
+    );
+    if (clock.now() >= readAt) {
       this.readAt = undefined;
+      this.silentUntil = undefined;
       this.reader.start();
     }
   }
@@ -150,7 +167,9 @@
     }
     const source = this.choice.preferred();
     if (source.kind === 'peer') {
-      this.readAfter(source.headStartMs);
+      if (!this.reader.isRunning) {
+        this.silentUntil ??= this.parts.clock.now() + source.headStartMs;
+      }
       this.followPeer(source.peer);
       return;
     }
@@ -159,14 +178,22 @@
       return;
     }
     if (this.reader.failureCount >= FAILURES_BEFORE_SUBSTITUTE) {
-      const substitute = this.choice.substitute();
-      if (substitute) {
-        this.followPeer(substitute);
-      }
+      this.followSubstitute();
+    }
+  }
+
+  private followSubstitute(): void {
+    const now = this.parts.clock.now();
+    if (now - this.substitutedAt < SUBSTITUTE_INTERVAL_MS) {
+      return;
+    }
+    this.substitutedAt = now;
+    const substitute = this.choice.substitute();
+    if (substitute) {
+      this.followPeer(substitute);
     }
   }
 
-  /** Reads the store from then on, unless a peer proves fresh before. */
   private readAfter(delayMs: Milliseconds): void {
     if (!this.reader.isRunning) {
       const at = this.parts.clock.now() + delayMs;
@@ -192,6 +219,7 @@
     if (update.kind !== 'alive') {
       return;
     }
+    this.silentUntil = undefined;
     if (!this.isFresh(update)) {
       this.leave('stale', 'it has no news');
       return;
--- a/src/fleet/store_reader.ts
+++ b/src/fleet/store_reader.ts
@@ -33,6 +33,8 @@
  * end of their wait, and it must be in force 2 s after it was made.
  */
 const CONFIGURATION_WAIT_MS: Milliseconds = 1_400;
+/** The configuration is read again after this time, or when the store is back. */
+const OUTAGE_PAUSE_MS: Milliseconds = 5_000;
 /** Changes that come in quick succession are read together. */
 const GATHER_MS: Milliseconds = 250;
 
@@ -52,6 +54,8 @@
     private readonly state: FleetState,
     private readonly random: Random,
     private readonly logger: Logger,
+    /** Whether others find out first when the store is back. */
+    private readonly isBehind: () => boolean,
   ) {}
 
   get isRunning(): boolean {
@@ -107,7 +111,7 @@
         continue;
       }
       this.noteFailure('upstreams', failure);
-      await sleep(pauseAfter(this.failures, this.random));
+      await sleep(pauseAfter(this.failures, this.random, this.isBehind()));
     }
   }
 
@@ -140,10 +144,10 @@
         {event: 'store', read: 'configuration', error: found.error.message},
         'cannot read the store',
       );
-      await sleep(
-        pauseAfter(failures, this.random),
-        this.configurationRead.signal,
-      );
+      // While the store answers nothing, one read finds out for both.
+      const pauseMs =
+        this.failures > 0 ? OUTAGE_PAUSE_MS : pauseAfter(failures, this.random);
+      await sleep(pauseMs, this.configurationRead.signal);
     }
   }
 
@@ -221,7 +225,9 @@
 
   private noteFailure(read: string, failure: StoreFailure): void {
     this.failures += 1;
-    this.restartConfigurationRead();
+    if (this.failures === 1) {
+      this.restartConfigurationRead();
+    }
     // Followers look for a host that the store still answers.
     this.state.loseSource();
     this.logger.warn(
--- a/tests/fleet.test.ts
+++ b/tests/fleet.test.ts
@@ -170,3 +170,24 @@
   await Promise.all(starts);
   expect(system.hosts).toHaveLength(12);
 });
+
+test('hosts share the calls to a store that is away', async () => {
+  // The store refuses all for seconds. Each of twenty hosts asked it for the
+  // configuration and for the upstreams, each second: 80 calls in the time of
+  // this test, and 2,000 in eight seconds of a fleet of 120.
+  for (let i = 0; i < 20; i += 1) {
+    await system.startReadyHost();
+  }
+  await until(
+    () => system.hosts.filter(({host}) => host.isReader).length === 1,
+  );
+  system.storeServer.fault = 'refuse';
+  const before = system.storeServer.callCount;
+  await new Promise(resolve => setTimeout(resolve, 2_500));
+  expect(system.storeServer.callCount - before).toBeLessThan(50);
+  system.storeServer.fault = 'none';
+  system.configure(2, [{path_prefix: '/new/', kind: 'idempotent'}]);
+  for (const index of system.hosts.keys()) {
+    await until(() => serves(index, '/new/1'));
+  }
+});
--- a/tests/source_choice.test.ts
+++ b/tests/source_choice.test.ts
@@ -1,6 +1,6 @@
 import {beforeEach, expect, test} from 'vitest';
 import type {Peer} from '../src/decisions/relay/index.js';
-import {SourceChoice} from '../src/decisions/relay/index.js';
+import {SourceChoice, pauseAfter} from '../src/decisions/relay/index.js';
 import {ManualClock} from '../src/time/index.js';
 
 const FIRST: Peer = {address: 'a', dataCentre: 'east', rank: 1};
@@ -86,3 +86,57 @@
   [FIRST, SECOND, LATER].forEach(peer => choice.failed(peer, 'stale'));
   expect(choice.substitute()).toEqual(FAR);
 });
+
+function crowd(count: number): readonly Peer[] {
+  return Array.from({length: count}, (_, index) => ({
+    address: `p${index}`,
+    dataCentre: 'east',
+    rank: index - count,
+  }));
+}
+
+test('only the first few that can be reached are asked for news', () => {
+  // The store is away. Thirty hosts of a data centre that ask each other each
+  // second would open 900 connections a second.
+  const before = crowd(30);
+  choice.setPeers([...before, SELF]);
+  choice.failed(before[0] as Peer, 'unreachable');
+  for (const peer of before.slice(1, 4)) {
+    expect(followed()).toEqual(peer);
+    choice.failed(peer, 'stale');
+  }
+  expect(followed()).toBeUndefined();
+});
+
+test('a host behind many that have no news reads the store late', () => {
+  // The store is down for all. Ten hosts of the data centre found that out;
+  // a hundred calls more tell nothing new, and each is paid for.
+  const before = crowd(30);
+  choice.setPeers([...before, SELF]);
+  before.slice(0, 11).forEach(peer => choice.failed(peer, 'stale'));
+  expect(choice.preferred()).toEqual({kind: 'store', delayMs: 3_000});
+  expect(choice.isBehind).toBe(true);
+});
+
+test('a peer without news is asked again within a second, however often', () => {
+  // When the store is back, the hosts that follow must hear of it soon.
+  for (let i = 0; i < 6; i += 1) {
+    choice.failed(FIRST, 'stale');
+    clock.advance(1_000);
+    expect(followed()).toEqual(FIRST);
+  }
+});
+
+test('the first hosts of a data centre ask an absent store often, others seldom', () => {
+  const half = (): number => 0.5;
+  expect(pauseAfter(5, half, false)).toBe(1_200);
+  expect(pauseAfter(5, half, true)).toBe(4_000);
+});
+
+test('only the first of a data centre asks elsewhere', () => {
+  // Bytes between data centres are paid for. While the store is away, each of
+  // a hundred hosts would ask all hosts of the other data centres.
+  choice.failed(FIRST, 'stale');
+  choice.failed(SECOND, 'stale');
+  expect(followed()).toBeUndefined();
+});
