Take SIGHUP from the first moment of a host's start

It had been sent SIGHUP 0.9 s after it began to start; without a handler that signal ends a process (its log has no start line of that life). Ruled out: the sharing of reads (the host had followed a peer before); the store (healed). Change: a module that handles SIGHUP is imported first. The soak writes down what it did to whom (deeds.log). No test without timing covers it.

--- a/src/host/main.ts
+++ b/src/host/main.ts
@@ -1,6 +1,7 @@
 #!/usr/bin/env node
 /** The daemon of an entry host on the platform. */
 
+import './early_signals.js';
 import {randomInt} from 'node:crypto';
 import {pino} from 'pino';
 import {GatewayMetrics} from '../gateway/index.js';
--- a/src/soak/history.ts
+++ b/src/soak/history.ts
@@ -18,8 +18,15 @@
   /** Planned stops of each host. */
   readonly stops = new Map<number, Span[]>();
 
+  /** What was done to whom, in order, for whoever traces a finding. */
+  readonly deeds: string[] = [];
+
   constructor(readonly clock: Clock) {}
 
+  noteDeed(deed: string): void {
+    this.deeds.push(`${new Date().toISOString()} ${deed}`);
+  }
+
   noteSent(request: SentRequest): void {
     this.sent.set(request.id, request);
   }
--- a/src/soak/host_process.ts
+++ b/src/soak/host_process.ts
@@ -33,7 +33,11 @@
   private known: HostPorts | undefined;
   private starts = 0;
 
-  constructor(readonly place: HostPlace) {}
+  /** @param note told of starts, signals and ends, to be traced by */
+  constructor(
+    readonly place: HostPlace,
+    private readonly note: (deed: string) => void,
+  ) {}
 
   /** Ports of this life or of the last one. */
   get ports(): HostPorts | undefined {
@@ -64,7 +68,9 @@
     });
     this.child = child;
     this.starts += 1;
-    child.once('exit', () => {
+    this.note(`${name} starts`);
+    child.once('exit', (code, signal) => {
+      this.note(`${name} ended: ${String(code ?? signal)}`);
       if (this.child === child) {
         this.child = undefined;
       }
@@ -81,6 +87,7 @@
 
   /** Sends a signal to this process alone. */
   signal(signal: NodeJS.Signals): void {
+    this.note(`${this.place.name} gets ${signal}`);
     this.child?.kill(signal);
   }
 
--- /dev/null
+++ b/src/soak/index.ts
@@ -0,0 +1,3 @@
+export type {RunPlan} from './run.js';
+export {runOnce} from './run.js';
+export type {Finding, RunReport} from './types.js';
--- a/src/soak/regressions.ts
+++ b/src/soak/regressions.ts
@@ -1,4 +1,4 @@
-/** Seeds that ever failed, each with its cause; CI plays them again. */
+/** Seeds that ever failed, each with its cause; `--regressions` plays them. */
 
 export interface Regression {
   readonly seed: number;
@@ -6,6 +6,10 @@
 }
 
 export const REGRESSIONS: readonly Regression[] = [
+  {
+    seed: 10,
+    cause: 'SIGHUP ended a host that was still starting, on a busy machine',
+  },
   {
     seed: 39,
     cause: 'the soak: a port of a host that was down was taken meanwhile',
--- a/src/soak/run.ts
+++ b/src/soak/run.ts
@@ -1,6 +1,6 @@
 /** One seeded run: a fleet, a load, a series of faults, and the checks. */
 
-import {mkdirSync} from 'node:fs';
+import {mkdirSync, writeFileSync} from 'node:fs';
 import {join} from 'node:path';
 import type {Milliseconds} from '../time/index.js';
 import {seededRandom, sleep, systemClock} from '../time/index.js';
@@ -60,6 +60,8 @@
     await callers.stop();
     await watch.stop();
     await world.close();
+    const deeds = history.deeds.join('\n');
+    writeFileSync(join(logFolder, 'deeds.log'), `${deeds}\n`);
   }
   findings.push(...watch.findings);
   CHECKS.forEach(check => findings.push(...check(history)));
@@ -91,6 +93,7 @@
     const kind = FAULT_KINDS[Math.floor(random() * FAULT_KINDS.length)];
     if (kind) {
       counts.set(kind, (counts.get(kind) ?? 0) + 1);
+      world.history.noteDeed(kind);
       const lastsMs = SHORTEST_MS + random() * (LONGEST_MS - SHORTEST_MS);
       pending.push(
         FAULTS[kind](world, lastsMs).catch((error: unknown) => {
--- a/src/soak/world.ts
+++ b/src/soak/world.ts
@@ -144,13 +144,16 @@
     const link = new FaultProxy({ip: LOCAL, port: door.port});
     this.ways.push({door, link});
     this.hosts.push(
-      new HostProcess({
-        name: `entry-${index}`,
-        ip: `127.1.${this.seed % 250}.${index + 2}`,
-        dataCentre: dataCentreOf(index),
-        storePort: await link.listen(),
-        folder: this.folder,
-      }),
+      new HostProcess(
+        {
+          name: `entry-${index}`,
+          ip: `127.1.${this.seed % 250}.${index + 2}`,
+          dataCentre: dataCentreOf(index),
+          storePort: await link.listen(),
+          folder: this.folder,
+        },
+        deed => this.history.noteDeed(deed),
+      ),
     );
   }
 
