--- a/src/fleet/fleet_member.ts
+++ b/src/fleet/fleet_member.ts
@@ -143,18 +143,19 @@
   }
 
   private check(): void {
-    const {state, clock} = this.parts;
+    const {state} = this.parts;
     if (this.client && this.provedFresh && state.ageMs > STALE_PEER_MS) {
       this.leave('stale', 'its news are old');
     }
     if (!this.client) {
       this.follow();
     }
-    const readAt = Math.min(
-      this.readAt ?? Infinity,
-      this.silentUntil ?? Infinity,
-    );
-    if (clock.now() >= readAt) {
+    this.readIfDue();
+  }
+
+  private readIfDue(): void {
+    const {readAt = Infinity, silentUntil = Infinity} = this;
+    if (this.parts.clock.now() >= Math.min(readAt, silentUntil)) {
       this.readAt = undefined;
       this.silentUntil = undefined;
       this.reader.start();
@@ -194,6 +195,7 @@
     }
   }
 
+  /** Delays that are asked for again and again don't put the reading off. */
   private readAfter(delayMs: Milliseconds): void {
     if (!this.reader.isRunning) {
       const at = this.parts.clock.now() + delayMs;
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -10,10 +10,9 @@
 } from '../decisions/placement/index.js';
 import type {UpstreamInService} from '../decisions/registry/index.js';
 import type {Route, ServiceProfile} from '../decisions/routes/index.js';
-import type {Problem, ProblemReason, RequestBody} from '../http/index.js';
+import type {ProblemReason, RequestBody} from '../http/index.js';
 import {
   BodyTooLargeError,
-  filterHeaders,
   hasBody,
   readBody,
   sendProblem,
@@ -28,8 +27,10 @@
   WholeAnswer,
 } from '../upstreams/index.js';
 import {sendAttempt} from '../upstreams/index.js';
+import {forwardedRequest} from './forwarded_request.js';
 import {streamLong, writeWhole} from './reply.js';
 import type {Placing} from './scheduler.js';
+import {truthfulProblem} from './truthful_problem.js';
 import type {GatewayContext} from './types.js';
 
 /** Bodies up to this size are held, so that they can be sent again. */
@@ -40,22 +41,6 @@
 /** Time that a caller waits who doesn't say. */
 const DEFAULT_TIME_MS: Milliseconds = 60_000;
 
-/** Set by this host on the way to the upstream, or meant for this hop. */
-const REPLACED: ReadonlySet<string> = new Set([
-  HEADERS.timeLeft,
-  HEADERS.expectedUpstream,
-  'content-length',
-  'expect',
-]);
-
-/** What is said instead of a refusal if the request may have run. */
-const UNCERTAIN_REASONS: ReadonlyMap<ProblemReason, ProblemReason> = new Map([
-  ['no-upstream', 'attempt-broken'],
-  ['queue-full', 'attempt-broken'],
-  ['upstreams-refused', 'attempt-broken'],
-  ['waited-too-long', 'attempt-timed-out'],
-]);
-
 /** One send, as the log tells of it. */
 interface Sent {
   readonly upstream: string;
@@ -143,7 +128,7 @@
   }
 
   private async serve(body: RequestBody): Promise<void> {
-    const forwarded = this.forwardedRequest(body);
+    const forwarded = forwardedRequest(this.request, this.id, body);
     while (!this.done) {
       const placing = await this.place();
       if (this.done) {
@@ -323,12 +308,6 @@
     return granted;
   }
 
-  private forwardedRequest(body: RequestBody): ForwardedRequest {
-    const {method = 'GET', url: target = '/', rawHeaders} = this.request;
-    const headers = filterHeaders(rawHeaders, REPLACED);
-    return {id: this.id, method, target, headers, body};
-  }
-
   private deliver(answer: WholeAnswer): void {
     if (!this.done) {
       writeWhole(this.response, answer);
@@ -358,7 +337,7 @@
     if (this.done) {
       return;
     }
-    const problem = this.truthful(reason, retryAfterMs);
+    const problem = truthfulProblem(this.record.outcome, reason, retryAfterMs);
     if (!this.request.complete) {
       // What is left of the body must not be read as the next request.
       this.response.setHeader('connection', 'close');
@@ -367,18 +346,6 @@
     this.finish(problem.reason);
   }
 
-  /** A refusal promises that nothing has run; only where that is certain. */
-  private truthful(
-    reason: ProblemReason,
-    retryAfterMs?: Milliseconds,
-  ): Problem {
-    const {outcome} = this.record;
-    if (outcome === 'not-run') {
-      return {reason, outcome, retryAfterMs, fractions: true};
-    }
-    return {reason: UNCERTAIN_REASONS.get(reason) ?? reason, outcome};
-  }
-
   private callerClosed(): void {
     this.finish('caller-left');
   }
--- /dev/null
+++ b/src/gateway/truthful_problem.ts
@@ -0,0 +1,23 @@
+/** Refusals promise that nothing has run; here only where that is certain. */
+
+import type {Problem, ProblemReason} from '../http/index.js';
+import type {Milliseconds} from '../time/index.js';
+
+/** What is said instead of a refusal if the request may have run. */
+const UNCERTAIN_REASONS: ReadonlyMap<ProblemReason, ProblemReason> = new Map([
+  ['no-upstream', 'attempt-broken'],
+  ['queue-full', 'attempt-broken'],
+  ['upstreams-refused', 'attempt-broken'],
+  ['waited-too-long', 'attempt-timed-out'],
+]);
+
+/** @param outcome what is certain about the request */
+export function truthfulProblem(
+  outcome: Problem['outcome'],
+  reason: ProblemReason,
+  retryAfterMs?: Milliseconds,
+): Problem {
+  return outcome === 'not-run'
+    ? {reason, outcome, retryAfterMs, fractions: true}
+    : {reason: UNCERTAIN_REASONS.get(reason) ?? reason, outcome};
+}
--- a/src/soak/callers.ts
+++ b/src/soak/callers.ts
@@ -1,6 +1,7 @@
 /** Callers that keep their connections until the other side ends them. */
 
 import {Agent, request} from 'node:http';
+import {HEADERS} from '../platform/index.js';
 import type {Milliseconds, Random} from '../time/index.js';
 import {sleep} from '../time/index.js';
 import type {History} from './history.js';
@@ -106,8 +107,8 @@
         path: sent.target,
         headers: {
           host: CALLERS_HOST,
-          'cyclamenlever-request-id': sent.id,
-          'cyclamenlever-deadline-ms': String(TIME_LEFT_MS),
+          [HEADERS.requestId]: sent.id,
+          [HEADERS.timeLeft]: String(TIME_LEFT_MS),
           ...(sent.body && {'content-length': String(sent.body.length)}),
         },
       });
--- a/src/soak/host_process.ts
+++ b/src/soak/host_process.ts
@@ -12,7 +12,8 @@
 } from '../platform/index.js';
 import type {Milliseconds} from '../time/index.js';
 
-const PROGRAM = 'dist/host/main.js';
+/** The program as it is deployed: one file, which starts in a third of the time. */
+const PROGRAM = 'target/host.mjs';
 const START_TIMEOUT_MS: Milliseconds = 20_000;
 export const GRACE_MS: Milliseconds = 6_000;
 
--- a/src/soak/world.ts
+++ b/src/soak/world.ts
@@ -6,10 +6,12 @@
   ReportingUpstream,
   StoreServer,
   configurationRecord,
+  routesOf,
   upstreamRecord,
 } from '../standins/index.js';
 import type {Milliseconds, Random} from '../time/index.js';
 import {seededRandom} from '../time/index.js';
+import {CALLERS_HOST} from './callers.js';
 import {FaultProxy} from './fault_proxy.js';
 import type {History} from './history.js';
 import {HostProcess} from './host_process.js';
@@ -74,11 +76,11 @@
   /** Writes the next version; its only new route is named after it. */
   configure(): void {
     this.currentVersion += 1;
-    const routes = [
-      {path_prefix: '/lookup/', kind: 'idempotent'},
-      {path_prefix: '/order/', kind: 'non_idempotent'},
-      {path_prefix: markerOf(this.currentVersion), kind: 'idempotent'},
-    ] as const;
+    const routes = routesOf(CALLERS_HOST, SERVICE, {
+      '/lookup/': 'idempotent',
+      '/order/': 'non_idempotent',
+      [markerOf(this.currentVersion)]: 'idempotent',
+    });
     this.store.put(
       OPERATOR_TOPIC,
       'config',
