--- a/src/decisions/relay/source_choice.ts
+++ b/src/decisions/relay/source_choice.ts
@@ -5,7 +5,8 @@
  * follows the first of the fleet, which reads the store for all. So calls grow
  * with changes, and one stream crosses to each other data centre. Everybody
  * follows only hosts that registered earlier, so that no two can follow each
- * other in a circle in which nobody reads.
+ * other in a circle in which nobody reads. Only a host that the store turns away
+ * asks any other; a circle of those ends as soon as their news are stale.
  *
  * No election is held: a host that finds nobody before it reads the store
  * itself, so that two readers at a time cost calls and nothing else. The first
@@ -30,9 +31,9 @@
   stale: 1_000,
 };
 /**
- * Peers of the data centre that are asked, of those that can be reached. If
- * none of them has news, the later ones have none either: in an outage of the
- * store, thirty hosts that ask each other each second are 900 connections.
+ * Peers that are asked, the earliest of those that can be reached. If none of
+ * them has news, the later ones have none either: in an outage of the store,
+ * thirty hosts that ask each other each second are 900 connections.
  */
 const ASKED_PEERS = 3;
 /**
--- a/tests/host_process.test.ts
+++ b/tests/host_process.test.ts
@@ -1,9 +1,12 @@
-import {spawnSync} from 'node:child_process';
+import {once} from 'node:events';
+import {spawn, spawnSync} from 'node:child_process';
 import {mkdtempSync, rmSync, writeFileSync} from 'node:fs';
 import type {AddressInfo} from 'node:net';
 import {createServer} from 'node:net';
+import {request} from 'node:http';
 import {tmpdir} from 'node:os';
 import {join} from 'node:path';
+import {createInterface} from 'node:readline';
 import {afterEach, beforeEach, expect, test} from 'vitest';
 
 let folder: string;
@@ -24,6 +27,61 @@
   return {code: run.status ?? -1, told: run.stderr.toString()};
 }
 
+/** Settings of a host whose store can't be reached. */
+function settingsWith(callersPort: number): string {
+  return [
+    'self.node=entry-1',
+    'self.ip=127.0.0.1',
+    'self.zone=east',
+    `network.listen.front=127.0.0.1:${callersPort}`,
+    'network.listen.ready=127.0.0.1:0',
+    'network.internal_ports=0,0',
+    'platform.platform.address=127.0.0.1:1',
+  ].join('\n');
+}
+
+function ask(port: number, path: string): Promise<number> {
+  return new Promise((resolve, reject) => {
+    const outgoing = request({port, path, host: '127.0.0.1', agent: false});
+    outgoing.on('error', reject);
+    outgoing.on('response', answer => {
+      answer.resume();
+      answer.on('end', () => resolve(answer.statusCode ?? 0));
+    });
+    outgoing.end();
+  });
+}
+
+test('a host whose log nobody reads goes on answering', async () => {
+  // Whoever collects the logs stops reading. Lines fill the pipe; a host that
+  // waited for room in it would answer nobody any more.
+  const path = join(folder, 'settings');
+  writeFileSync(path, settingsWith(0));
+  const child = spawn(process.execPath, ['target/host.mjs'], {
+    env: {
+      ...process.env,
+      CYCLAMENLEVER_SETTINGS: path,
+      CYCLAMENLEVER_METRICS_PORT: '0',
+    },
+    stdio: ['ignore', 'pipe', 'ignore'],
+  });
+  const lines = createInterface({input: child.stdout});
+  const [first] = (await once(lines, 'line')) as [string];
+  lines.pause();
+  child.stdout.pause();
+  const {ports} = JSON.parse(first) as {ports: {callers: number}};
+  // Lines of 8 kB, 200 a second at most: the pipe holds far less than these.
+  const target = `/${'x'.repeat(8_000)}`;
+  for (let round = 0; round < 10; round += 1) {
+    const statuses = await Promise.all(
+      Array.from({length: 100}, () => ask(ports.callers, target)),
+    );
+    expect(new Set(statuses)).toEqual(new Set([503]));
+  }
+  child.kill('SIGKILL');
+  await once(child, 'exit');
+});
+
 test('a host without a settings file ends with code 2 and a remedy', () => {
   const {code, told} = start(undefined);
   expect(code).toBe(2);
@@ -40,17 +98,7 @@
   const taken = createServer();
   await new Promise<void>(resolve => taken.listen(0, '127.0.0.1', resolve));
   const {port} = taken.address() as AddressInfo;
-  const {code, told} = start(
-    [
-      'self.node=entry-1',
-      'self.ip=127.0.0.1',
-      'self.zone=east',
-      `network.listen.front=127.0.0.1:${port}`,
-      'network.listen.ready=127.0.0.1:0',
-      'network.internal_ports=0,0',
-      'platform.platform.address=127.0.0.1:1',
-    ].join('\n'),
-  );
+  const {code, told} = start(settingsWith(port));
   taken.close();
   expect(code).toBe(3);
   expect(told).toContain('end what holds the address');
