Soak and stand-in store: the sleep there is, one copy of each bound

Cause: reading the change again. Change: both call sleep; the two bounds stand in src/soak/constants.ts, with their values as before. No host code, no test and no bound is changed. Left: FaultProxy keeps order by a chain of promises a direction, as before.

--- a/src/soak/checks.ts
+++ b/src/soak/checks.ts
@@ -1,6 +1,7 @@
 /** The promises of the project's pages, checked on a run's history. */
 
 import type {Milliseconds} from '../time/index.js';
+import {REST_MS, SLACK_MS} from './constants.js';
 import type {History} from './history.js';
 import {overlaps} from './history.js';
 import type {Finding, ObservedRun, RequestEnd, SentRequest} from './types.js';
@@ -9,10 +10,6 @@
 const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 /** Within this time an upstream that leaves gets nothing more. */
 const DRAIN_MS: Milliseconds = 2_000;
-/** A busy machine that runs all of it may be late by so much. */
-const SLACK_MS: Milliseconds = 1_500;
-/** Hosts that were in trouble are held to times only after this rest. */
-const REST_MS: Milliseconds = 3_000;
 
 type Check = (history: History) => readonly Finding[];
 
--- a/src/soak/fault_proxy.ts
+++ b/src/soak/fault_proxy.ts
@@ -3,6 +3,7 @@
 import type {Server, Socket} from 'node:net';
 import {connect, createServer} from 'node:net';
 import type {Milliseconds} from '../time/index.js';
+import {sleep} from '../time/index.js';
 
 /** How connections through the proxy are disturbed. */
 export type LinkFault =
@@ -86,8 +87,10 @@
     const inOrder = (action: () => void): void => {
       silent ||= swallowing.includes(this.current);
       if (!silent) {
-        const delayMs = this.current === 'delay' ? DELAY_MS : 0;
-        before = before.then(() => pause(delayMs)).then(action);
+        const delayed = this.current === 'delay';
+        before = before
+          .then(() => (delayed ? sleep(DELAY_MS) : undefined))
+          .then(action);
       }
     };
     from.on('data', chunk => inOrder(() => to.write(chunk)));
@@ -114,9 +117,3 @@
     }
   });
 }
-
-async function pause(ms: Milliseconds): Promise<void> {
-  if (ms > 0) {
-    await new Promise(resolve => setTimeout(resolve, ms));
-  }
-}
--- a/src/soak/marker_watch.ts
+++ b/src/soak/marker_watch.ts
@@ -3,6 +3,7 @@
 import type {Milliseconds} from '../time/index.js';
 import {sleep} from '../time/index.js';
 import type {Callers} from './callers.js';
+import {REST_MS, SLACK_MS} from './constants.js';
 import {overlaps} from './history.js';
 import type {Finding, Span} from './types.js';
 import type {World} from './world.js';
@@ -11,9 +12,6 @@
 const INTERVAL_MS: Milliseconds = 200;
 /** A new version is in force within this time. */
 const APPLY_MS: Milliseconds = 2_000;
-/** A busy machine that runs all of it may be late by so much. */
-const SLACK_MS: Milliseconds = 1_500;
-const REST_MS: Milliseconds = 3_000;
 
 export class MarkerWatch {
   readonly findings: Finding[] = [];
--- a/src/soak/run.ts
+++ b/src/soak/run.ts
@@ -6,6 +6,7 @@
 import {seededRandom, sleep, systemClock} from '../time/index.js';
 import {Callers} from './callers.js';
 import {CHECKS} from './checks.js';
+import {SLACK_MS} from './constants.js';
 import type {FaultKind} from './faults.js';
 import {FAULTS, FAULT_KINDS, stop} from './faults.js';
 import {History} from './history.js';
@@ -26,8 +27,6 @@
 
 /** All hosts serve again within this time after the last fault. */
 const RECOVERY_MS: Milliseconds = 15_000;
-/** The platform kills what still runs at the end of the grace. */
-const STOP_SLACK_MS: Milliseconds = 1_500;
 const SHORTEST_MS: Milliseconds = 300;
 const LONGEST_MS: Milliseconds = 4_000;
 const POLL_MS: Milliseconds = 100;
@@ -136,7 +135,7 @@
       const gone = stop(world, host).then(() => true);
       const inTime = await Promise.race([
         gone,
-        sleep(GRACE_MS + STOP_SLACK_MS).then(() => false),
+        sleep(GRACE_MS + SLACK_MS).then(() => false),
       ]);
       return inTime
         ? undefined
--- a/src/standins/store_server.ts
+++ b/src/standins/store_server.ts
@@ -5,7 +5,7 @@
 import {encodeKeyedRecord} from '../platform/index.js';
 import {closeNow, listen} from '../servers/index.js';
 import type {Milliseconds} from '../time/index.js';
-import {systemClock} from '../time/index.js';
+import {sleep, systemClock} from '../time/index.js';
 import {CallRate} from './call_rate.js';
 import type {TopicPage} from './store_topics.js';
 import {StoreTopics} from './store_topics.js';
@@ -119,7 +119,9 @@
     if (!body) {
       return;
     }
-    await pause(door.delayMs);
+    if (door.delayMs > 0) {
+      await sleep(door.delayMs);
+    }
     const fault = this.common === 'none' ? door.fault : this.common;
     switch (fault) {
       case 'refuse':
@@ -228,12 +230,6 @@
   response.writeHead(status, {'content-length': body.length}).end(body);
 }
 
-async function pause(ms: Milliseconds): Promise<void> {
-  if (ms > 0) {
-    await new Promise(resolve => setTimeout(resolve, ms));
-  }
-}
-
 async function readAll(request: IncomingMessage): Promise<Buffer> {
   const chunks: Buffer[] = [];
   for await (const chunk of request) {
