Move the host's scheduling into decisions

The scheduler of one service is now a state machine without timers or promises: requests, probe answers and time go in, probes and placings come out, so that an emulator can drive the very code that the host runs. LoadView keeps what is known of upstreams.

--- a/src/decisions/placement/index.ts
+++ b/src/decisions/placement/index.ts
@@ -1,5 +1,6 @@
 export * from './types.js';
 export {estimateCompletion} from './estimate.js';
+export {LoadView} from './load_view.js';
 export type {UpstreamFailure} from './outcome_book.js';
 export {OutcomeBook} from './outcome_book.js';
 export type {PlacementSurroundings} from './placement_policy.js';
--- a/src/decisions/placement/placement_policy.ts
+++ b/src/decisions/placement/placement_policy.ts
@@ -10,6 +10,7 @@
 import type {UpstreamInService} from '../registry/index.js';
 import type {Clock, Milliseconds, Random} from '../../time/index.js';
 import {estimateCompletion, hasSlot} from './estimate.js';
+import type {LoadView} from './load_view.js';
 import type {OutcomeBook} from './outcome_book.js';
 import type {
   LoadReport,
@@ -50,8 +51,7 @@
   readonly random: Random;
   readonly outcomes: OutcomeBook;
   readonly work: WorkEstimates;
-  /** Requests that this host has at an upstream and hasn't seen reported. */
-  readonly unreported: (id: string) => number;
+  readonly view: LoadView;
 }
 
 /** What counts as usual among a service's upstreams. */
@@ -189,11 +189,11 @@
     request: PlacementRequest,
     answer: ProbeAnswer,
   ): Rated {
-    const {clock, random, outcomes, dataCentre, unreported} = this.surroundings;
+    const {clock, random, outcomes, dataCentre, view} = this.surroundings;
     const {id} = upstream;
     const now = clock.now();
     const told = answer.report ?? UNTOLD;
-    const report = {...told, running: told.running + unreported(id)};
+    const report = {...told, running: told.running + view.unreported(id)};
     const expectedMs = this.expectedMs(upstream, request, {...answer, report});
     const health = answer.healthy ? 1 : UNHEALTHY_FACTOR;
     const doubt = outcomes.factor(id) * health;
--- /dev/null
+++ b/src/decisions/scheduling/types.ts
@@ -0,0 +1,52 @@
+import type {Milliseconds} from '../../time/index.js';
+import type {PlacementRequest, ProbeAnswer} from '../placement/index.js';
+import type {UpstreamInService} from '../registry/index.js';
+
+/** A request of this host that wants an upstream. */
+export interface ScheduledRequest extends PlacementRequest {
+  /** Names it on this host. */
+  readonly id: number;
+  /** Whether it may wait for room, or is dropped where there is none. */
+  readonly mayWait: boolean;
+}
+
+/** An upstream for a request, and what it told just before. */
+export interface Placed {
+  readonly kind: 'placed';
+  readonly upstream: UpstreamInService;
+  readonly answer: ProbeAnswer;
+  /** Age of what it told. */
+  readonly answerAgeMs: Milliseconds;
+  /** Time that the request is expected to take there. */
+  readonly expectedMs: Milliseconds;
+}
+
+export type RefusalReason = 'no-upstream' | 'waited-too-long' | 'queue-full';
+
+export interface Refused {
+  readonly kind: 'refused';
+  readonly reason: RefusalReason;
+  readonly retryAfterMs: Milliseconds;
+  readonly wait: Wait | undefined;
+}
+
+/** What a request that was refused had waited for. */
+export interface Wait {
+  /** Requests in the line when it came. */
+  readonly ahead: number;
+  /** What upstreams told when they were asked last for those that wait. */
+  readonly told: readonly ProbeAnswer[];
+  /** How long before the refusal that was. */
+  readonly toldAgeMs: Milliseconds;
+}
+
+export type Placing = Placed | Refused;
+
+/** What is to be done next. */
+export type SchedulerAction =
+  | {readonly kind: 'probe'; readonly upstream: UpstreamInService}
+  | {
+      readonly kind: 'settle';
+      readonly id: number;
+      readonly placing: Placing;
+    };
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -2,8 +2,8 @@
 
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {AttemptRecord} from '../decisions/attempts/index.js';
-import type {PlacementRequest} from '../decisions/placement/index.js';
 import type {Route, ServiceProfile} from '../decisions/routes/index.js';
+import type {Placed, Wait} from '../decisions/scheduling/index.js';
 import type {ProblemReason, RequestBody} from '../http/index.js';
 import {BodyTooLargeError, sendProblem} from '../http/index.js';
 import {HEADERS} from '../platform/index.js';
@@ -18,7 +18,7 @@
 import {endOf, failureOf} from './attempt_end.js';
 import {forwardedRequest} from './forwarded_request.js';
 import {streamLong, writeWhole} from './reply.js';
-import type {Placed, Wait} from './scheduler.js';
+import type {WantedPlacement} from './scheduler.js';
 import {StallWatch} from './stall_watch.js';
 import {truthfulProblem} from './truthful_problem.js';
 import type {GatewayContext} from './types.js';
@@ -131,7 +131,7 @@
     }
   }
 
-  private wanted(): PlacementRequest {
+  private wanted(): WantedPlacement {
     const {route, service, giveUpAt} = this;
     return {
       service: service.name,
@@ -158,7 +158,7 @@
 
   private send(ready: ReadyRequest, placed: Placed): void {
     const {context, route, service, arrivedAt} = this;
-    const {upstream, answer, expectedMs} = placed;
+    const {upstream, answer, answerAgeMs, expectedMs} = placed;
     this.record.noteSend(upstream.id);
     const send = new UpstreamSend({
       context,
@@ -166,7 +166,7 @@
       service: service.name,
       upstream,
       told: answer,
-      toldAgeMs: context.desk.toldAgeMs(upstream.id),
+      toldAgeMs: answerAgeMs,
       expectedMs,
       request: ready.forwarded,
       arrivedAt,
@@ -199,6 +199,7 @@
     const placed = await schedulerOf(this.service.name).placeNow(
       this.wanted(),
       this.service,
+      this.ended.signal,
     );
     const isWanted = !this.done && silent.isPending && this.record.mayHedge;
     if (placed && isWanted && this.spendRepeat()) {
--- a/src/gateway/upstream_send.ts
+++ b/src/gateway/upstream_send.ts
@@ -170,7 +170,7 @@
     const {context, service, upstream, told} = this.parts;
     if (report) {
       const answer = {id: upstream.id, report, healthy: told.healthy};
-      context.desk.noteAnswer(answer);
+      context.desk.view.note(answer);
       context.schedulerOf(service).offer(upstream.id, answer);
     }
   }
--- a/src/host/gateway_host.ts
+++ b/src/host/gateway_host.ts
@@ -99,7 +99,7 @@
       random,
       outcomes: this.desk.outcomes,
       work,
-      unreported: id => this.desk.unreported(id),
+      view: this.desk.view,
     });
     this.relay = this.lifeCycle.own(
       'relay',
--- a/tests/placement.test.ts
+++ b/tests/placement.test.ts
@@ -5,6 +5,7 @@
   ProbeAnswer,
 } from '../src/decisions/placement/index.js';
 import {
+  LoadView,
   OutcomeBook,
   PlacementPolicy,
   WorkEstimates,
@@ -19,20 +20,20 @@
 let outcomes: OutcomeBook;
 let work: WorkEstimates;
 let policy: PlacementPolicy;
-let unreported: Map<string, number>;
+let view: LoadView;
 
 beforeEach(() => {
   clock = new ManualClock();
   outcomes = new OutcomeBook(clock);
   work = new WorkEstimates();
-  unreported = new Map();
+  view = new LoadView(clock);
   policy = new PlacementPolicy({
     dataCentre: 'east',
     clock,
     random: seededRandom(1),
     outcomes,
     work,
-    unreported: id => unreported.get(id) ?? 0,
+    view,
   });
   work.observe('s', 'r', 200, 1);
 });
@@ -149,7 +150,9 @@
 });
 
 test('requests that a report has not counted fill slots too', () => {
-  unreported.set('a', 6);
+  for (let sends = 0; sends < 6; sends += 1) {
+    view.noteSend('a');
+  }
   const answers = [told('a'), told('b', {running: 3})];
   expect(policy.judge(NEAR, request(), answers, true)).toEqual({
     kind: 'send',
