--- a/src/decisions/placement/load_view.ts
+++ b/src/decisions/placement/load_view.ts
@@ -1,6 +1,8 @@
 /** What this host knows of its upstreams' load, and how old it is. */
 
 import type {Clock, Milliseconds} from '../../time/index.js';
+import type {LoadNews} from '../sharing/index.js';
+import {NewsBox} from '../sharing/index.js';
 import type {ProbeAnswer} from './types.js';
 
 /** Sends are remembered for this time, longer than any probe under way. */
@@ -17,22 +19,36 @@
   private readonly known = new Map<string, Known>();
   private readonly sends = new Map<string, readonly Milliseconds[]>();
 
-  constructor(private readonly clock: Clock) {}
+  constructor(
+    private readonly clock: Clock,
+    /** Takes what is to be told to other hosts. */
+    private readonly news = new NewsBox(clock),
+  ) {}
 
   /** @param askedAt by default now: the load came with an answer */
   note(answer: ProbeAnswer, askedAt = this.clock.now()): void {
-    const known = this.known.get(answer.id);
-    if (!known || known.askedAt <= askedAt) {
-      this.known.set(answer.id, {answer, at: this.clock.now(), askedAt});
-    }
+    this.keep(answer, askedAt, this.clock.now());
+    this.news.addAnswer(answer, askedAt);
   }
 
+  /** This host sends a request there. */
   noteSend(id: string): void {
+    this.keepSend(id, this.clock.now());
+    this.news.addSend(id);
+  }
+
+  /**
+   * Takes in what another host of the data centre has learnt.
+   *
+   * @param delayMs how long it was under way beyond the usual
+   */
+  hear({answers, sends}: LoadNews, delayMs: Milliseconds): void {
     const now = this.clock.now();
-    const recent = (this.sends.get(id) ?? []).filter(
-      at => now - at < SENDS_MEMORY_MS,
-    );
-    this.sends.set(id, [...recent, now]);
+    for (const {answer, ageMs} of answers) {
+      const at = now - ageMs - delayMs;
+      this.keep(answer, at, at);
+    }
+    sends.forEach(({id, ageMs}) => this.keepSend(id, now - ageMs - delayMs));
   }
 
   /** What an upstream told not longer ago than this. */
@@ -57,4 +73,23 @@
     this.known.delete(id);
     this.sends.delete(id);
   }
+
+  private keep(
+    answer: ProbeAnswer,
+    askedAt: Milliseconds,
+    at: Milliseconds,
+  ): void {
+    const known = this.known.get(answer.id);
+    if (!known || known.askedAt <= askedAt) {
+      this.known.set(answer.id, {answer, at, askedAt});
+    }
+  }
+
+  private keepSend(id: string, sentAt: Milliseconds): void {
+    const now = this.clock.now();
+    const recent = (this.sends.get(id) ?? []).filter(
+      at => now - at < SENDS_MEMORY_MS,
+    );
+    this.sends.set(id, [...recent, sentAt]);
+  }
 }
--- a/src/decisions/placement/outcome_book.ts
+++ b/src/decisions/placement/outcome_book.ts
@@ -13,6 +13,7 @@
  */
 
 import type {Clock, Milliseconds} from '../../time/index.js';
+import type {DecisionOptions} from '../options/index.js';
 
 /** Time for half of a failure's weight to fade; a grey spell lasts some 6 s. */
 const HALF_LIFE_MS: Milliseconds = 4_000;
@@ -43,7 +44,10 @@
 export class OutcomeBook {
   private readonly memories = new Map<string, Memory>();
 
-  constructor(private readonly clock: Clock) {}
+  constructor(
+    private readonly clock: Clock,
+    private readonly options: DecisionOptions,
+  ) {}
 
   failed(id: string, failure: UpstreamFailure): void {
     const {harm, sheds} = this.failures(id);
@@ -83,7 +87,7 @@
 
   private failures(id: string): Failures {
     const memory = this.memories.get(id);
-    if (!memory) {
+    if (!memory || !this.options.remembersFailures) {
       return NONE;
     }
     const left = 0.5 ** ((this.clock.now() - memory.at) / HALF_LIFE_MS);
--- a/src/decisions/placement/placement_policy.ts
+++ b/src/decisions/placement/placement_policy.ts
@@ -7,6 +7,7 @@
  * a connection that is kept open.
  */
 
+import type {DecisionOptions} from '../options/index.js';
 import type {UpstreamInService} from '../registry/index.js';
 import type {Clock, Milliseconds, Random} from '../../time/index.js';
 import {estimateCompletion, hasSlot} from './estimate.js';
@@ -20,8 +21,6 @@
 } from './types.js';
 import type {WorkEstimates} from './work_estimates.js';
 
-/** Upstreams asked at once. */
-const ASKED = 4;
 /** Rounds of asking: nearby, then anywhere. */
 export const MAX_ROUNDS = 3;
 /** Factor on the estimate of an upstream that calls itself unhealthy. */
@@ -52,6 +51,7 @@
   readonly outcomes: OutcomeBook;
   readonly work: WorkEstimates;
   readonly view: LoadView;
+  readonly options: DecisionOptions;
 }
 
 /** What counts as usual among a service's upstreams. */
@@ -70,8 +70,10 @@
   readonly inTime: boolean;
   /** Whether it is expected to answer before the caller gives up. */
   readonly atAll: boolean;
-  /** Whether it would start at once. */
+  /** Whether it would start at once, in a slot that is worth filling. */
   readonly hasSlot: boolean;
+  /** Whether few would miss the slot: it is slow, or half empty. */
+  readonly isSpare: boolean;
   readonly isNear: boolean;
 }
 
@@ -90,6 +92,11 @@
   ...TIERS_IN_TIME,
   ({atAll, hasSlot}) => atAll && hasSlot,
 ];
+/** Late work leaves the slots alone where something could be in time. */
+const TIERS_ASIDE: readonly Tier[] = [
+  ({atAll, hasSlot, isSpare, isNear}) => atAll && hasSlot && isSpare && isNear,
+  ({atAll, hasSlot, isSpare}) => atAll && hasSlot && isSpare,
+];
 
 export class PlacementPolicy {
   private readonly usualByService = new Map<string, Usual>();
@@ -139,6 +146,12 @@
     return by - this.workOf(request);
   }
 
+  /** The same for an answer in time, with room for a longer run. */
+  latestStartInTime(request: PlacementRequest): Milliseconds {
+    const {startMargin} = this.surroundings.options;
+    return request.targetAt - startMargin * this.workOf(request);
+  }
+
   /** Time that a request is expected to take at an upstream. */
   expectedMs(
     upstream: UpstreamInService,
@@ -167,9 +180,16 @@
    * will be: a slot at a slow one is soon followed by one that is not.
    */
   private lastTiers(request: PlacementRequest): readonly Tier[] {
-    const latest = this.latestStartAt(request, request.targetAt);
-    const canBeInTime = this.surroundings.clock.now() <= latest;
-    return canBeInTime ? TIERS_IN_TIME : TIERS_LATE;
+    if (!this.isLate(request)) {
+      return TIERS_IN_TIME;
+    }
+    return this.surroundings.options.lateWorkAside ? TIERS_ASIDE : TIERS_LATE;
+  }
+
+  /** Whether a request can't be in time any more. */
+  isLate(request: PlacementRequest): boolean {
+    const latest = this.latestStartInTime(request);
+    return this.surroundings.clock.now() > latest;
   }
 
   private rateAll(
@@ -189,24 +209,31 @@
     request: PlacementRequest,
     answer: ProbeAnswer,
   ): Rated {
-    const {clock, random, outcomes, dataCentre, view} = this.surroundings;
+    const {clock, random, outcomes, dataCentre, view, options, work} =
+      this.surroundings;
     const {id} = upstream;
     const now = clock.now();
     const told = answer.report ?? UNTOLD;
     const report = {...told, running: told.running + view.unreported(id)};
     const expectedMs = this.expectedMs(upstream, request, {...answer, report});
+    const limit = options.keepToKnee
+      ? work.slotLimit(request.service, report.slots)
+      : report.slots;
     const health = answer.healthy ? 1 : UNHEALTHY_FACTOR;
     const doubt = outcomes.factor(id) * health;
     const riskyMs = expectedMs * this.risk(request.service, id) * health;
-    const distance = upstream.dataCentre === dataCentre ? 1 : REMOTE_FACTOR;
+    const isNear = upstream.dataCentre === dataCentre || !options.prefersNear;
+    const distance = isNear ? 1 : REMOTE_FACTOR;
     return {
       id,
       cost: expectedMs * doubt * distance * (1 + TIE_SPREAD * random()),
       safe: now + riskyMs * LONG_RUN <= request.targetAt,
       inTime: now + riskyMs <= request.targetAt,
       atAll: now + expectedMs <= request.giveUpAt,
-      hasSlot: hasSlot(report),
-      isNear: upstream.dataCentre === dataCentre,
+      hasSlot: hasSlot(report) && report.running < limit,
+      isSpare:
+        expectedMs > request.targetMs || 2 * (report.running + 1) <= limit,
+      isNear,
     };
   }
 
@@ -246,7 +273,8 @@
   private sample(
     open: readonly UpstreamInService[],
   ): readonly UpstreamInService[] {
-    if (open.length <= ASKED) {
+    const {asked} = this.surroundings.options;
+    if (open.length <= asked) {
       return open;
     }
     const {random, outcomes} = this.surroundings;
@@ -256,7 +284,7 @@
         order: random() * outcomes.factor(upstream.id),
       }))
       .sort((a, b) => a.order - b.order)
-      .slice(0, ASKED)
+      .slice(0, asked)
       .map(({upstream}) => upstream);
   }
 }
--- a/src/decisions/placement/types.ts
+++ b/src/decisions/placement/types.ts
@@ -27,6 +27,8 @@
   /** Upstreams that have had this request. */
   readonly tried: ReadonlySet<string>;
   readonly targetMs: Milliseconds;
+  /** How long the caller still waited when it came to this host. */
+  readonly timeLeftMs: Milliseconds;
   readonly targetAt: Milliseconds;
   readonly giveUpAt: Milliseconds;
 }
--- a/src/decisions/relay/source_choice.ts
+++ b/src/decisions/relay/source_choice.ts
@@ -115,6 +115,13 @@
     this.setPeers([...others, peer]);
   }
 
+  /** Addresses of the hosts of the data centre, this one among them. */
+  get nearAddresses(): readonly string[] {
+    return this.peers
+      .filter(one => this.isNear(one))
+      .map(({address}) => address);
+  }
+
   /** Hosts known to have registered. */
   get peerCount(): number {
     return this.peers.length;
--- a/src/decisions/retries/window_budget.ts
+++ b/src/decisions/retries/window_budget.ts
@@ -37,18 +37,23 @@
    * @param reserve repeats allowed beyond the ratio
    */
   spend(reserve: number): boolean {
-    const current = this.part();
+    if (!this.allows(reserve)) {
+      return false;
+    }
+    this.part().repeats += 1;
+    return true;
+  }
+
+  /** Whether one repeat could be taken now. */
+  allows(reserve: number): boolean {
+    this.part();
     let firsts = 0;
     let repeats = 0;
     for (const part of this.parts) {
       firsts += part.firsts;
       repeats += part.repeats;
     }
-    if (repeats + 1 > this.ratio * firsts + reserve) {
-      return false;
-    }
-    current.repeats += 1;
-    return true;
+    return repeats + 1 <= this.ratio * firsts + reserve;
   }
 
   private part(): Part {
--- a/src/decisions/scheduling/service_scheduler.ts
+++ b/src/decisions/scheduling/service_scheduler.ts
@@ -13,10 +13,12 @@
   ProbeAnswer,
 } from '../placement/index.js';
 import {MAX_ROUNDS} from '../placement/index.js';
+import type {DecisionOptions} from '../options/index.js';
 import type {ProbeBudget} from '../probing/index.js';
 import type {UpstreamInService} from '../registry/index.js';
 import {WaitingLine, chooseRetryAfter} from '../waiting/index.js';
 import {Look} from './look.js';
+import {UsualDeadlines} from './usual_deadlines.js';
 import type {
   Placed,
   Refused,
@@ -26,12 +28,8 @@
   Wait,
 } from './types.js';
 
-/** While requests wait, upstreams are asked this often. */
-const LOOK_INTERVAL_MS: Milliseconds = 40;
 /** Least time that a request may wait, whatever its work is thought to be. */
 const LEAST_WAIT_MS: Milliseconds = 60;
-/** A report of this age is used again: about the time a probe takes. */
-const REUSE_MS: Milliseconds = 4;
 
 /** What a scheduler needs to know of the host and the fleet. */
 export interface SchedulerSurroundings {
@@ -46,6 +44,7 @@
   readonly fleetSize: () => FleetSize;
   /** Whether this host may use one more connection to an upstream. */
   readonly hasConnection: (upstream: UpstreamInService) => boolean;
+  readonly options: DecisionOptions;
 }
 
 export interface FleetSize {
@@ -68,6 +67,7 @@
 
 export class ServiceScheduler {
   private readonly line: WaitingLine;
+  private readonly deadlines = new UsualDeadlines();
   private readonly tickets = new Map<number, Ticket>();
   private readonly looks = new Set<Look>();
   /** Upstreams that have been asked and haven't answered. */
@@ -78,7 +78,7 @@
   private actions: SchedulerAction[] = [];
 
   constructor(private readonly surroundings: SchedulerSurroundings) {
-    this.line = new WaitingLine(surroundings.clock);
+    this.line = new WaitingLine(surroundings.clock, surroundings.options);
   }
 
   get waitingCount(): number {
@@ -93,12 +93,17 @@
   }
 
   /** A request wants an upstream. */
-  arrive(request: ScheduledRequest): readonly SchedulerAction[] {
-    const {upstreams} = this.surroundings;
+  arrive(arrived: ScheduledRequest): readonly SchedulerAction[] {
+    const {upstreams, policy, options} = this.surroundings;
+    const request = options.knowsReturns ? this.withAge(arrived) : arrived;
+    const aside = options.lateWorkAside && policy.isLate(request);
     if (upstreams().every(({id}) => request.tried.has(id))) {
       this.refuse('no-upstream', request);
-    } else if (this.line.length > 0) {
+    } else if (this.line.length > 0 && !aside && options.waits === 'all') {
       this.wait(request);
+      if (options.arrivalsLook) {
+        this.lookForFirst();
+      }
     } else {
       this.begin(new Look(request));
     }
@@ -163,8 +168,17 @@
     return this.flush();
   }
 
+  /** Counts the target from the caller's first attempt. */
+  private withAge(request: ScheduledRequest): ScheduledRequest {
+    const {route, timeLeftMs, targetAt} = request;
+    const ageMs = this.deadlines.ageOf(route, timeLeftMs);
+    return {...request, targetAt: targetAt - ageMs};
+  }
+
   private tendLine(now: Milliseconds): void {
-    for (const {id} of this.line.hopeless()) {
+    for (const {id} of this.line.hopeless(
+      this.surroundings.options.waits === 'returned',
+    )) {
       const ticket = this.tickets.get(id);
       this.line.remove(id);
       this.tickets.delete(id);
@@ -172,7 +186,10 @@
         this.refuse('waited-too-long', ticket.request, ticket.ahead);
       }
     }
-    this.nextLookAt = this.line.length > 0 ? now + LOOK_INTERVAL_MS : Infinity;
+    this.nextLookAt =
+      this.line.length > 0
+        ? now + this.surroundings.options.lookIntervalMs
+        : Infinity;
     this.lookForFirst();
   }
 
@@ -188,12 +205,35 @@
 
   private begin(look: Look): void {
     this.looks.add(look);
+    if (this.surroundings.options.viewFirst && this.lookAround(look)) {
+      this.conclude(look);
+      return;
+    }
     this.beginRound(look);
     this.advance(look);
   }
 
+  /** Whether what is known suffices, so that nobody need be asked. */
+  private lookAround(look: Look): boolean {
+    const {policy, view, upstreams, options} = this.surroundings;
+    const {request, answers} = look;
+    for (const {id} of upstreams()) {
+      const known = view.answerOf(id, options.reuseMs);
+      if (known && !request.tried.has(id)) {
+        answers.push(known);
+        look.asked.add(id);
+      }
+    }
+    const needed = Math.min(options.knownNeeded, upstreams().length);
+    return (
+      answers.length >= needed &&
+      policy.judge(upstreams(), request, answers, false).kind === 'send'
+    );
+  }
+
   private beginRound(look: Look): void {
-    const {policy, view, clock, upstreams, hasConnection} = this.surroundings;
+    const {policy, view, clock, upstreams, hasConnection, options} =
+      this.surroundings;
     const {request} = look;
     const candidates = this.affordable(
       policy.candidates(upstreams(), request, look.asked),
@@ -201,7 +241,7 @@
     const pending: string[] = [];
     for (const upstream of candidates) {
       const {id} = upstream;
-      const fresh = view.answerOf(id, REUSE_MS);
+      const fresh = view.answerOf(id, options.reuseMs);
       if (fresh) {
         look.answers.push(fresh);
       } else if (this.probing.has(id)) {
@@ -279,22 +319,40 @@
   }
 
   private wait(request: ScheduledRequest): void {
-    const {policy, clock} = this.surroundings;
+    const {policy, clock, options} = this.surroundings;
     const now = clock.now();
-    const latestStartAt = policy.latestStartAt(request, request.targetAt);
-    const lastStartAt = Math.max(
-      now + LEAST_WAIT_MS,
-      policy.latestStartAt(request, request.giveUpAt),
+    const latestStartAt = policy.latestStartInTime(request);
+    const lastStartAt = Math.min(
+      now + options.mostWaitMs,
+      Math.max(
+        now + LEAST_WAIT_MS,
+        policy.latestStartAt(request, request.giveUpAt),
+      ),
     );
     const ahead = this.line.length;
-    if (!request.mayWait || now + this.line.drainMs > lastStartAt) {
+    const mayWait = request.mayWait && this.isToWait(request);
+    if (!mayWait || now + this.line.drainMs > lastStartAt) {
       this.refuse('queue-full', request, ahead);
       return;
     }
     const {id, rank} = request;
     this.tickets.set(id, {request, ahead});
     this.line.add({id, rank, latestStartAt, lastStartAt});
-    this.nextLookAt = Math.min(this.nextLookAt, now + LOOK_INTERVAL_MS);
+    this.nextLookAt = Math.min(
+      this.nextLookAt,
+      now + this.surroundings.options.lookIntervalMs,
+    );
+  }
+
+  private isToWait(request: ScheduledRequest): boolean {
+    switch (this.surroundings.options.waits) {
+      case 'all':
+        return true;
+      case 'none':
+        return false;
+      case 'returned':
+        return this.surroundings.policy.isLate(request);
+    }
   }
 
   private refuse(
@@ -307,6 +365,8 @@
       request.giveUpAt - clock.now(),
       this.line.drainMs,
       random,
+      this.surroundings.options.shortestRetryMs,
+      this.surroundings.options.retrySpread,
     );
     const wait = ahead === undefined ? undefined : this.waitOf(ahead);
     const placing: Refused = {kind: 'refused', reason, retryAfterMs, wait};
@@ -322,9 +382,9 @@
   private affordable(
     candidates: readonly UpstreamInService[],
   ): readonly UpstreamInService[] {
-    const {probes, view, fleetSize} = this.surroundings;
+    const {probes, view, fleetSize, options} = this.surroundings;
     const costly = candidates.filter(
-      ({id}) => !this.probing.has(id) && !view.answerOf(id, REUSE_MS),
+      ({id}) => !this.probing.has(id) && !view.answerOf(id, options.reuseMs),
     );
     const {upstreams, hosts} = fleetSize();
     const granted = probes.take(costly.length, upstreams, hosts);
--- a/src/decisions/waiting/retry_after.ts
+++ b/src/decisions/waiting/retry_after.ts
@@ -16,7 +16,9 @@
   leftMs: Milliseconds,
   drainMs: Milliseconds,
   random: Random,
+  shortestMs = SHORTEST_MS,
+  spread = SPREAD,
 ): Milliseconds {
-  const wantedMs = Math.max(SHORTEST_MS, drainMs) * (1 + SPREAD * random());
+  const wantedMs = Math.max(shortestMs, drainMs) * (1 + spread * random());
   return Math.min(Math.max(0, leftMs) * HONOURED_SHARE, wantedMs);
 }
--- a/src/decisions/waiting/waiting_line.ts
+++ b/src/decisions/waiting/waiting_line.ts
@@ -7,6 +7,7 @@
  * patient, and what can no longer be in time gives way to what can.
  */
 
+import type {DecisionOptions} from '../options/index.js';
 import type {Clock, Milliseconds} from '../../time/index.js';
 
 /** A request that waits. */
@@ -38,7 +39,10 @@
   private lastStartedAt: Milliseconds | undefined;
   private intervalMs = FIRST_INTERVAL_MS;
 
-  constructor(private readonly clock: Clock) {}
+  constructor(
+    private readonly clock: Clock,
+    private readonly options: DecisionOptions,
+  ) {}
 
   get length(): number {
     return this.waiting.size;
@@ -61,7 +65,10 @@
     const now = this.clock.now();
     let first: WaitingRequest | undefined;
     for (const request of this.waiting.values()) {
-      if (allowed(request) && isBefore(request, first, now, patient)) {
+      if (
+        allowed(request) &&
+        isBefore(request, first, now, patient, this.options.newestFirst)
+      ) {
         first = request;
       }
     }
@@ -84,10 +91,11 @@
    * Those that have waited long enough: the ones that can't be answered any
    * more, and, while others can still be in time, those that can't.
    */
-  hopeless(): readonly WaitingRequest[] {
+  hopeless(patient = false): readonly WaitingRequest[] {
     const now = this.clock.now();
     const all = [...this.waiting.values()];
-    const contested = all.some(({latestStartAt}) => latestStartAt >= now);
+    const contested =
+      !patient && all.some(({latestStartAt}) => latestStartAt >= now);
     return all.filter(
       ({latestStartAt, lastStartAt}) =>
         lastStartAt < now || (contested && latestStartAt < now),
@@ -106,6 +114,7 @@
   other: WaitingRequest | undefined,
   now: Milliseconds,
   patient: boolean,
+  newestFirst: boolean,
 ): boolean {
   if (!other) {
     return true;
@@ -118,5 +127,8 @@
   if (!patient && request.rank !== other.rank) {
     return request.rank < other.rank;
   }
+  if (newestFirst && !late && !patient) {
+    return request.latestStartAt > other.latestStartAt;
+  }
   return request.latestStartAt < other.latestStartAt;
 }
--- /dev/null
+++ b/src/emulator/emulate.ts
@@ -0,0 +1,53 @@
+/** Plays one scenario with one seed and one choice of mechanisms. */
+
+import type {DecisionOptions} from '../decisions/options/index.js';
+import {audienceOf} from '../decisions/sharing/index.js';
+import {seededRandom} from '../time/index.js';
+import {CallerModel} from './caller_model.js';
+import {EventLoop} from './event_loop.js';
+import {FleetModel} from './fleet_model.js';
+import {HostModel} from './host_model.js';
+import type {Scenario} from './scenario.js';
+import {MS_PER_SECOND} from './scenario.js';
+import type {Worth} from './worth.js';
+import {creditBySecond, worthOf} from './worth.js';
+
+/** Time after the last request for the last answers. */
+const TAIL_MS = 3_000;
+
+export interface Outcome extends Worth {
+  readonly seed: number;
+  readonly creditBySecond: readonly number[];
+}
+
+export function emulate(
+  scenario: Scenario,
+  seed: number,
+  options: DecisionOptions,
+): Outcome {
+  const loop = new EventLoop();
+  const fleet = new FleetModel(scenario, loop, seededRandom(seed));
+  const hosts = scenario.hosts.flatMap((count, dataCentre) =>
+    Array.from(
+      {length: count},
+      (_, index) =>
+        new HostModel(fleet, `${dataCentre}-${index}`, dataCentre, options),
+    ),
+  );
+  hosts.forEach(host => {
+    const near = hosts.filter(one => one.dataCentre === host.dataCentre);
+    const told = audienceOf(
+      host.address,
+      near.map(({address}) => address),
+    );
+    host.peers = near.filter(({address}) => told.includes(address));
+  });
+  const endMs = scenario.seconds * MS_PER_SECOND;
+  new CallerModel(fleet, hosts, endMs);
+  loop.runUntil(endMs + TAIL_MS);
+  return {
+    seed,
+    ...worthOf(scenario, fleet.demands, fleet.costs),
+    creditBySecond: creditBySecond(fleet.demands),
+  };
+}
--- a/src/fleet/fleet_member.ts
+++ b/src/fleet/fleet_member.ts
@@ -63,6 +63,11 @@
     );
   }
 
+  /** Addresses of the hosts of the data centre that have registered. */
+  get nearAddresses(): readonly string[] {
+    return this.choice.nearAddresses;
+  }
+
   get isReader(): boolean {
     return this.reader.isRunning;
   }
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -37,6 +37,8 @@
 
 export class Exchange {
   private readonly arrivedAt: Milliseconds;
+  /** How long the caller said that it waits. */
+  private readonly allowedMs: Milliseconds;
   private readonly giveUpAt: Milliseconds;
   private readonly id: string;
   private readonly record: AttemptRecord;
@@ -64,8 +66,8 @@
     this.intake = new BodyIntake(context.bodies);
     this.arrivedAt = context.clock.now();
     const asked = Number(request.headers[HEADERS.timeLeft] ?? NaN);
-    const allowed = asked >= 0 ? asked : DEFAULT_TIME_MS;
-    this.giveUpAt = this.arrivedAt + Math.min(route.timeoutMs, allowed);
+    this.allowedMs = asked >= 0 ? asked : DEFAULT_TIME_MS;
+    this.giveUpAt = this.arrivedAt + Math.min(route.timeoutMs, this.allowedMs);
     this.id = String(request.headers[HEADERS.requestId] ?? '');
   }
 
@@ -139,6 +141,7 @@
       rank: route.rank,
       tried: this.record.tried,
       targetMs: route.targetMs,
+      timeLeftMs: this.allowedMs,
       targetAt: this.arrivedAt + route.targetMs,
       giveUpAt,
     };
@@ -192,10 +195,11 @@
     ready: ReadyRequest,
     silent: UpstreamSend,
   ): Promise<void> {
-    if (!ready.bodyHeld || !this.record.mayHedge) {
+    const {schedulerOf, metrics, budgetOf, retryReserve} = this.context;
+    const mayRepeat = budgetOf(this.service.name).allows(retryReserve());
+    if (!ready.bodyHeld || !this.record.mayHedge || !mayRepeat) {
       return;
     }
-    const {schedulerOf, metrics} = this.context;
     const placed = await schedulerOf(this.service.name).placeNow(
       this.wanted(),
       this.service,
--- a/src/gateway/scheduler.ts
+++ b/src/gateway/scheduler.ts
@@ -1,5 +1,6 @@
 /** Carries out what the scheduler of one service decides. */
 
+import type {DecisionOptions} from '../decisions/options/index.js';
 import type {
   PlacementPolicy,
   ProbeAnswer,
@@ -27,6 +28,7 @@
   readonly desk: UpstreamDesk;
   readonly policy: PlacementPolicy;
   readonly probes: ProbeBudget;
+  readonly options: DecisionOptions;
   readonly clock: Clock;
   readonly random: Random;
 }
@@ -39,12 +41,13 @@
   private timer: NodeJS.Timeout | undefined;
 
   constructor(private readonly parts: SchedulerParts) {
-    const {clock, random, policy, probes, desk} = parts;
+    const {clock, random, policy, probes, desk, options} = parts;
     this.decisions = new ServiceScheduler({
       clock,
       random,
       policy,
       probes,
+      options,
       view: desk.view,
       upstreams: () => this.upstreams,
       fleetSize: () => this.fleetSize(),
--- a/src/gateway/upstream_desk.ts
+++ b/src/gateway/upstream_desk.ts
@@ -1,8 +1,10 @@
 /** Connections to upstreams and what they tell of their load. */
 
 import type {Logger} from 'pino';
+import type {DecisionOptions} from '../decisions/options/index.js';
 import type {ProbeAnswer} from '../decisions/placement/index.js';
-import {LoadView, OutcomeBook} from '../decisions/placement/index.js';
+import type {LoadView} from '../decisions/placement/index.js';
+import {OutcomeBook} from '../decisions/placement/index.js';
 import type {
   RegisteredUpstream,
   UpstreamInService,
@@ -35,6 +37,8 @@
 }
 
 export interface UpstreamDeskParts {
+  readonly options: DecisionOptions;
+  readonly view: LoadView;
   readonly state: FleetState;
   readonly clock: Clock;
   readonly logger: Logger;
@@ -43,12 +47,14 @@
 
 export class UpstreamDesk {
   readonly outcomes: OutcomeBook;
-  readonly view: LoadView;
   private readonly contacts = new Map<string, Contact>();
 
   constructor(private readonly parts: UpstreamDeskParts) {
-    this.outcomes = new OutcomeBook(parts.clock);
-    this.view = new LoadView(parts.clock);
+    this.outcomes = new OutcomeBook(parts.clock, parts.options);
+  }
+
+  get view(): LoadView {
+    return this.parts.view;
   }
 
   /** A connection for a request that is sent now. */
@@ -98,7 +104,7 @@
       if (!upstream) {
         this.contacts.delete(id);
         this.outcomes.forget(id);
-        this.view.forget(id);
+        this.parts.view.forget(id);
       }
     }
   }
@@ -142,7 +148,7 @@
       PROBE_TIMEOUT_MS,
     );
     if (result.kind === 'told') {
-      this.view.note(result.answer, askedAt);
+      this.parts.view.note(result.answer, askedAt);
       contact.pool.release(connection);
       return result.answer;
     }
--- a/src/gateway/upstream_send.ts
+++ b/src/gateway/upstream_send.ts
@@ -137,8 +137,7 @@
       case 'answered':
         if (!isServerError(result.status)) {
           desk.outcomes.succeeded(id);
-          const slowness = told.report?.slowness ?? 1;
-          work.observe(service, route.name, this.elapsed, slowness);
+          work.observe(service, route.name, this.elapsed, told.report);
           stalls.answered(this.awaited, this.elapsed);
         }
         this.noteLoad(result.load);
--- a/src/host/gateway_host.ts
+++ b/src/host/gateway_host.ts
@@ -3,8 +3,14 @@
 import type {Logger} from 'pino';
 import {ByteBudget} from '../decisions/limits/index.js';
 import {ProbeBudget} from '../decisions/probing/index.js';
-import {PlacementPolicy, WorkEstimates} from '../decisions/placement/index.js';
+import {DEFAULT_OPTIONS} from '../decisions/options/index.js';
+import {
+  LoadView,
+  PlacementPolicy,
+  WorkEstimates,
+} from '../decisions/placement/index.js';
 import {WindowBudget} from '../decisions/retries/index.js';
+import {NewsBox} from '../decisions/sharing/index.js';
 import {StallPolicy} from '../decisions/stalls/index.js';
 import {planStop} from '../decisions/stopping/index.js';
 import {TrafficSplit} from '../decisions/routes/index.js';
@@ -19,6 +25,7 @@
   UpstreamDesk,
 } from '../gateway/index.js';
 import {LifeCycle} from '../lifecycle/index.js';
+import {LoadExchange} from '../sharing/index.js';
 import type {HostSettings, Store} from '../platform/index.js';
 import type {Clock, Milliseconds, Random} from '../time/index.js';
 import {sleep} from '../time/index.js';
@@ -62,6 +69,7 @@
   private readonly gateway: GatewayServer;
   private readonly readiness: ReadinessServer;
   private readonly metricsServer: MetricsServer;
+  private readonly loadExchange: LoadExchange;
   private readonly desk: UpstreamDesk;
   private readonly policy: PlacementPolicy;
   private readonly probes: ProbeBudget;
@@ -86,9 +94,30 @@
       new MetricsServer(() => metrics.text(this.figures())),
       one => one.close(),
     );
+    const news = new NewsBox(clock, () => this.loadExchange.wake());
+    const view = new LoadView(clock, news);
+    this.loadExchange = this.lifeCycle.own(
+      'load exchange',
+      new LoadExchange({
+        dataCentre,
+        view,
+        news,
+        registered: () => this.member.nearAddresses,
+        clock,
+        logger,
+      }),
+      one => one.close(),
+    );
     this.desk = this.lifeCycle.own(
       'upstream connections',
-      new UpstreamDesk({state: this.state, clock, logger, metrics}),
+      new UpstreamDesk({
+        options: DEFAULT_OPTIONS,
+        view,
+        state: this.state,
+        clock,
+        logger,
+        metrics,
+      }),
       one => one.close(),
     );
     const work = new WorkEstimates();
@@ -99,7 +128,8 @@
       random,
       outcomes: this.desk.outcomes,
       work,
-      view: this.desk.view,
+      view,
+      options: DEFAULT_OPTIONS,
     });
     this.relay = this.lifeCycle.own(
       'relay',
@@ -159,6 +189,7 @@
     this.state.identify(`${settings.peers.ip}:${peers}`);
     const ports = {callers, readiness, peers, metrics};
     logger.info({event: 'start', host: settings.host, ports}, 'listening');
+    this.loadExchange.start(this.state.address);
     this.member.start().catch((error: unknown) => {
       logger.error({error}, 'cannot join the fleet');
     });
@@ -258,7 +289,16 @@
     const {state, desk, policy, probes} = this;
     const scheduler = this.lifeCycle.own(
       `scheduler of ${service}`,
-      new Scheduler({service, state, desk, policy, probes, clock, random}),
+      new Scheduler({
+        service,
+        state,
+        desk,
+        policy,
+        probes,
+        clock,
+        random,
+        options: DEFAULT_OPTIONS,
+      }),
       one => one.close(),
     );
     this.schedulers.set(service, scheduler);
--- a/tests/placement.test.ts
+++ b/tests/placement.test.ts
@@ -11,6 +11,7 @@
   WorkEstimates,
   estimateCompletion,
 } from '../src/decisions/placement/index.js';
+import {DEFAULT_OPTIONS} from '../src/decisions/options/index.js';
 import type {UpstreamInService} from '../src/decisions/registry/index.js';
 import {ManualClock, seededRandom} from '../src/time/index.js';
 
@@ -24,7 +25,7 @@
 
 beforeEach(() => {
   clock = new ManualClock();
-  outcomes = new OutcomeBook(clock);
+  outcomes = new OutcomeBook(clock, DEFAULT_OPTIONS);
   work = new WorkEstimates();
   view = new LoadView(clock);
   policy = new PlacementPolicy({
@@ -34,8 +35,9 @@
     outcomes,
     work,
     view,
+    options: DEFAULT_OPTIONS,
   });
-  work.observe('s', 'r', 200, 1);
+  work.observe('s', 'r', 200, IDLE);
 });
 
 function upstream(
@@ -70,6 +72,7 @@
     rank: 1,
     tried: new Set(),
     targetMs: 600,
+    timeLeftMs: 1_500,
     targetAt: 600,
     giveUpAt: 1_500,
     ...more,
--- a/tests/waiting_line.test.ts
+++ b/tests/waiting_line.test.ts
@@ -1,4 +1,5 @@
 import {beforeEach, expect, test} from 'vitest';
+import {DEFAULT_OPTIONS} from '../src/decisions/options/index.js';
 import {WaitingLine} from '../src/decisions/waiting/index.js';
 import {ManualClock} from '../src/time/index.js';
 
@@ -7,7 +8,7 @@
 
 beforeEach(() => {
   clock = new ManualClock();
-  line = new WaitingLine(clock);
+  line = new WaitingLine(clock, DEFAULT_OPTIONS);
 });
 
 function add(
