--- a/src/sharing/load_exchange.ts
+++ b/src/sharing/load_exchange.ts
@@ -24,8 +24,8 @@
 import {decodeMessage, encodeMessage} from './codec.js';
 
 /**
- * News are collected for this time. In the emulator 2, 4 and 8 ms serve the
- * same share in time; each halving doubles the datagrams.
+ * News are collected for this time: a fifth of the time for which a report is
+ * used, and some 100 datagrams a second to each peer at most.
  */
 const BATCH_MS: Milliseconds = 4;
 const NO_NEWS: LoadNews = {answers: [], sends: []};
@@ -48,6 +48,7 @@
   private batchTimer: NodeJS.Timeout | undefined;
   private greetingTimer: NodeJS.Timeout | undefined;
   private refused = 0;
+  private closed = false;
 
   constructor(private readonly parts: LoadExchangeParts) {
     this.socket = createSocket('udp4');
@@ -63,6 +64,9 @@
     }
     this.address = address;
     this.socket.bind(own.port, own.ip, () => {
+      if (this.closed) {
+        return;
+      }
       this.circle = new PeerCircle(address, this.parts.clock);
       this.greetingTimer = setInterval(
         () => this.greet(),
@@ -81,6 +85,7 @@
   }
 
   close(): void {
+    this.closed = true;
     clearTimeout(this.batchTimer);
     clearInterval(this.greetingTimer);
     this.circle = undefined;
