--- /dev/null
+++ b/src/experiment/main.ts
@@ -0,0 +1,148 @@
+/** Compares policies on emulated scenarios: `npm run experiment -- FILE...`. */
+
+import {writeFile} from 'node:fs/promises';
+import {basename} from 'node:path';
+import {Cli, Command, Option} from 'clipanion';
+import {readScenario} from '../emulator/index.js';
+import {compare} from './compare.js';
+import {plotCredit} from './plot.js';
+import {playAll} from './player.js';
+import {ABLATIONS, HOST_POLICY, readPolicy} from './policies.js';
+import type {Comparison, PolicyChoice} from './types.js';
+
+const EXIT_OK = 0;
+const EXIT_USAGE = 2;
+const DIGITS = 3;
+
+class ExperimentCommand extends Command {
+  static override paths = [Command.Default];
+  static override usage = Command.Usage({
+    description: 'plays scenarios with several policies and the same seeds',
+    details:
+      'The first policy is what hosts use; gains are against it. Exits with 2 ' +
+      'if a scenario or a policy can’t be read.',
+    examples: [
+      [
+        'What sharing is worth',
+        '$0 scenarios/artists_overload.toml --policy sharesView=false',
+      ],
+      ['Each mechanism off', '$0 scenarios/artists_calm.toml --ablate'],
+    ],
+  });
+
+  readonly policies = Option.Array('--policy', [], {
+    description: 'options that differ, name=value,...; may be given again',
+  });
+  readonly seeds = Option.String('--seeds', '5', {
+    description: 'plays of each scenario and policy',
+  });
+  readonly ablate = Option.Boolean('--ablate', false, {
+    description: 'also each mechanism switched off',
+  });
+  readonly json = Option.Boolean('--json', false, {
+    description: 'print JSON for programs',
+  });
+  readonly plot = Option.String('--plot', {
+    description: 'file for an SVG of the credit by second',
+  });
+  readonly files = Option.Rest({required: 1, name: 'scenario files'});
+
+  override async execute(): Promise<number> {
+    const policies = this.readPolicies();
+    const seeds = Number(this.seeds);
+    if (!policies || !this.canRead(this.files)) {
+      return EXIT_USAGE;
+    }
+    if (!Number.isInteger(seeds) || seeds < 1) {
+      return this.fail('--seeds: write a whole number of 1 or more');
+    }
+    const plays = this.files.flatMap(file =>
+      policies.flatMap(policy =>
+        Array.from({length: seeds}, (_, index) => ({
+          file,
+          policy,
+          seed: index + 1,
+        })),
+      ),
+    );
+    const results = await playAll(plays, played => {
+      this.context.stderr.write(`\r${played} of ${plays.length} played`);
+    });
+    this.context.stderr.write('\n');
+    const comparisons = compare(results);
+    this.context.stdout.write(
+      this.json ? `${JSON.stringify(comparisons)}\n` : tableOf(comparisons),
+    );
+    if (this.plot !== undefined) {
+      await writeFile(this.plot, await plotCredit(results));
+    }
+    return EXIT_OK;
+  }
+
+  private readPolicies(): readonly PolicyChoice[] | undefined {
+    const choices = [HOST_POLICY];
+    for (const text of this.policies) {
+      const policy = readPolicy(text);
+      if (policy.isErr()) {
+        this.fail(policy.error.message);
+        return undefined;
+      }
+      choices.push(policy.value);
+    }
+    return this.ablate ? [...choices, ...ABLATIONS] : choices;
+  }
+
+  private canRead(files: readonly string[]): boolean {
+    for (const file of files) {
+      const scenario = readScenario(file);
+      if (scenario.isErr()) {
+        this.fail(scenario.error.message);
+        return false;
+      }
+    }
+    return true;
+  }
+
+  private fail(message: string): number {
+    this.context.stderr.write(`experiment: ${message}\n`);
+    return EXIT_USAGE;
+  }
+}
+
+function tableOf(comparisons: readonly Comparison[]): string {
+  const rows = comparisons.map(one => [
+    basename(one.scenario, '.toml'),
+    one.policy,
+    shown(one.worth),
+    shown(one.inTime),
+    shown(one.late),
+    shown(one.served),
+    shown(one.worstWindows),
+    shown(one.probesPerRequest),
+    shown(one.gain),
+    one.interval.map(shown).join(' to '),
+  ]);
+  const head = [
+    'scenario',
+    'policy',
+    'worth',
+    'in time',
+    'late',
+    'served',
+    'worst windows',
+    'probes a request',
+    'gain',
+    '95% of medians',
+  ];
+  return [head, head.map(() => '---'), ...rows]
+    .map(cells => `| ${cells.join(' | ')} |\n`)
+    .join('');
+}
+
+function shown(figure: number): string {
+  return figure.toFixed(DIGITS);
+}
+
+const cli = new Cli({binaryName: 'experiment'});
+cli.register(ExperimentCommand);
+await cli.runExit(process.argv.slice(2));
--- /dev/null
+++ b/src/experiment/policies.ts
@@ -0,0 +1,64 @@
+/** Reads which mechanisms a policy of an experiment sets. */
+
+import type {Result} from 'neverthrow';
+import {err, ok} from 'neverthrow';
+import {DEFAULT_OPTIONS} from '../decisions/options/index.js';
+import type {DecisionOptions} from '../decisions/options/index.js';
+import type {PolicyChoice} from './types.js';
+
+/** A policy that can't be read; the message names the remedy. */
+export class PolicyError extends Error {}
+
+export const HOST_POLICY: PolicyChoice = {
+  name: 'hosts',
+  options: DEFAULT_OPTIONS,
+};
+
+const OFF: Readonly<Partial<DecisionOptions>> = {
+  sharesView: false,
+  prefersNear: false,
+  hedges: false,
+  remembersFailures: false,
+  servesLate: false,
+  knownNeeded: Infinity,
+  reuseMs: 0,
+};
+
+/** Each mechanism switched off, one by one. */
+export const ABLATIONS: readonly PolicyChoice[] = Object.entries(OFF).map(
+  ([name, value]) => ({
+    name: `without ${name}`,
+    options: {...DEFAULT_OPTIONS, [name]: value},
+  }),
+);
+
+/** Reads `name=value,...`, such as `asked=2,sharesView=false`. */
+export function readPolicy(text: string): Result<PolicyChoice, PolicyError> {
+  const options: Record<string, number | boolean> = {...DEFAULT_OPTIONS};
+  for (const part of text.split(',')) {
+    const [name = '', value = ''] = part.split('=', 2).map(one => one.trim());
+    const usual = options[name];
+    if (usual === undefined) {
+      const known = Object.keys(DEFAULT_OPTIONS).join(', ');
+      return err(new PolicyError(`${part}: set one of ${known}`));
+    }
+    const parsed = typeof usual === 'number' ? Number(value) : flag(value);
+    if (parsed === undefined || Number.isNaN(parsed) || value === '') {
+      const form = typeof usual === 'number' ? 'a number' : 'true or false';
+      return err(new PolicyError(`${part}: write ${form} after ${name}=`));
+    }
+    options[name] = parsed;
+  }
+  return ok({name: text, options: options as unknown as DecisionOptions});
+}
+
+function flag(text: string): boolean | undefined {
+  switch (text) {
+    case 'true':
+      return true;
+    case 'false':
+      return false;
+    default:
+      return undefined;
+  }
+}
