--- a/src/emulator/emulate.ts
+++ b/src/emulator/emulate.ts
@@ -40,7 +40,9 @@
       host.address,
       near.map(({address}) => address),
     );
-    host.peers = near.filter(({address}) => told.includes(address));
+    host.gossip.audience = options.sharesView
+      ? near.filter(({address}) => told.includes(address)).map(({view}) => view)
+      : [];
   });
   const endMs = scenario.seconds * MS_PER_SECOND;
   new CallerModel(fleet, hosts, endMs);
--- a/src/emulator/host_model.ts
+++ b/src/emulator/host_model.ts
@@ -13,22 +13,17 @@
 import type {UpstreamInService} from '../decisions/registry/index.js';
 import {WindowBudget} from '../decisions/retries/index.js';
 import type {DecisionOptions} from '../decisions/options/index.js';
-import type {Placing, SchedulerAction} from '../decisions/scheduling/index.js';
-import {ServiceScheduler} from '../decisions/scheduling/index.js';
-import type {LoadNews} from '../decisions/sharing/index.js';
+import type {Placing} from '../decisions/scheduling/index.js';
 import {NewsBox} from '../decisions/sharing/index.js';
 import {StallPolicy} from '../decisions/stalls/index.js';
 import type {Milliseconds} from '../time/index.js';
+import {STEP_MS} from './constants.js';
 import type {FleetModel} from './fleet_model.js';
+import {LoadGossip} from './load_gossip.js';
 import type {RequestKind} from './scenario.js';
+import {SchedulerModel} from './scheduler_model.js';
 import type {Run, RunEnd} from './upstream_model.js';
 
-/** Time that the host's processor takes for one step of a request. */
-const STEP_MS: Milliseconds = 0.4;
-/** Until another host of the data centre knows what this one does. */
-const GOSSIP_MS: Milliseconds = 0.7;
-/** Time for which news are collected before they are told. */
-const BATCH_MS: Milliseconds = 4;
 /** When to come back if no upstream could be reached. */
 const UNREACHABLE_RETRY_MS: Milliseconds = 150;
 const RETRY_WINDOW_MS: Milliseconds = 10_000;
@@ -54,7 +49,6 @@
 }
 
 interface Exchange {
-  readonly id: number;
   readonly request: HostRequest;
   readonly record: AttemptRecord;
   readonly arrivedAt: Milliseconds;
@@ -63,25 +57,16 @@
   done: boolean;
 }
 
-interface Scheduling {
-  readonly decisions: ServiceScheduler;
-  /** What to do once a request has its placing, by the placing's id. */
-  readonly settled: Map<number, (placing: Placing) => void>;
-  timerAt: Milliseconds;
-}
-
 export class HostModel {
   private readonly outcomes: OutcomeBook;
   readonly view: LoadView;
-  private readonly news: NewsBox;
-  private telling = false;
+  readonly gossip: LoadGossip;
   private readonly work = new WorkEstimates();
   private readonly stalls = new StallPolicy();
   private readonly policy: PlacementPolicy;
   private readonly probes: ProbeBudget;
-  private readonly schedulings = new Map<string, Scheduling>();
+  private readonly schedulers = new Map<string, SchedulerModel>();
   private readonly budgets = new Map<string, WindowBudget>();
-  private nextId = 1;
 
   constructor(
     private readonly fleet: FleetModel,
@@ -91,8 +76,9 @@
   ) {
     const {loop, random, scenario} = fleet;
     this.outcomes = new OutcomeBook(loop, options);
-    this.news = new NewsBox(loop);
-    this.view = new LoadView(loop, this.news);
+    const news = new NewsBox(loop, () => this.gossip.wake());
+    this.gossip = new LoadGossip(loop, news);
+    this.view = new LoadView(loop, news);
     this.policy = new PlacementPolicy({
       dataCentre: String(dataCentre),
       clock: loop,
@@ -105,18 +91,10 @@
     this.probes = new ProbeBudget(loop, scenario.probes_per_upstream_second);
   }
 
-  /** Hosts of the same data centre. */
-  peers: readonly HostModel[] = [];
-
-  hear(news: LoadNews, extraMs: Milliseconds): void {
-    this.view.hear(news, extraMs);
-  }
-
   accept(request: HostRequest): void {
     const now = this.fleet.loop.now();
     const {kind, timeLeftMs} = request;
     const exchange: Exchange = {
-      id: 0,
       request,
       record: new AttemptRecord({
         repeatable: kind.idempotent,
@@ -134,21 +112,16 @@
 
   private place(exchange: Exchange, isFirst: boolean): void {
     const {kind} = exchange.request;
-    const {decisions, settled} = this.schedulingOf(kind.service);
-    const id = this.nextId;
-    this.nextId += 1;
-    settled.set(id, placing => this.settle(exchange, placing, isFirst));
-    this.carryOut(
-      kind.service,
-      decisions.arrive({
-        id,
-        service: kind.service,
-        route: kind.name,
-        tried: exchange.record.tried,
-        targetMs: kind.target_ms,
-        targetAt: exchange.arrivedAt + kind.target_ms,
-        giveUpAt: exchange.giveUpAt,
-      }),
+    const wanted = {
+      service: kind.service,
+      route: kind.name,
+      tried: exchange.record.tried,
+      targetMs: kind.target_ms,
+      targetAt: exchange.arrivedAt + kind.target_ms,
+      giveUpAt: exchange.giveUpAt,
+    };
+    this.schedulerOf(kind.service).place(wanted, placing =>
+      this.settle(exchange, placing, isFirst),
     );
   }
 
@@ -187,7 +160,6 @@
     if (Number(dataCentre) !== this.dataCentre) {
       this.fleet.costs.farKilobytes += FAR_KILOBYTES;
     }
-    this.share();
     const startedAt = loop.now();
     const awaited = {service: kind.service, route: kind.name, expectedMs};
     const run: Run = {
@@ -197,7 +169,7 @@
         if (end === 'silent' || run.cancelled) {
           return;
         }
-        const report = upstream?.report();
+        const report = upstream?.told();
         loop.after(delay + STEP_MS, () => {
           const elapsedMs = loop.now() - startedAt;
           if (end === 'answered') {
@@ -206,7 +178,9 @@
             this.stalls.answered(awaited, elapsedMs);
           }
           exchange.runs.delete(id);
-          this.noteLoad({id, report, healthy: true});
+          if (report) {
+            this.view.note({id, report, healthy: true});
+          }
           this.judge(exchange, id, end);
         });
       },
@@ -307,89 +281,6 @@
     );
   }
 
-  private noteLoad(answer: ProbeAnswer): void {
-    if (answer.report && this.tellsLoad(answer.id)) {
-      this.view.note(answer);
-      this.share();
-    }
-  }
-
-  /** Tells peers what has been learnt, in small batches. */
-  private share(): void {
-    const {loop} = this.fleet;
-    if (!this.options.sharesView || this.telling) {
-      return;
-    }
-    this.telling = true;
-    loop.after(BATCH_MS, () => {
-      this.telling = false;
-      const news = this.news.take();
-      this.peers.forEach(peer =>
-        loop.after(GOSSIP_MS, () => peer.hear(news, 0)),
-      );
-    });
-  }
-
-  private carryOut(service: string, actions: readonly SchedulerAction[]): void {
-    const scheduling = this.schedulingOf(service);
-    for (const action of actions) {
-      switch (action.kind) {
-        case 'probe':
-          this.probe(service, action.upstream);
-          break;
-        case 'settle': {
-          const settle = scheduling.settled.get(action.id);
-          scheduling.settled.delete(action.id);
-          settle?.(action.placing);
-          break;
-        }
-        default:
-          action satisfies never;
-      }
-    }
-    this.arm(service, scheduling);
-  }
-
-  private arm(service: string, scheduling: Scheduling): void {
-    const {loop} = this.fleet;
-    const {dueAt} = scheduling.decisions;
-    if (dueAt < scheduling.timerAt) {
-      scheduling.timerAt = dueAt;
-      loop.after(dueAt - loop.now(), () => {
-        scheduling.timerAt = Infinity;
-        this.carryOut(service, scheduling.decisions.tick());
-      });
-    }
-  }
-
-  private probe(service: string, {id, dataCentre}: UpstreamInService): void {
-    const {loop, costs} = this.fleet;
-    const upstream = this.fleet.upstream(id);
-    const delay = this.fleet.delay(this.dataCentre, Number(dataCentre));
-    const askedAt = loop.now();
-    costs.probes += 1;
-    loop.after(delay + STEP_MS, () => {
-      const report = upstream?.report();
-      const gone = upstream?.isGone ?? true;
-      loop.after(delay + STEP_MS, () => {
-        const told = this.tellsLoad(id) ? report : undefined;
-        const answer = gone ? undefined : {id, report: told, healthy: true};
-        if (answer) {
-          this.view.note(answer, askedAt);
-          this.share();
-        } else {
-          this.outcomes.failed(id, 'unreachable');
-        }
-        const {decisions} = this.schedulingOf(service);
-        this.carryOut(service, decisions.probed(id, answer));
-      });
-    });
-  }
-
-  private tellsLoad(id: string): boolean {
-    return this.fleet.upstream(id)?.service.tells_load ?? false;
-  }
-
   private spendRepeat(exchange: Exchange): boolean {
     return this.budgetOf(exchange.request.kind.service).spend(this.reserve);
   }
@@ -414,25 +305,23 @@
     return budget;
   }
 
-  private schedulingOf(service: string): Scheduling {
-    const known = this.schedulings.get(service);
+  private schedulerOf(service: string): SchedulerModel {
+    const known = this.schedulers.get(service);
     if (known) {
       return known;
     }
-    const {loop, random, upstreams, hostCount} = this.fleet;
-    const decisions = new ServiceScheduler({
-      clock: loop,
-      random,
-      policy: this.policy,
-      view: this.view,
-      probes: this.probes,
-      upstreams: () => this.fleet.inService(service),
-      fleetSize: () => ({upstreams: upstreams.length, hosts: hostCount}),
-      hasConnection: () => true,
-      options: this.options,
+    const {fleet, dataCentre, policy, view, outcomes, probes, options} = this;
+    const scheduler = new SchedulerModel({
+      service,
+      dataCentre,
+      fleet,
+      policy,
+      view,
+      outcomes,
+      probes,
+      options,
     });
-    const scheduling = {decisions, settled: new Map(), timerAt: Infinity};
-    this.schedulings.set(service, scheduling);
-    return scheduling;
+    this.schedulers.set(service, scheduler);
+    return scheduler;
   }
 }
--- a/src/emulator/upstream_model.ts
+++ b/src/emulator/upstream_model.ts
@@ -50,7 +50,11 @@
     return this.gone;
   }
 
-  report(): LoadReport {
+  /** What it tells of its load; undefined where its service tells none. */
+  told(): LoadReport | undefined {
+    if (!this.service.tells_load) {
+      return undefined;
+    }
     return {
       running: this.active.length,
       waiting: this.queue.length,
--- a/src/experiment/player.ts
+++ b/src/experiment/player.ts
@@ -7,20 +7,25 @@
 /** Share of the cores that are used: the rest is for whoever works here. */
 const CORE_SHARE = 0.5;
 
-/** @param onPlayed told of each play as it ends */
+/**
+ * Results come in the order of the plays, whichever ended first.
+ *
+ * @param onPlayed told how many have been played
+ */
 export async function playAll(
   plays: readonly Play[],
   onPlayed: (played: number) => void,
 ): Promise<readonly PlayResult[]> {
-  const queue = [...plays];
-  const results: PlayResult[] = [];
+  const queue = [...plays.entries()];
+  const results = new Map<number, PlayResult>();
   const threads = Math.max(1, Math.floor(availableParallelism() * CORE_SHARE));
   const work = async (): Promise<void> => {
     const worker = new Worker(new URL('./thread.js', import.meta.url));
     try {
-      for (let play = queue.shift(); play; play = queue.shift()) {
-        results.push(await playIn(worker, play));
-        onPlayed(results.length);
+      for (let next = queue.shift(); next; next = queue.shift()) {
+        const [index, play] = next;
+        results.set(index, await playIn(worker, play));
+        onPlayed(results.size);
       }
     } finally {
       await worker.terminate();
@@ -29,7 +34,7 @@
   await Promise.all(
     Array.from({length: Math.min(threads, plays.length)}, work),
   );
-  return results;
+  return plays.flatMap((_, index) => results.get(index) ?? []);
 }
 
 function playIn(worker: Worker, play: Play): Promise<PlayResult> {
--- /dev/null
+++ b/tests/experiment.test.ts
@@ -0,0 +1,47 @@
+import {expect, test} from 'vitest';
+import {DEFAULT_OPTIONS} from '../src/decisions/options/index.js';
+import type {Outcome} from '../src/emulator/index.js';
+import {compare} from '../src/experiment/compare.js';
+import type {PlayResult} from '../src/experiment/types.js';
+
+function played(policy: string, seed: number, worth: number): PlayResult {
+  const outcome: Outcome = {
+    seed,
+    worth,
+    day: worth,
+    worstWindows: worth,
+    served: 1,
+    worstKind: worth,
+    prices: 0,
+    probesPerRequest: 2,
+    inTime: worth,
+    late: 0,
+    creditBySecond: [worth],
+  };
+  const choice = {name: policy, options: DEFAULT_OPTIONS};
+  return {play: {file: 'f.toml', policy: choice, seed}, outcome};
+}
+
+test('gains are told seed by seed against the first policy', () => {
+  const results = [1, 2, 3, 4, 5].flatMap(seed => [
+    played('hosts', seed, seed / 10),
+    played('other', seed, seed / 10 + 0.02),
+  ]);
+  const [hosts, other] = compare(results);
+  expect(hosts).toMatchObject({policy: 'hosts', gain: 0, interval: [0, 0]});
+  expect(other?.gain).toBeCloseTo(0.02);
+  expect(other?.interval[0]).toBeCloseTo(0.02);
+  expect(other?.interval[1]).toBeCloseTo(0.02);
+});
+
+test('seeds that differ widen the interval', () => {
+  const gains = [-0.1, 0.05, 0.02, 0.1, -0.02];
+  const results = gains.flatMap((gain, seed) => [
+    played('hosts', seed, 0.5),
+    played('other', seed, 0.5 + gain),
+  ]);
+  const other = compare(results)[1];
+  expect(other?.gain).toBeCloseTo(0.02);
+  expect(other?.interval[0]).toBeLessThan(0);
+  expect(other?.interval[1]).toBeGreaterThan(0.05);
+});
