Disbelieve health that most of a service denies; ask other data centres last

And with three asked in each of three rounds, upstreams of other data centres were never asked where nine are nearby. Ruled out: refusing only while some are fast enough (a few healthy ones remain). Both tests fail without the change.

--- a/src/decisions/placement/placement_policy.ts
+++ b/src/decisions/placement/placement_policy.ts
@@ -25,6 +25,10 @@
 export const MAX_ROUNDS = 3;
 /** Factor on the estimate of an upstream that calls itself unhealthy. */
 const UNHEALTHY_FACTOR = 8;
+/** Share of healthy ones in a service below which ill ones aren't believed. */
+const BELIEVED_SHARE = 0.5;
+/** Weight of an answer in that share: half a second of a busy host. */
+const HEALTH_WEIGHT = 0.02;
 /** Factor on the estimate of an upstream that has just started. */
 const COLD_FACTOR = 2;
 /**
@@ -99,24 +103,34 @@
 ];
 export class PlacementPolicy {
   private readonly usualByService = new Map<string, Usual>();
+  /** Share of a service's answers of late that call themselves healthy. */
+  private readonly healthyShares = new Map<string, number>();
   /** When an upstream was last seen that could serve a route in time. */
   private readonly promisingAt = new Map<string, Milliseconds>();
 
   constructor(private readonly surroundings: PlacementSurroundings) {}
 
-  /** Whom to ask next; none when all have been asked. */
+  /**
+   * Whom to ask next; none when all have been asked. Those in other data
+   * centres have the last word: where many are nearby they would never be
+   * asked, however slow or full the near ones are.
+   *
+   * @param isLast whether nobody is asked after them
+   */
   candidates(
     upstreams: readonly UpstreamInService[],
     request: PlacementRequest,
     asked: ReadonlySet<string>,
+    isLast: boolean,
   ): readonly UpstreamInService[] {
     const open = upstreams.filter(
       ({id}) => !asked.has(id) && !request.tried.has(id),
     );
-    const near = open.filter(
-      ({dataCentre}) => dataCentre === this.surroundings.dataCentre,
-    );
-    return this.sample(near.length > 0 ? near : open);
+    const {dataCentre} = this.surroundings;
+    const near = open.filter(one => one.dataCentre === dataCentre);
+    const far = open.filter(one => one.dataCentre !== dataCentre);
+    const goesFar = near.length === 0 || isLast;
+    return this.sample(goesFar && far.length > 0 ? far : near);
   }
 
   /**
@@ -131,6 +145,7 @@
     exhausted: boolean,
   ): PlacementVerdict {
     this.refreshUsual(request.service, upstreams);
+    this.noteHealth(request.service, answers);
     const rated = this.rateAll(upstreams, request, answers);
     const tiers = exhausted ? this.lastTiers(request, rated) : NEAR_TIERS;
     for (const tier of tiers) {
@@ -202,7 +217,7 @@
     const told = answer.report ?? UNTOLD;
     const report = {...told, running: told.running + view.unreported(id)};
     const expectedMs = this.expectedMs(upstream, request, {...answer, report});
-    const health = answer.healthy ? 1 : UNHEALTHY_FACTOR;
+    const health = this.healthFactor(request.service, answer);
     const doubt = outcomes.factor(id) * health;
     const risk = this.risk(request.service, id) * health;
     const riskyMs = expectedMs * risk;
@@ -221,6 +236,25 @@
     };
   }
 
+  private noteHealth(service: string, answers: readonly ProbeAnswer[]): void {
+    const share = answers.reduce(
+      (before, {healthy}) =>
+        before + HEALTH_WEIGHT * (Number(healthy) - before),
+      this.healthyShares.get(service) ?? 1,
+    );
+    this.healthyShares.set(service, share);
+  }
+
+  /**
+   * Health endpoints may say ill where all is well. While most of a service say
+   * so they aren't believed: their slots would stay free, and the few others
+   * couldn't take the requests of all.
+   */
+  private healthFactor(service: string, {healthy}: ProbeAnswer): number {
+    const share = this.healthyShares.get(service) ?? 1;
+    return healthy || share < BELIEVED_SHARE ? 1 : UNHEALTHY_FACTOR;
+  }
+
   /** The same if nothing else ran there. */
   private idleMs(
     upstream: UpstreamInService,
--- a/src/decisions/scheduling/service_scheduler.ts
+++ b/src/decisions/scheduling/service_scheduler.ts
@@ -139,8 +139,9 @@
 
   private beginRound(look: Look): void {
     const {policy, clock, upstreams, hasConnection} = this.surroundings;
+    const isLast = look.round + 1 >= MAX_ROUNDS;
     const candidates = this.affordable(
-      policy.candidates(upstreams(), look.request, look.asked),
+      policy.candidates(upstreams(), look.request, look.asked, isLast),
     );
     const pending: string[] = [];
     for (const upstream of candidates) {
--- a/tests/placement.test.ts
+++ b/tests/placement.test.ts
@@ -250,8 +250,45 @@
 test('those tried or asked are not asked again, and near ones come first', () => {
   const all = [upstream('a'), upstream('b'), upstream('far', 'west')];
   const tried = request({tried: new Set(['a'])});
-  const first = policy.candidates(all, tried, new Set());
+  const first = policy.candidates(all, tried, new Set(), false);
   expect(first.map(({id}) => id)).toEqual(['b']);
-  const next = policy.candidates(all, tried, new Set(['b']));
+  const next = policy.candidates(all, tried, new Set(['b']), false);
   expect(next.map(({id}) => id)).toEqual(['far']);
 });
+
+test('the last to be asked are in other data centres', () => {
+  // Many upstreams are nearby and all of them are full. Asked until the rounds
+  // are over, none elsewhere would ever be heard of.
+  const near = Array.from({length: 20}, (_, i) => upstream(`near-${i}`));
+  const all = [...near, upstream('far', 'west')];
+  const last = policy.candidates(all, request(), new Set(), true);
+  expect(last.map(({id}) => id)).toEqual(['far']);
+});
+
+test('when most call themselves ill, they are not believed', () => {
+  // The health endpoints of most of a service say ill while all is well.
+  // Believed, the few others were full and four in ten requests were refused,
+  // beside free slots.
+  const ids = ['a', 'b', 'c', 'd', 'e'];
+  const all = ids.map(id => upstream(id));
+  const answers = ids.map(id => told(id, {running: 2}, false));
+  const full = told('f', {running: 6});
+  const judge = (): string =>
+    policy.judge([...all, upstream('f')], request(), [...answers, full], true)
+      .kind;
+  expect(judge()).toBe('no-room');
+  for (let i = 0; i < 20; i += 1) {
+    judge();
+  }
+  expect(judge()).toBe('send');
+});
+
+test('a few that call themselves ill are believed', () => {
+  const answers = [told('a', {}, false), told('b', {running: 3})];
+  for (let i = 0; i < 20; i += 1) {
+    expect(policy.judge(NEAR, request(), answers, true)).toEqual({
+      kind: 'send',
+      id: 'b',
+    });
+  }
+});
