Drop reports of upstreams that nobody speaks of any more

Change: reports older than 10 s and sends older than 0.6 s go each half second; no decision looks at either (reports are used for 20 ms). The test fails without it.

--- a/src/decisions/placement/load_view.ts
+++ b/src/decisions/placement/load_view.ts
@@ -8,6 +8,12 @@
 /** Sends are remembered for this time, longer than any probe under way. */
 const SENDS_MEMORY_MS: Milliseconds = 600;
 
+/**
+ * Reports are dropped after this time. Other hosts tell of upstreams that this
+ * one never hears of again, each start of one under an id of its own.
+ */
+const REPORT_MEMORY_MS: Milliseconds = 10_000;
+
 interface Known {
   readonly answer: ProbeAnswer;
   readonly at: Milliseconds;
@@ -69,9 +75,24 @@
     return this.sends.get(id)?.filter(at => at >= since).length ?? 0;
   }
 
-  forget(id: string): void {
-    this.known.delete(id);
-    this.sends.delete(id);
+  /** Drops what is of no use any more; call it now and then. */
+  prune(): void {
+    const now = this.clock.now();
+    for (const [id, {at}] of this.known) {
+      if (now - at > REPORT_MEMORY_MS) {
+        this.known.delete(id);
+      }
+    }
+    for (const [id, sends] of this.sends) {
+      if (sends.every(at => now - at > SENDS_MEMORY_MS)) {
+        this.sends.delete(id);
+      }
+    }
+  }
+
+  /** Upstreams of which something is kept. */
+  get size(): number {
+    return new Set([...this.known.keys(), ...this.sends.keys()]).size;
   }
 
   private keep(
--- a/src/gateway/upstream_desk.ts
+++ b/src/gateway/upstream_desk.ts
@@ -2,8 +2,7 @@
 
 import type {Logger} from 'pino';
 import type {DecisionOptions} from '../decisions/options/index.js';
-import type {ProbeAnswer} from '../decisions/placement/index.js';
-import type {LoadView} from '../decisions/placement/index.js';
+import type {LoadView, ProbeAnswer} from '../decisions/placement/index.js';
 import {OutcomeBook} from '../decisions/placement/index.js';
 import type {
   RegisteredUpstream,
@@ -95,6 +94,7 @@
 
   /** Drops what belongs to upstreams that are no longer in service. */
   prune(): void {
+    this.parts.view.prune();
     for (const [id, {pool}] of this.contacts) {
       const upstream = this.parts.state.registry.find(id);
       if (upstream && !upstream.leaving) {
@@ -104,7 +104,6 @@
       if (!upstream) {
         this.contacts.delete(id);
         this.outcomes.forget(id);
-        this.parts.view.forget(id);
       }
     }
   }
--- a/tests/sharing.test.ts
+++ b/tests/sharing.test.ts
@@ -69,6 +69,21 @@
   expect(view.unreported('i-1')).toBe(0);
 });
 
+test('upstreams that nobody speaks of any more are dropped', () => {
+  // Upstreams are replaced all day, each start under a new id, and most are
+  // heard of from other hosts only. Kept, they would fill the memory.
+  const view = new LoadView(clock);
+  for (let i = 0; i < 100; i += 1) {
+    const id = `i-${i}`;
+    const answers = [{answer: {...ANSWER, id}, ageMs: 0}];
+    view.hear({answers, sends: [{id, ageMs: 0}]}, 0);
+  }
+  clock.advance(11_000);
+  view.note(ANSWER);
+  view.prune();
+  expect(view.size).toBe(1);
+});
+
 test('a batch is bounded and the newest stay in it', () => {
   const box = new NewsBox(clock);
   for (let i = 0; i < 100; i += 1) {
