--- a/tests/account.test.ts
+++ b/tests/account.test.ts
@@ -1,4 +1,10 @@
+import {mkdtempSync, rmSync, writeFileSync} from 'node:fs';
+import {tmpdir} from 'node:os';
+import {join} from 'node:path';
+import {PassThrough} from 'node:stream';
+import {Cli} from 'clipanion';
 import {expect, test} from 'vitest';
+import {AccountCommand} from '../src/cli/account_command.js';
 import {accountOf, judgeAttempt} from '../src/account/index.js';
 import type {RequestLine, Send} from '../src/explain/index.js';
 import {explain, readLines, readLog} from '../src/explain/index.js';
@@ -136,3 +142,23 @@
   expect(told).toContain('no answer by then, broken off');
   expect(told).not.toContain('pending');
 });
+
+test.each([
+  ['a day', textOf(line()), 0, 'in time'],
+  ['no line of a host', 'built in 3 s', 2, 'name the standard output'],
+  ['no file', undefined, 1, 'cannot read'],
+])('the command tells of %s and ends with its code', async (...given) => {
+  const [, text, code, told] = given;
+  const folder = mkdtempSync(join(tmpdir(), 'account-'));
+  const file = join(folder, 'host.log');
+  if (text !== undefined) {
+    writeFileSync(file, text);
+  }
+  const out = new PassThrough();
+  const cli = new Cli({binaryName: 'cyclamenlever'});
+  cli.register(AccountCommand);
+  const streams = {stdout: out, stderr: out};
+  expect(await cli.run(['account', file], streams)).toBe(code);
+  expect(String(out.read())).toContain(told);
+  rmSync(folder, {recursive: true});
+});
