Tell lives of upstreams apart; take no upstream from another writer's record

Cause: an upstream may start again under its name, and all that a host kept (loads, failures, connections, sends, neighbours' reports) was kept under that name, so it was taken for the new life's.

Ruled out: comparing starts at each place that keeps something; dropping on sight of a new start, as probes and datagrams under way bring the old back.

Change: each life has an id of its own (LifeBook); late writes of an earlier life or count change nothing for 7 s; records are decoded strictly and counted; bytes that are no text are no record; services without routes share no budget.

--- /dev/null
+++ b/src/decisions/registry/life_book.ts
@@ -0,0 +1,136 @@
+/**
+ * Tells which life of an upstream a record is about.
+ *
+ * An upstream that crashed may start again under its name. Taken for the same,
+ * it would be sent requests by what its earlier life told: a load that is gone,
+ * slowness, failures and connections that no longer are. And a write of the
+ * earlier life that the store carries out late would put that life back into
+ * service, or end the one that runs.
+ *
+ * Used by hosts that read the store; the others take over what these conclude,
+ * so that all use the same names for a life.
+ */
+
+import type {Clock, Milliseconds} from '../../time/index.js';
+import type {
+  RegisteredUpstream,
+  RegistryEntry,
+  RegistryRecord,
+  UpstreamReport,
+} from './types.js';
+
+/**
+ * How long a record of an earlier life, or an earlier one of the same life, is
+ * taken for a late write: the store may carry writes out 6 s after they were
+ * made. An upstream whose clock was set back tells an earlier start; it is
+ * taken into service after this time.
+ */
+const LATE_WRITE_MS: Milliseconds = 7_000;
+
+interface Life {
+  readonly upstream: RegisteredUpstream;
+  /** When its last report was read. */
+  readonly heardAt: Milliseconds;
+  /** What is known as of the newest record under its name. */
+  readonly entry: RegistryEntry;
+}
+
+/** What is known by other ways than this book. */
+export interface KnownEntries {
+  readonly entryOf: (name: string) => RegistryEntry | undefined;
+}
+
+export class LifeBook {
+  private readonly lives = new Map<string, Life>();
+
+  constructor(
+    private readonly clock: Clock,
+    private readonly known: KnownEntries,
+  ) {}
+
+  /** Forgets what was read before: others have read since. */
+  clear(): void {
+    this.lives.clear();
+  }
+
+  /** What follows from a record, given those before it. */
+  conclude(record: RegistryRecord): RegistryEntry {
+    const last = this.lives.get(record.name) ?? this.inherit(record.name);
+    if (last && record.offset <= last.entry.offset) {
+      return last.entry;
+    }
+    if (record.kind !== 'report') {
+      return this.keep(last, record);
+    }
+    const {name, offset, report} = record;
+    if (last && this.isLate(report, last)) {
+      return this.keep(last, {...last.entry, offset});
+    }
+    const id = idOf(report, last?.upstream, offset);
+    const upstream: RegisteredUpstream = {...report, id};
+    const entry: RegistryEntry = {kind: 'present', name, offset, upstream};
+    this.lives.set(name, {upstream, heardAt: this.clock.now(), entry});
+    return entry;
+  }
+
+  /** Forgets lives of which no late write can come any more. */
+  prune(): void {
+    const now = this.clock.now();
+    for (const [name, {entry, heardAt}] of this.lives) {
+      if (entry.kind !== 'present' && now - heardAt > LATE_WRITE_MS) {
+        this.lives.delete(name);
+      }
+    }
+  }
+
+  private inherit(name: string): Life | undefined {
+    const entry = this.known.entryOf(name);
+    return entry?.kind === 'present'
+      ? {upstream: entry.upstream, heardAt: this.clock.now(), entry}
+      : undefined;
+  }
+
+  private keep(last: Life | undefined, entry: RegistryEntry): RegistryEntry {
+    if (last) {
+      this.lives.set(entry.name, {...last, entry});
+    }
+    return entry;
+  }
+
+  private isLate(report: UpstreamReport, last: Life): boolean {
+    const isRecent = this.clock.now() - last.heardAt < LATE_WRITE_MS;
+    return isRecent && isEarlier(report, last.upstream);
+  }
+}
+
+/** Whether a report was made before the last one that is known. */
+function isEarlier(
+  {bornAt, sequence}: UpstreamReport,
+  last: UpstreamReport,
+): boolean {
+  if (bornAt === undefined || last.bornAt === undefined) {
+    return false;
+  }
+  const isSameLife = bornAt === last.bornAt;
+  return isSameLife ? sequence < last.sequence : bornAt < last.bornAt;
+}
+
+/**
+ * Where no start is told, a count of reports that falls tells of another life.
+ * That one is named after the record that showed it, which all readers see.
+ */
+function idOf(
+  report: UpstreamReport,
+  last: RegisteredUpstream | undefined,
+  offset: number,
+): string {
+  const {name, bornAt, sequence} = report;
+  if (bornAt !== undefined) {
+    return `${name}@${bornAt}`;
+  }
+  if (!last) {
+    return name;
+  }
+  const goesOn = last.bornAt === undefined && sequence >= last.sequence;
+  return goesOn ? last.id : `${name}#${offset}`;
+}
--- a/src/decisions/registry/types.ts
+++ b/src/decisions/registry/types.ts
@@ -2,9 +2,14 @@
 
 import type {Milliseconds} from '../../time/index.js';
 
-export interface RegisteredUpstream {
-  /** Names one start of one upstream; never used again. */
-  readonly id: string;
+/** What an upstream reports of itself. */
+export interface UpstreamReport {
+  /** Its own name, under which it may start again. */
+  readonly name: string;
+  /** Unix time of its start; undefined where it doesn't tell. */
+  readonly bornAt: Milliseconds | undefined;
+  /** Counts its reports; starts anew with each start. */
+  readonly sequence: number;
   /** IP number and port; may later belong to another upstream. */
   readonly address: string;
   readonly service: string;
@@ -16,14 +21,40 @@
   readonly coldMs: Milliseconds;
 }
 
-/** What the store says of one upstream, at one offset. */
-export interface RegistryEntry {
+/** One life of an upstream, from a start of its process to its end. */
+export interface RegisteredUpstream extends UpstreamReport {
+  /**
+   * Names this life; never used again. What is kept of an upstream is kept
+   * under it, so that nothing known of one life is taken for another's.
+   */
   readonly id: string;
+}
+
+interface RecordPlace {
+  /** Name of the upstream that the record is about. */
+  readonly name: string;
   readonly offset: number;
-  /** Undefined when the entry was removed. */
-  readonly upstream: RegisteredUpstream | undefined;
 }
 
+interface AbsentUpstream extends RecordPlace {
+  /** Removed, or replaced by a record that names no upstream to use. */
+  readonly kind: 'removed' | 'unusable';
+  readonly upstream?: undefined;
+}
+
+/** What one record of the store says. */
+export type RegistryRecord =
+  | (RecordPlace & {readonly kind: 'report'; readonly report: UpstreamReport})
+  | AbsentUpstream;
+
+/** What is known of one upstream as of one record. */
+export type RegistryEntry =
+  | (RecordPlace & {
+      readonly kind: 'present';
+      readonly upstream: RegisteredUpstream;
+    })
+  | AbsentUpstream;
+
 /** All entries that stood in the store before an offset. */
 export interface RegistrySnapshot {
   readonly entries: readonly RegistryEntry[];
--- a/src/decisions/registry/upstream_registry.ts
+++ b/src/decisions/registry/upstream_registry.ts
@@ -29,8 +29,10 @@
 }
 
 export class UpstreamRegistry {
+  /** By the upstream's name. */
   private readonly known = new Map<string, Known>();
   private byService = new Map<string, readonly UpstreamInService[]>();
+  private byId = new Map<string, RegisteredUpstream>();
   private staleUntil: Milliseconds = -Infinity;
   private end = 0;
   private loaded = false;
@@ -51,20 +53,18 @@
     return [...this.known.values()].map(({entry}) => entry);
   }
 
-  /** Upstreams in service, of all services. */
-  get count(): number {
-    let count = 0;
-    this.byService.forEach(list => (count += list.length));
-    return count;
-  }
-
   inService(service: string): readonly UpstreamInService[] {
     return this.byService.get(service) ?? [];
   }
 
+  /** A life of an upstream, in service or leaving. */
   find(id: string): RegisteredUpstream | undefined {
-    const known = this.known.get(id);
-    return known?.lapsed ?? known?.entry.upstream;
+    return this.byId.get(id);
+  }
+
+  /** What the newest record under a name says. */
+  entryOf(name: string): RegistryEntry | undefined {
+    return this.known.get(name)?.entry;
   }
 
   /** Says that the store can't be reached, so that entries may lapse in it. */
@@ -83,11 +83,11 @@
 
   /** Takes a snapshot in: what it lacks and should have had is removed. */
   load(snapshot: RegistrySnapshot): void {
-    const present = new Set(snapshot.entries.map(({id}) => id));
-    for (const [id, {entry}] of this.known) {
-      const missing = !present.has(id) && entry.offset < snapshot.end;
+    const present = new Set(snapshot.entries.map(({name}) => name));
+    for (const [name, {entry}] of this.known) {
+      const missing = !present.has(name) && entry.offset < snapshot.end;
       if (missing && entry.upstream) {
-        this.take({id, offset: entry.offset + 1, upstream: undefined});
+        this.take({kind: 'removed', name, offset: entry.offset + 1});
       }
     }
     this.loaded = true;
@@ -98,14 +98,14 @@
   tick(): void {
     const now = this.clock.now();
     let changed = false;
-    for (const [id, known] of this.known) {
+    for (const [name, known] of this.known) {
       if (known.lapsed && now >= this.staleUntil) {
-        this.known.set(id, {...known, lapsed: undefined});
+        this.known.set(name, {...known, lapsed: undefined});
         changed = true;
       }
       const gone = !known.entry.upstream && !known.lapsed;
       if (gone && now - known.learnedAt > TOMBSTONE_MS) {
-        this.known.delete(id);
+        this.known.delete(name);
       }
     }
     if (changed) {
@@ -114,12 +114,12 @@
   }
 
   private take(entry: RegistryEntry): void {
-    const known = this.known.get(entry.id);
+    const known = this.known.get(entry.name);
     if (known && known.entry.offset >= entry.offset) {
       return;
     }
     const now = this.clock.now();
-    this.known.set(entry.id, {
+    this.known.set(entry.name, {
       entry,
       learnedAt: now,
       lapsed: this.lapsedBy(entry, known),
@@ -130,7 +130,8 @@
    * An entry that is removed right after the store was away may only have
    * lapsed there while its upstream lives: emptying a service for two seconds
    * would refuse all its requests. It stays until the time for its return is
-   * over. One that had said it leaves is gone.
+   * over. One that had said it leaves is gone, and so is one whose record was
+   * overwritten.
    */
   private lapsedBy(
     entry: RegistryEntry,
@@ -138,15 +139,20 @@
   ): RegisteredUpstream | undefined {
     const before = known?.lapsed ?? known?.entry.upstream;
     const mayHaveLapsed = this.clock.now() < this.staleUntil;
-    return !entry.upstream && before && !before.leaving && mayHaveLapsed
+    const isRemoved = entry.kind === 'removed';
+    return isRemoved && before && !before.leaving && mayHaveLapsed
       ? before
       : undefined;
   }
 
   private rebuild(): void {
     const byService = new Map<string, UpstreamInService[]>();
+    this.byId = new Map();
     for (const {entry, lapsed, learnedAt} of this.known.values()) {
       const upstream = lapsed ?? entry.upstream;
+      if (upstream) {
+        this.byId.set(upstream.id, upstream);
+      }
       if (!upstream || upstream.leaving) {
         continue;
       }
--- a/src/emulator/fleet_model.ts
+++ b/src/emulator/fleet_model.ts
@@ -69,6 +69,9 @@
           .filter(({service}) => service.name === name)
           .map(({id, dataCentre, service}) => ({
             id,
+            name: id,
+            bornAt: 0,
+            sequence: 0,
             address: '',
             service: service.name,
             dataCentre: String(dataCentre),
--- a/src/fleet/fleet_member.ts
+++ b/src/fleet/fleet_member.ts
@@ -9,6 +9,8 @@
 import type {FleetState} from './fleet_state.js';
 import {listHosts, registerHost} from './host_list.js';
 import {RelayClient} from './relay_client.js';
+import type {BadRecordObserver} from './record_intake.js';
+import {RecordIntake} from './record_intake.js';
 import {StoreReader} from './store_reader.js';
 
 /** How often the source is looked at. */
@@ -36,6 +38,7 @@
   readonly clock: Clock;
   readonly random: Random;
   readonly logger: Logger;
+  readonly onBadRecord: BadRecordObserver;
 }
 
 export class FleetMember {
@@ -54,13 +57,15 @@
   constructor(private readonly parts: FleetMemberParts) {
     const {dataCentre, store, state, clock, random, logger} = parts;
     this.choice = new SourceChoice(dataCentre, clock);
-    this.reader = new StoreReader(
+    const {onBadRecord} = parts;
+    this.reader = new StoreReader({
       store,
       state,
+      intake: new RecordIntake(state, clock, logger, onBadRecord),
       random,
       logger,
-      () => this.choice.isBehind,
-    );
+      isBehind: () => this.choice.isBehind,
+    });
   }
 
   /** Addresses of the hosts of the data centre that have registered. */
--- a/src/fleet/fleet_state.ts
+++ b/src/fleet/fleet_state.ts
@@ -71,6 +71,15 @@
     return this.hosts;
   }
 
+  /** Upstreams in use; those of services that no route knows aren't. */
+  get upstreamCount(): number {
+    const services = this.routes.current?.services ?? [];
+    return services.reduce(
+      (count, {name}) => count + this.registry.inService(name).length,
+      0,
+    );
+  }
+
   /** Whether requests can be served at all. */
   get isComplete(): boolean {
     return this.routes.version !== undefined && this.registry.isLoaded;
@@ -202,21 +211,26 @@
 
   /** Whether an entry changes more than its offset. */
   private isNews(entry: RegistryEntry): boolean {
-    const known = this.registry.find(entry.id);
-    const {upstream} = entry;
+    const known = this.registry.entryOf(entry.name)?.upstream;
+    const {kind, upstream} = entry;
+    if (!upstream) {
+      // What another writer left under a name of its own concerns nobody.
+      return kind === 'removed' || known !== undefined;
+    }
     return (
-      !upstream ||
-      known?.leaving !== upstream.leaving ||
-      known.address !== upstream.address
+      known?.id !== upstream.id ||
+      known.leaving !== upstream.leaving ||
+      known.address !== upstream.address ||
+      known.service !== upstream.service
     );
   }
 
-  private logEntry({id, offset, upstream}: RegistryEntry): void {
-    const state = !upstream ? 'gone' : upstream.leaving ? 'leaving' : 'ready';
+  private logEntry({kind, name, offset, upstream}: RegistryEntry): void {
+    const state = !upstream ? kind : upstream.leaving ? 'leaving' : 'ready';
     this.logger.info(
       {
         event: 'upstream',
-        upstream: id,
+        upstream: upstream?.id ?? name,
         offset,
         state,
         service: upstream?.service,
--- a/src/fleet/store_reader.ts
+++ b/src/fleet/store_reader.ts
@@ -2,23 +2,12 @@
 
 import type {Logger} from 'pino';
 import {pauseAfter} from '../decisions/relay/index.js';
-import type {RegistryEntry} from '../decisions/registry/index.js';
-import type {
-  KeyedRecord,
-  Offset,
-  Store,
-  StoreFailure,
-} from '../platform/index.js';
-import {
-  CONFIGURATION_KEY,
-  OPERATOR_TOPIC,
-  UPSTREAM_TOPIC,
-  decodeConfiguration,
-  decodeUpstream,
-} from '../platform/index.js';
+import type {Offset, Store, StoreFailure} from '../platform/index.js';
+import {OPERATOR_TOPIC, UPSTREAM_TOPIC} from '../platform/index.js';
 import type {Milliseconds, Random} from '../time/index.js';
 import {sleep} from '../time/index.js';
 import type {FleetState} from './fleet_state.js';
+import type {RecordIntake} from './record_intake.js';
 
 /**
  * Longest wait for a change of an upstream. With the store's answer timeout
@@ -38,6 +27,16 @@
 /** Changes that come in quick succession are read together. */
 const GATHER_MS: Milliseconds = 250;
 
+export interface StoreReaderParts {
+  readonly store: Store;
+  readonly state: FleetState;
+  readonly intake: RecordIntake;
+  readonly random: Random;
+  readonly logger: Logger;
+  /** Whether others find out first when the store is back. */
+  readonly isBehind: () => boolean;
+}
+
 export class StoreReader {
   /** Changes with each start, so that loops of an earlier one end. */
   private run = 0;
@@ -49,14 +48,7 @@
   /** Ends the wait for a configuration, on a connection that may be dead. */
   private configurationRead = new AbortController();
 
-  constructor(
-    private readonly store: Store,
-    private readonly state: FleetState,
-    private readonly random: Random,
-    private readonly logger: Logger,
-    /** Whether others find out first when the store is back. */
-    private readonly isBehind: () => boolean,
-  ) {}
+  constructor(private readonly parts: StoreReaderParts) {}
 
   get isRunning(): boolean {
     return this.running;
@@ -74,9 +66,10 @@
     this.running = true;
     this.run += 1;
     this.failures = 0;
-    this.upstreamsLoaded = this.state.registry.isLoaded;
+    this.upstreamsLoaded = this.parts.state.registry.isLoaded;
     this.proved = false;
-    this.logger.info({event: 'reader'}, 'reading the store');
+    this.parts.intake.restart();
+    this.parts.logger.info({event: 'reader'}, 'reading the store');
     void this.loopUpstreams(this.run);
     void this.loopConfiguration(this.run);
   }
@@ -84,7 +77,7 @@
   stop(): void {
     if (this.running) {
       this.running = false;
-      this.logger.info({event: 'reader'}, 'no longer reading the store');
+      this.parts.logger.info({event: 'reader'}, 'no longer reading the store');
     }
   }
 
@@ -111,7 +104,9 @@
         continue;
       }
       this.noteFailure('upstreams', failure);
-      await sleep(pauseAfter(this.failures, this.random, this.isBehind()));
+      await sleep(
+        pauseAfter(this.failures, this.parts.random, this.parts.isBehind()),
+      );
     }
   }
 
@@ -121,8 +116,8 @@
     while (this.isCurrent(run)) {
       const found =
         cursor === undefined
-          ? await this.store.newest(OPERATOR_TOPIC)
-          : await this.store.read(
+          ? await this.parts.store.newest(OPERATOR_TOPIC)
+          : await this.parts.store.read(
               OPERATOR_TOPIC,
               cursor,
               CONFIGURATION_WAIT_MS,
@@ -131,7 +126,7 @@
       if (found.isOk()) {
         failures = 0;
         const page = found.value;
-        this.takeConfigurations(page.records);
+        this.parts.intake.takeConfigurations(page.records);
         cursor = 'end' in page ? page.end : page.next;
         continue;
       }
@@ -140,82 +135,54 @@
         continue;
       }
       failures += 1;
-      this.logger.warn(
+      this.parts.logger.warn(
         {event: 'store', read: 'configuration', error: found.error.message},
         'cannot read the store',
       );
       // While the store answers nothing, one read finds out for both.
       const pauseMs =
-        this.failures > 0 ? OUTAGE_PAUSE_MS : pauseAfter(failures, this.random);
+        this.failures > 0
+          ? OUTAGE_PAUSE_MS
+          : pauseAfter(failures, this.parts.random);
       await sleep(pauseMs, this.configurationRead.signal);
     }
   }
 
   private async readUpstreams(): Promise<StoreFailure | undefined> {
-    const {cursor} = this.state.registry;
+    const {cursor} = this.parts.state.registry;
     // A host that takes over has heard nothing for a while: if the store
     // doesn't answer it either, its followers must learn that soon.
     const waitMs = this.proved ? UPSTREAM_WAIT_MS : 0;
-    const page = await this.store.read(UPSTREAM_TOPIC, cursor, waitMs);
+    const page = await this.parts.store.read(UPSTREAM_TOPIC, cursor, waitMs);
     if (page.isErr()) {
       return page.error;
     }
     const {records, next} = page.value;
-    this.state.takeEntries(this.decode(records), next);
+    this.parts.intake.takeUpstreams(records, next);
     return undefined;
   }
 
   private async loadUpstreams(): Promise<StoreFailure | undefined> {
-    const snapshot = await this.store.newest(UPSTREAM_TOPIC);
+    const snapshot = await this.parts.store.newest(UPSTREAM_TOPIC);
     if (snapshot.isErr()) {
       return snapshot.error;
     }
-    const {records, end} = snapshot.value;
-    this.state.takeSnapshot({entries: this.decode(records), end});
+    this.parts.intake.takeAllUpstreams(snapshot.value);
     this.upstreamsLoaded = true;
     return undefined;
   }
 
-  /** Records that can't be read are left out; the last good ones stay. */
-  private decode(records: readonly KeyedRecord[]): readonly RegistryEntry[] {
-    const entries: RegistryEntry[] = [];
-    for (const {key: id, offset, value} of records) {
-      if (value === undefined) {
-        entries.push({id, offset, upstream: undefined});
-        continue;
-      }
-      decodeUpstream(id, value).match(
-        upstream => entries.push({id, offset, upstream}),
-        error =>
-          this.logger.error({upstream: id, error: error.message}, 'bad record'),
-      );
-    }
-    return entries;
-  }
-
-  private takeConfigurations(records: readonly KeyedRecord[]): void {
-    for (const {key, value} of records) {
-      if (key !== CONFIGURATION_KEY || value === undefined) {
-        continue;
-      }
-      decodeConfiguration(value).match(
-        table => this.state.takeTable(table),
-        error => this.logger.error({error: error.message}, 'bad configuration'),
-      );
-    }
-  }
-
   private noteSuccess(): void {
     if (this.failures > 0) {
       this.restartConfigurationRead();
-      this.logger.info(
+      this.parts.logger.info(
         {event: 'store', failures: this.failures},
         'the store answers again',
       );
     }
     this.failures = 0;
     this.proved = true;
-    this.state.freshen();
+    this.parts.state.freshen();
   }
 
   private restartConfigurationRead(): void {
@@ -229,8 +196,8 @@
       this.restartConfigurationRead();
     }
     // Followers look for a host that the store still answers.
-    this.state.loseSource();
-    this.logger.warn(
+    this.parts.state.loseSource();
+    this.parts.logger.warn(
       {event: 'store', read, kind: failure.kind, error: failure.message},
       'cannot read the store',
     );
--- a/src/gateway/gateway_metrics.ts
+++ b/src/gateway/gateway_metrics.ts
@@ -74,6 +74,12 @@
     labelNames: ['call', 'outcome'] as const,
     registers: this.registers,
   });
+  private readonly badRecords = new Counter({
+    name: 'cyclamenlever_bad_records_total',
+    help: 'Records of the store that name nothing to use, by sort: upstream, configuration',
+    labelNames: ['sort'] as const,
+    registers: this.registers,
+  });
   private readonly droppedLines = new Counter({
     name: 'cyclamenlever_log_lines_dropped_total',
     help: 'Log lines left out to bound their volume',
@@ -125,6 +131,10 @@
     this.storeCalls.inc({call, outcome});
   }
 
+  countBadRecord(sort: string): void {
+    this.badRecords.inc({sort});
+  }
+
   countDroppedLine(): void {
     this.droppedLines.inc();
   }
--- a/src/gateway/request_log.ts
+++ b/src/gateway/request_log.ts
@@ -6,33 +6,17 @@
  */
 
 import type {Logger} from 'pino';
-import type {Clock, Milliseconds} from '../time/index.js';
+import {LineBudget} from '../decisions/limits/index.js';
+import type {Clock} from '../time/index.js';
 import type {GatewayMetrics} from './gateway_metrics.js';
 
 /** Lines a second; at 13 hosts, a busy day has some 15 requests a second each. */
 const SUCCESSES_PER_SECOND = 40;
 const FAILURES_PER_SECOND = 200;
-const MS_PER_SECOND = 1_000;
 
 /** Fields of a line, for the logger. */
 export type LineFields = Readonly<Record<string, unknown>>;
 
-class LineBudget {
-  private spent = 0;
-  private since: Milliseconds = -Infinity;
-
-  constructor(private readonly perSecond: number) {}
-
-  take(now: Milliseconds): boolean {
-    if (now - this.since >= MS_PER_SECOND) {
-      this.since = now;
-      this.spent = 0;
-    }
-    this.spent += 1;
-    return this.spent <= this.perSecond;
-  }
-}
-
 export class RequestLog {
   private readonly successes = new LineBudget(SUCCESSES_PER_SECOND);
   private readonly failures = new LineBudget(FAILURES_PER_SECOND);
--- a/src/gateway/scheduler.ts
+++ b/src/gateway/scheduler.ts
@@ -94,8 +94,8 @@
   }
 
   private fleetSize(): FleetSize {
-    const {registry, hostCount} = this.parts.state;
-    return {upstreams: registry.count, hosts: hostCount};
+    const {upstreamCount: upstreams, hostCount: hosts} = this.parts.state;
+    return {upstreams, hosts};
   }
 
   private hasConnection(upstream: UpstreamInService): boolean {
--- a/src/gateway/upstream_desk.ts
+++ b/src/gateway/upstream_desk.ts
@@ -134,22 +134,23 @@
     {healthPath}: ServiceProfile,
   ): Promise<ProbeAnswer | undefined> {
     const {clock, metrics} = this.parts;
-    const {id, address} = upstream;
+    const {id, name, address} = upstream;
     const contact = this.contactOf(upstream);
     const connection = contact.pool.acquire();
     const askedAt = clock.now();
     metrics.countProbe();
     const result = await probe(
       connection,
-      id,
+      name,
       address,
       healthPath,
       PROBE_TIMEOUT_MS,
     );
     if (result.kind === 'told') {
-      this.parts.view.note(result.answer, askedAt);
+      const answer = {id, ...result.told};
+      this.parts.view.note(answer, askedAt);
       contact.pool.release(connection);
-      return result.answer;
+      return answer;
     }
     this.noteFailure(id, result);
     return undefined;
--- a/src/gateway/upstream_send.ts
+++ b/src/gateway/upstream_send.ts
@@ -63,7 +63,7 @@
     this.attempt = sendAttempt(
       this.ticket.connection,
       parts.request,
-      upstream.id,
+      upstream.name,
       parts.timeLeftMs,
       reusable => desk.release(this.ticket, reusable),
     );
--- a/src/host/gateway_host.ts
+++ b/src/host/gateway_host.ts
@@ -212,7 +212,7 @@
       isReader: this.isReader,
       version: state.routes.version,
       ageMs: state.ageMs,
-      upstreams: state.registry.count,
+      upstreams: state.upstreamCount,
       hosts: state.hostCount,
       inFlight: this.gateway.inFlightCount,
       looking,
@@ -229,7 +229,7 @@
   }
 
   private createMember(): FleetMember {
-    const {settings, store, clock, random, logger} = this.parts;
+    const {settings, store, clock, random, logger, metrics} = this.parts;
     const {dataCentre, firstStart} = settings;
     const {state} = this;
     return this.lifeCycle.own(
@@ -242,6 +242,7 @@
         clock,
         random,
         logger,
+        onBadRecord: sort => metrics.countBadRecord(sort),
       }),
       one => one.close(),
     );
--- a/src/platform/records.ts
+++ b/src/platform/configuration_record.ts
@@ -1,6 +1,6 @@
-/** Decodes what the operator and the upstreams write to the store. */
+/** Decodes what the operator writes to the store. */
 
-import {Result} from 'neverthrow';
+import type {Result} from 'neverthrow';
 import type {
   CallerLimits,
   Destination,
@@ -8,16 +8,21 @@
   RouteTable,
   ServiceProfile,
 } from '../decisions/routes/index.js';
-import type {RegisteredUpstream} from '../decisions/registry/index.js';
-import type {Milliseconds} from '../time/index.js';
-import {parseDuration} from './duration.js';
 import {RecordError} from './errors.js';
+import type {Fields} from './fields.js';
+import {
+  count,
+  decode,
+  fields,
+  list,
+  text,
+  time,
+  wholeNumber,
+} from './fields.js';
 
 /** Topic of the operator's records, and the key of the configuration. */
 export const OPERATOR_TOPIC = 'keyed.op';
 export const CONFIGURATION_KEY = 'config';
-/** Topic of the upstreams' own records, each under the upstream's id. */
-export const UPSTREAM_TOPIC = 'keyed.servers';
 
 const DEFAULT_LIMITS: CallerLimits = {
   headerBytes: 16_384,
@@ -26,8 +31,6 @@
   idleMs: 15_000,
 };
 
-type Fields = Readonly<Record<string, unknown>>;
-
 /** Decodes a configuration record. */
 export function decodeConfiguration(
   value: string,
@@ -61,40 +64,6 @@
   });
 }
 
-/** Decodes an upstream's own record; the id is the record's key. */
-export function decodeUpstream(
-  id: string,
-  value: string,
-): Result<RegisteredUpstream, RecordError> {
-  return decode(value, record => {
-    const info = fields(record['info'], 'info');
-    const status = fields(record['status'], 'status');
-    return {
-      id,
-      address: text(record['address'], 'address'),
-      service: text(info['service'], 'info.service'),
-      dataCentre: text(info['zone'], 'info.zone'),
-      slots: count(info['slots'] ?? 1, 'info.slots'),
-      leaving: text(status['state'], 'status.state') === 'draining',
-      // Time for which an upstream that has just started remains slow.
-      coldMs: time(status['warmup_left'] ?? '0ms', 'status.warmup_left'),
-    };
-  });
-}
-
-function decode<T>(
-  value: string,
-  build: (record: Fields) => T,
-): Result<T, RecordError> {
-  return Result.fromThrowable(
-    () => build(fields(JSON.parse(value), 'record')),
-    error =>
-      error instanceof RecordError
-        ? error
-        : new RecordError('record', `write valid JSON (${String(error)})`),
-  )();
-}
-
 function route(name: string, spec: Fields): Route {
   const host = text(spec['hostname'], `${name}.hostname`).toLowerCase();
   return {
@@ -152,41 +121,5 @@
   if (!match) {
     throw new RecordError('version', 'write r and a number');
   }
-  return Number(match[1]);
-}
-
-function fields(value: unknown, field: string): Fields {
-  if (typeof value !== 'object' || value === null || Array.isArray(value)) {
-    throw new RecordError(field, 'write an object');
-  }
-  return value as Fields;
-}
-
-function list(value: unknown, field: string): readonly Fields[] {
-  if (!Array.isArray(value)) {
-    throw new RecordError(field, 'write a list');
-  }
-  return value.map(entry => fields(entry, field));
-}
-
-function text(value: unknown, field: string): string {
-  if (typeof value !== 'string' || value === '') {
-    throw new RecordError(field, 'write a text');
-  }
-  return value;
-}
-
-function count(value: unknown, field: string): number {
-  if (typeof value !== 'number' || !(value >= 0)) {
-    throw new RecordError(field, 'write a number of 0 or more');
-  }
-  return value;
-}
-
-function time(value: unknown, field: string): Milliseconds {
-  const parsed = parseDuration(value);
-  if (parsed === undefined) {
-    throw new RecordError(field, 'write a duration like 1500ms');
-  }
-  return parsed;
+  return wholeNumber(Number(match[1]), 'version');
 }
--- /dev/null
+++ b/src/platform/fields.ts
@@ -0,0 +1,65 @@
+/** Reads fields of JSON records that anybody may have written. */
+
+import {Result} from 'neverthrow';
+import type {Milliseconds} from '../time/index.js';
+import {parseDuration} from './duration.js';
+import {RecordError} from './errors.js';
+
+export type Fields = Readonly<Record<string, unknown>>;
+
+/** Decodes a record; what is wrong with it is an error, never a crash. */
+export function decode<T>(
+  value: string,
+  build: (record: Fields) => T,
+): Result<T, RecordError> {
+  return Result.fromThrowable(
+    () => build(fields(JSON.parse(value), 'record')),
+    error =>
+      error instanceof RecordError
+        ? error
+        : new RecordError('record', `write valid JSON (${String(error)})`),
+  )();
+}
+
+export function fields(value: unknown, field: string): Fields {
+  if (typeof value !== 'object' || value === null || Array.isArray(value)) {
+    throw new RecordError(field, 'write an object');
+  }
+  return value as Fields;
+}
+
+export function list(value: unknown, field: string): readonly Fields[] {
+  if (!Array.isArray(value)) {
+    throw new RecordError(field, 'write a list');
+  }
+  return value.map(entry => fields(entry, field));
+}
+
+export function text(value: unknown, field: string): string {
+  if (typeof value !== 'string' || value === '') {
+    throw new RecordError(field, 'write a text');
+  }
+  return value;
+}
+
+export function count(value: unknown, field: string): number {
+  if (typeof value !== 'number' || !(value >= 0)) {
+    throw new RecordError(field, 'write a number of 0 or more');
+  }
+  return value;
+}
+
+export function wholeNumber(value: unknown, field: string): number {
+  if (!Number.isSafeInteger(value) || Number(value) < 0) {
+    throw new RecordError(field, 'write a whole number of 0 or more');
+  }
+  return Number(value);
+}
+
+export function time(value: unknown, field: string): Milliseconds {
+  const parsed = parseDuration(value);
+  if (parsed === undefined) {
+    throw new RecordError(field, 'write a duration like 1500ms');
+  }
+  return parsed;
+}
--- a/src/platform/index.ts
+++ b/src/platform/index.ts
@@ -9,10 +9,9 @@
 export {
   CONFIGURATION_KEY,
   OPERATOR_TOPIC,
-  UPSTREAM_TOPIC,
   decodeConfiguration,
-  decodeUpstream,
-} from './records.js';
+} from './configuration_record.js';
+export {UPSTREAM_TOPIC, decodeUpstream} from './upstream_record.js';
 export type {HostSettings, SocketAddress} from './settings_file.js';
 export {
   METRICS_PORT_VARIABLE,
--- a/src/platform/keyed_records.ts
+++ b/src/platform/keyed_records.ts
@@ -5,6 +5,7 @@
 const LENGTH_BYTES = 4;
 const OFFSET_BYTES = 8;
 const KEY_LENGTH_BYTES = 1;
+const UTF_8 = new TextDecoder('utf-8', {fatal: true});
 
 /** A record as the store takes it: length, key length, key, value. */
 export function encodeKeyedRecord(key: string, value: string): Buffer {
@@ -37,10 +38,22 @@
   return {records, next: from + records.length};
 }
 
+/**
+ * The text of a value; empty where the bytes are none, so that no decoder takes
+ * it. Replaced by others, unreadable bytes would pass for a text.
+ */
+export function textOf(bytes: Uint8Array): string {
+  try {
+    return UTF_8.decode(bytes);
+  } catch {
+    return '';
+  }
+}
+
 function decodeRecord(content: Buffer, offset: Offset): KeyedRecord {
   const keyEnd = KEY_LENGTH_BYTES + (content[0] ?? 0);
-  const key = content.toString('utf8', KEY_LENGTH_BYTES, keyEnd);
+  const key = textOf(content.subarray(KEY_LENGTH_BYTES, keyEnd));
   const value =
-    content.length > keyEnd ? content.toString('utf8', keyEnd) : undefined;
+    content.length > keyEnd ? textOf(content.subarray(keyEnd)) : undefined;
   return {key, offset, value};
 }
--- a/src/platform/store_client.ts
+++ b/src/platform/store_client.ts
@@ -4,7 +4,7 @@
 import type {IncomingMessage} from 'node:http';
 import {Result, err, ok} from 'neverthrow';
 import type {Milliseconds} from '../time/index.js';
-import {decodePage, encodeKeyedRecord} from './keyed_records.js';
+import {decodePage, encodeKeyedRecord, textOf} from './keyed_records.js';
 import type {SocketAddress} from './settings_file.js';
 import type {
   KeyedRecord,
@@ -198,6 +198,6 @@
   return {
     key,
     offset,
-    value: value ? Buffer.from(value, 'base64').toString('utf8') : undefined,
+    value: value ? textOf(Buffer.from(value, 'base64')) : undefined,
   };
 }
--- a/src/platform/types.ts
+++ b/src/platform/types.ts
@@ -10,7 +10,7 @@
 export interface KeyedRecord {
   readonly key: string;
   readonly offset: Offset;
-  /** Undefined when the key was dropped. */
+  /** Undefined when the key was dropped; empty when it is no text. */
   readonly value: string | undefined;
 }
 
--- /dev/null
+++ b/src/platform/upstream_record.ts
@@ -0,0 +1,85 @@
+/**
+ * Decodes what upstreams write of themselves.
+ *
+ * Others may write under the same topic, by mistake or as another program. A
+ * record that lacks something, or holds something that no upstream writes, is
+ * taken for theirs as a whole: half of it might name an address that belongs
+ * to somebody else.
+ */
+
+import {isIPv4} from 'node:net';
+import type {Result} from 'neverthrow';
+import type {UpstreamReport} from '../decisions/registry/index.js';
+import type {Milliseconds} from '../time/index.js';
+import {RecordError} from './errors.js';
+import type {Fields} from './fields.js';
+import {decode, fields, text, time, wholeNumber} from './fields.js';
+import {parseAddress} from './settings_file.js';
+
+/** Topic of the upstreams' records, each under the upstream's name. */
+export const UPSTREAM_TOPIC = 'keyed.servers';
+
+/** An upstream's record takes some 200 characters. */
+const MOST_CHARACTERS = 8_192;
+const MOST_PORT = 65_535;
+
+/** Whether an upstream in a state takes new requests. */
+const LEAVING_BY_STATE: ReadonlyMap<unknown, boolean> = new Map([
+  ['ready', false],
+  ['draining', true],
+]);
+
+/** @param name the record's key */
+export function decodeUpstream(
+  name: string,
+  value: string,
+): Result<UpstreamReport, RecordError> {
+  return decode(value.length > MOST_CHARACTERS ? '' : value, record => {
+    const info = fields(record['info'], 'info');
+    const status = fields(record['status'], 'status');
+    text(info['version'], 'info.version');
+    return {
+      name: text(name, 'key'),
+      bornAt: bornAt(record),
+      sequence: wholeNumber(status['seq'], 'status.seq'),
+      address: address(record['address']),
+      service: text(info['service'], 'info.service'),
+      dataCentre: text(info['zone'], 'info.zone'),
+      slots: slots(info['slots']),
+      leaving: isLeaving(status['state']),
+      // Time for which an upstream that has just started remains slow.
+      coldMs: time(status['warmup_left'], 'status.warmup_left'),
+    };
+  });
+}
+
+/** Unix time of its start; upstreams that don't tell it are told by `seq`. */
+function bornAt(record: Fields): Milliseconds | undefined {
+  return 'born' in record ? wholeNumber(record['born'], 'born') : undefined;
+}
+
+function isLeaving(state: unknown): boolean {
+  const leaving = LEAVING_BY_STATE.get(state);
+  if (leaving === undefined) {
+    const states = [...LEAVING_BY_STATE.keys()].join(' or ');
+    throw new RecordError('status.state', `write ${states}`);
+  }
+  return leaving;
+}
+
+function address(value: unknown): string {
+  const written = text(value, 'address');
+  const {ip, port} = parseAddress(written) ?? {ip: '', port: 0};
+  if (!isIPv4(ip) || port < 1 || port > MOST_PORT) {
+    throw new RecordError('address', 'write IP:PORT');
+  }
+  return written;
+}
+
+function slots(value: unknown): number {
+  const parsed = wholeNumber(value, 'info.slots');
+  if (parsed === 0) {
+    throw new RecordError('info.slots', 'write 1 or more');
+  }
+  return parsed;
+}
--- a/src/standins/index.ts
+++ b/src/standins/index.ts
@@ -7,7 +7,7 @@
 export {StoreServer} from './store_server.js';
 export type {ReportingFault, UpstreamRun} from './reporting_upstream.js';
 export {ReportingUpstream} from './reporting_upstream.js';
-export type {LimitsSpec, RouteSpec} from './platform_records.js';
+export type {LifeSpec, LimitsSpec, RouteSpec} from './platform_records.js';
 export {
   configurationRecord,
   routesOf,
--- a/src/standins/platform_records.ts
+++ b/src/standins/platform_records.ts
@@ -63,14 +63,21 @@
   return JSON.stringify({version: `r${version}`, resources});
 }
 
+/** Which life of an upstream reports, and how often it has reported. */
+export interface LifeSpec {
+  readonly born?: number;
+  readonly seq?: number;
+}
+
 /** An upstream's own record. */
 export function upstreamRecord(
   address: string,
   service: string,
   dataCentre: string,
   state: 'ready' | 'draining',
+  {born, seq = 1}: LifeSpec = {},
 ): string {
   const info = {service, zone: dataCentre, version: 'v1', slots: 6};
-  const status = {state, seq: 1, warmup_left: '0ms'};
-  return JSON.stringify({address, info, status});
+  const status = {state, seq, warmup_left: '0ms'};
+  return JSON.stringify({born, address, info, status});
 }
--- a/src/upstreams/attempt.ts
+++ b/src/upstreams/attempt.ts
@@ -23,20 +23,20 @@
 const SUCCESS_BELOW = 300;
 
 /**
- * @param upstreamId the upstream that is meant
+ * @param upstreamName of the upstream that is meant
  * @param timeLeftMs how long the caller still waits
  * @param onSettled told whether the connection may be used again
  */
 export function sendAttempt(
   connection: UpstreamConnection,
   request: ForwardedRequest,
-  upstreamId: string,
+  upstreamName: string,
   timeLeftMs: Milliseconds,
   onSettled: (reusable: boolean) => void,
 ): SentAttempt {
   const attempt = new Attempt(connection, request, onSettled);
   return {
-    result: attempt.send(upstreamId, timeLeftMs),
+    result: attempt.send(upstreamName, timeLeftMs),
     cancel: () => attempt.settle({kind: 'cancelled'}, false),
     giveUp: detail => attempt.fail(detail),
   };
@@ -57,14 +57,14 @@
     private readonly onSettled: (reusable: boolean) => void,
   ) {}
 
-  send(upstreamId: string, timeLeftMs: Milliseconds): Promise<AttemptResult> {
+  send(upstreamName: string, timeLeftMs: Milliseconds): Promise<AttemptResult> {
     const {method, target: path, body} = this.request;
     const headers = [
       ...this.request.headers,
       HEADERS.timeLeft,
       String(Math.max(1, Math.floor(timeLeftMs))),
       HEADERS.expectedUpstream,
-      upstreamId,
+      upstreamName,
     ];
     headers.push(...framingOf(method, body));
     const outgoing = this.connection.begin({method, path, headers});
--- a/src/upstreams/probe.ts
+++ b/src/upstreams/probe.ts
@@ -10,18 +10,18 @@
 const HEALTHY_STATUS = 200;
 
 export type ProbeResult =
-  | {readonly kind: 'told'; readonly answer: ProbeAnswer}
+  | {readonly kind: 'told'; readonly told: Omit<ProbeAnswer, 'id'>}
   /** Another upstream has the address by now. */
   | {readonly kind: 'wrong-upstream'}
   | {readonly kind: 'failed'; readonly detail: string};
 
 /**
- * @param id the upstream that should answer
+ * @param name of the upstream that should answer
  * @param authority value of the Host header
  */
 export function probe(
   connection: UpstreamConnection,
-  id: string,
+  name: string,
   authority: string,
   path: string,
   timeoutMs: Milliseconds,
@@ -58,7 +58,7 @@
       answer.on('error', error => fail(error.message));
       answer.on('end', () => {
         const kept = keepsConnection(answer);
-        const result = judge(answer, id);
+        const result = judge(answer, name);
         settle(result, kept && answer.complete && result.kind === 'told');
       });
     });
@@ -66,20 +66,19 @@
   });
 }
 
-function judge(answer: IncomingMessage, id: string): ProbeResult {
+function judge(answer: IncomingMessage, name: string): ProbeResult {
   const {headers, statusCode} = answer;
   if (headers[HEADERS.signature] !== undefined) {
     // A second answer to an earlier request, read in this one's place.
     return {kind: 'failed', detail: 'the answer is to another request'};
   }
   const upstream = headers[HEADERS.upstream];
-  if (upstream !== undefined && upstream !== id) {
+  if (upstream !== undefined && upstream !== name) {
     return {kind: 'wrong-upstream'};
   }
   return {
     kind: 'told',
-    answer: {
-      id,
+    told: {
       report: readLoad(headers),
       healthy: statusCode === HEALTHY_STATUS,
     },
--- a/tests/placement.test.ts
+++ b/tests/placement.test.ts
@@ -14,6 +14,7 @@
 import {DEFAULT_OPTIONS} from '../src/decisions/options/index.js';
 import type {UpstreamInService} from '../src/decisions/registry/index.js';
 import {ManualClock, seededRandom} from '../src/time/index.js';
+import {inService} from './support/upstreams.js';
 
 const IDLE: LoadReport = {running: 0, waiting: 0, slots: 6, slowness: 1};
 
@@ -45,16 +46,7 @@
   dataCentre = 'east',
   warmAt = 0,
 ): UpstreamInService {
-  return {
-    id,
-    address: '10.0.0.1:80',
-    service: 's',
-    dataCentre,
-    slots: 6,
-    leaving: false,
-    coldMs: 0,
-    warmAt,
-  };
+  return inService(id, {dataCentre, warmAt});
 }
 
 function told(
--- a/tests/platform.test.ts
+++ b/tests/platform.test.ts
@@ -133,7 +133,9 @@
     }),
   )._unsafeUnwrap();
   expect(upstream).toEqual({
-    id: 'i-1',
+    name: 'i-1',
+    bornAt: undefined,
+    sequence: 4,
     address: '10.1.0.9:80',
     service: 's1',
     dataCentre: 'east',
--- a/tests/scheduling.test.ts
+++ b/tests/scheduling.test.ts
@@ -16,6 +16,7 @@
 } from '../src/decisions/scheduling/index.js';
 import {ServiceScheduler} from '../src/decisions/scheduling/index.js';
 import {ManualClock, seededRandom} from '../src/time/index.js';
+import {inService} from './support/upstreams.js';
 
 let clock: ManualClock;
 let view: LoadView;
@@ -27,7 +28,7 @@
 beforeEach(() => {
   clock = new ManualClock(10_000);
   view = new LoadView(clock);
-  upstreams = ['a', 'b', 'c', 'd', 'e', 'f'].map(upstream);
+  upstreams = ['a', 'b', 'c', 'd', 'e', 'f'].map(id => inService(id));
   connections = true;
   nextId = 1;
   const random = seededRandom(3);
@@ -55,19 +56,6 @@
   });
 });
 
-function upstream(id: string): UpstreamInService {
-  return {
-    id,
-    address: '',
-    service: 's',
-    dataCentre: 'east',
-    slots: 6,
-    leaving: false,
-    coldMs: 0,
-    warmAt: 0,
-  };
-}
-
 function request(): ScheduledRequest {
   const id = nextId;
   nextId += 1;
--- a/tests/support/gateway.ts
+++ b/tests/support/gateway.ts
@@ -13,6 +13,7 @@
   UPSTREAM_TOPIC,
 } from '../../src/platform/index.js';
 import type {
+  LifeSpec,
   LimitsSpec,
   RouteSpec,
   StoreDoor,
@@ -92,11 +93,12 @@
     address: string,
     state: 'ready' | 'draining',
     service = 'listings',
+    life: LifeSpec = {},
   ): void {
     this.storeServer.put(
       UPSTREAM_TOPIC,
       id,
-      upstreamRecord(address, service, 'east', state),
+      upstreamRecord(address, service, 'east', state, life),
     );
   }
 
--- a/tests/upstream_registry.test.ts
+++ b/tests/upstream_registry.test.ts
@@ -2,6 +2,7 @@
 import type {RegistryEntry} from '../src/decisions/registry/index.js';
 import {UpstreamRegistry} from '../src/decisions/registry/index.js';
 import {ManualClock} from '../src/time/index.js';
+import {registered} from './support/upstreams.js';
 
 let clock: ManualClock;
 let registry: UpstreamRegistry;
@@ -12,23 +13,12 @@
 });
 
 function entry(id: string, offset: number, leaving = false): RegistryEntry {
-  return {
-    id,
-    offset,
-    upstream: {
-      id,
-      address: '10.0.0.1:80',
-      service: 's',
-      dataCentre: 'east',
-      slots: 6,
-      leaving,
-      coldMs: 0,
-    },
-  };
+  const upstream = registered(id, {leaving});
+  return {kind: 'present', name: id, offset, upstream};
 }
 
-function removed(id: string, offset: number): RegistryEntry {
-  return {id, offset, upstream: undefined};
+function removed(name: string, offset: number): RegistryEntry {
+  return {kind: 'removed', name, offset};
 }
 
 function ids(): readonly string[] {
@@ -84,3 +74,12 @@
   registry.apply([removed('a', 1)], 2);
   expect(ids()).toEqual([]);
 });
+
+test('an upstream whose record was overwritten is not taken for lapsed', () => {
+  // While the store is away somebody else writes under an upstream's name. Its
+  // record names nothing to use, so that nothing is sent by what stood before.
+  registry.apply([entry('a', 0)], 1);
+  registry.noteStale();
+  registry.apply([{kind: 'unusable', name: 'a', offset: 1}], 2);
+  expect(ids()).toEqual([]);
+});
