--- /dev/null
+++ b/src/datagrams/datagram_port.ts
@@ -0,0 +1,127 @@
+/**
+ * Datagrams between hosts, in MessagePack: one socket for all that they tell
+ * each other without a connection. Each may be lost, late or wrong.
+ */
+
+import type {RemoteInfo, Socket} from 'node:dgram';
+import {createSocket} from 'node:dgram';
+import {decode, encode} from '@msgpack/msgpack';
+import type {Logger} from 'pino';
+import {parseAddress} from '../platform/index.js';
+import type {Milliseconds} from '../time/index.js';
+
+/** Hosts of another version are passed over. */
+const VERSION = 2;
+/** Foreign datagrams are told of this often, in one line. */
+const REPORT_MS: Milliseconds = 1_000;
+
+/** @returns whether it is one that a host of this version sends */
+export type DatagramHandler = (from: string, body: unknown) => boolean;
+
+export class DatagramPort {
+  private readonly socket: Socket;
+  private readonly handlers = new Map<string, DatagramHandler>();
+  private readonly reportTimer: NodeJS.Timeout;
+  private address: string | undefined;
+  private refused = 0;
+
+  constructor(private readonly logger: Logger) {
+    this.socket = createSocket('udp4');
+    this.socket.on('message', (bytes, origin) => this.take(bytes, origin));
+    this.socket.on('error', error => this.fail(error));
+    this.reportTimer = setInterval(() => this.report(), REPORT_MS);
+    this.reportTimer.unref();
+  }
+
+  /** Names a sort of messages and who takes them. */
+  handle(kind: string, handler: DatagramHandler): void {
+    this.handlers.set(kind, handler);
+  }
+
+  /** @param address of this host for others */
+  bind(address: string): Promise<void> {
+    const own = parseAddress(address);
+    return new Promise(resolve => {
+      this.socket.bind(own?.port, own?.ip, () => {
+        this.address = address;
+        resolve();
+      });
+      // Without datagrams a host is slower to find others, and serves.
+      this.socket.once('error', () => resolve());
+    });
+  }
+
+  send(kind: string, body: unknown, addresses: readonly string[]): void {
+    if (this.address === undefined || addresses.length === 0) {
+      return;
+    }
+    const bytes = encode([VERSION, kind, this.address, body], {
+      ignoreUndefined: true,
+    });
+    for (const address of addresses) {
+      const peer = parseAddress(address);
+      if (peer) {
+        this.socket.send(bytes, peer.port, peer.ip, error => {
+          if (error) {
+            this.logger.debug(
+              {event: 'datagram', peer: address, error: error.message},
+              'cannot tell a peer',
+            );
+          }
+        });
+      }
+    }
+  }
+
+  close(): void {
+    clearInterval(this.reportTimer);
+    this.address = undefined;
+    this.socket.close();
+  }
+
+  private take(bytes: Buffer, origin: RemoteInfo): void {
+    if (!this.dispatch(bytes, origin)) {
+      this.refused += 1;
+    }
+  }
+
+  private dispatch(bytes: Buffer, origin: RemoteInfo): boolean {
+    const [version, kind, from, body] = decodeList(bytes);
+    if (version !== VERSION || typeof from !== 'string') {
+      return false;
+    }
+    // A sender that names another host would be answered in its place.
+    const sender = parseAddress(from);
+    if (sender?.ip !== origin.address || sender.port !== origin.port) {
+      return false;
+    }
+    return this.handlers.get(String(kind))?.(from, body) ?? false;
+  }
+
+  private report(): void {
+    if (this.refused > 0) {
+      this.logger.warn(
+        {event: 'datagram', refused: this.refused},
+        'datagrams that no host of this version sends',
+      );
+      this.refused = 0;
+    }
+  }
+
+  private fail(error: Error): void {
+    this.logger.warn(
+      {event: 'datagram', error: error.message},
+      'no datagrams: this host asks upstreams alone',
+    );
+  }
+}
+
+function decodeList(bytes: Uint8Array): readonly unknown[] {
+  try {
+    const fields = decode(bytes);
+    return Array.isArray(fields) ? fields : [];
+  } catch {
+    // Not MessagePack: the caller counts it.
+    return [];
+  }
+}
--- /dev/null
+++ b/src/datagrams/index.ts
@@ -0,0 +1,2 @@
+export type {DatagramHandler} from './datagram_port.js';
+export {DatagramPort} from './datagram_port.js';
--- /dev/null
+++ b/src/decisions/fleet/constants.ts
@@ -0,0 +1,104 @@
+/** Times and sizes of the fleet's own talk, each with its reason. */
+
+import type {Milliseconds} from '../../time/index.js';
+
+/**
+ * Peers of the data centre that a host knows. Random graphs of this degree hold
+ * together while half of their members are lost at once; all of a data centre of
+ * today's small fleets fit in.
+ */
+export const NEAR_VIEW = 16;
+/** The same elsewhere: one for each of eight data centres. */
+export const FAR_VIEW = 8;
+/** Peers in a datagram: with the sender's status some 600 bytes. */
+export const SAMPLE = 8;
+/** A host exchanges peers with another this often. */
+export const EXCHANGE_MS: Milliseconds = 1_000;
+/** Of so many exchanges, one crosses to another data centre: bytes are paid. */
+export const FAR_EXCHANGE_EACH = 5;
+/** Now and then an introducer is asked again, which joins parted fleets. */
+export const INTRODUCER_EXCHANGE_EACH = 10;
+/** Longer than it takes to hear of each peer known; dead ones go by then. */
+export const PEER_MEMORY_MS: Milliseconds = 30_000;
+
+/** While a source is looked for, hosts are asked this often, ... */
+export const SEARCH_MS: Milliseconds = 150;
+/** ... and this often once ten rounds have found nobody. */
+export const PATIENT_SEARCH_MS: Milliseconds = 600;
+export const EAGER_ROUNDS = 10;
+/** Hosts asked in a round: with half of them dead, one in 256 finds nobody. */
+export const SEARCH_WIDTH = 8;
+/** Time for answers after the first: the one nearest to the reader is best. */
+export const CHOICE_MS: Milliseconds = 15;
+/**
+ * Time for hosts of the data centre to answer before one elsewhere is followed:
+ * some ten round trips within it.
+ */
+export const FAR_PATIENCE_MS: Milliseconds = 60;
+
+/**
+ * News older than this come from nobody who reads. Between two answers to a
+ * waiting read they grow to 1.2 s; an answer may take 0.3 s.
+ */
+export const STALE_NEWS_MS: Milliseconds = 1_700;
+
+/**
+ * Followers are told that there is no source after this time: most hosts that
+ * lose theirs find another in 20 ms, and all below them would look for one too.
+ */
+export const LOSS_GRACE_MS: Milliseconds = 300;
+/** A host moves to one by which its way to the reader is shorter by this. */
+export const WORTH_MOVING = 2;
+
+/** Followers that lose a reader begin to read one after the other. */
+export const HEIR_DELAY_MS: Milliseconds = 40;
+/** A host that lost a far one reads on: three round trips of 20 ms later. */
+export const FAR_LOSS_DELAY_MS: Milliseconds = 80;
+/** One that lost a near follower of the reader is soon found another. */
+export const NEAR_LOSS_DELAY_MS: Milliseconds = 800;
+/**
+ * Hosts further from the reader ask the store themselves after this time, in
+ * case it turns away all those before them. A change may take 2 s to be in force
+ * only while the store serves everybody.
+ */
+export const DEEP_DELAY_MS: Milliseconds = 3_000;
+/** Calls of these hosts together a second, however many they are. */
+export const DEEP_CALLS_PER_SECOND = 5;
+/** Heirs that ask an absent store at once and each second or two, ... */
+export const EAGER_HEIRS = 3;
+/** ... and when the others begin to, seldom: that many may be turned away. */
+export const LATE_HEIR_DELAY_MS: Milliseconds = 1_000;
+
+/** A host that starts gives others this time, and as much by chance. */
+export const START_PATIENCE_MS: Milliseconds = 1_500;
+/** The same where all start for the first time, small hosts slowly. */
+export const FIRST_START_PATIENCE_MS: Milliseconds = 4_000;
+/** The introducers themselves, one after the other. */
+export const INTRODUCER_DELAY_MS: Milliseconds = 300;
+/** Time without any source after which the store's list is asked. */
+export const LIST_DELAY_MS: Milliseconds = 700;
+/** A reader that knows nobody asks the list again, each time twice as late. */
+export const RELIST_MS: Milliseconds = 1_000;
+export const LONGEST_RELIST_MS: Milliseconds = 30_000;
+/** A reader or head that stays one for this time introduces others. */
+export const REGISTER_AFTER_MS: Milliseconds = 5_000;
+
+/** Followers in other data centres: one for each of the others of eight. */
+export const MOST_FAR_FOLLOWERS = 8;
+/** Hosts that a follower which finds no room is sent to. */
+export const REDIRECTIONS = 3;
+/** Fewest hosts between the reader and the last: 8^5 hosts find room. */
+export const LONGEST_PATH = 6;
+/**
+ * A follower that has said nothing for this time is gone: it tells of itself each
+ * second. The connection alone wouldn't show it where its host lost power.
+ */
+export const SILENT_FOLLOWER_MS: Milliseconds = 5_000;
+/** A largest count holds for one to two of these, over cuts and restarts. */
+export const SIZE_MEMORY_MS: Milliseconds = 60_000;
+/** Time in which a fleet that starts is counted. */
+export const SETTLE_MS: Milliseconds = 10_000;
+/** Time in which hosts that join a fleet that was counted are counted too. */
+export const JOIN_MS: Milliseconds = 2_500;
+/** A count that changes is told on after this time, with those of others. */
+export const COUNT_MS: Milliseconds = 100;
--- /dev/null
+++ b/src/decisions/fleet/fleet_size.ts
@@ -0,0 +1,58 @@
+/**
+ * How many hosts the fleet has, for budgets that all of them share.
+ *
+ * Counted along the way that news take: each host counts those that hear by it,
+ * the reader tells all. A count that is too low would let the fleet spend more
+ * than its budget, so the largest of the last minute or two holds: while a data
+ * centre is cut off, or half of the hosts restart, each goes on with its part of
+ * the whole. A fleet that has shrunk for good spends less than it may until then.
+ */
+
+import type {Clock, Milliseconds} from '../../time/index.js';
+import {SETTLE_MS, SIZE_MEMORY_MS} from './constants.js';
+
+export class FleetSize {
+  private largest = 0;
+  private largestBefore = 0;
+  private periodEnd: Milliseconds;
+  private settledAt: Milliseconds;
+
+  constructor(private readonly clock: Clock) {
+    this.settledAt = clock.now() + SETTLE_MS;
+    this.periodEnd = clock.now() + SIZE_MEMORY_MS;
+  }
+
+  observe(count: number): void {
+    this.turn();
+    this.largest = Math.max(this.largest, count);
+  }
+
+  /** The largest count of late; 0 while nothing was counted. */
+  get estimate(): number {
+    this.turn();
+    return Math.max(this.largest, this.largestBefore);
+  }
+
+  /** The same; 0 until a fleet that starts has been counted. */
+  get settled(): number {
+    return this.isSettled ? this.estimate : 0;
+  }
+
+  get isSettled(): boolean {
+    return this.clock.now() >= this.settledAt;
+  }
+
+  /** What was counted is right in a while, and from then on. */
+  settle(inMs: Milliseconds): void {
+    this.settledAt = Math.min(this.settledAt, this.clock.now() + inMs);
+  }
+
+  private turn(): void {
+    const now = this.clock.now();
+    while (now >= this.periodEnd) {
+      this.largestBefore = this.largest;
+      this.largest = 0;
+      this.periodEnd += SIZE_MEMORY_MS;
+    }
+  }
+}
--- /dev/null
+++ b/src/decisions/fleet/freshness.ts
@@ -0,0 +1,33 @@
+/** How fresh what a host knows is, and who read it from the store. */
+
+import type {Clock, Milliseconds} from '../../time/index.js';
+
+export class Freshness {
+  private at: Milliseconds = -Infinity;
+  private from: string | undefined;
+
+  constructor(private readonly clock: Clock) {}
+
+  /** Time since the store was last known to have been read. */
+  get ageMs(): Milliseconds {
+    return this.clock.now() - this.at;
+  }
+
+  /** The host that reads the store; undefined while none is known. */
+  get reader(): string | undefined {
+    return this.from;
+  }
+
+  /** @returns by how much what is known has become fresher */
+  renew(at: Milliseconds, reader: string): Milliseconds {
+    const gained = at - this.at;
+    this.at = Math.max(this.at, at);
+    this.from = reader;
+    return Math.max(0, gained);
+  }
+
+  /** What is known no longer comes from anywhere. */
+  lose(): void {
+    this.from = undefined;
+  }
+}
--- /dev/null
+++ b/src/decisions/fleet/index.ts
@@ -0,0 +1,11 @@
+export * from './types.js';
+export {STALE_NEWS_MS} from './constants.js';
+export type {FleetNodeParts} from './fleet_node.js';
+export {FleetNode} from './fleet_node.js';
+export {FleetSize} from './fleet_size.js';
+export {FollowerSlots} from './follower_slots.js';
+export {Freshness} from './freshness.js';
+export {PartialView} from './partial_view.js';
+export {pauseAfter} from './read_pacing.js';
+export {SourceSearch} from './source_search.js';
+export {Suspensions} from './suspensions.js';
--- /dev/null
+++ b/src/decisions/fleet/pick.ts
@@ -0,0 +1,16 @@
+import type {Random} from '../../time/index.js';
+
+/** A few of a list, drawn without repetition. */
+export function pick<T>(
+  from: readonly T[],
+  count: number,
+  random: Random,
+): readonly T[] {
+  const left = [...from];
+  const picked: T[] = [];
+  while (picked.length < count && left.length > 0) {
+    const at = Math.floor(random() * left.length);
+    picked.push(...left.splice(at, 1));
+  }
+  return picked;
+}
--- a/src/decisions/registry/upstream_registry.ts
+++ b/src/decisions/registry/upstream_registry.ts
@@ -17,6 +17,8 @@
 
 interface Known {
   readonly entry: RegistryEntry;
+  /** Offset of the entry that last changed more than an upstream's count. */
+  readonly newsOffset: number;
   readonly learnedAt: Milliseconds;
   /** The upstream that a removal, not yet believed, would take out. */
   readonly lapsed: RegisteredUpstream | undefined;
@@ -35,6 +37,8 @@
   private byId = new Map<string, RegisteredUpstream>();
   private staleUntil: Milliseconds = -Infinity;
   private end = 0;
+  /** What was removed from this offset on is remembered. */
+  private removalsFrom = 0;
   private loaded = false;
 
   constructor(private readonly clock: Clock) {}
@@ -67,6 +71,40 @@
     return this.known.get(name)?.entry;
   }
 
+  /** Whether an entry changes more than an upstream's count of reports. */
+  isNews(entry: RegistryEntry): boolean {
+    const known = this.entryOf(entry.name)?.upstream;
+    const {kind, upstream} = entry;
+    if (!upstream) {
+      // What another writer left under a name of its own concerns nobody.
+      return kind === 'removed' || known !== undefined;
+    }
+    return (
+      known?.id !== upstream.id ||
+      known.leaving !== upstream.leaving ||
+      known.address !== upstream.address ||
+      known.service !== upstream.service
+    );
+  }
+
+  /**
+   * What has changed since an offset, for a host that knew all before it.
+   * Undefined where it isn't known whether something was removed since.
+   */
+  newsSince(offset: number): readonly RegistryEntry[] | undefined {
+    if (!this.loaded || offset < this.removalsFrom) {
+      return undefined;
+    }
+    return [...this.known.values()]
+      .filter(({newsOffset}) => newsOffset >= offset)
+      .map(({entry}) => entry);
+  }
+
+  /** All that concerns others up to this offset has been taken in. */
+  advance(end: number): void {
+    this.end = Math.max(this.end, end);
+  }
+
   /** Says that the store can't be reached, so that entries may lapse in it. */
   noteStale(): void {
     this.staleUntil = this.clock.now() + LAPSE_GRACE_MS;
@@ -77,7 +115,7 @@
     for (const entry of entries) {
       this.take(entry);
     }
-    this.end = Math.max(this.end, end);
+    this.advance(end);
     this.rebuild();
   }
 
@@ -91,6 +129,7 @@
       }
     }
     this.loaded = true;
+    this.removalsFrom = Math.max(this.removalsFrom, snapshot.end);
     this.apply(snapshot.entries, snapshot.end);
   }
 
@@ -105,6 +144,8 @@
       }
       const gone = !known.entry.upstream && !known.lapsed;
       if (gone && now - known.learnedAt > TOMBSTONE_MS) {
+        const {offset} = known.entry;
+        this.removalsFrom = Math.max(this.removalsFrom, offset + 1);
         this.known.delete(name);
       }
     }
@@ -119,8 +160,11 @@
       return;
     }
     const now = this.clock.now();
+    const newsOffset =
+      known && !this.isNews(entry) ? known.newsOffset : entry.offset;
     this.known.set(entry.name, {
       entry,
+      newsOffset,
       learnedAt: now,
       lapsed: this.lapsedBy(entry, known),
     });
--- a/src/decisions/sharing/index.ts
+++ b/src/decisions/sharing/index.ts
@@ -2,4 +2,3 @@
 export {MOST_TOLD, audienceOf} from './audience.js';
 export {DelayEstimate} from './delay_estimate.js';
 export {NewsBox} from './news_box.js';
-export {GREETING_INTERVAL_MS, PeerCircle} from './peer_circle.js';
--- a/src/fleet/fleet_member.ts
+++ b/src/fleet/fleet_member.ts
@@ -1,292 +1,291 @@
-/** Keeps this host's state fresh, through a peer or from the store itself. */
+/** Carries out what this host's part in the fleet is decided to be. */
 
 import type {Logger} from 'pino';
-import type {Peer, PeerFault, Update} from '../decisions/relay/index.js';
-import {SourceChoice} from '../decisions/relay/index.js';
+import type {DatagramPort} from '../datagrams/index.js';
+import type {
+  Admission,
+  Asker,
+  NodeAction,
+  Peer,
+  PeerFault,
+  PeerStatus,
+  SignOfLife,
+  Update,
+} from '../decisions/fleet/index.js';
+import {FleetNode} from '../decisions/fleet/index.js';
 import type {Store} from '../platform/index.js';
 import type {Clock, Milliseconds, Random} from '../time/index.js';
-import {sleep} from '../time/index.js';
 import type {FleetState} from './fleet_state.js';
-import {listHosts, registerHost} from './host_list.js';
-import {RelayClient} from './relay_client.js';
+import {decodeGreeting, encodeGreeting} from './greeting_codec.js';
+import {listIntroducers, registerIntroducer} from './introducer_list.js';
 import type {BadRecordObserver} from './record_intake.js';
 import {RecordIntake} from './record_intake.js';
+import {RelayClient} from './relay_client.js';
 import {StoreReader} from './store_reader.js';
 
-/** How often the source is looked at. */
-const CHECK_INTERVAL_MS: Milliseconds = 50;
+/** How often what is due is looked at. */
+const TICK_MS: Milliseconds = 50;
+/** Kind of the datagrams in which hosts tell of themselves. */
+const GREETING = 'greeting';
+const INCARNATIONS = 2 ** 31;
 /**
- * A peer whose news are older than this can't read the store. Between two
- * answers to a waiting read they grow to 1.2 s; an answer may take 0.3 s. A
- * reader that notices its own failure says so earlier.
+ * Mbit/s of its link that a host reckons for each follower. One that starts is
+ * sent some 200 kB at once, in half a second.
  */
-const STALE_PEER_MS: Milliseconds = 1_700;
-/** Failed reads after which other hosts are asked. */
-const FAILURES_BEFORE_SUBSTITUTE = 2;
-/** Others are asked one by one: when the store is down, nobody has news. */
-const SUBSTITUTE_INTERVAL_MS: Milliseconds = 250;
-const REGISTER_PAUSE_MS: Milliseconds = 400;
-/** Hosts start together: the list is read again when all have registered. */
-const RELIST_MS: Milliseconds = 5_000;
+const LINK_MBPS_EACH = 4;
+const FEWEST_FOLLOWERS = 2;
+/** Three hops reach 500 hosts, and eight lines each 200 ms cost next to nothing. */
+const MOST_FOLLOWERS = 8;
 
 export interface FleetMemberParts {
   readonly dataCentre: string;
+  readonly introducers: readonly string[];
   /** Whether the whole fleet starts for the first time. */
   readonly firstStart: boolean;
+  readonly linkMbps: number;
   readonly store: Store;
   readonly state: FleetState;
+  readonly datagrams: DatagramPort;
   readonly clock: Clock;
   readonly random: Random;
   readonly logger: Logger;
   readonly onBadRecord: BadRecordObserver;
+  /** Told when followers are to hear a sign of life, or are gone. */
+  readonly onTell: () => void;
+  readonly onSilent: (follower: string) => void;
 }
 
 export class FleetMember {
-  private readonly choice: SourceChoice;
   private readonly reader: StoreReader;
+  private node: FleetNode | undefined;
+  private self: Peer | undefined;
   private client: RelayClient | undefined;
-  /** When this host reads the store, unless a peer proves fresh before. */
-  private readAt: Milliseconds | undefined;
-  /** The same, unless a peer answers before, with or without news. */
-  private silentUntil: Milliseconds | undefined;
-  private provedFresh = false;
-  private substitutedAt: Milliseconds = -Infinity;
   private timer: NodeJS.Timeout | undefined;
   private closed = false;
 
   constructor(private readonly parts: FleetMemberParts) {
-    const {dataCentre, store, state, clock, random, logger} = parts;
-    this.choice = new SourceChoice(dataCentre, clock);
-    const {onBadRecord} = parts;
+    const {store, state, clock, random, logger, onBadRecord} = parts;
     this.reader = new StoreReader({
       store,
       state,
       intake: new RecordIntake(state, clock, logger, onBadRecord),
       random,
       logger,
-      isBehind: () => this.choice.isBehind,
+      onRead: isAnswered => this.noteRead(isAnswered),
+      pauseMs: () => this.node?.readPauseMs ?? 0,
     });
-  }
-
-  /** Addresses of the hosts of the data centre that have registered. */
-  get nearAddresses(): readonly string[] {
-    return this.choice.nearAddresses;
+    parts.datagrams.handle(GREETING, (from, body) => this.hear(from, body));
   }
 
   get isReader(): boolean {
     return this.reader.isRunning;
   }
 
-  /** Registers and keeps the state fresh from then on. */
-  async start(): Promise<void> {
-    this.choice.identify(this.parts.state.address);
-    await this.join();
-    if (this.closed) {
-      return;
-    }
-    this.timer = setInterval(() => this.check(), CHECK_INTERVAL_MS);
-    this.check();
-    setTimeout(() => void this.relist(), RELIST_MS).unref();
+  /** Peers of the data centre of whom something was heard that recently. */
+  nearHeardWithin(ms: Milliseconds): readonly string[] {
+    return this.node?.view.nearHeardWithin(ms) ?? [];
   }
 
-  close(): void {
-    this.closed = true;
-    clearInterval(this.timer);
-    this.client?.close();
-    this.reader.stop();
+  /** What followers are told; undefined until this host has started. */
+  sign(): SignOfLife | undefined {
+    return this.node?.signOfLife(this.parts.state.registry.cursor);
   }
 
-  /** Registers and learns of the others. Until that works, it reads alone. */
-  private async join(): Promise<void> {
-    let registered = !this.parts.firstStart && (await this.list());
-    while (!this.closed && !(registered && this.choice.self)) {
-      registered = (await this.register()) && (await this.list());
-      if (!registered) {
-        this.reader.start();
-        await sleep(REGISTER_PAUSE_MS * (1 + this.parts.random()));
-      }
-    }
+  admit(asker: Asker): Admission {
+    return this.node?.admit(asker) ?? {kind: 'refuse'};
   }
 
-  private async register(): Promise<boolean> {
-    const {store, state, dataCentre, logger} = this.parts;
-    const rank = await registerHost(store, state.address, dataCentre);
-    if (rank.isErr()) {
-      logger.warn(
-        {event: 'store', error: rank.error.message},
-        'cannot register',
-      );
-    }
-    return rank.isOk();
+  released(follower: string): void {
+    this.node?.followers.release(follower);
   }
 
-  private async list(): Promise<boolean> {
-    const {store, logger, state} = this.parts;
-    const hosts = await listHosts(store);
-    if (hosts.isErr()) {
-      logger.warn(
-        {event: 'store', error: hosts.error.message},
-        'cannot list hosts',
-      );
-      return false;
-    }
-    this.choice.setPeers(hosts.value);
-    state.setHosts(hosts.value.length);
-    return true;
+  /** Hosts that followers may ask instead of this one. */
+  others(): readonly Peer[] {
+    return this.node?.others ?? [];
   }
 
-  /**
-   * A host has begun to follow this one. It may have registered after this
-   * one listed the others; if the store turns this host away, the followers
-   * are the ones to ask.
-   */
-  meet(follower: Peer): void {
-    this.choice.addPeer(follower);
-    this.parts.state.setHosts(this.choice.peerCount);
+  /** @param address of this host for others */
+  start(address: string): void {
+    const {dataCentre, introducers, firstStart, linkMbps} = this.parts;
+    const {state, clock, random} = this.parts;
+    const followers = Math.floor(linkMbps / LINK_MBPS_EACH);
+    this.self = {address, dataCentre};
+    this.node = new FleetNode({
+      self: this.self,
+      incarnation: Math.floor(random() * INCARNATIONS),
+      introducers,
+      firstStart,
+      mostFollowers: Math.min(
+        MOST_FOLLOWERS,
+        Math.max(FEWEST_FOLLOWERS, followers),
+      ),
+      freshness: state.freshness,
+      size: state.size,
+      clock,
+      random,
+    });
+    this.timer = setInterval(() => this.tick(), TICK_MS);
+    this.tick();
   }
 
-  /** Readers tell their followers how many hosts there are. */
-  private async relist(): Promise<void> {
-    if (this.reader.isRunning && !this.closed) {
-      await this.list();
-    }
+  close(): void {
+    this.closed = true;
+    clearInterval(this.timer);
+    this.client?.close();
+    this.reader.stop();
   }
 
-  private check(): void {
-    const {state} = this.parts;
-    if (this.client && this.provedFresh && state.ageMs > STALE_PEER_MS) {
-      this.leave('stale', 'its news are old');
+  private tick(): void {
+    const {node} = this;
+    if (node) {
+      node.followers.silent.forEach(this.parts.onSilent);
+      this.carryOut(node.tick());
     }
-    if (!this.client) {
-      this.follow();
-    }
-    this.readIfDue();
   }
 
-  private readIfDue(): void {
-    const {readAt = Infinity, silentUntil = Infinity} = this;
-    if (this.parts.clock.now() >= Math.min(readAt, silentUntil)) {
-      this.readAt = undefined;
-      this.silentUntil = undefined;
-      this.reader.start();
+  private carryOut(actions: readonly NodeAction[] = []): void {
+    if (!this.closed) {
+      actions.forEach(action => this.perform(action));
     }
   }
 
-  private follow(): void {
-    if (this.closed || this.client) {
-      return;
+  private perform(action: NodeAction): void {
+    switch (action.kind) {
+      case 'greet':
+        return this.greet(action.to, action.wantsReply, action.stranger);
+      case 'follow':
+        return this.follow(action.address);
+      case 'unfollow':
+        return this.unfollow();
+      case 'read':
+        return this.reader.start();
+      case 'stop-reading':
+        return this.reader.stop();
+      case 'list':
+        void this.list();
+        return;
+      case 'register':
+        void this.register();
+        return;
+      case 'tell':
+        return this.parts.onTell();
+      default:
+        action satisfies never;
     }
-    const source = this.choice.preferred();
-    if (source.kind === 'peer') {
-      if (!this.reader.isRunning) {
-        this.silentUntil ??= this.parts.clock.now() + source.headStartMs;
+  }
+
+  private greet(
+    to: readonly string[],
+    wantsReply: boolean,
+    stranger?: PeerStatus,
+  ): void {
+    const {node} = this;
+    for (const address of node ? to : []) {
+      const from = node?.status;
+      const sample = node?.sampleFor(address) ?? [];
+      if (from) {
+        const body = encodeGreeting({from, wantsReply, sample, stranger});
+        this.parts.datagrams.send(GREETING, body, [address]);
       }
-      this.followPeer(source.peer);
-      return;
-    }
-    if (!this.reader.isRunning) {
-      this.readAfter(source.delayMs);
-      return;
-    }
-    if (this.reader.failureCount >= FAILURES_BEFORE_SUBSTITUTE) {
-      this.followSubstitute();
     }
   }
 
-  private followSubstitute(): void {
-    const now = this.parts.clock.now();
-    if (now - this.substitutedAt < SUBSTITUTE_INTERVAL_MS) {
-      return;
+  private hear(sender: string, body: unknown): boolean {
+    const greeting = decodeGreeting(body);
+    const {node} = this;
+    if (!greeting || greeting.from.address !== sender) {
+      return false;
     }
-    this.substitutedAt = now;
-    const substitute = this.choice.substitute();
-    if (substitute) {
-      this.followPeer(substitute);
+    if (node && !this.closed) {
+      this.carryOut(node.greeted(greeting));
+      if (greeting.wantsReply) {
+        this.greet([sender], false);
+      }
     }
+    return true;
   }
 
-  /** Delays that are asked for again and again don't put the reading off. */
-  private readAfter(delayMs: Milliseconds): void {
-    if (!this.reader.isRunning) {
-      const at = this.parts.clock.now() + delayMs;
-      this.readAt = Math.min(this.readAt ?? at, at);
+  private follow(address: string): void {
+    const {node, self} = this;
+    if (!node || !self) {
+      return;
     }
-  }
-
-  private followPeer(peer: Peer): void {
-    this.provedFresh = false;
-    this.client = new RelayClient(
-      peer,
-      this.choice.self,
+    this.client?.close();
+    const client = new RelayClient(
+      address,
+      self,
+      node.unreachable,
       this.parts.state.known,
       {
-        onUpdate: update => this.take(peer, update),
-        onEnd: reason => this.ended(peer, 'unreachable', reason),
+        onUpdate: update => this.take(address, update),
+        onEnd: (fault, reason) => this.ended(address, fault, reason),
       },
     );
+    this.client = client;
+  }
+
+  private unfollow(): void {
+    this.client?.close();
+    this.client = undefined;
   }
 
-  private take(peer: Peer, update: Update): void {
+  private take(address: string, update: Update): void {
+    const {node} = this;
     this.parts.state.take(update);
-    if (update.kind !== 'alive') {
-      return;
+    if (update.kind === 'alive') {
+      const wasFollowing = node?.hasFreshParent;
+      this.carryOut(node?.heard(update));
+      if (node?.hasFreshParent && !wasFollowing) {
+        this.parts.logger.info(
+          {event: 'reader', peer: address, path: update.path},
+          'following a peer',
+        );
+      }
     }
-    this.silentUntil = undefined;
-    if (!this.isFresh(update)) {
-      this.leave('stale', 'it has no news');
-      return;
-    }
-    this.readAt = undefined;
-    if (!this.provedFresh) {
-      this.provedFresh = true;
-      this.choice.proved(peer);
-      this.reader.stop();
-      this.parts.logger.info(
-        {event: 'reader', peer: peer.address, ageMs: update.ageMs},
-        'following a peer',
-      );
+    if (update.kind === 'elsewhere') {
+      this.carryOut(node?.redirected(update.peers));
     }
   }
 
-  /**
-   * News that this host read itself prove nothing: two hosts that follow each
-   * other would both stop reading.
-   */
-  private isFresh(update: Extract<Update, {kind: 'alive'}>): boolean {
-    const {reader, ageMs} = update;
-    return (
-      reader !== undefined &&
-      reader !== this.parts.state.address &&
-      ageMs <= STALE_PEER_MS
+  private ended(address: string, fault: PeerFault, reason: string): void {
+    this.client = undefined;
+    this.parts.logger.info(
+      {event: 'reader', peer: address, fault, reason},
+      'no longer following a peer',
     );
+    this.carryOut(this.node?.ended(fault));
   }
 
-  private leave(fault: PeerFault, reason: string): void {
-    const {client} = this;
-    if (client) {
-      client.close();
-      this.ended(client.peer, fault, reason);
+  private noteRead(isAnswered: boolean): void {
+    const {node} = this;
+    this.carryOut(isAnswered ? node?.storeAnswered() : node?.storeFailed());
+  }
+
+  private async list(): Promise<void> {
+    const {store, logger} = this.parts;
+    const peers = await listIntroducers(store);
+    if (peers.isErr()) {
+      logger.warn(
+        {event: 'store', error: peers.error.message},
+        'cannot list hosts',
+      );
     }
+    this.carryOut(this.node?.listed(peers.unwrapOr(undefined)));
   }
 
-  private ended(peer: Peer, fault: PeerFault, reason: string): void {
-    const {logger, state} = this.parts;
-    this.client = undefined;
-    this.choice.failed(peer, fault);
-    if (this.provedFresh) {
-      logger.info(
-        {event: 'reader', peer: peer.address, fault, reason},
-        'reader lost',
+  private async register(): Promise<void> {
+    const {store, logger, random} = this.parts;
+    const {self, node} = this;
+    if (!self || !node) {
+      return;
+    }
+    const done = await registerIntroducer(store, self, random);
+    if (done.isErr()) {
+      logger.warn(
+        {event: 'store', error: done.error.message},
+        'cannot register',
       );
-      this.provedFresh = false;
-      if (!this.choice.isNear(peer)) {
-        // The hosts around it keep to this one, which reads from now on.
-        this.reader.start();
-      }
-      if (!this.reader.isRunning) {
-        state.loseSource();
-      }
+      node.registerFailed();
     }
-    this.follow();
   }
 }
--- a/src/fleet/fleet_state.ts
+++ b/src/fleet/fleet_state.ts
@@ -1,7 +1,8 @@
 /** What a host believes of configuration and upstreams, and how fresh it is. */
 
 import type {Logger} from 'pino';
-import type {Update} from '../decisions/relay/index.js';
+import type {Update} from '../decisions/fleet/index.js';
+import {FleetSize, Freshness} from '../decisions/fleet/index.js';
 import type {
   RegistryEntry,
   RegistrySnapshot,
@@ -19,12 +20,6 @@
  */
 const STALE_AFTER_MS: Milliseconds = 2_200;
 const TICK_MS: Milliseconds = 200;
-/**
- * News that are fresher by this much are told at once. Told with the next sign
- * of life only, they would look 0.2 s older a hop than they are, and a store
- * that answers slowly would be taken for one that doesn't.
- */
-const WORTH_TELLING_MS: Milliseconds = 300;
 
 /** Told of what changes, to pass it on. */
 export type UpdateListener = (update: Update) => void;
@@ -32,45 +27,31 @@
 export class FleetState {
   readonly routes = new RouteBook();
   readonly registry: UpstreamRegistry;
+  readonly freshness: Freshness;
+  readonly size: FleetSize;
   private readonly listeners = new Set<UpdateListener>();
   private readonly timer: NodeJS.Timeout;
-  private freshAt: Milliseconds = -Infinity;
-  private freshFrom: string | undefined;
-  private hosts = 0;
-  private ownAddress = '';
 
   constructor(
-    private readonly clock: Clock,
+    clock: Clock,
     private readonly logger: Logger,
   ) {
     this.registry = new UpstreamRegistry(clock);
+    this.freshness = new Freshness(clock);
+    this.size = new FleetSize(clock);
     this.timer = setInterval(() => this.tick(), TICK_MS);
     this.timer.unref();
   }
 
-  /** Address of this host for others; known once it listens. */
-  get address(): string {
-    return this.ownAddress;
-  }
-
-  identify(address: string): void {
-    this.ownAddress = address;
-  }
-
   /** Time since the store was last known to have been read. */
   get ageMs(): Milliseconds {
-    return this.clock.now() - this.freshAt;
+    return this.freshness.ageMs;
   }
 
   get isFresh(): boolean {
     return this.ageMs <= STALE_AFTER_MS;
   }
 
-  /** Hosts that have registered; 0 while unknown. */
-  get hostCount(): number {
-    return this.hosts;
-  }
-
   /** Upstreams in use; those of services that no route knows aren't. */
   get upstreamCount(): number {
     const services = this.routes.current?.services ?? [];
@@ -90,11 +71,6 @@
     return () => this.listeners.delete(listener);
   }
 
-  /** Whether what is known still comes from the store, by whatever way. */
-  get hasSource(): boolean {
-    return this.freshFrom !== undefined;
-  }
-
   /** How far this host has come. */
   get known(): KnownState {
     const {version = ''} = this.routes;
@@ -105,23 +81,16 @@
   /** What another host lacks that has come so far. */
   newsFor(known: URLSearchParams): readonly Update[] {
     const updates: Update[] = [];
-    const own = this.known;
     const table = this.routes.current;
-    if (table && known.get('version') !== own.version) {
+    if (table && table.version > numberOf(known.get('version'))) {
       updates.push({kind: 'table', table});
     }
-    if (this.registry.isLoaded && known.get('offset') !== own.offset) {
-      const {all: entries, cursor: end} = this.registry;
-      updates.push({kind: 'snapshot', entries, end});
+    if (this.registry.isLoaded) {
+      updates.push(...this.upstreamNewsFor(numberOf(known.get('offset'))));
     }
     return updates;
   }
 
-  alive(): Update {
-    const ageMs = Math.min(Number.MAX_SAFE_INTEGER, Math.round(this.ageMs));
-    return {kind: 'alive', ageMs, reader: this.freshFrom, hosts: this.hosts};
-  }
-
   /** Takes in what a peer tells. */
   take(update: Update): void {
     switch (update.kind) {
@@ -132,8 +101,10 @@
       case 'snapshot':
         return this.takeSnapshot(update);
       case 'alive':
-        this.setHosts(update.hosts);
-        return this.freshenTo(this.clock.now() - update.ageMs, update.reader);
+        // It has told of everything before, and this host has taken it in.
+        return this.registry.advance(update.end);
+      case 'elsewhere':
+        return;
       default:
         update satisfies never;
     }
@@ -152,7 +123,7 @@
   }
 
   takeEntries(entries: readonly RegistryEntry[], end: number): void {
-    const news = entries.filter(entry => this.isNews(entry));
+    const news = entries.filter(entry => this.registry.isNews(entry));
     this.registry.apply(entries, end);
     news.forEach(entry => this.logEntry(entry));
     if (news.length > 0) {
@@ -170,38 +141,10 @@
     this.tell({kind: 'snapshot', entries, end});
   }
 
-  /** The store has just answered this host. */
-  freshen(): void {
-    this.freshenTo(this.clock.now(), this.address);
-  }
-
-  /** What this host knows no longer comes from anywhere. */
-  loseSource(): void {
-    if (this.freshFrom !== undefined) {
-      this.freshFrom = undefined;
-      this.tell(this.alive());
-    }
-  }
-
-  setHosts(count: number): void {
-    this.hosts = Math.max(this.hosts, count);
-  }
-
   close(): void {
     clearInterval(this.timer);
   }
 
-  private freshenTo(at: Milliseconds, reader: string | undefined): void {
-    const gained = at - this.freshAt;
-    if (gained > 0 || this.freshFrom === undefined) {
-      this.freshAt = Math.max(this.freshAt, at);
-      this.freshFrom = reader;
-    }
-    if (gained > WORTH_TELLING_MS) {
-      this.tell(this.alive());
-    }
-  }
-
   private tick(): void {
     if (!this.isFresh) {
       this.registry.noteStale();
@@ -209,20 +152,17 @@
     this.registry.tick();
   }
 
-  /** Whether an entry changes more than its offset. */
-  private isNews(entry: RegistryEntry): boolean {
-    const known = this.registry.entryOf(entry.name)?.upstream;
-    const {kind, upstream} = entry;
-    if (!upstream) {
-      // What another writer left under a name of its own concerns nobody.
-      return kind === 'removed' || known !== undefined;
+  /** All of it, or only what has changed where that is known. */
+  private upstreamNewsFor(offset: number): readonly Update[] {
+    const {all, cursor: end} = this.registry;
+    if (offset >= end) {
+      return [];
     }
-    return (
-      known?.id !== upstream.id ||
-      known.leaving !== upstream.leaving ||
-      known.address !== upstream.address ||
-      known.service !== upstream.service
-    );
+    const news = this.registry.newsSince(offset);
+    if (!news) {
+      return [{kind: 'snapshot', entries: all, end}];
+    }
+    return news.length > 0 ? [{kind: 'entries', entries: news, end}] : [];
   }
 
   private logEntry({kind, name, offset, upstream}: RegistryEntry): void {
@@ -243,3 +183,8 @@
     this.listeners.forEach(listener => listener(update));
   }
 }
+
+/** A number in a query; lower than any where there is none. */
+function numberOf(text: string | null): number {
+  return text ? Number(text) : -1;
+}
--- /dev/null
+++ b/src/fleet/introducer_list.ts
@@ -0,0 +1,49 @@
+/**
+ * Hosts that introduce others, named in the store for those who can ask nobody.
+ *
+ * Few places for each data centre, written over in turn, so that the list stays
+ * short whatever the fleet's size and however often its hosts are replaced.
+ */
+
+import type {Result} from 'neverthrow';
+import type {Peer} from '../decisions/fleet/index.js';
+import type {KeyedRecord, Store, StoreFailure} from '../platform/index.js';
+import {parseAddress} from '../platform/index.js';
+import type {Random} from '../time/index.js';
+
+/** A topic of the system's own; keeps the newest record of each key. */
+const HOST_TOPIC = 'keyed.hosts';
+/** Two can be lost at once with one left to ask. */
+const PLACES = 3;
+
+/** Takes one of the places of the data centre. */
+export async function registerIntroducer(
+  store: Store,
+  {address, dataCentre}: Peer,
+  random: Random,
+): Promise<Result<number, StoreFailure>> {
+  const place = Math.floor(random() * PLACES);
+  const value = JSON.stringify({address, dataCentre});
+  return store.put(HOST_TOPIC, `${dataCentre}/${place}`, value);
+}
+
+export async function listIntroducers(
+  store: Store,
+): Promise<Result<readonly Peer[], StoreFailure>> {
+  const snapshot = await store.newest(HOST_TOPIC);
+  return snapshot.map(({records}) => records.flatMap(peerOf));
+}
+
+function peerOf({value}: KeyedRecord): readonly Peer[] {
+  try {
+    const {address, dataCentre} = JSON.parse(value ?? '') as Partial<Peer>;
+    return typeof address === 'string' &&
+      typeof dataCentre === 'string' &&
+      parseAddress(address)
+      ? [{address, dataCentre}]
+      : [];
+  } catch {
+    // Written by another program, or another version: it introduces nobody.
+    return [];
+  }
+}
--- a/src/fleet/introduction.ts
+++ b/src/fleet/introduction.ts
@@ -1,26 +1,31 @@
 /** How a follower introduces itself: as fields of its query. */
 
-import type {Peer} from '../decisions/relay/index.js';
+import type {Asker, Peer} from '../decisions/fleet/index.js';
 import {parseAddress} from '../platform/index.js';
 
 const ADDRESS = 'from';
 const DATA_CENTRE = 'data-centre';
-const RANK = 'rank';
+const AVOID = 'avoid';
+/** Hosts to avoid that are told: those that failed last. */
+const MOST_AVOIDED = 8;
 
-export function introduce({address, dataCentre, rank}: Peer): URLSearchParams {
+export function introduce(
+  {address, dataCentre}: Peer,
+  avoid: readonly string[],
+): URLSearchParams {
   return new URLSearchParams({
     [ADDRESS]: address,
     [DATA_CENTRE]: dataCentre,
-    [RANK]: String(rank),
+    [AVOID]: avoid.slice(-MOST_AVOIDED).join(','),
   });
 }
 
-/** Undefined when the follower hasn't registered or tells something else. */
-export function readIntroduction(query: URLSearchParams): Peer | undefined {
+/** Undefined for one that tells something else. */
+export function readIntroduction(query: URLSearchParams): Asker | undefined {
   const address = query.get(ADDRESS) ?? '';
   const dataCentre = query.get(DATA_CENTRE) ?? '';
-  const rank = Number(query.get(RANK) ?? NaN);
-  return parseAddress(address) && dataCentre !== '' && rank >= 0
-    ? {address, dataCentre, rank}
+  const avoid = (query.get(AVOID) ?? '').split(',').slice(0, MOST_AVOIDED);
+  return parseAddress(address) && dataCentre !== ''
+    ? {address, dataCentre, avoid}
     : undefined;
 }
--- a/src/fleet/relay_client.ts
+++ b/src/fleet/relay_client.ts
@@ -3,7 +3,7 @@
 import type {ClientRequest, IncomingMessage} from 'node:http';
 import {request} from 'node:http';
 import {StringDecoder} from 'node:string_decoder';
-import type {Peer, Update} from '../decisions/relay/index.js';
+import type {Peer, PeerFault, Update} from '../decisions/fleet/index.js';
 import {parseAddress} from '../platform/index.js';
 import type {Milliseconds} from '../time/index.js';
 import {introduce} from './introduction.js';
@@ -18,7 +18,7 @@
 export interface Following {
   readonly onUpdate: (update: Update) => void;
   /** Called once, when nothing more will come. */
-  readonly onEnd: (reason: string) => void;
+  readonly onEnd: (fault: PeerFault, reason: string) => void;
 }
 
 export class RelayClient {
@@ -29,21 +29,23 @@
   private ended = false;
 
   /**
-   * @param self this host, if it is registered
+   * @param address of the host that is followed
+   * @param avoid hosts that could not be reached of late
    * @param known what this host knows already, so that it isn't sent
    */
   constructor(
-    readonly peer: Peer,
-    self: Peer | undefined,
+    readonly address: string,
+    self: Peer,
+    avoid: readonly string[],
     known: KnownState,
     private readonly following: Following,
   ) {
-    const address = parseAddress(peer.address);
-    const query = self ? introduce(self) : new URLSearchParams();
+    const peer = parseAddress(address);
+    const query = introduce(self, avoid);
     Object.entries(known).forEach(([name, value]) => query.set(name, value));
     this.outgoing = request({
-      host: address?.ip,
-      port: address?.port,
+      host: peer?.ip,
+      port: peer?.port,
       path: `/updates?${query.toString()}`,
       agent: false,
     });
@@ -65,7 +67,7 @@
 
   private read(answer: IncomingMessage): void {
     if (answer.statusCode !== 200) {
-      this.end(`status ${String(answer.statusCode)}`);
+      this.end(`status ${String(answer.statusCode)}`, 'stale');
       return;
     }
     answer.on('data', (chunk: Buffer) => this.take(chunk));
@@ -90,12 +92,12 @@
     }
   }
 
-  private end(reason: string): void {
+  private end(reason: string, fault: PeerFault = 'unreachable'): void {
     if (this.ended) {
       return;
     }
     this.close();
-    this.following.onEnd(reason);
+    this.following.onEnd(fault, reason);
   }
 }
 
--- a/src/fleet/relay_server.ts
+++ b/src/fleet/relay_server.ts
@@ -2,34 +2,55 @@
 
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import {createServer} from 'node:http';
+import type {
+  Admission,
+  Asker,
+  Peer,
+  SignOfLife,
+  Update,
+} from '../decisions/fleet/index.js';
 import type {SocketAddress} from '../platform/index.js';
-import type {Update} from '../decisions/relay/index.js';
 import {closeNow, listen} from '../servers/index.js';
 import type {Milliseconds} from '../time/index.js';
 import type {FleetState} from './fleet_state.js';
 import {readIntroduction} from './introduction.js';
-import type {FollowerListener} from './types.js';
 
 /** Signs of life; several fit into the time after which silence counts. */
 const ALIVE_INTERVAL_MS: Milliseconds = 200;
 /** A follower that doesn't read is cut off rather than buffered for. */
 const MAX_BUFFERED_BYTES = 4 * 1024 * 1024;
+/** Connections at once: followers, and those who ask and are sent elsewhere. */
+const MOST_CONNECTIONS = 128;
+
+const BAD_REQUEST = 400;
+const NO_SOURCE = 503;
+
+/** Decides about followers. */
+export interface Leader {
+  /** Undefined until this host takes part in the fleet. */
+  readonly sign: () => SignOfLife | undefined;
+  readonly admit: (asker: Asker) => Admission;
+  readonly released: (address: string) => void;
+  /** Whom followers may ask instead, as this host stops. */
+  readonly others: () => readonly Peer[];
+}
 
 export class RelayServer {
   private readonly server: Server;
-  private readonly followers = new Set<ServerResponse>();
+  private readonly followers = new Map<string, ServerResponse>();
   private readonly timer: NodeJS.Timeout;
   private retired = false;
 
   constructor(
     private readonly state: FleetState,
-    private readonly onFollower: FollowerListener,
+    private readonly leader: Leader,
   ) {
     this.server = createServer((request, response) =>
       this.accept(request, response),
     );
+    this.server.maxConnections = MOST_CONNECTIONS;
     state.listen(update => this.tell(update));
-    this.timer = setInterval(() => this.tell(state.alive()), ALIVE_INTERVAL_MS);
+    this.timer = setInterval(() => this.tellSign(), ALIVE_INTERVAL_MS);
     this.timer.unref();
   }
 
@@ -37,10 +58,27 @@
     return listen(this.server, address.ip, address.port);
   }
 
+  /** Tells followers a sign of life now. */
+  tellSign(): void {
+    const sign = this.followers.size > 0 ? this.leader.sign() : undefined;
+    if (sign) {
+      this.tell(sign);
+    }
+  }
+
+  /** Ends the connection of a follower that is gone. */
+  cutOff(address: string): void {
+    this.followers.get(address)?.destroy();
+  }
+
   /** Sends followers elsewhere, before this host stops. */
   retire(): void {
     this.retired = true;
-    this.followers.forEach(follower => follower.end());
+    const peers = this.leader.others();
+    this.followers.forEach((follower, address) => {
+      const others = peers.filter(one => one.address !== address);
+      follower.end(encode({kind: 'elsewhere', peers: others}));
+    });
   }
 
   close(): Promise<void> {
@@ -50,28 +88,53 @@
 
   private accept(request: IncomingMessage, response: ServerResponse): void {
     request.resume();
+    const query = new URLSearchParams(request.url?.split('?', 2)[1]);
+    const asker = readIntroduction(query);
+    if (!asker) {
+      end(response, BAD_REQUEST);
+      return;
+    }
     if (this.retired) {
-      response.writeHead(503);
-      response.end();
+      end(response, NO_SOURCE);
       return;
     }
-    const query = new URLSearchParams(request.url?.split('?', 2)[1]);
-    const follower = readIntroduction(query);
-    if (follower) {
-      this.onFollower(follower);
+    const admission = this.leader.admit(asker);
+    switch (admission.kind) {
+      case 'accept':
+        this.addFollower(asker, query, response);
+        break;
+      case 'redirect':
+        response.end(encode({kind: 'elsewhere', peers: admission.peers}));
+        break;
+      case 'refuse':
+        end(response, NO_SOURCE);
+        break;
+      default:
+        admission satisfies never;
     }
+  }
+
+  private addFollower(
+    {address}: Asker,
+    query: URLSearchParams,
+    response: ServerResponse,
+  ): void {
+    this.followers.get(address)?.destroy();
+    this.followers.set(address, response);
+    response.on('close', () => {
+      // One that has come back meanwhile keeps its place.
+      if (this.followers.get(address) === response) {
+        this.followers.delete(address);
+        this.leader.released(address);
+      }
+    });
     response.writeHead(200, {'content-type': 'application/x-ndjson'});
     response.socket?.setNoDelay(true);
-    response.write(encode(this.state.alive()));
-    if (!this.state.hasSource) {
-      // It will look elsewhere, and needs nothing from here.
-      response.end();
-      return;
-    }
-    this.followers.add(response);
-    response.on('close', () => this.followers.delete(response));
-    for (const update of this.state.newsFor(query)) {
-      response.write(encode(update));
+    // The sign says up to which offset everything has been told: it goes last.
+    this.state.newsFor(query).forEach(update => response.write(encode(update)));
+    const sign = this.leader.sign();
+    if (sign) {
+      response.write(encode(sign));
     }
   }
 
@@ -80,7 +143,7 @@
       return;
     }
     const line = encode(update);
-    for (const follower of this.followers) {
+    for (const follower of this.followers.values()) {
       if (follower.writableLength > MAX_BUFFERED_BYTES) {
         follower.destroy();
       } else {
@@ -90,6 +153,11 @@
   }
 }
 
+function end(response: ServerResponse, status: number): void {
+  response.writeHead(status);
+  response.end();
+}
+
 function encode(update: Update): string {
   return `${JSON.stringify(update)}\n`;
 }
--- a/src/fleet/store_reader.ts
+++ b/src/fleet/store_reader.ts
@@ -1,7 +1,7 @@
 /** Reads the store for this host and those that follow it. */
 
 import type {Logger} from 'pino';
-import {pauseAfter} from '../decisions/relay/index.js';
+import {pauseAfter} from '../decisions/fleet/index.js';
 import type {Offset, Store, StoreFailure} from '../platform/index.js';
 import {OPERATOR_TOPIC, UPSTREAM_TOPIC} from '../platform/index.js';
 import type {Milliseconds, Random} from '../time/index.js';
@@ -33,8 +33,10 @@
   readonly intake: RecordIntake;
   readonly random: Random;
   readonly logger: Logger;
-  /** Whether others find out first when the store is back. */
-  readonly isBehind: () => boolean;
+  /** Told of each read of upstreams that the store answers, or doesn't. */
+  readonly onRead: (isAnswered: boolean) => void;
+  /** Time until the next read of upstreams after one that failed. */
+  readonly pauseMs: () => Milliseconds;
 }
 
 export class StoreReader {
@@ -54,11 +56,6 @@
     return this.running;
   }
 
-  /** Reads in a row that failed. */
-  get failureCount(): number {
-    return this.failures;
-  }
-
   start(): void {
     if (this.running) {
       return;
@@ -104,9 +101,7 @@
         continue;
       }
       this.noteFailure('upstreams', failure);
-      await sleep(
-        pauseAfter(this.failures, this.parts.random, this.parts.isBehind()),
-      );
+      await sleep(this.parts.pauseMs());
     }
   }
 
@@ -182,7 +177,7 @@
     }
     this.failures = 0;
     this.proved = true;
-    this.parts.state.freshen();
+    this.parts.onRead(true);
   }
 
   private restartConfigurationRead(): void {
@@ -195,8 +190,7 @@
     if (this.failures === 1) {
       this.restartConfigurationRead();
     }
-    // Followers look for a host that the store still answers.
-    this.parts.state.loseSource();
+    this.parts.onRead(false);
     this.parts.logger.warn(
       {event: 'store', read, kind: failure.kind, error: failure.message},
       'cannot read the store',
--- a/src/fleet/types.ts
+++ b/src/fleet/types.ts
@@ -1,5 +1,3 @@
-import type {Peer} from '../decisions/relay/index.js';
-
 /** How far a host's state has come, as texts of a query. */
 export interface KnownState extends Record<string, string> {
   /** Version of the configuration, or empty. */
@@ -7,6 +5,3 @@
   /** Offset up to which upstreams are known, or empty. */
   readonly offset: string;
 }
-
-/** Tells of a follower that has introduced itself. */
-export type FollowerListener = (follower: Peer) => void;
--- a/src/gateway/scheduler.ts
+++ b/src/gateway/scheduler.ts
@@ -94,8 +94,8 @@
   }
 
   private fleetSize(): FleetSize {
-    const {upstreamCount: upstreams, hostCount: hosts} = this.parts.state;
-    return {upstreams, hosts};
+    const {upstreamCount: upstreams, size} = this.parts.state;
+    return {upstreams, hosts: size.estimate};
   }
 
   private hasConnection(upstream: UpstreamInService): boolean {
--- a/src/gateway/upstream_desk.ts
+++ b/src/gateway/upstream_desk.ts
@@ -120,7 +120,7 @@
    */
   hasConnection(upstream: UpstreamInService, service: ServiceProfile): boolean {
     const {pool} = this.contactOf(upstream);
-    const hosts = Math.max(1, this.parts.state.hostCount);
+    const hosts = Math.max(1, this.parts.state.size.estimate);
     const share = Math.max(
       LEAST_CONNECTIONS,
       Math.floor(service.maxConnections / hosts),
--- a/src/host/gateway_host.ts
+++ b/src/host/gateway_host.ts
@@ -25,6 +25,7 @@
   UpstreamDesk,
 } from '../gateway/index.js';
 import {LifeCycle} from '../lifecycle/index.js';
+import {DatagramPort} from '../datagrams/index.js';
 import {LoadExchange} from '../sharing/index.js';
 import type {HostSettings, Store} from '../platform/index.js';
 import type {Clock, Milliseconds, Random} from '../time/index.js';
@@ -65,6 +66,7 @@
   private readonly gateway: GatewayServer;
   private readonly readiness: ReadinessServer;
   private readonly metricsServer: MetricsServer;
+  private readonly datagrams: DatagramPort;
   private readonly loadExchange: LoadExchange;
   private readonly desk: UpstreamDesk;
   private readonly policy: PlacementPolicy;
@@ -89,6 +91,11 @@
       new MetricsServer(() => metrics.text(this.figures())),
       one => one.close(),
     );
+    this.datagrams = this.lifeCycle.own(
+      'datagrams',
+      new DatagramPort(logger),
+      one => one.close(),
+    );
     const news = new NewsBox(clock, () => this.loadExchange.wake());
     const view = new LoadView(clock, news);
     this.loadExchange = this.createLoadExchange(view, news);
@@ -117,7 +124,12 @@
     });
     this.relay = this.lifeCycle.own(
       'relay',
-      new RelayServer(this.state, follower => this.member.meet(follower)),
+      new RelayServer(this.state, {
+        sign: () => this.member.sign(),
+        admit: asker => this.member.admit(asker),
+        released: follower => this.member.released(follower),
+        others: () => this.member.others(),
+      }),
       one => one.close(),
     );
     this.member = this.createMember();
@@ -158,15 +170,14 @@
       this.relay.listen(settings.peers),
       this.metricsServer.listen(settings.metrics),
     ]);
-    this.state.identify(`${settings.peers.ip}:${peers}`);
+    const address = `${settings.peers.ip}:${peers}`;
+    await this.datagrams.bind(address);
     const ports = {callers, readiness, peers, metrics};
     logger.info({event: 'start', host: settings.host, ports}, 'listening');
     if (DEFAULT_OPTIONS.sharesView) {
-      this.loadExchange.start(this.state.address);
+      this.loadExchange.start(address);
     }
-    this.member.start().catch((error: unknown) => {
-      logger.error({error}, 'cannot join the fleet');
-    });
+    this.member.start(address);
     return ports;
   }
 
@@ -213,7 +224,7 @@
       version: state.routes.version,
       ageMs: state.ageMs,
       upstreams: state.upstreamCount,
-      hosts: state.hostCount,
+      hosts: state.size.estimate,
       inFlight: this.gateway.inFlightCount,
       looking,
     };
@@ -230,31 +241,38 @@
 
   private createMember(): FleetMember {
     const {settings, store, clock, random, logger, metrics} = this.parts;
-    const {dataCentre, firstStart} = settings;
-    const {state} = this;
+    const {dataCentre, introducers, firstStart, linkMbps} = settings;
+    const {state, datagrams} = this;
     return this.lifeCycle.own(
       'fleet member',
       new FleetMember({
         dataCentre,
+        introducers,
         firstStart,
+        linkMbps,
         store,
         state,
+        datagrams,
         clock,
         random,
         logger,
         onBadRecord: sort => metrics.countBadRecord(sort),
+        onTell: () => this.relay.tellSign(),
+        onSilent: follower => this.relay.cutOff(follower),
       }),
       one => one.close(),
     );
   }
 
   private createLoadExchange(view: LoadView, news: NewsBox): LoadExchange {
-    const {settings, clock, logger} = this.parts;
+    const {settings, clock} = this.parts;
     const {dataCentre} = settings;
-    const registered = (): readonly string[] => this.member.nearAddresses;
+    const {datagrams} = this;
+    const peers = (withinMs: Milliseconds): readonly string[] =>
+      this.member.nearHeardWithin(withinMs);
     return this.lifeCycle.own(
       'load exchange',
-      new LoadExchange({dataCentre, view, news, registered, clock, logger}),
+      new LoadExchange({dataCentre, view, news, datagrams, peers, clock}),
       one => one.close(),
     );
   }
@@ -317,7 +335,7 @@
       ratio: settings.retryRatio,
       slack: settings.retrySlack,
     };
-    return new HostRetries(clock, fleet, () => this.state.hostCount);
+    return new HostRetries(clock, fleet, () => this.state.size.settled);
   }
 
   /** One line a second that something was done in. */
--- a/src/platform/settings_file.ts
+++ b/src/platform/settings_file.ts
@@ -30,6 +30,10 @@
   readonly readiness: SocketAddress;
   /** Where hosts reach each other; the same port on every host. */
   readonly peers: SocketAddress;
+  /** Addresses of hosts that introduce others; they may be gone. */
+  readonly introducers: readonly string[];
+  /** What the host's own link carries, in Mbit/s. */
+  readonly linkMbps: number;
   readonly metrics: SocketAddress;
   readonly store: SocketAddress;
   /** Time from SIGTERM to SIGKILL. */
@@ -48,6 +52,7 @@
 const DEFAULT_RETRY_WINDOW_MS: Milliseconds = 10_000;
 const DEFAULT_RETRY_SLACK = 0;
 const DEFAULT_PROBES_PER_SECOND = 40;
+const DEFAULT_LINK_MBPS = 100;
 /** The deploy file names it too; it lies outside the ports of a day. */
 const METRICS_PORT = 9_464;
 const MAX_PORT = 65_535;
@@ -132,6 +137,8 @@
     callers: address(fields, 'network.listen.front'),
     readiness: address(fields, 'network.listen.ready'),
     peers: {ip, port: firstPort},
+    introducers: introducers(fields, firstPort),
+    linkMbps: number(fields, 'self.limits.link_mbps', DEFAULT_LINK_MBPS),
     metrics: {ip, port: METRICS_PORT},
     store: address(fields, 'platform.platform.address'),
     graceMs: duration(fields, 'terms.bounds.grace', DEFAULT_GRACE_MS),
@@ -150,6 +157,18 @@
   };
 }
 
+/**
+ * The platform names a port of its own for its seeds. Hosts meet where they
+ * reach each other anyway, on the same port everywhere.
+ */
+function introducers(fields: Fields, port: number): readonly string[] {
+  const seeds = fields.get('network.seeds')?.split(',') ?? [];
+  return seeds.flatMap(seed => {
+    const ip = parseAddress(seed.trim())?.ip;
+    return ip === undefined ? [] : [`${ip}:${port}`];
+  });
+}
+
 function required(fields: Fields, name: string): string {
   const value = fields.get(name);
   if (!value) {
--- a/src/quickstart/platform.ts
+++ b/src/quickstart/platform.ts
@@ -72,6 +72,8 @@
       callers: ANY_PORT,
       readiness: ANY_PORT,
       peers: ANY_PORT,
+      introducers: [],
+      linkMbps: 1_000,
       metrics: ANY_PORT,
       store,
       graceMs: 6_000,
--- a/src/sharing/codec.ts
+++ b/src/sharing/codec.ts
@@ -1,17 +1,11 @@
-/** Datagrams between hosts of a data centre, in MessagePack. */
+/** What hosts of a data centre tell each other of upstreams, as rows. */
 
-import {decode, encode} from '@msgpack/msgpack';
 import type {ProbeAnswer} from '../decisions/placement/index.js';
 import type {LoadNews} from '../decisions/sharing/index.js';
 import type {Milliseconds} from '../time/index.js';
 
-/** Hosts of another version are passed over. */
-const VERSION = 1;
-
-/** What one host tells another; without news it is a greeting. */
+/** What one host tells another. */
 export interface LoadMessage {
-  /** Address of the sender for other hosts. */
-  readonly from: string;
   readonly dataCentre: string;
   /** On the sender's own clock. */
   readonly sentAt: Milliseconds;
@@ -28,29 +22,26 @@
   slowness?: number,
 ];
 
-export function encodeMessage(message: LoadMessage): Uint8Array {
-  const {from, dataCentre, sentAt, news} = message;
+export function encodeMessage(message: LoadMessage): unknown {
+  const {dataCentre, sentAt, news} = message;
   const answers = news.answers.map(({answer, ageMs}) =>
     answerRow(answer, ageMs),
   );
   const sends = news.sends.map(({id, ageMs}) => [id, ageMs]);
-  return encode([VERSION, from, dataCentre, sentAt, answers, sends]);
+  return [dataCentre, sentAt, answers, sends];
 }
 
 /**
  * Undefined for what no host of this version sends. Peers run the same
  * program, so that the rows are checked for their form only.
  */
-export function decodeMessage(bytes: Uint8Array): LoadMessage | undefined {
+export function decodeMessage(body: unknown): LoadMessage | undefined {
+  if (!Array.isArray(body)) {
+    return undefined;
+  }
   try {
-    const fields = decode(bytes);
-    if (!Array.isArray(fields) || fields[0] !== VERSION) {
-      return undefined;
-    }
-    const [, from, dataCentre, sentAt, answers, sends] =
-      fields as readonly unknown[];
+    const [dataCentre, sentAt, answers, sends] = body as readonly unknown[];
     if (
-      typeof from !== 'string' ||
       typeof dataCentre !== 'string' ||
       !isTime(sentAt) ||
       !Array.isArray(answers) ||
@@ -65,9 +56,9 @@
         return {id, ageMs: checkedTime(ageMs)};
       }),
     };
-    return {from, dataCentre, sentAt, news};
+    return {dataCentre, sentAt, news};
   } catch {
-    // Not MessagePack, or rows of another form: the caller counts it.
+    // Rows of another form: the caller counts it.
     return undefined;
   }
 }
--- a/src/sharing/load_exchange.ts
+++ b/src/sharing/load_exchange.ts
@@ -10,147 +10,84 @@
  * went from 3.6 a request to 1.2 (played), near capacity from 2.6 to 1.6 (emulated).
  */
 
-import type {RemoteInfo, Socket} from 'node:dgram';
-import {createSocket} from 'node:dgram';
-import type {Logger} from 'pino';
+import type {DatagramPort} from '../datagrams/index.js';
 import type {LoadView} from '../decisions/placement/index.js';
-import type {LoadNews, NewsBox} from '../decisions/sharing/index.js';
-import {
-  DelayEstimate,
-  GREETING_INTERVAL_MS,
-  PeerCircle,
-} from '../decisions/sharing/index.js';
-import {parseAddress} from '../platform/index.js';
+import type {NewsBox} from '../decisions/sharing/index.js';
+import {DelayEstimate, audienceOf} from '../decisions/sharing/index.js';
 import type {Clock, Milliseconds} from '../time/index.js';
 import {decodeMessage, encodeMessage} from './codec.js';
 
+/** Kind of the datagrams that tell of loads. */
+const LOADS = 'loads';
 /**
  * News are collected for this time: a fifth of the time for which a report is
  * used, and 250 datagrams a second to each peer at most.
  */
 const BATCH_MS: Milliseconds = 4;
-const NO_NEWS: LoadNews = {answers: [], sends: []};
+/**
+ * A host of which nothing was heard for this time may be dead, frozen or cut off:
+ * hosts hear of each other's lives each few seconds.
+ */
+const SILENT_MS: Milliseconds = 10_000;
 
 export interface LoadExchangeParts {
   readonly dataCentre: string;
   readonly view: LoadView;
   readonly news: NewsBox;
-  /** Hosts of the data centre that have registered. */
-  readonly registered: () => readonly string[];
+  readonly datagrams: DatagramPort;
+  /** Hosts of the data centre that were heard of within a time. */
+  readonly peers: (withinMs: Milliseconds) => readonly string[];
   readonly clock: Clock;
-  readonly logger: Logger;
 }
 
 export class LoadExchange {
-  private readonly socket: Socket;
   private readonly delays = new Map<string, DelayEstimate>();
-  private circle: PeerCircle | undefined;
-  private address = '';
-  private batchTimer: NodeJS.Timeout | undefined;
-  private greetingTimer: NodeJS.Timeout | undefined;
-  private refused = 0;
-  private closed = false;
+  private address: string | undefined;
+  private timer: NodeJS.Timeout | undefined;
 
   constructor(private readonly parts: LoadExchangeParts) {
-    this.socket = createSocket('udp4');
-    this.socket.on('message', (bytes, origin) => this.take(bytes, origin));
-    this.socket.on('error', error => this.fail(error));
+    parts.datagrams.handle(LOADS, (from, body) => this.take(from, body));
   }
 
-  /** @param address of this host for others, also for datagrams */
+  /** @param address of this host for others */
   start(address: string): void {
-    const own = parseAddress(address);
-    if (!own) {
-      return;
-    }
     this.address = address;
-    this.socket.bind(own.port, own.ip, () => {
-      if (this.closed) {
-        return;
-      }
-      this.circle = new PeerCircle(address, this.parts.clock);
-      this.greetingTimer = setInterval(
-        () => this.greet(),
-        GREETING_INTERVAL_MS,
-      );
-      this.greetingTimer.unref();
-      this.greet();
-    });
+    // What came before is told from now on.
+    this.wake();
   }
 
   /** There is something to tell. */
   wake(): void {
-    if (this.circle) {
-      this.batchTimer ??= setTimeout(() => this.tell(), BATCH_MS);
+    if (this.address !== undefined) {
+      this.timer ??= setTimeout(() => this.tell(), BATCH_MS);
     }
   }
 
   close(): void {
-    this.closed = true;
-    clearTimeout(this.batchTimer);
-    clearInterval(this.greetingTimer);
-    this.circle = undefined;
-    this.socket.close();
+    this.address = undefined;
+    clearTimeout(this.timer);
   }
 
   private tell(): void {
-    this.batchTimer = undefined;
-    this.send(this.circle?.audience ?? [], this.parts.news.take());
-  }
-
-  private greet(): void {
-    this.circle?.learn(this.parts.registered());
-    this.send(this.circle?.everybody ?? [], NO_NEWS);
-    // What came before the socket was bound is told from now on.
-    this.wake();
-    if (this.refused > 0) {
-      this.parts.logger.warn(
-        {event: 'sharing', refused: this.refused},
-        'datagrams that no host of this version sends',
-      );
-      this.refused = 0;
-    }
+    const {datagrams, dataCentre, clock, news, peers} = this.parts;
+    this.timer = undefined;
+    const audience = audienceOf(this.address ?? '', peers(SILENT_MS));
+    const message = {dataCentre, sentAt: clock.now(), news: news.take()};
+    datagrams.send(LOADS, encodeMessage(message), audience);
   }
 
-  private send(addresses: readonly string[], news: LoadNews): void {
-    if (addresses.length === 0) {
-      return;
+  private take(from: string, body: unknown): boolean {
+    const message = decodeMessage(body);
+    if (!message) {
+      return false;
     }
-    const bytes = encodeMessage({
-      from: this.address,
-      dataCentre: this.parts.dataCentre,
-      sentAt: this.parts.clock.now(),
-      news,
-    });
-    for (const address of addresses) {
-      const peer = parseAddress(address);
-      if (peer) {
-        this.socket.send(bytes, peer.port, peer.ip, error => {
-          if (error) {
-            // A host that has ended: it greets when it is back.
-            this.parts.logger.debug(
-              {event: 'sharing', peer: address, error: error.message},
-              'cannot tell a peer',
-            );
-          }
-        });
-      }
+    const {dataCentre, sentAt, news} = message;
+    if (dataCentre === this.parts.dataCentre && from !== this.address) {
+      const now = this.parts.clock.now();
+      const delayMs = this.delayOf(from).observe(sentAt, now);
+      this.parts.view.hear(news, delayMs);
     }
-  }
-
-  private take(bytes: Buffer, origin: RemoteInfo): void {
-    const message = decodeMessage(bytes);
-    if (!message || parseAddress(message.from)?.ip !== origin.address) {
-      this.refused += 1;
-      return;
-    }
-    const {from, dataCentre, sentAt, news} = message;
-    if (dataCentre !== this.parts.dataCentre || from === this.address) {
-      return;
-    }
-    this.circle?.heard(from);
-    const delayMs = this.delayOf(from).observe(sentAt, this.parts.clock.now());
-    this.parts.view.hear(news, delayMs);
+    return true;
   }
 
   private delayOf(peer: string): DelayEstimate {
@@ -162,11 +99,4 @@
     this.delays.set(peer, estimate);
     return estimate;
   }
-
-  private fail(error: Error): void {
-    this.parts.logger.warn(
-      {event: 'sharing', error: error.message},
-      'load is not shared: this host asks upstreams alone',
-    );
-  }
 }
--- a/tests/attempts.test.ts
+++ b/tests/attempts.test.ts
@@ -2,7 +2,7 @@
 import {expect, test} from 'vitest';
 import type {AttemptEnd} from '../src/decisions/attempts/index.js';
 import {AttemptRecord} from '../src/decisions/attempts/index.js';
-import {pauseAfter} from '../src/decisions/relay/index.js';
+import {pauseAfter} from '../src/decisions/fleet/index.js';
 import {planStop} from '../src/decisions/stopping/index.js';
 import {chooseRetryAfter} from '../src/decisions/scheduling/index.js';
 import {seededRandom} from '../src/time/index.js';
--- a/tests/fleet.test.ts
+++ b/tests/fleet.test.ts
@@ -66,6 +66,22 @@
   expect(system.storeServer.calls.get('/api/log-append')).toBe(registered);
 });
 
+test('a host that starts again beside another makes no call to the store', async () => {
+  // Half of the hosts lose power and return. Each call that they make then is
+  // paid for, and others know all that they need.
+  await system.startReadyHost();
+  const second = await system.startReadyHost();
+  await second.host.stopNow();
+  const before = new Map(system.storeServer.calls);
+  const {peers} = second.ports;
+  const again = await system.startHost('east', {peers, firstStart: false});
+  await until(() => serves(2, '/lookup/1'));
+  expect(again.host.isReader).toBe(false);
+  for (const call of ['/api/log-append', '/api/log-newest']) {
+    expect(system.storeServer.calls.get(call)).toBe(before.get(call));
+  }
+});
+
 test('a change reaches those that follow', async () => {
   await system.startReadyHost();
   await system.startReadyHost();
--- /dev/null
+++ b/tests/support/fleet_simulation.ts
@@ -0,0 +1,522 @@
+/**
+ * Hosts of a fleet in simulated time: their decisions, with datagrams, streams
+ * and a store between them that can be lost, cut, frozen and turned away.
+ */
+
+import TinyQueue from 'tinyqueue';
+import type {
+  NodeAction,
+  Peer,
+  PeerStatus,
+  SignOfLife,
+} from '../../src/decisions/fleet/index.js';
+import {
+  FleetNode,
+  FleetSize,
+  Freshness,
+} from '../../src/decisions/fleet/index.js';
+import type {Milliseconds, Random} from '../../src/time/index.js';
+import {ManualClock, seededRandom} from '../../src/time/index.js';
+
+const TICK_MS = 50;
+const SIGN_MS = 200;
+const SILENCE_MS = 700;
+const STORE_MS = 5;
+const STORE_WAIT_MS = 900;
+const STORE_GATHER_MS = 250;
+const NEAR_MS = 1;
+const FAR_MS = 2;
+const START_SPREAD_MS = 300;
+
+interface Due {
+  readonly at: Milliseconds;
+  readonly number: number;
+  readonly run: () => void;
+}
+
+interface Stream {
+  readonly follower: SimulatedHost;
+  readonly leader: SimulatedHost;
+  heardAt: Milliseconds;
+  closed: boolean;
+}
+
+export class SimulatedHost {
+  node!: FleetNode;
+  freshness!: Freshness;
+  size!: FleetSize;
+  /** Newest change that it knows of. */
+  known = 0;
+  alive = false;
+  frozenUntil = 0;
+  life = 0;
+  stream: Stream | undefined;
+  readonly streams = new Set<Stream>();
+  isTurnedAway = false;
+  calls = 0;
+  datagrams = 0;
+
+  constructor(readonly peer: Peer) {}
+
+  get address(): string {
+    return this.peer.address;
+  }
+}
+
+export interface SimulationOptions {
+  readonly hosts: number;
+  readonly dataCentres: number;
+  readonly introducers?: number;
+  readonly seed?: number;
+  /** Share of datagrams that are lost. */
+  readonly loss?: number;
+}
+
+export class FleetSimulation {
+  readonly clock = new ManualClock(0);
+  readonly hosts: SimulatedHost[] = [];
+  /** Newest change at the store, and when it was made. */
+  newest = 1;
+  changedAt: Milliseconds = 0;
+  isStoreDown = false;
+  /** Hosts that the store lists. */
+  readonly listed = new Map<string, Peer>();
+  private readonly random: Random;
+  private readonly queue = new TinyQueue<Due>([], (a, b) =>
+    a.at === b.at ? a.number - b.number : a.at - b.at,
+  );
+  private readonly waiting = new Set<() => void>();
+  private readonly cuts: ((a: SimulatedHost, b: SimulatedHost) => boolean)[] =
+    [];
+  private number = 0;
+  private readonly byAddress = new Map<string, SimulatedHost>();
+
+  constructor(private readonly options: SimulationOptions) {
+    this.random = seededRandom(options.seed ?? 1);
+    for (let i = 0; i < options.hosts; i += 1) {
+      const dataCentre = `dc-${i % options.dataCentres}`;
+      const host = new SimulatedHost({
+        address: `10.0.${Math.floor(i / 200)}.${(i % 200) + 1}:7000`,
+        dataCentre,
+      });
+      this.hosts.push(host);
+      this.byAddress.set(host.address, host);
+    }
+  }
+
+  get live(): readonly SimulatedHost[] {
+    return this.hosts.filter(({alive}) => alive);
+  }
+
+  get roots(): readonly SimulatedHost[] {
+    return this.live.filter(({node}) => node.isRoot);
+  }
+
+  get callCount(): number {
+    return this.hosts.reduce((sum, {calls}) => sum + calls, 0);
+  }
+
+  get datagramCount(): number {
+    return this.hosts.reduce((sum, {datagrams}) => sum + datagrams, 0);
+  }
+
+  /** Starts hosts within some 300 ms, as the platform does. */
+  start(
+    firstStart: boolean,
+    hosts: readonly SimulatedHost[] = this.hosts,
+  ): void {
+    for (const host of hosts) {
+      this.after(this.random() * START_SPREAD_MS, () =>
+        this.startHost(host, firstStart),
+      );
+    }
+  }
+
+  run(ms: Milliseconds): void {
+    const end = this.clock.now() + ms;
+    for (;;) {
+      const next = this.queue.peek();
+      if (!next || next.at > end) {
+        break;
+      }
+      this.queue.pop();
+      this.clock.set(Math.max(this.clock.now(), next.at));
+      next.run();
+    }
+    this.clock.set(end);
+  }
+
+  /** The operator or an upstream changes something. */
+  change(): void {
+    this.newest += 1;
+    this.changedAt = this.clock.now();
+    [...this.waiting].forEach(wake => wake());
+  }
+
+  /** @param silent without a word, as a host that loses power */
+  kill(host: SimulatedHost, silent: boolean): void {
+    host.alive = false;
+    host.life += 1;
+    for (const stream of [...host.streams]) {
+      this.closeStream(stream, !silent, 'leader');
+    }
+    if (host.stream) {
+      this.closeStream(host.stream, !silent, 'follower');
+    }
+  }
+
+  freeze(host: SimulatedHost, ms: Milliseconds): void {
+    host.frozenUntil = this.clock.now() + ms;
+  }
+
+  /** @returns ends the cut */
+  cut(parts: (a: SimulatedHost, b: SimulatedHost) => boolean): () => void {
+    this.cuts.push(parts);
+    return () => this.cuts.splice(this.cuts.indexOf(parts), 1);
+  }
+
+  private startHost(host: SimulatedHost, firstStart: boolean): void {
+    if (host.alive) {
+      return;
+    }
+    const introducers = this.hosts
+      .slice(0, this.options.introducers ?? 3)
+      .map(({address}) => address);
+    host.alive = true;
+    host.life += 1;
+    host.known = 0;
+    host.stream = undefined;
+    host.streams.clear();
+    host.freshness = new Freshness(this.clock);
+    host.size = new FleetSize(this.clock);
+    host.node = new FleetNode({
+      self: host.peer,
+      incarnation: host.life,
+      introducers,
+      firstStart,
+      mostFollowers: 8,
+      freshness: host.freshness,
+      size: host.size,
+      clock: this.clock,
+      random: this.random,
+    });
+    const {life} = host;
+    this.every(host, life, TICK_MS, () => {
+      this.watchStream(host);
+      host.node.followers.silent.forEach(address => {
+        for (const stream of host.streams) {
+          if (stream.follower.address === address) {
+            this.closeStream(stream, true, 'leader');
+          }
+        }
+      });
+      this.carryOut(host, host.node.tick());
+    });
+    this.every(host, life, SIGN_MS, () => this.tellSigns(host));
+  }
+
+  private every(
+    host: SimulatedHost,
+    life: number,
+    ms: Milliseconds,
+    action: () => void,
+  ): void {
+    const next = (): void => {
+      if (!host.alive || host.life !== life) {
+        return;
+      }
+      const wakesIn = host.frozenUntil - this.clock.now();
+      if (wakesIn > 0) {
+        this.after(wakesIn, next);
+        return;
+      }
+      action();
+      this.after(ms, next);
+    };
+    this.after(ms * this.random(), next);
+  }
+
+  private carryOut(host: SimulatedHost, actions: readonly NodeAction[]): void {
+    for (const action of actions) {
+      switch (action.kind) {
+        case 'greet':
+          action.to.forEach(address =>
+            this.greet(host, address, action.wantsReply, action.stranger),
+          );
+          break;
+        case 'follow':
+          this.follow(host, action.address);
+          break;
+        case 'unfollow':
+          if (host.stream) {
+            this.closeStream(host.stream, true, 'follower');
+          }
+          break;
+        case 'read':
+          this.read(host, host.life);
+          break;
+        case 'stop-reading':
+          break;
+        case 'list':
+          this.list(host);
+          break;
+        case 'register':
+          host.calls += 1;
+          if (this.isServed(host)) {
+            this.listed.set(host.address, host.peer);
+          } else {
+            host.node.registerFailed();
+          }
+          break;
+        case 'tell':
+          this.tellSigns(host);
+          break;
+        default:
+          action satisfies never;
+      }
+    }
+  }
+
+  private greet(
+    from: SimulatedHost,
+    address: string,
+    wantsReply: boolean,
+    stranger?: PeerStatus,
+  ): void {
+    from.datagrams += 1;
+    const to = this.byAddress.get(address);
+    if (!to || this.random() < (this.options.loss ?? 0)) {
+      return;
+    }
+    const greeting = {
+      from: from.node.status,
+      wantsReply,
+      sample: from.node.sampleFor(to.address),
+      stranger,
+    };
+    this.deliver(from, to, () => {
+      this.carryOut(to, to.node.greeted(greeting));
+      if (wantsReply) {
+        this.greet(to, from.address, false);
+      }
+    });
+  }
+
+  /** Runs at a host once a message reaches it, if it does. */
+  private deliver(
+    from: SimulatedHost,
+    to: SimulatedHost,
+    run: () => void,
+  ): void {
+    if (this.isCut(from, to)) {
+      return;
+    }
+    this.after(this.delay(from, to), () => this.whenAwake(to, run));
+  }
+
+  private whenAwake(host: SimulatedHost, run: () => void): void {
+    const wakesIn = host.frozenUntil - this.clock.now();
+    if (wakesIn > 0) {
+      this.after(wakesIn, () => this.whenAwake(host, run));
+    } else if (host.alive) {
+      run();
+    }
+  }
+
+  private follow(follower: SimulatedHost, address: string): void {
+    const leader = this.byAddress.get(address);
+    if (!leader) {
+      throw new Error(`nobody has the address ${address}`);
+    }
+    const heardAt = this.clock.now();
+    const stream: Stream = {follower, leader, heardAt, closed: false};
+    follower.stream = stream;
+    if (!leader.alive && !this.isCut(follower, leader)) {
+      const back = this.delay(follower, leader) * 2;
+      // Nobody listens there, or nobody is there at all.
+      if (leader.life % 2 === 0) {
+        this.after(back, () => this.endAt(stream, 'unreachable'));
+      }
+      return;
+    }
+    this.deliver(follower, leader, () => {
+      if (stream.closed) {
+        return;
+      }
+      const asker = {...follower.peer, avoid: follower.node.unreachable};
+      const admission = leader.node.admit(asker);
+      if (admission.kind === 'accept') {
+        leader.streams.add(stream);
+        this.tellSign(stream);
+        return;
+      }
+      this.deliver(leader, follower, () => {
+        if (stream.closed || follower.stream !== stream) {
+          return;
+        }
+        if (admission.kind === 'redirect') {
+          stream.closed = true;
+          follower.stream = undefined;
+          const {peers} = admission;
+          this.carryOut(follower, follower.node.redirected(peers));
+        } else {
+          this.endAt(stream, 'stale');
+        }
+      });
+    });
+  }
+
+  private tellSigns(host: SimulatedHost): void {
+    host.streams.forEach(stream => this.tellSign(stream));
+  }
+
+  private tellSign(stream: Stream): void {
+    const {leader, follower} = stream;
+    const sign = leader.node.signOfLife(leader.known);
+    const {known} = leader;
+    this.deliver(leader, follower, () => this.hear(stream, sign, known));
+  }
+
+  private hear(stream: Stream, sign: SignOfLife, known: number): void {
+    const {follower} = stream;
+    if (stream.closed || follower.stream !== stream) {
+      return;
+    }
+    stream.heardAt = this.clock.now();
+    this.learn(follower, known);
+    this.carryOut(follower, follower.node.heard(sign));
+  }
+
+  private learn(host: SimulatedHost, known: number): void {
+    if (known > host.known) {
+      host.known = known;
+      this.tellSigns(host);
+    }
+  }
+
+  private watchStream(host: SimulatedHost): void {
+    const {stream} = host;
+    if (stream && this.clock.now() - stream.heardAt > SILENCE_MS) {
+      this.endAt(stream, 'unreachable');
+    }
+  }
+
+  /** A follower finds that its stream has ended. */
+  private endAt(stream: Stream, fault: 'unreachable' | 'stale'): void {
+    const {follower, leader} = stream;
+    if (stream.closed || follower.stream !== stream) {
+      return;
+    }
+    stream.closed = true;
+    follower.stream = undefined;
+    this.deliver(follower, leader, () => this.releaseAt(stream));
+    this.carryOut(follower, follower.node.ended(fault));
+  }
+
+  private releaseAt(stream: Stream): void {
+    const {leader, follower} = stream;
+    leader.streams.delete(stream);
+    const isBack = [...leader.streams].some(one => one.follower === follower);
+    if (!isBack) {
+      leader.node.followers.release(follower.address);
+    }
+  }
+
+  /** One end closes; the other hears of it if anything reaches it. */
+  private closeStream(
+    stream: Stream,
+    isTold: boolean,
+    by: 'leader' | 'follower',
+  ): void {
+    const {leader, follower} = stream;
+    if (by === 'leader') {
+      this.releaseAt(stream);
+      if (isTold && !this.isCut(leader, follower)) {
+        const wayMs = this.delay(leader, follower);
+        this.after(wayMs, () =>
+          this.whenAwake(follower, () => this.endAt(stream, 'unreachable')),
+        );
+      }
+      return;
+    }
+    stream.closed = true;
+    follower.stream = undefined;
+    if (isTold && !this.isCut(follower, leader)) {
+      const wayMs = this.delay(follower, leader);
+      this.after(wayMs, () =>
+        this.whenAwake(leader, () => this.releaseAt(stream)),
+      );
+    }
+  }
+
+  private read(host: SimulatedHost, life: number): void {
+    const isCurrent = (): boolean =>
+      host.alive && host.life === life && host.node.isReading;
+    if (!isCurrent()) {
+      return;
+    }
+    host.calls += 1;
+    let done = false;
+    const finish = (): void => {
+      if (done) {
+        return;
+      }
+      done = true;
+      this.waiting.delete(finish);
+      this.after(STORE_MS, () =>
+        this.whenAwake(host, () => {
+          if (!isCurrent()) {
+            return;
+          }
+          if (!this.isServed(host)) {
+            this.carryOut(host, host.node.storeFailed());
+            this.after(host.node.readPauseMs, () => this.read(host, life));
+            return;
+          }
+          this.learn(host, this.newest);
+          this.carryOut(host, host.node.storeAnswered());
+          this.after(STORE_GATHER_MS, () => this.read(host, life));
+        }),
+      );
+    };
+    const hasNews = host.known < this.newest || !host.node.isRoot;
+    if (hasNews || !this.isServed(host)) {
+      finish();
+      return;
+    }
+    this.waiting.add(finish);
+    this.after(STORE_WAIT_MS, finish);
+  }
+
+  private list(host: SimulatedHost): void {
+    host.calls += 1;
+    const {life} = host;
+    this.after(STORE_MS, () => {
+      if (host.alive && host.life === life) {
+        const peers = this.isServed(host)
+          ? [...this.listed.values()]
+          : undefined;
+        this.carryOut(host, host.node.listed(peers));
+      }
+    });
+  }
+
+  private isServed(host: SimulatedHost): boolean {
+    return !this.isStoreDown && !host.isTurnedAway;
+  }
+
+  private isCut(a: SimulatedHost, b: SimulatedHost): boolean {
+    return this.cuts.some(parts => parts(a, b));
+  }
+
+  private delay(a: SimulatedHost, b: SimulatedHost): Milliseconds {
+    const isNear = a.peer.dataCentre === b.peer.dataCentre;
+    return (isNear ? NEAR_MS : FAR_MS) * (0.5 + this.random());
+  }
+
+  private after(ms: Milliseconds, run: () => void): void {
+    this.number += 1;
+    const at = this.clock.now() + ms;
+    this.queue.push({at, number: this.number, run});
+  }
+}
