--- a/src/decisions/fleet/fleet_node.ts
+++ b/src/decisions/fleet/fleet_node.ts
@@ -198,7 +198,6 @@
   /** Lets what is due happen; call it every few tens of milliseconds. */
   tick(): readonly NodeAction[] {
     const now = this.parts.clock.now();
-    this.leaveIfStale();
     this.tellLossIfDue(now);
     this.readIfDue(now);
     this.listIfDue(now);
@@ -480,13 +479,6 @@
     }
   }
 
-  private leaveIfStale(): void {
-    const {freshness} = this.parts;
-    if (this.hasFreshParent && freshness.ageMs > STALE_NEWS_MS) {
-      this.leave('stale');
-    }
-  }
-
   private readIfDue(now: Milliseconds): void {
     if (!this.reading && now >= this.readAt) {
       this.readAt = Infinity;
--- a/tests/fleet_node.test.ts
+++ b/tests/fleet_node.test.ts
@@ -289,6 +289,23 @@
   expect(node.admit(asker(9)).kind).toBe('refuse');
 });
 
+test('a host far from the reader asks the store itself, in the end', () => {
+  // The store turns away the reader and all who would take its place. Only hosts
+  // further away can find out that it serves them, and nobody would hear of a
+  // change until one of them asks.
+  const node = following();
+  node.heard(sign({reader: undefined, hosts: 300}));
+  expect(kinds(tickFor(node, 2_900))).not.toContain('read');
+  expect(kinds(tickFor(node, 61_000))).toContain('read');
+});
+
+test('old news of the host that is followed are no source', () => {
+  // The reader is frozen. Its followers go on telling signs of life.
+  const node = following();
+  node.heard(sign({ageMs: 2_000}));
+  expect(node.hasFreshParent).toBe(false);
+});
+
 test('followers of a reader that is lost read in turn', () => {
   const heirs = [peer(8).address, peer(9).address, SELF.address];
   const node = following();
