Hosts without a source look each 10 ms; introducers that start again read together

Cause: after a loss of all hosts each step of finding a source waited for the next tick of 50 ms, and the second and third introducer for the first.

--- a/src/decisions/fleet/constants.ts
+++ b/src/decisions/fleet/constants.ts
@@ -28,7 +28,11 @@
 export const EAGER_ROUNDS = 10;
 /** Hosts asked in a round: with half of them dead, one in 256 finds nobody. */
 export const SEARCH_WIDTH = 8;
-/** Time for answers after the first: the one nearest to the reader is best. */
+/**
+ * Time for answers after the first: the one nearest to the reader is best. One
+ * nearby that has no more than this many hosts before it is taken at once.
+ */
+export const GOOD_DEPTH = 1;
 export const CHOICE_MS: Milliseconds = 15;
 /**
  * Time for hosts of the data centre to answer before one elsewhere is followed:
@@ -79,7 +83,7 @@
 export const FIRST_START_PATIENCE_MS: Milliseconds = 4_000;
 /** The introducers read one after the other when all start, ... */
 export const FIRST_INTRODUCER_DELAY_MS: Milliseconds = 300;
-/** ... and sooner when they start again: others may be waiting for them. */
+/** ... and together when they start again: others may be waiting for them. */
 export const INTRODUCER_DELAY_MS: Milliseconds = 60;
 /** Time after which a host that nobody has answered asks the store's list. */
 export const LIST_DELAY_MS: Milliseconds = 300;
--- a/src/decisions/fleet/fleet_node.ts
+++ b/src/decisions/fleet/fleet_node.ts
@@ -265,7 +265,8 @@
       : {kind: 'refuse'};
   }
 
-  private get hasSource(): boolean {
+  /** Whether this host's news come from the store now. */
+  get hasSource(): boolean {
     return this.sourcelessSince === undefined;
   }
 
--- a/src/decisions/fleet/reading_duty.ts
+++ b/src/decisions/fleet/reading_duty.ts
@@ -133,7 +133,7 @@
       // Introducers that start again first ask each other.
       return firstStart
         ? FIRST_INTRODUCER_DELAY_MS * rank
-        : INTRODUCER_DELAY_MS * (rank + 1);
+        : INTRODUCER_DELAY_MS;
     }
     const patience = firstStart ? FIRST_START_PATIENCE_MS : START_PATIENCE_MS;
     return patience * (1 + random());
--- a/src/decisions/fleet/source_search.ts
+++ b/src/decisions/fleet/source_search.ts
@@ -10,6 +10,7 @@
   CHOICE_MS,
   EAGER_ROUNDS,
   FAR_PATIENCE_MS,
+  GOOD_DEPTH,
   PATIENT_SEARCH_MS,
   SEARCH_MS,
   SEARCH_WIDTH,
@@ -76,8 +77,10 @@
   /** A host that could be followed has answered. */
   answered(status: PeerStatus): void {
     this.answers.push(status);
-    const soon = this.clock.now() + CHOICE_MS;
-    this.chooseAt = Math.min(this.chooseAt, soon);
+    const isNear = status.dataCentre === this.self.dataCentre;
+    const isGood = isNear && status.path.length <= GOOD_DEPTH;
+    const waitMs = isGood ? 0 : CHOICE_MS;
+    this.chooseAt = Math.min(this.chooseAt, this.clock.now() + waitMs);
   }
 
   /** @param knowsNear whether hosts of the own data centre may answer yet */
--- a/src/fleet/fleet_member.ts
+++ b/src/fleet/fleet_member.ts
@@ -25,6 +25,8 @@
 
 /** How often what is due is looked at. */
 const TICK_MS: Milliseconds = 50;
+/** The same while callers may be waiting for this host to find a source. */
+const EAGER_TICK_MS: Milliseconds = 10;
 /** Kind of the datagrams in which hosts tell of themselves. */
 const GREETING = 'greeting';
 const INCARNATIONS = 2 ** 31;
@@ -126,23 +128,25 @@
       clock,
       random,
     });
-    this.timer = setInterval(() => this.tick(), TICK_MS);
     this.tick();
   }
 
   close(): void {
     this.closed = true;
-    clearInterval(this.timer);
+    clearTimeout(this.timer);
     this.client?.close();
     this.reader.stop();
   }
 
   private tick(): void {
     const {node} = this;
-    if (node) {
-      node.followers.silent.forEach(this.parts.onSilent);
-      this.carryOut(node.tick());
+    if (!node || this.closed) {
+      return;
     }
+    node.followers.silent.forEach(this.parts.onSilent);
+    this.carryOut(node.tick());
+    const inMs = node.hasSource ? TICK_MS : EAGER_TICK_MS;
+    this.timer = setTimeout(() => this.tick(), inMs);
   }
 
   private carryOut(actions: readonly NodeAction[] = []): void {
--- a/src/fleet/relay_server.ts
+++ b/src/fleet/relay_server.ts
@@ -19,8 +19,11 @@
 const ALIVE_INTERVAL_MS: Milliseconds = 200;
 /** A follower that doesn't read is cut off rather than buffered for. */
 const MAX_BUFFERED_BYTES = 4 * 1024 * 1024;
-/** Connections at once: followers, and those who ask and are sent elsewhere. */
-const MOST_CONNECTIONS = 128;
+/**
+ * Connections at once: followers, and those who ask and are sent elsewhere. When
+ * hundreds of hosts start together, they all ask the same three.
+ */
+const MOST_CONNECTIONS = 512;
 
 const BAD_REQUEST = 400;
 const NO_SOURCE = 503;
--- a/tests/fleet_node.test.ts
+++ b/tests/fleet_node.test.ts
@@ -102,9 +102,9 @@
 /** A host that follows peer 2, which follows the reader, peer 1. */
 function following(): FleetNode {
   const node = createNode([peer(2).address]);
-  node.greeted({from: status(2), wantsReply: false, sample: []});
-  const actions = tickFor(node, 80);
-  expect(followedOf(actions)).toContain(peer(2).address);
+  const from = status(2);
+  const actions = node.greeted({from, wantsReply: false, sample: []});
+  expect(followedOf(actions)).toEqual([peer(2).address]);
   node.heard(sign());
   expect(node.hasFreshParent).toBe(true);
   return node;
@@ -258,9 +258,12 @@
 test('the one nearest to the reader is followed', () => {
   const node = createNode([peer(1).address]);
   const far = status(3, {path: [peer(1).address, peer(2).address]});
-  node.greeted({from: far, wantsReply: false, sample: []});
-  node.greeted({from: status(2), wantsReply: false, sample: []});
-  expect(followedOf(tickFor(node, 50))).toContain(peer(2).address);
+  const actions = [far, status(2)].flatMap(from =>
+    node.greeted({from, wantsReply: false, sample: []}),
+  );
+  expect(followedOf([...actions, ...tickFor(node, 50)])).toEqual([
+    peer(2).address,
+  ]);
 });
 
 test('nobody is followed who has no source, old news, or hears by this host', () => {
