--- a/src/decisions/fleet/fleet_node.ts
+++ b/src/decisions/fleet/fleet_node.ts
@@ -12,7 +12,7 @@
  */
 
 import type {Clock, Milliseconds, Random} from '../../time/index.js';
-import {JOIN_MS, LOSS_GRACE_MS, STALE_NEWS_MS} from './constants.js';
+import {LOSS_GRACE_MS, STALE_NEWS_MS} from './constants.js';
 import type {FleetSize} from './fleet_size.js';
 import {FollowerSlots} from './follower_slots.js';
 import type {Freshness} from './freshness.js';
@@ -37,8 +37,8 @@
   SignOfLife,
 } from './types.js';
 
-/** Hosts told of it by one that has just begun to read for them. */
-const TOLD_OF_READER = 4;
+/** Hosts of the store's list that are asked at once. */
+const MOST_LISTED = 4;
 /**
  * Time for which a host waits with the one that it follows for its source before
  * it takes another that it happens to hear of.
@@ -68,7 +68,7 @@
   readonly duty: ReadingDuty;
   readonly suspensions: Suspensions;
   private readonly signs: Signs;
-  private readonly listing: StoreListing;
+  readonly listing: StoreListing;
   private readonly search: SourceSearch;
   private sourcelessSince: Milliseconds | undefined;
   private actions: NodeAction[] = [];
@@ -123,9 +123,11 @@
   /** Lets what is due happen; call it every few tens of milliseconds. */
   tick(): readonly NodeAction[] {
     this.suspensions.prune();
-    this.tellLossIfDue();
-    this.readIfDue();
-    this.askStoreIfDue();
+    const {sourcelessSince = Infinity} = this;
+    if (this.parts.clock.now() - sourcelessSince >= LOSS_GRACE_MS) {
+      this.tellLoss();
+    }
+    this.useStoreIfDue();
     this.searchIfDue();
     this.actions.push(...this.talk.exchange());
     const {followed} = this.position;
@@ -167,7 +169,7 @@
       return this.flush();
     }
     this.position.learn(sign);
-    this.learnSize(sign);
+    this.parts.size.learn(sign);
     if (isFresh) {
       this.takeNews(followed, ageMs, reader);
     } else {
@@ -217,8 +219,7 @@
     freshness.renew(clock.now(), self.address);
     size.observe(this.followers.below);
     if (isNews) {
-      this.announce(former);
-      this.actions.push({kind: 'tell'}, ...this.talk.tellAskers());
+      this.actions.push({kind: 'tell'}, ...this.talk.announce(former));
     }
     return this.flush();
   }
@@ -241,7 +242,7 @@
       .filter(address => address !== self.address);
     if (others.length > 0) {
       this.search.introduce(others);
-      const asked = pick(others, TOLD_OF_READER, random);
+      const asked = pick(others, MOST_LISTED, random);
       this.actions.push(...this.talk.greet(asked, true));
     } else if (!this.hasSource) {
       this.duty.hurry();
@@ -253,11 +254,6 @@
     return this.flush();
   }
 
-  /** This host could not be written to the store's list. */
-  registerFailed(): void {
-    this.listing.noteFailure();
-  }
-
   /** Whether a host that asks may follow this one. */
   admit(asker: Asker): Admission {
     return this.hasSource
@@ -317,14 +313,6 @@
       : this.hasFreshParent && isBetterSource(self, this.position, peer);
   }
 
-  private learnSize({hosts, isCounted}: SignOfLife): void {
-    const {size} = this.parts;
-    size.observe(hosts);
-    if (isCounted) {
-      size.settle(JOIN_MS);
-    }
-  }
-
   private takeNews(
     followed: Followed,
     ageMs: Milliseconds,
@@ -347,24 +335,21 @@
     this.duty.stop();
   }
 
-  private readIfDue(): void {
-    const {followed} = this.position;
+  /** Reads, lists and registers when each is due. */
+  private useStoreIfDue(): void {
+    const {duty, listing, position, talk} = this;
+    const {followed, followsFar} = position;
     // One that was just asked is about to tell whether it has news.
     const awaitsAnswer = followed !== undefined && !followed.proved;
-    if (this.duty.isDue && !this.hasSource && !awaitsAnswer) {
-      this.duty.begin();
+    if (duty.isDue && !this.hasSource && !awaitsAnswer) {
+      duty.begin();
       this.actions.push({kind: 'read'});
     }
-  }
-
-  private askStoreIfDue(): void {
-    const isAlone = this.talk.view.size === 0;
-    const needsOthers = this.isRoot || !this.duty.isReading;
-    if (this.listing.takeListing(isAlone && needsOthers)) {
+    const needsOthers = this.isRoot || !duty.isReading;
+    if (listing.takeListing(talk.view.size === 0 && needsOthers)) {
       this.actions.push({kind: 'list'});
     }
-    const isPlaced = this.isRoot || this.position.followsFar;
-    if (this.listing.takeRegistration(isPlaced)) {
+    if (listing.takeRegistration(this.isRoot || followsFar)) {
       this.actions.push({kind: 'register'});
     }
   }
@@ -435,13 +420,6 @@
     }
   }
 
-  private tellLossIfDue(): void {
-    const {sourcelessSince = Infinity} = this;
-    if (this.parts.clock.now() - sourcelessSince >= LOSS_GRACE_MS) {
-      this.tellLoss();
-    }
-  }
-
   /** What followers know no longer comes from anywhere. */
   private tellLoss(): void {
     const {freshness} = this.parts;
@@ -451,14 +429,6 @@
     }
   }
 
-  /** The store answers this host: those that may wait for it hear at once. */
-  private announce(former: readonly string[]): void {
-    const {near, far} = this.talk.view;
-    const known = pick([...near, ...far], TOLD_OF_READER, this.parts.random);
-    const told = [...former, ...known.map(({address}) => address)];
-    this.actions.push(...this.talk.greet(told, false));
-  }
-
   private flush(): readonly NodeAction[] {
     const {actions} = this;
     this.actions = [];
--- a/src/decisions/fleet/fleet_size.ts
+++ b/src/decisions/fleet/fleet_size.ts
@@ -9,7 +9,8 @@
  */
 
 import type {Clock, Milliseconds} from '../../time/index.js';
-import {SETTLE_MS, SIZE_MEMORY_MS} from './constants.js';
+import {JOIN_MS, SETTLE_MS, SIZE_MEMORY_MS} from './constants.js';
+import type {SignOfLife} from './types.js';
 
 export class FleetSize {
   private largest = 0;
@@ -27,6 +28,14 @@
     this.largest = Math.max(this.largest, count);
   }
 
+  /** Takes in what the host that is followed tells. */
+  learn({hosts, isCounted}: SignOfLife): void {
+    this.observe(hosts);
+    if (isCounted) {
+      this.settle(JOIN_MS);
+    }
+  }
+
   /** The largest count of late; 0 while nothing was counted. */
   get estimate(): number {
     this.turn();
--- a/src/decisions/fleet/peer_talk.ts
+++ b/src/decisions/fleet/peer_talk.ts
@@ -14,6 +14,9 @@
 import type {Position} from './position.js';
 import type {Greeting, NodeAction, Peer, PeerStatus} from './types.js';
 
+/** Hosts of the view that are told of one that has just begun to read. */
+const TOLD_OF_READER = 4;
+
 export class PeerTalk {
   readonly view: PartialView;
   /** Who asked while this host had no source, and when. */
@@ -45,6 +48,14 @@
     }
   }
 
+  /** The store answers this host: those that may wait for it hear at once. */
+  announce(former: readonly string[]): readonly NodeAction[] {
+    const {near, far} = this.view;
+    const known = pick([...near, ...far], TOLD_OF_READER, this.random);
+    const told = [...former, ...known.map(({address}) => address)];
+    return [...this.greet(told, false), ...this.tellAskers()];
+  }
+
   /**
    * There is a source now: tells those that asked while there was none. Where all
    * hosts start again at once, each would wait for its next round of asking, and
--- a/src/fleet/fleet_member.ts
+++ b/src/fleet/fleet_member.ts
@@ -291,7 +291,7 @@
         {event: 'store', error: done.error.message},
         'cannot register',
       );
-      node.registerFailed();
+      node.listing.noteFailure();
     }
   }
 }
--- a/tests/support/fleet_simulation.ts
+++ b/tests/support/fleet_simulation.ts
@@ -3,7 +3,6 @@
  * and a store between them that can be lost, cut, frozen and turned away.
  */
 
-import TinyQueue from 'tinyqueue';
 import type {
   NodeAction,
   Peer,
@@ -19,6 +18,8 @@
 import {ManualClock, seededRandom} from '../../src/time/index.js';
 import type {Stream} from './simulated_host.js';
 import {SimulatedHost} from './simulated_host.js';
+import type {Cut} from './simulated_network.js';
+import {SimulatedNetwork} from './simulated_network.js';
 
 const TICK_MS = 50;
 const SIGN_MS = 200;
@@ -26,16 +27,8 @@
 const STORE_MS = 5;
 const STORE_WAIT_MS = 900;
 const STORE_GATHER_MS = 250;
-const NEAR_MS = 1;
-const FAR_MS = 2;
 const START_SPREAD_MS = 300;
 
-interface Due {
-  readonly at: Milliseconds;
-  readonly number: number;
-  readonly run: () => void;
-}
-
 export interface SimulationOptions {
   readonly hosts: number;
   readonly dataCentres: number;
@@ -47,6 +40,7 @@
 
 export class FleetSimulation {
   readonly clock = new ManualClock(0);
+  private readonly network: SimulatedNetwork;
   readonly hosts: SimulatedHost[] = [];
   /** Newest change at the store, and when it was made. */
   newest = 1;
@@ -55,17 +49,12 @@
   /** Hosts that the store lists. */
   readonly listed = new Map<string, Peer>();
   private readonly random: Random;
-  private readonly queue = new TinyQueue<Due>([], (a, b) =>
-    a.at === b.at ? a.number - b.number : a.at - b.at,
-  );
   private readonly waiting = new Set<() => void>();
-  private readonly cuts: ((a: SimulatedHost, b: SimulatedHost) => boolean)[] =
-    [];
-  private number = 0;
   private readonly byAddress = new Map<string, SimulatedHost>();
 
   constructor(private readonly options: SimulationOptions) {
     this.random = seededRandom(options.seed ?? 1);
+    this.network = new SimulatedNetwork(this.clock, this.random);
     for (let i = 0; i < options.hosts; i += 1) {
       const dataCentre = `dc-${i % options.dataCentres}`;
       const host = new SimulatedHost({
@@ -99,24 +88,19 @@
     hosts: readonly SimulatedHost[] = this.hosts,
   ): void {
     for (const host of hosts) {
-      this.after(this.random() * START_SPREAD_MS, () =>
+      this.network.after(this.random() * START_SPREAD_MS, () =>
         this.startHost(host, firstStart),
       );
     }
   }
 
   run(ms: Milliseconds): void {
-    const end = this.clock.now() + ms;
-    for (;;) {
-      const next = this.queue.peek();
-      if (!next || next.at > end) {
-        break;
-      }
-      this.queue.pop();
-      this.clock.set(Math.max(this.clock.now(), next.at));
-      next.run();
-    }
-    this.clock.set(end);
+    this.network.run(ms);
+  }
+
+  /** @returns ends the cut */
+  cut(parts: Cut): () => void {
+    return this.network.cut(parts);
   }
 
   /** The operator or an upstream changes something. */
@@ -143,12 +127,6 @@
     host.frozenUntil = this.clock.now() + ms;
   }
 
-  /** @returns ends the cut */
-  cut(parts: (a: SimulatedHost, b: SimulatedHost) => boolean): () => void {
-    this.cuts.push(parts);
-    return () => this.cuts.splice(this.cuts.indexOf(parts), 1);
-  }
-
   private startHost(host: SimulatedHost, firstStart: boolean): void {
     if (host.alive) {
       return;
@@ -201,13 +179,13 @@
       }
       const wakesIn = host.frozenUntil - this.clock.now();
       if (wakesIn > 0) {
-        this.after(wakesIn, next);
+        this.network.after(wakesIn, next);
         return;
       }
       action();
-      this.after(ms, next);
+      this.network.after(ms, next);
     };
-    this.after(ms * this.random(), next);
+    this.network.after(ms * this.random(), next);
   }
 
   private carryOut(host: SimulatedHost, actions: readonly NodeAction[]): void {
@@ -239,7 +217,7 @@
           if (this.isServed(host)) {
             this.listed.set(host.address, host.peer);
           } else {
-            host.node.registerFailed();
+            host.node.listing.noteFailure();
           }
           break;
         case 'tell':
@@ -268,7 +246,7 @@
       sample: from.node.talk.view.sampleFor(to.address),
       stranger,
     };
-    this.deliver(from, to, () => {
+    this.network.deliver(from, to, () => {
       this.carryOut(to, to.node.greeted(greeting));
       if (wantsReply) {
         this.greet(to, from.address, false);
@@ -276,27 +254,6 @@
     });
   }
 
-  /** Runs at a host once a message reaches it, if it does. */
-  private deliver(
-    from: SimulatedHost,
-    to: SimulatedHost,
-    run: () => void,
-  ): void {
-    if (this.isCut(from, to)) {
-      return;
-    }
-    this.after(this.delay(from, to), () => this.whenAwake(to, run));
-  }
-
-  private whenAwake(host: SimulatedHost, run: () => void): void {
-    const wakesIn = host.frozenUntil - this.clock.now();
-    if (wakesIn > 0) {
-      this.after(wakesIn, () => this.whenAwake(host, run));
-    } else if (host.alive) {
-      run();
-    }
-  }
-
   private follow(follower: SimulatedHost, address: string): void {
     const leader = this.byAddress.get(address);
     if (!leader) {
@@ -305,15 +262,15 @@
     const heardAt = this.clock.now();
     const stream: Stream = {follower, leader, heardAt, closed: false};
     follower.stream = stream;
-    if (!leader.alive && !this.isCut(follower, leader)) {
-      const back = this.delay(follower, leader) * 2;
+    if (!leader.alive && !this.network.isCut(follower, leader)) {
+      const back = this.network.delay(follower, leader) * 2;
       // Nobody listens there, or nobody is there at all.
       if (!leader.isDark) {
-        this.after(back, () => this.endAt(stream, 'unreachable'));
+        this.network.after(back, () => this.endAt(stream, 'unreachable'));
       }
       return;
     }
-    this.deliver(follower, leader, () => {
+    this.network.deliver(follower, leader, () => {
       if (stream.closed) {
         return;
       }
@@ -327,7 +284,7 @@
         this.tellSign(stream);
         return;
       }
-      this.deliver(leader, follower, () => {
+      this.network.deliver(leader, follower, () => {
         if (stream.closed || follower.stream !== stream) {
           return;
         }
@@ -351,7 +308,9 @@
     const {leader, follower} = stream;
     const sign = leader.node.signOfLife(leader.known);
     const {known} = leader;
-    this.deliver(leader, follower, () => this.hear(stream, sign, known));
+    this.network.deliver(leader, follower, () =>
+      this.hear(stream, sign, known),
+    );
   }
 
   private hear(stream: Stream, sign: SignOfLife, known: number): void {
@@ -386,7 +345,7 @@
     }
     stream.closed = true;
     follower.stream = undefined;
-    this.deliver(follower, leader, () => this.releaseAt(stream));
+    this.network.deliver(follower, leader, () => this.releaseAt(stream));
     this.carryOut(follower, follower.node.ended(fault));
   }
 
@@ -408,20 +367,22 @@
     const {leader, follower} = stream;
     if (by === 'leader') {
       this.releaseAt(stream);
-      if (isTold && !this.isCut(leader, follower)) {
-        const wayMs = this.delay(leader, follower);
-        this.after(wayMs, () =>
-          this.whenAwake(follower, () => this.endAt(stream, 'unreachable')),
+      if (isTold && !this.network.isCut(leader, follower)) {
+        const wayMs = this.network.delay(leader, follower);
+        this.network.after(wayMs, () =>
+          this.network.whenAwake(follower, () =>
+            this.endAt(stream, 'unreachable'),
+          ),
         );
       }
       return;
     }
     stream.closed = true;
     follower.stream = undefined;
-    if (isTold && !this.isCut(follower, leader)) {
-      const wayMs = this.delay(follower, leader);
-      this.after(wayMs, () =>
-        this.whenAwake(leader, () => this.releaseAt(stream)),
+    if (isTold && !this.network.isCut(follower, leader)) {
+      const wayMs = this.network.delay(follower, leader);
+      this.network.after(wayMs, () =>
+        this.network.whenAwake(leader, () => this.releaseAt(stream)),
       );
     }
   }
@@ -440,19 +401,21 @@
       }
       done = true;
       this.waiting.delete(finish);
-      this.after(STORE_MS, () =>
-        this.whenAwake(host, () => {
+      this.network.after(STORE_MS, () =>
+        this.network.whenAwake(host, () => {
           if (!isCurrent()) {
             return;
           }
           if (!this.isServed(host)) {
             this.carryOut(host, host.node.storeFailed());
-            this.after(host.node.duty.pauseMs, () => this.read(host, life));
+            this.network.after(host.node.duty.pauseMs, () =>
+              this.read(host, life),
+            );
             return;
           }
           this.learn(host, this.newest);
           this.carryOut(host, host.node.storeAnswered());
-          this.after(STORE_GATHER_MS, () => this.read(host, life));
+          this.network.after(STORE_GATHER_MS, () => this.read(host, life));
         }),
       );
     };
@@ -462,13 +425,13 @@
       return;
     }
     this.waiting.add(finish);
-    this.after(STORE_WAIT_MS, finish);
+    this.network.after(STORE_WAIT_MS, finish);
   }
 
   private list(host: SimulatedHost): void {
     host.calls += 1;
     const {life} = host;
-    this.after(STORE_MS, () => {
+    this.network.after(STORE_MS, () => {
       if (host.alive && host.life === life) {
         const peers = this.isServed(host)
           ? [...this.listed.values()]
@@ -481,19 +444,4 @@
   private isServed(host: SimulatedHost): boolean {
     return !this.isStoreDown && !host.isTurnedAway;
   }
-
-  private isCut(a: SimulatedHost, b: SimulatedHost): boolean {
-    return this.cuts.some(parts => parts(a, b));
-  }
-
-  private delay(a: SimulatedHost, b: SimulatedHost): Milliseconds {
-    const isNear = a.peer.dataCentre === b.peer.dataCentre;
-    return (isNear ? NEAR_MS : FAR_MS) * (0.5 + this.random());
-  }
-
-  private after(ms: Milliseconds, run: () => void): void {
-    this.number += 1;
-    const at = this.clock.now() + ms;
-    this.queue.push({at, number: this.number, run});
-  }
 }
