--- a/src/decisions/fleet/constants.ts
+++ b/src/decisions/fleet/constants.ts
@@ -118,3 +118,10 @@
 export const JOIN_MS: Milliseconds = 2_500;
 /** A count that changes is told on after this time, with those of others. */
 export const COUNT_MS: Milliseconds = 100;
+/** Hosts of the store's list that are asked at once. */
+export const MOST_LISTED = 4;
+/**
+ * Time for which a host waits with the one that it follows for its source before
+ * it takes another that it happens to hear of.
+ */
+export const ATTACHED_WAIT_MS: Milliseconds = 1_000;
--- a/src/decisions/fleet/fleet_node.ts
+++ b/src/decisions/fleet/fleet_node.ts
@@ -12,7 +12,12 @@
  */
 
 import type {Clock, Milliseconds, Random} from '../../time/index.js';
-import {LOSS_GRACE_MS, STALE_NEWS_MS} from './constants.js';
+import {
+  ATTACHED_WAIT_MS,
+  LOSS_GRACE_MS,
+  MOST_LISTED,
+  STALE_NEWS_MS,
+} from './constants.js';
 import type {FleetSize} from './fleet_size.js';
 import {FollowerSlots} from './follower_slots.js';
 import type {Freshness} from './freshness.js';
@@ -37,14 +42,6 @@
   SignOfLife,
 } from './types.js';
 
-/** Hosts of the store's list that are asked at once. */
-const MOST_LISTED = 4;
-/**
- * Time for which a host waits with the one that it follows for its source before
- * it takes another that it happens to hear of.
- */
-const ATTACHED_WAIT_MS: Milliseconds = 1_000;
-
 export interface FleetNodeParts {
   readonly self: Peer;
   /** Tells this start of the host from its others. */
@@ -280,10 +277,7 @@
     return followed.proved && isOpen;
   }
 
-  /**
-   * Whether others are asked for a source. One that waits with the host that it
-   * follows hears of it there, or in an exchange.
-   */
+  /** Others wait with the host that they follow, and hear of a source there. */
   private get isAsking(): boolean {
     const {followed, depth} = this.position;
     return !followed || (this.duty.isReading && depth <= 1);
--- a/tests/support/fleet_simulation.ts
+++ b/tests/support/fleet_simulation.ts
@@ -1,7 +1,4 @@
-/**
- * Hosts of a fleet in simulated time: their decisions, with datagrams, streams
- * and a store between them that can be lost, cut, frozen and turned away.
- */
+/** Hosts of a fleet in simulated time, and the ways between them. */
 
 import type {
   NodeAction,
@@ -16,8 +13,8 @@
 } from '../../src/decisions/fleet/index.js';
 import type {Milliseconds, Random} from '../../src/time/index.js';
 import {ManualClock, seededRandom} from '../../src/time/index.js';
-import type {Stream} from './simulated_host.js';
-import {SimulatedHost} from './simulated_host.js';
+import type {SimulationOptions, Stream} from './simulated_host.js';
+import {SimulatedHost, sumOf} from './simulated_host.js';
 import type {Cut} from './simulated_network.js';
 import {SimulatedNetwork} from './simulated_network.js';
 
@@ -29,15 +26,6 @@
 const STORE_GATHER_MS = 250;
 const START_SPREAD_MS = 300;
 
-export interface SimulationOptions {
-  readonly hosts: number;
-  readonly dataCentres: number;
-  readonly introducers?: number;
-  readonly seed?: number;
-  /** Share of datagrams that are lost. */
-  readonly loss?: number;
-}
-
 export class FleetSimulation {
   readonly clock = new ManualClock(0);
   private readonly network: SimulatedNetwork;
@@ -75,11 +63,11 @@
   }
 
   get callCount(): number {
-    return this.hosts.reduce((sum, {calls}) => sum + calls, 0);
+    return sumOf(this.hosts, ({calls}) => calls);
   }
 
   get datagramCount(): number {
-    return this.hosts.reduce((sum, {datagrams}) => sum + datagrams, 0);
+    return sumOf(this.hosts, ({datagrams}) => datagrams);
   }
 
   /** Starts hosts within some 300 ms, as the platform does. */
@@ -155,13 +143,10 @@
     const {life} = host;
     this.every(host, life, TICK_MS, () => {
       this.watchStream(host);
-      host.node.followers.silent.forEach(address => {
-        for (const stream of host.streams) {
-          if (stream.follower.address === address) {
-            this.closeStream(stream, true, 'leader');
-          }
-        }
-      });
+      const {silent} = host.node.followers;
+      [...host.streams]
+        .filter(({follower}) => silent.includes(follower.address))
+        .forEach(stream => this.closeStream(stream, true, 'leader'));
       this.carryOut(host, host.node.tick());
     });
     this.every(host, life, SIGN_MS, () => this.tellSigns(host));
@@ -433,9 +418,8 @@
     const {life} = host;
     this.network.after(STORE_MS, () => {
       if (host.alive && host.life === life) {
-        const peers = this.isServed(host)
-          ? [...this.listed.values()]
-          : undefined;
+        const all = [...this.listed.values()];
+        const peers = this.isServed(host) ? all : undefined;
         this.carryOut(host, host.node.listed(peers));
       }
     });
--- a/tests/support/simulated_host.ts
+++ b/tests/support/simulated_host.ts
@@ -39,3 +39,19 @@
     return this.peer.address;
   }
 }
+
+export interface SimulationOptions {
+  readonly hosts: number;
+  readonly dataCentres: number;
+  readonly introducers?: number;
+  readonly seed?: number;
+  /** Share of datagrams that are lost. */
+  readonly loss?: number;
+}
+
+export function sumOf(
+  hosts: readonly SimulatedHost[],
+  figureOf: (host: SimulatedHost) => number,
+): number {
+  return hosts.reduce((sum, host) => sum + figureOf(host), 0);
+}
