--- a/tests/support/fleet_simulation.ts
+++ b/tests/support/fleet_simulation.ts
@@ -34,7 +34,6 @@
   newest = 1;
   changedAt: Milliseconds = 0;
   isStoreDown = false;
-  /** Hosts that the store lists. */
   readonly listed = new Map<string, Peer>();
   private readonly random: Random;
   private readonly waiting = new Set<() => void>();
