Hosts that start have their share of repeats after 1 to 2 s, not 2.5 to 10

Counts come up the tree within a second (simulated), and the shares of all hosts still sum to 1.05 at most while a fleet doubles, is split and loses half (test unchanged).

--- a/src/decisions/fleet/constants.ts
+++ b/src/decisions/fleet/constants.ts
@@ -113,9 +113,9 @@
 /** A largest count holds for one to two of these, over cuts and restarts. */
 export const SIZE_MEMORY_MS: Milliseconds = 60_000;
 /** Time in which a fleet that starts is counted. */
-export const SETTLE_MS: Milliseconds = 10_000;
+export const SETTLE_MS: Milliseconds = 2_000;
 /** Time in which hosts that join a fleet that was counted are counted too. */
-export const JOIN_MS: Milliseconds = 2_500;
+export const JOIN_MS: Milliseconds = 1_000;
 /** A count that changes is told on after this time, with those of others. */
 export const COUNT_MS: Milliseconds = 100;
 /** Hosts of the store's list that are asked at once. */
