Drop a field that nobody read; say each time as it is

Hosts told an incarnation that no decision looked at: gone from the datagrams and the design page (a host's lives under one address are not told apart yet). A greeting to several hosts built the sender's status for each; suspensions were swept each tick in place of when one is added; two refusals in a row are one. No decision changes: tests keep their assertions.

--- a/src/decisions/fleet/constants.ts
+++ b/src/decisions/fleet/constants.ts
@@ -28,12 +28,10 @@
 export const EAGER_ROUNDS = 10;
 /** Hosts asked in a round: with half of them dead, one in 256 finds nobody. */
 export const SEARCH_WIDTH = 8;
-/**
- * Time for answers after the first: the one nearest to the reader is best. One
- * nearby that has no more than this many hosts before it is taken at once.
- */
-export const GOOD_DEPTH = 1;
+/** Time for answers after the first: the one nearest to the reader is best. */
 export const CHOICE_MS: Milliseconds = 15;
+/** One nearby that has no more hosts than this before it is taken at once. */
+export const GOOD_DEPTH = 1;
 /**
  * Time for hosts of the data centre to answer before one elsewhere is followed:
  * some ten round trips within it.
@@ -103,7 +101,7 @@
 export const MOST_FAR_FOLLOWERS = 8;
 /** Hosts that a follower which finds no room is sent to. */
 export const REDIRECTIONS = 3;
-/** Fewest hosts between the reader and the last: 8^5 hosts find room. */
+/** Most hosts that news come by before they reach one: 8^5 find room. */
 export const LONGEST_PATH = 6;
 /**
  * A follower that has said nothing for this time is gone: it tells of itself each
--- a/src/decisions/fleet/fleet_node.ts
+++ b/src/decisions/fleet/fleet_node.ts
@@ -44,8 +44,6 @@
 
 export interface FleetNodeParts {
   readonly self: Peer;
-  /** Tells this start of the host from its others. */
-  readonly incarnation: number;
   /** Addresses of hosts that introduce others; they may be gone. */
   readonly introducers: readonly string[];
   /** Whether the whole fleet starts for the first time. */
@@ -64,8 +62,8 @@
   readonly position: Position;
   readonly duty: ReadingDuty;
   readonly suspensions: Suspensions;
-  private readonly signs: Signs;
   readonly listing: StoreListing;
+  private readonly signs: Signs;
   private readonly search: SourceSearch;
   private sourcelessSince: Milliseconds | undefined;
   private actions: NodeAction[] = [];
@@ -119,7 +117,6 @@
 
   /** Lets what is due happen; call it every few tens of milliseconds. */
   tick(): readonly NodeAction[] {
-    this.suspensions.prune();
     const {sourcelessSince = Infinity} = this;
     if (this.parts.clock.now() - sourcelessSince >= LOSS_GRACE_MS) {
       this.tellLoss();
--- a/src/decisions/fleet/follower_slots.ts
+++ b/src/decisions/fleet/follower_slots.ts
@@ -67,10 +67,8 @@
 
   /** @param path hosts that this one's own news come by */
   admit(asker: Asker, path: readonly string[]): Admission {
-    if (asker.address === this.self.address || path.includes(asker.address)) {
-      return {kind: 'refuse'};
-    }
-    if (path.length >= LONGEST_PATH) {
+    const isCircle = [this.self.address, ...path].includes(asker.address);
+    if (isCircle || path.length >= LONGEST_PATH) {
       return {kind: 'refuse'};
     }
     // Who asks again has lost its connection, whatever this side believes.
--- a/src/decisions/fleet/signs.ts
+++ b/src/decisions/fleet/signs.ts
@@ -8,7 +8,6 @@
 
 export interface SignsParts {
   readonly self: Peer;
-  readonly incarnation: number;
   readonly freshness: Freshness;
   readonly size: FleetSize;
   readonly followers: FollowerSlots;
@@ -20,10 +19,9 @@
 
   /** @param hasSource whether its news come from the store now */
   status(hasSource: boolean): PeerStatus {
-    const {self, incarnation, freshness, followers, position} = this.parts;
+    const {self, freshness, followers, position} = this.parts;
     return {
       ...self,
-      incarnation,
       reader: hasSource ? freshness.reader : undefined,
       newsAgeMs: this.ageMs,
       path: position.path,
--- a/src/decisions/fleet/suspensions.ts
+++ b/src/decisions/fleet/suspensions.ts
@@ -32,6 +32,7 @@
   constructor(private readonly clock: Clock) {}
 
   add(address: string, fault: PeerFault): void {
+    this.prune();
     const before = this.suspended.get(address);
     const lastedMs =
       before?.fault === fault
@@ -60,7 +61,7 @@
   }
 
   /** Forgets peers that have been left alone for long enough. */
-  prune(): void {
+  private prune(): void {
     const now = this.clock.now();
     for (const [address, {until, fault}] of this.suspended) {
       if (now - until > LONGEST_MS[fault]) {
--- a/src/decisions/fleet/types.ts
+++ b/src/decisions/fleet/types.ts
@@ -19,8 +19,6 @@
 
 /** What a host tells of itself. */
 export interface PeerStatus extends Peer {
-  /** Drawn at its start: tells its lives under one address apart. */
-  readonly incarnation: number;
   /** Address of the host that read what it knows; undefined without source. */
   readonly reader: string | undefined;
   /** Time since that host last had an answer from the store. */
--- a/src/fleet/fleet_member.ts
+++ b/src/fleet/fleet_member.ts
@@ -29,7 +29,6 @@
 const EAGER_TICK_MS: Milliseconds = 10;
 /** Kind of the datagrams in which hosts tell of themselves. */
 const GREETING = 'greeting';
-const INCARNATIONS = 2 ** 31;
 /**
  * Mbit/s of its link that a host reckons for each follower. One that starts is
  * sent some 200 kB at once, in half a second.
@@ -116,7 +115,6 @@
     this.self = {address, dataCentre};
     this.node = new FleetNode({
       self: this.self,
-      incarnation: Math.floor(random() * INCARNATIONS),
       introducers,
       firstStart,
       mostFollowers: Math.min(
@@ -186,13 +184,14 @@
     stranger?: PeerStatus,
   ): void {
     const {node} = this;
-    for (const address of node ? to : []) {
-      const from = node?.status;
-      const sample = node?.talk.view.sampleFor(address) ?? [];
-      if (from) {
-        const body = encodeGreeting({from, wantsReply, sample, stranger});
-        this.parts.datagrams.send(GREETING, body, [address]);
-      }
+    if (!node) {
+      return;
+    }
+    const from = node.status;
+    for (const address of to) {
+      const sample = node.talk.view.sampleFor(address);
+      const body = encodeGreeting({from, wantsReply, sample, stranger});
+      this.parts.datagrams.send(GREETING, body, [address]);
     }
   }
 
--- a/src/fleet/greeting_codec.ts
+++ b/src/fleet/greeting_codec.ts
@@ -23,7 +23,6 @@
 type StatusRow = readonly [
   address: string,
   dataCentre: string,
-  incarnation: number,
   reader: string | null,
   newsAgeMs: number,
   path: readonly string[],
@@ -64,7 +63,6 @@
   return [
     status.address,
     status.dataCentre,
-    status.incarnation,
     status.reader ?? null,
     Math.round(status.newsAgeMs),
     [...status.path],
@@ -77,19 +75,10 @@
   if (!Array.isArray(row)) {
     return undefined;
   }
-  const [
-    address,
-    dataCentre,
-    incarnation,
-    reader,
-    newsAgeMs,
-    path,
-    head,
-    below,
-  ] = row as readonly unknown[];
+  const [address, dataCentre, reader, newsAgeMs, path, head, below] =
+    row as readonly unknown[];
   return isName(address) &&
     isName(dataCentre) &&
-    typeof incarnation === 'number' &&
     (reader === null || isName(reader)) &&
     isAge(newsAgeMs) &&
     isPath(path) &&
@@ -98,7 +87,6 @@
     ? {
         address,
         dataCentre,
-        incarnation,
         reader: reader ?? undefined,
         newsAgeMs,
         path,
--- a/tests/fleet_node.test.ts
+++ b/tests/fleet_node.test.ts
@@ -40,7 +40,6 @@
 ): PeerStatus {
   return {
     ...peer(number),
-    incarnation: 1,
     reader: peer(1).address,
     newsAgeMs: 100,
     path: [peer(1).address],
@@ -68,7 +67,6 @@
 function createNode(introducers: readonly string[] = []): FleetNode {
   return new FleetNode({
     self: SELF,
-    incarnation: 1,
     introducers,
     firstStart: false,
     mostFollowers: 8,
--- a/tests/support/fleet_simulation.ts
+++ b/tests/support/fleet_simulation.ts
@@ -30,9 +30,8 @@
   readonly clock = new ManualClock(0);
   private readonly network: SimulatedNetwork;
   readonly hosts: SimulatedHost[] = [];
-  /** Newest change at the store, and when it was made. */
+  /** Newest change at the store. */
   newest = 1;
-  changedAt: Milliseconds = 0;
   isStoreDown = false;
   readonly listed = new Map<string, Peer>();
   private readonly random: Random;
@@ -93,7 +92,6 @@
   /** The operator or an upstream changes something. */
   change(): void {
     this.newest += 1;
-    this.changedAt = this.clock.now();
     [...this.waiting].forEach(wake => wake());
   }
 
@@ -130,7 +128,6 @@
     host.size = new FleetSize(this.clock);
     host.node = new FleetNode({
       self: host.peer,
-      incarnation: host.life,
       introducers,
       firstStart,
       mostFollowers: 8,
