Hold back requests under which upstreams crash, at all hosts

Cause: a request that ends each upstream that runs it was repeated by its host, and came again by way of any other; budgets bound the volume of repeats, nothing the harm of one request. Ruled out: repeats as a whole beyond their budget (25 in 28 s), overload (free slots at the ends). Mend: Quarantine (decisions, pure) keeps the lives of upstreams that ended under each fingerprint since its last answer; three hold it back for ten minutes, and as long again for each more. Crashes are told from broken connections by one probe. Hosts merge what they know (sets and latest times), told on to eight others at once, reminded twice in 0.5 s, asked for at a start; what only others say is seen for oneself before a request is refused. Each way to an upstream asks: first sends, repeats, second sends. Refusal: 503, not run, Retry-After; 502 where an earlier send may have run.

--- a/src/decisions/fleet/index.ts
+++ b/src/decisions/fleet/index.ts
@@ -6,6 +6,7 @@
 export {FollowerSlots} from './follower_slots.js';
 export {Freshness} from './freshness.js';
 export {PartialView} from './partial_view.js';
+export {pick} from './pick.js';
 export {pauseAfter} from './read_pacing.js';
 export {SourceSearch} from './source_search.js';
 export {Suspensions} from './suspensions.js';
--- /dev/null
+++ b/src/decisions/quarantine/constants.ts
@@ -0,0 +1,50 @@
+/** Thresholds and bounds of the quarantine, each with its reason. */
+
+import type {Milliseconds} from '../../time/index.js';
+
+/**
+ * Upstreams that must have crashed under a request before it is held back. Two may
+ * crash for reasons of their own under an innocent one that was sent again; three
+ * in a row without an answer in between do so once in 10^8 requests where 0.2% of
+ * sends meet a crash.
+ */
+export const CRASHES_TO_HOLD = 3;
+/**
+ * A request is held back for this time after its last crash, and as long again for
+ * each crash beyond those that it took: long enough to mend a program or call its
+ * sender, short enough that one that was mended is served the same day.
+ */
+export const HOLD_MS: Milliseconds = 600_000;
+/** Crashes are remembered for this time: one more then holds a request again. */
+export const CRASH_MEMORY_MS: Milliseconds = 3_600_000;
+/** Crashes kept of one request; the latest count. */
+export const MOST_CRASHES = 8;
+/**
+ * Requests remembered at once: some 1 MB. Where upstreams crash under thousands of
+ * different requests, the fingerprint of one says little about the next.
+ */
+export const MOST_SUSPECTS = 2_048;
+/** Upstreams found alive, of which reports are disbelieved. */
+export const MOST_REFUTED = 256;
+
+/** Reports of one moment are told together after this time. */
+export const BATCH_MS: Milliseconds = 10;
+/**
+ * Hosts that are told of each change, by each host that learns it: 1 in 3,000 hosts
+ * is then missed by all others (e^-8), and hears of it by a reminder.
+ */
+export const FANOUT = 8;
+/** Known crashes are told again this often, to hosts that missed them, ... */
+export const REMIND_MS: Milliseconds = 500;
+/** ... to so many, so that each host is reminded twice in this time on average. */
+export const REMINDED = 2;
+/** Requests that a reminder or an answer tells of, the latest first. */
+export const MOST_TOLD = 64;
+/** Requests in one datagram: with three crashes each some 900 bytes. */
+export const TOLD_TOGETHER = 8;
+/** A host that starts asks others for what they know this often, ... */
+export const ASK_MS: Milliseconds = 100;
+/** ... so many at once, ... */
+export const ASKED = 3;
+/** ... until one has answered or this time is over: then it is reminded. */
+export const ASK_FOR_MS: Milliseconds = 5_000;
--- a/src/decisions/registry/upstream_registry.ts
+++ b/src/decisions/registry/upstream_registry.ts
@@ -12,6 +12,8 @@
  * its return, as the platform states; half a second is added for the way here.
  */
 const LAPSE_GRACE_MS: Milliseconds = 2_500;
+/** Lives that ended are remembered by their ids: some 400 kB at most. */
+const MOST_FORMER_LIVES = 4_096;
 /** Removed entries are kept, so that an older record can't bring them back. */
 const TOMBSTONE_MS: Milliseconds = 120_000;
 
@@ -35,6 +37,7 @@
   private readonly known = new Map<string, Known>();
   private byService = new Map<string, readonly UpstreamInService[]>();
   private byId = new Map<string, RegisteredUpstream>();
+  private readonly formerLives = new Set<string>();
   private staleUntil: Milliseconds = -Infinity;
   private end = 0;
   /** What was removed from this offset on is remembered. */
@@ -66,6 +69,11 @@
     return this.byId.get(id);
   }
 
+  /** Whether a life was ever heard of, in so far as it is remembered. */
+  hasKnown(id: string): boolean {
+    return this.byId.has(id) || this.formerLives.has(id);
+  }
+
   /** What the newest record under a name says. */
   entryOf(name: string): RegistryEntry | undefined {
     return this.known.get(name)?.entry;
@@ -191,6 +199,7 @@
 
   private rebuild(): void {
     const byService = new Map<string, UpstreamInService[]>();
+    const before = this.byId;
     this.byId = new Map();
     for (const {entry, lapsed, learnedAt} of this.known.values()) {
       const upstream = lapsed ?? entry.upstream;
@@ -205,5 +214,17 @@
       byService.set(upstream.service, list);
     }
     this.byService = byService;
+    before.forEach((_, id) => this.rememberIfGone(id));
+  }
+
+  private rememberIfGone(id: string): void {
+    if (this.byId.has(id)) {
+      return;
+    }
+    this.formerLives.add(id);
+    const [oldest] = this.formerLives;
+    if (this.formerLives.size > MOST_FORMER_LIVES && oldest !== undefined) {
+      this.formerLives.delete(oldest);
+    }
   }
 }
--- a/src/explain/outcomes.ts
+++ b/src/explain/outcomes.ts
@@ -20,6 +20,11 @@
     meaning: `${NOT_RUN} at once: no upstream had room to be in time (503).`,
     advice: 'See whether many hosts refuse so: then the service is too small.',
   },
+  quarantined: {
+    meaning: `${NOT_RUN}: upstreams crashed under this request before (503).`,
+    advice:
+      'See the "quarantine" and "broken-send" lines of its fingerprint for the upstreams.',
+  },
   'waited-too-long': {
     meaning: `${NOT_RUN}: its time was over before it could be sent (503).`,
     advice: 'See whether its body took long to arrive, or the host was busy.',
--- a/src/fleet/fleet_member.ts
+++ b/src/fleet/fleet_member.ts
@@ -87,6 +87,13 @@
     return this.node?.talk.view.nearHeardWithin(ms) ?? [];
   }
 
+  /** Addresses of all hosts that this one knows. */
+  get peers(): readonly string[] {
+    const {view} = this.node?.talk ?? {};
+    const met = [...(view?.near ?? []), ...(view?.far ?? [])];
+    return met.map(({address}) => address);
+  }
+
   /** What followers are told; undefined until this host has started. */
   sign(): SignOfLife | undefined {
     return this.node?.signOfLife(this.parts.state.registry.cursor);
--- a/src/fleet/fleet_state.ts
+++ b/src/fleet/fleet_state.ts
@@ -29,11 +29,13 @@
   readonly registry: UpstreamRegistry;
   readonly freshness: Freshness;
   readonly size: FleetSize;
+  /** When upstreams were first known. */
+  private loadedAt: Milliseconds | undefined;
   private readonly listeners = new Set<UpdateListener>();
   private readonly timer: NodeJS.Timeout;
 
   constructor(
-    clock: Clock,
+    private readonly clock: Clock,
     private readonly logger: Logger,
   ) {
     this.registry = new UpstreamRegistry(clock);
@@ -66,6 +68,12 @@
     return this.routes.version !== undefined && this.registry.isLoaded;
   }
 
+  /** Time since this host first knew all upstreams; 0 before. */
+  get upstreamsKnownForMs(): Milliseconds {
+    const {loadedAt} = this;
+    return loadedAt === undefined ? 0 : this.clock.now() - loadedAt;
+  }
+
   listen(listener: UpdateListener): () => void {
     this.listeners.add(listener);
     return () => this.listeners.delete(listener);
@@ -133,6 +141,7 @@
 
   takeSnapshot(snapshot: RegistrySnapshot): void {
     this.registry.load(snapshot);
+    this.loadedAt ??= this.clock.now();
     const {all: entries, cursor: end} = this.registry;
     this.logger.info(
       {event: 'upstreams', count: entries.length, offset: end},
--- a/src/gateway/crash_watch.ts
+++ b/src/gateway/crash_watch.ts
@@ -1,29 +1,40 @@
 /**
- * Finds out what became of an upstream when a send to it breaks off.
+ * Finds out what became of an upstream when a send to it breaks off, and holds back
+ * requests under which upstreams crash.
  *
  * A connection that breaks looks the same whether the upstream's process ended,
  * reset it, or lost it on the way. The upstream is asked once for all sends that
  * broke there: refused, its process has ended under them.
  */
 
-import type {UpstreamInService} from '../decisions/registry/index.js';
+import type {
+  Crash,
+  Fingerprint,
+  Quarantine,
+} from '../decisions/quarantine/index.js';
+import type {RegisteredUpstream} from '../decisions/registry/index.js';
 import type {ServiceProfile} from '../decisions/routes/index.js';
+import type {FleetState} from '../fleet/index.js';
+import type {CrashExchange} from '../quarantine/index.js';
+import type {Milliseconds} from '../time/index.js';
 import type {GatewayMetrics} from './gateway_metrics.js';
 import type {RequestLog} from './request_log.js';
 import type {Presence, UpstreamDesk} from './upstream_desk.js';
 
 /** A send that got no whole answer. */
 export interface BrokenSend {
-  readonly upstream: UpstreamInService;
+  readonly upstream: RegisteredUpstream;
   readonly service: ServiceProfile;
   /** Id of the request's arrival. */
   readonly request: string;
-  /** What the request asks, as `fingerprintOf` tells it. */
-  readonly fingerprint: string;
+  readonly fingerprint: Fingerprint;
 }
 
 export interface CrashWatchParts {
   readonly desk: UpstreamDesk;
+  readonly state: FleetState;
+  readonly quarantine: Quarantine;
+  readonly exchange: CrashExchange;
   readonly metrics: GatewayMetrics;
   readonly log: RequestLog;
 }
@@ -33,11 +44,13 @@
 
   constructor(private readonly parts: CrashWatchParts) {}
 
+  /** A send broke off: finds out whether its upstream ended under it. */
   async note(send: BrokenSend): Promise<void> {
     const {upstream, service, request, fingerprint} = send;
+    const {quarantine, exchange, metrics, log} = this.parts;
     const presence = await this.check(upstream, service);
-    this.parts.metrics.countBrokenSend(presence);
-    this.parts.log.failed(
+    metrics.countBrokenSend(presence);
+    log.failed(
       {
         event: 'broken-send',
         request,
@@ -47,10 +60,74 @@
       },
       'a send broke off',
     );
+    if (presence === 'ended') {
+      quarantine.noteCrash(fingerprint, upstream.id);
+      exchange.learnt(fingerprint);
+    }
+  }
+
+  /** An upstream has answered a request, so that it lives on. */
+  survived(fingerprintOf: () => Fingerprint): void {
+    const {quarantine, exchange} = this.parts;
+    if (quarantine.size > 0 && quarantine.noteSurvival(fingerprintOf())) {
+      exchange.learnt(fingerprintOf());
+    }
+  }
+
+  /**
+   * How long a request is held back; undefined when it may be sent. Most requests
+   * need no fingerprint: nothing is suspected.
+   */
+  async heldForMs(
+    fingerprintOf: () => Fingerprint,
+  ): Promise<Milliseconds | undefined> {
+    const {quarantine} = this.parts;
+    if (quarantine.size === 0) {
+      return undefined;
+    }
+    const fingerprint = fingerprintOf();
+    const verdict = quarantine.verdictOf(fingerprint);
+    switch (verdict.kind) {
+      case 'free':
+        return undefined;
+      case 'held':
+        return verdict.leftMs;
+      case 'doubtful': {
+        await Promise.all(verdict.crashes.map(crash => this.examine(crash)));
+        const checked = quarantine.verdictOf(fingerprint);
+        return checked.kind === 'held' ? checked.leftMs : undefined;
+      }
+      default:
+        return verdict satisfies never;
+    }
+  }
+
+  /**
+   * Sees whether a life has ended of which another host says so. Without, one
+   * host whose memory or program is broken could make all others refuse a request
+   * that harms nobody. Asked only where such a request arrives, once for a life.
+   */
+  private async examine({life, ageMs}: Crash): Promise<void> {
+    const {state, quarantine} = this.parts;
+    const upstream = state.registry.find(life);
+    if (!upstream) {
+      const endedBefore = ageMs > state.upstreamsKnownForMs;
+      if (endedBefore || state.registry.hasKnown(life)) {
+        quarantine.confirm(life);
+      }
+      return;
+    }
+    const service = state.routes.service(upstream.service);
+    const presence = service && (await this.check(upstream, service));
+    if (presence === 'present') {
+      quarantine.refute(life);
+    } else {
+      quarantine.confirm(life);
+    }
   }
 
   private check(
-    upstream: UpstreamInService,
+    upstream: RegisteredUpstream,
     service: ServiceProfile,
   ): Promise<Presence> {
     const {id} = upstream;
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -9,6 +9,7 @@
 import {BodyTooLargeError, sendProblem} from '../http/index.js';
 import {HEADERS} from '../platform/index.js';
 import type {Milliseconds} from '../time/index.js';
+import {sleep} from '../time/index.js';
 import type {
   AttemptResult,
   ForwardedRequest,
@@ -28,6 +29,11 @@
 
 /** When to come back if no upstream could be reached. */
 const UNREACHABLE_RETRY_MS: Milliseconds = 150;
+/**
+ * A repeat waits this long to hear whether its upstream ended, which takes one round
+ * trip: the crash that it ended by may be the one that holds the request back.
+ */
+const CRASH_CHECK_MS: Milliseconds = 50;
 /** Time that a caller waits who doesn't say. */
 const DEFAULT_TIME_MS: Milliseconds = 60_000;
 
@@ -50,6 +56,8 @@
   private timer: NodeJS.Timeout | undefined;
   private watch: StallWatch | undefined;
   private done = false;
+  /** Ends once it is known whether the last broken send's upstream ended. */
+  private crashCheck: Promise<void> | undefined;
   /** An upstream's own error, delivered if nothing better comes. */
   private failure: WholeAnswer | undefined;
   /** What upstreams told when none of them had room. */
@@ -120,6 +128,10 @@
       bodyHeld: body.kind !== 'stream',
     };
     while (!this.done) {
+      // Asked twice: others may learn what it does while an upstream is sought.
+      if (await this.isHeldBack(ready)) {
+        return;
+      }
       const placing = await this.context
         .schedulerOf(this.service.name)
         .place(this.wanted(), this.service, this.ended.signal);
@@ -131,11 +143,24 @@
         this.refuseOrFail(placing.reason, placing.retryAfterMs);
         return;
       }
+      if (await this.isHeldBack(ready)) {
+        return;
+      }
       this.send(ready, placing);
       await new Promise<void>(resolve => (this.proceed = resolve));
     }
   }
 
+  /** Refuses a request under which upstreams crash. */
+  private async isHeldBack({fingerprint}: ReadyRequest): Promise<boolean> {
+    await this.crashCheck;
+    const heldMs = await this.context.crashes.heldForMs(fingerprint);
+    if (heldMs !== undefined) {
+      this.refuseOrFail('quarantined', heldMs);
+    }
+    return this.done;
+  }
+
   private wanted(): WantedPlacement {
     const {route, service, giveUpAt} = this;
     return {
@@ -207,6 +232,9 @@
       this.service,
       this.ended.signal,
     );
+    if (await this.isHeldBack(ready)) {
+      return;
+    }
     const isWanted = !this.done && silent.isPending && this.record.mayHedge;
     if (placing.kind === 'placed' && isWanted && this.spendRepeat()) {
       metrics.countHedge();
@@ -224,6 +252,7 @@
       return;
     }
     if (result.kind === 'long') {
+      this.context.crashes.survived(ready.fingerprint);
       this.passOn(result);
       return;
     }
@@ -231,6 +260,9 @@
     if (result.kind === 'broken') {
       this.noteBroken(send, ready);
     }
+    if (result.kind === 'answered') {
+      this.context.crashes.survived(ready.fingerprint);
+    }
     const step = this.record.noteEnd(endOf(result), {
       leftMs: this.leftMs,
       bodyHeld: ready.bodyHeld,
@@ -288,11 +320,12 @@
     const {crashes, logger} = this.context;
     const {service, id: request} = this;
     const fingerprint = ready.fingerprint();
-    crashes
+    const check = crashes
       .note({upstream, service, request, fingerprint})
       .catch((error: unknown) => {
         logger.error({error, upstream: upstream.id}, 'crash check failed');
       });
+    this.crashCheck = Promise.race([check, sleep(CRASH_CHECK_MS)]);
   }
 
   private spendRepeat(): boolean {
--- a/src/gateway/gateway_metrics.ts
+++ b/src/gateway/gateway_metrics.ts
@@ -18,6 +18,9 @@
   readonly hosts: number;
   readonly inFlight: number;
   readonly looking: number;
+  /** Requests under which upstreams crashed, and those that are held back. */
+  readonly suspects: number;
+  readonly quarantined: number;
 }
 
 /** What a host did since it was last asked. */
@@ -93,7 +96,7 @@
   });
   private readonly host = new Gauge({
     name: 'cyclamenlever_host',
-    help: 'State of this host: ready, reader, version, age_seconds, upstreams, hosts, in_flight, looking',
+    help: 'State of this host: ready, reader, version, age_seconds, upstreams, hosts, in_flight, looking, suspects, quarantined',
     labelNames: ['figure'] as const,
     registers: this.registers,
   });
@@ -167,6 +170,8 @@
       hosts: figures.hosts,
       in_flight: figures.inFlight,
       looking: figures.looking,
+      suspects: figures.suspects,
+      quarantined: figures.quarantined,
     };
     for (const [figure, value] of Object.entries(values)) {
       this.host.set({figure}, value);
--- a/src/gateway/truthful_problem.ts
+++ b/src/gateway/truthful_problem.ts
@@ -7,6 +7,7 @@
 const UNCERTAIN_REASONS: ReadonlyMap<ProblemReason, ProblemReason> = new Map([
   ['no-upstream', 'attempt-broken'],
   ['no-room', 'attempt-broken'],
+  ['quarantined', 'attempt-broken'],
   ['upstreams-refused', 'attempt-broken'],
   ['waited-too-long', 'attempt-timed-out'],
 ]);
--- a/src/gateway/upstream_desk.ts
+++ b/src/gateway/upstream_desk.ts
@@ -156,7 +156,7 @@
    * connection: those that are kept may have broken too, without a sign yet.
    */
   async presence(
-    upstream: UpstreamInService,
+    upstream: RegisteredUpstream,
     service: ServiceProfile,
   ): Promise<Presence> {
     const {pool} = this.contactOf(upstream);
@@ -165,7 +165,7 @@
   }
 
   private async ask(
-    upstream: UpstreamInService,
+    upstream: RegisteredUpstream,
     {healthPath}: ServiceProfile,
     connection: UpstreamConnection,
   ): Promise<ProbeResult> {
--- a/src/host/gateway_host.ts
+++ b/src/host/gateway_host.ts
@@ -10,6 +10,7 @@
   PlacementPolicy,
   WorkEstimates,
 } from '../decisions/placement/index.js';
+import {Quarantine} from '../decisions/quarantine/index.js';
 import {HostRetries} from '../decisions/retries/index.js';
 import {NewsBox} from '../decisions/sharing/index.js';
 import {StallPolicy} from '../decisions/stalls/index.js';
@@ -28,6 +29,7 @@
 } from '../gateway/index.js';
 import {LifeCycle} from '../lifecycle/index.js';
 import {DatagramPort} from '../datagrams/index.js';
+import {CrashExchange} from '../quarantine/index.js';
 import {LoadExchange} from '../sharing/index.js';
 import type {HostSettings, Store} from '../platform/index.js';
 import type {Clock, Milliseconds, Random} from '../time/index.js';
@@ -70,6 +72,8 @@
   private readonly metricsServer: MetricsServer;
   private readonly datagrams: DatagramPort;
   private readonly loadExchange: LoadExchange;
+  private readonly quarantine: Quarantine;
+  private readonly crashExchange: CrashExchange;
   private readonly desk: UpstreamDesk;
   private readonly policy: PlacementPolicy;
   private readonly probes: ProbeBudget;
@@ -81,6 +85,7 @@
   constructor(private readonly parts: GatewayHostParts) {
     const {settings, clock, random, logger} = parts;
     const {dataCentre} = settings;
+    this.quarantine = new Quarantine(clock);
     this.lifeCycle = new LifeCycle(logger);
     this.state = this.lifeCycle.own(
       'state',
@@ -98,21 +103,11 @@
       new DatagramPort(logger),
       one => one.close(),
     );
+    this.crashExchange = this.createCrashExchange();
     const news = new NewsBox(clock, () => this.loadExchange.wake());
     const view = new LoadView(clock, news);
     this.loadExchange = this.createLoadExchange(view, news);
-    this.desk = this.lifeCycle.own(
-      'upstream connections',
-      new UpstreamDesk({
-        options: DEFAULT_OPTIONS,
-        view,
-        state: this.state,
-        clock,
-        logger,
-        metrics,
-      }),
-      one => one.close(),
-    );
+    this.desk = this.createDesk(view);
     const work = new WorkEstimates();
     this.probes = new ProbeBudget(clock, settings.probesPerSecond);
     this.policy = new PlacementPolicy({
@@ -182,6 +177,7 @@
       this.loadExchange.start(address);
     }
     this.member.start(address);
+    this.crashExchange.start();
     return ports;
   }
 
@@ -231,6 +227,8 @@
       hosts: state.size.estimate,
       inFlight: this.gateway.inFlightCount,
       looking,
+      suspects: this.quarantine.size,
+      quarantined: this.quarantine.heldCount,
     };
   }
 
@@ -268,6 +266,23 @@
     );
   }
 
+  private createDesk(view: LoadView): UpstreamDesk {
+    const {clock, logger, metrics} = this.parts;
+    const {state} = this;
+    return this.lifeCycle.own(
+      'upstream connections',
+      new UpstreamDesk({
+        options: DEFAULT_OPTIONS,
+        view,
+        state,
+        clock,
+        logger,
+        metrics,
+      }),
+      one => one.close(),
+    );
+  }
+
   private createLoadExchange(view: LoadView, news: NewsBox): LoadExchange {
     const {settings, clock} = this.parts;
     const {dataCentre} = settings;
@@ -281,6 +296,24 @@
     );
   }
 
+  private createCrashExchange(): CrashExchange {
+    const {clock, random, logger} = this.parts;
+    const {quarantine, datagrams} = this;
+    const peers = (): readonly string[] => this.member.peers;
+    return this.lifeCycle.own(
+      'crash exchange',
+      new CrashExchange({
+        quarantine,
+        datagrams,
+        peers,
+        clock,
+        random,
+        logger,
+      }),
+      one => one.close(),
+    );
+  }
+
   private createGateway(work: WorkEstimates): GatewayServer {
     const {clock, random, logger, metrics} = this.parts;
     const split = new TrafficSplit(random);
@@ -295,7 +328,14 @@
       dataCentre: this.parts.settings.dataCentre,
       state: this.state,
       desk,
-      crashes: new CrashWatch({desk, metrics, log}),
+      crashes: new CrashWatch({
+        desk,
+        state: this.state,
+        quarantine: this.quarantine,
+        exchange: this.crashExchange,
+        metrics,
+        log,
+      }),
       work,
       stalls: new StallPolicy(),
       bodies: this.bodies,
--- a/src/http/problem.ts
+++ b/src/http/problem.ts
@@ -25,6 +25,7 @@
   | 'body-too-large'
   | 'headers-too-large'
   | 'no-room'
+  | 'quarantined'
   | 'waited-too-long';
 
 interface ProblemKind {
@@ -75,6 +76,10 @@
   'body-too-large': {status: 413, title: 'The body is too large'},
   'headers-too-large': {status: 431, title: 'The headers are too large'},
   'no-room': {status: 503, title: 'No upstream has room'},
+  quarantined: {
+    status: 503,
+    title: 'Upstreams crashed under this request',
+  },
   'waited-too-long': {status: 503, title: 'No upstream was free in time'},
   'request-timeout': {status: 408, title: 'The request arrived too slowly'},
 };
--- a/tests/request_log.test.ts
+++ b/tests/request_log.test.ts
@@ -53,6 +53,8 @@
     hosts: 1,
     inFlight: 0,
     looking: 0,
+    suspects: 0,
+    quarantined: 0,
   });
   expect(text).toContain('cyclamenlever_log_lines_dropped_total 60');
   expect(text).toContain('cyclamenlever_host{figure="version"} 3');
--- /dev/null
+++ b/tests/support/crash_simulation.ts
@@ -0,0 +1,125 @@
+/** Hosts that tell each other of crashing requests, in simulated time. */
+
+import type {
+  CrashMessage,
+  CrashNews,
+} from '../../src/decisions/quarantine/index.js';
+import {CrashSpread, Quarantine} from '../../src/decisions/quarantine/index.js';
+import type {Milliseconds, Random} from '../../src/time/index.js';
+import {ManualClock, seededRandom} from '../../src/time/index.js';
+
+const STEP_MS = 5;
+/** Hosts that each one knows: as many as its view holds. */
+const KNOWN = 24;
+
+export interface SimulatedHost {
+  readonly address: string;
+  readonly quarantine: Quarantine;
+  spread: CrashSpread;
+  isCut: boolean;
+  sent: number;
+}
+
+interface Delivery {
+  readonly at: Milliseconds;
+  readonly from: SimulatedHost;
+  readonly to: SimulatedHost;
+  readonly news: CrashNews;
+}
+
+export class CrashSimulation {
+  readonly clock = new ManualClock(0);
+  readonly hosts: SimulatedHost[] = [];
+  private readonly random: Random;
+  private underWay: Delivery[] = [];
+
+  /** @param loss share of the datagrams that are lost */
+  constructor(
+    hosts: number,
+    seed: number,
+    private readonly loss = 0,
+  ) {
+    this.random = seededRandom(seed);
+    for (let i = 0; i < hosts; i += 1) {
+      this.start(`h${i}`);
+    }
+  }
+
+  start(address: string): SimulatedHost {
+    const {clock, random} = this;
+    const quarantine = new Quarantine(clock);
+    const known = new Map<SimulatedHost, string>();
+    const peers = (): readonly string[] => {
+      const others = this.hosts.filter(one => one !== host);
+      while (known.size < Math.min(KNOWN, others.length)) {
+        const one = others[Math.floor(random() * others.length)];
+        if (one) {
+          known.set(one, one.address);
+        }
+      }
+      return [...known.values()];
+    };
+    const spread = new CrashSpread({quarantine, peers, clock, random});
+    const host = {address, quarantine, spread, isCut: false, sent: 0};
+    this.hosts.push(host);
+    return host;
+  }
+
+  crash(host: SimulatedHost, fingerprint: string, life: string): void {
+    host.quarantine.noteCrash(fingerprint, life);
+    host.spread.learnt(fingerprint);
+  }
+
+  run(ms: Milliseconds): void {
+    const end = this.clock.now() + ms;
+    while (this.clock.now() < end) {
+      this.clock.advance(STEP_MS);
+      this.deliver();
+      for (const host of this.hosts) {
+        if (this.clock.now() >= host.spread.dueAt) {
+          this.send(host, host.spread.due());
+        }
+      }
+    }
+  }
+
+  /** Hosts that would refuse a request, if what they heard is true. */
+  holding(fingerprint: string): number {
+    return this.hosts.filter(
+      ({quarantine}) => quarantine.verdictOf(fingerprint).kind !== 'free',
+    ).length;
+  }
+
+  private send(from: SimulatedHost, messages: readonly CrashMessage[]): void {
+    for (const {to, news} of messages) {
+      for (const address of to) {
+        const receiver = this.hosts.find(one => one.address === address);
+        from.sent += 1;
+        const isLost = from.isCut || this.random() < this.loss;
+        if (receiver && !isLost) {
+          const at = this.clock.now() + 1 + 9 * this.random();
+          this.underWay.push({at, from, to: receiver, news});
+        }
+      }
+    }
+  }
+
+  private deliver(): void {
+    const now = this.clock.now();
+    const due = this.underWay.filter(({at}) => at <= now);
+    this.underWay = this.underWay.filter(({at}) => at > now);
+    for (const {from, to, news} of due) {
+      if (to.isCut) {
+        continue;
+      }
+      if (news.kind === 'question') {
+        this.send(to, to.spread.answerTo(from.address));
+        continue;
+      }
+      to.spread.heard(news.records);
+      if (news.kind === 'answer') {
+        to.spread.noteAnswer();
+      }
+    }
+  }
+}
