Crashing requests outlast a loss of all hosts; what is held back by mistake

Cause: hosts learn from each other, so that a fleet that loses power as a whole would let each such request crash three upstreams again. Change: CrashArchive keeps what holds a request back in the store (keyed.crashes, a call for each crash beyond the second); the reader follows the topic with waits of 20 s, and drops records older than an hour.

--- a/src/fleet/fleet_member.ts
+++ b/src/fleet/fleet_member.ts
@@ -21,6 +21,7 @@
 import type {BadRecordObserver} from './record_intake.js';
 import {RecordIntake} from './record_intake.js';
 import {RelayClient} from './relay_client.js';
+import type {FollowedTopic} from './store_reader.js';
 import {StoreReader} from './store_reader.js';
 
 /** How often what is due is looked at. */
@@ -51,6 +52,8 @@
   readonly random: Random;
   readonly logger: Logger;
   readonly onBadRecord: BadRecordObserver;
+  /** What a reader follows beside upstreams and the configuration. */
+  readonly topics: readonly FollowedTopic[];
   /** Told when followers are to hear a sign of life, or are gone. */
   readonly onTell: () => void;
   readonly onSilent: (follower: string) => void;
@@ -65,11 +68,13 @@
   private closed = false;
 
   constructor(private readonly parts: FleetMemberParts) {
-    const {store, state, clock, random, logger, onBadRecord} = parts;
+    const {store, state, clock, random, logger} = parts;
+    const {onBadRecord, topics} = parts;
     this.reader = new StoreReader({
       store,
       state,
       intake: new RecordIntake(state, clock, logger, onBadRecord),
+      topics,
       random,
       logger,
       onRead: isAnswered => this.noteRead(isAnswered),
--- a/src/fleet/index.ts
+++ b/src/fleet/index.ts
@@ -2,5 +2,6 @@
 export type {FleetMemberParts} from './fleet_member.js';
 export {FleetMember} from './fleet_member.js';
 export type {BadRecordObserver, RecordSort} from './record_intake.js';
+export type {FollowedTopic} from './store_reader.js';
 export {RecordIntake} from './record_intake.js';
 export {RelayServer} from './relay_server.js';
--- a/src/fleet/store_reader.ts
+++ b/src/fleet/store_reader.ts
@@ -2,7 +2,12 @@
 
 import type {Logger} from 'pino';
 import {pauseAfter} from '../decisions/fleet/index.js';
-import type {Offset, Store, StoreFailure} from '../platform/index.js';
+import type {
+  KeyedRecord,
+  Offset,
+  Store,
+  StoreFailure,
+} from '../platform/index.js';
 import {OPERATOR_TOPIC, UPSTREAM_TOPIC} from '../platform/index.js';
 import type {Milliseconds, Random} from '../time/index.js';
 import {sleep} from '../time/index.js';
@@ -22,15 +27,27 @@
  * end of their wait, and it must be in force 2 s after it was made.
  */
 const CONFIGURATION_WAIT_MS: Milliseconds = 1_400;
-/** The configuration is read again after this time, or when the store is back. */
+/** Other topics are read again after this time, or when the store is back. */
 const OUTAGE_PAUSE_MS: Milliseconds = 5_000;
 /** Changes that come in quick succession are read together. */
 const GATHER_MS: Milliseconds = 250;
 
+/** A topic of the store that readers follow, beside the upstreams'. */
+export interface FollowedTopic {
+  /** As logs call it. */
+  readonly name: string;
+  readonly topic: string;
+  /** How long a read waits for a change. */
+  readonly waitMs: Milliseconds;
+  readonly take: (records: readonly KeyedRecord[]) => void;
+}
+
 export interface StoreReaderParts {
   readonly store: Store;
   readonly state: FleetState;
   readonly intake: RecordIntake;
+  /** Followed beside upstreams and the configuration. */
+  readonly topics: readonly FollowedTopic[];
   readonly random: Random;
   readonly logger: Logger;
   /** Told of each read of upstreams that the store answers, or doesn't. */
@@ -47,8 +64,8 @@
   private upstreamsLoaded = false;
   /** Whether the store has answered since the start. */
   private proved = false;
-  /** Ends the wait for a configuration, on a connection that may be dead. */
-  private configurationRead = new AbortController();
+  /** Ends waits for changes, on connections that may be dead. */
+  private waits = new AbortController();
 
   constructor(private readonly parts: StoreReaderParts) {}
 
@@ -68,7 +85,17 @@
     this.parts.intake.restart();
     this.parts.logger.info({event: 'reader'}, 'reading the store');
     void this.loopUpstreams(this.run);
-    void this.loopConfiguration(this.run);
+    const {intake, topics} = this.parts;
+    const configuration = {
+      name: 'configuration',
+      topic: OPERATOR_TOPIC,
+      waitMs: CONFIGURATION_WAIT_MS,
+      take: (records: readonly KeyedRecord[]) =>
+        intake.takeConfigurations(records),
+    };
+    for (const followed of [configuration, ...topics]) {
+      void this.loopTopic(this.run, followed);
+    }
   }
 
   stop(): void {
@@ -105,23 +132,25 @@
     }
   }
 
-  private async loopConfiguration(run: number): Promise<void> {
+  /** Reads a topic of few records: all of them first, then what changes. */
+  private async loopTopic(run: number, followed: FollowedTopic): Promise<void> {
+    const {name, topic, waitMs, take} = followed;
     let cursor: Offset | undefined;
     let failures = 0;
     while (this.isCurrent(run)) {
       const found =
         cursor === undefined
-          ? await this.parts.store.newest(OPERATOR_TOPIC)
+          ? await this.parts.store.newest(topic)
           : await this.parts.store.read(
-              OPERATOR_TOPIC,
+              topic,
               cursor,
-              CONFIGURATION_WAIT_MS,
-              this.configurationRead.signal,
+              waitMs,
+              this.waits.signal,
             );
       if (found.isOk()) {
         failures = 0;
         const page = found.value;
-        this.parts.intake.takeConfigurations(page.records);
+        take(page.records);
         cursor = 'end' in page ? page.end : page.next;
         continue;
       }
@@ -131,15 +160,15 @@
       }
       failures += 1;
       this.parts.logger.warn(
-        {event: 'store', read: 'configuration', error: found.error.message},
+        {event: 'store', read: name, error: found.error.message},
         'cannot read the store',
       );
-      // While the store answers nothing, one read finds out for both.
+      // While the store answers nothing, one read finds out for all.
       const pauseMs =
         this.failures > 0
           ? OUTAGE_PAUSE_MS
           : pauseAfter(failures, this.parts.random);
-      await sleep(pauseMs, this.configurationRead.signal);
+      await sleep(pauseMs, this.waits.signal);
     }
   }
 
@@ -169,7 +198,7 @@
 
   private noteSuccess(): void {
     if (this.failures > 0) {
-      this.restartConfigurationRead();
+      this.restartWaits();
       this.parts.logger.info(
         {event: 'store', failures: this.failures},
         'the store answers again',
@@ -180,15 +209,15 @@
     this.parts.onRead(true);
   }
 
-  private restartConfigurationRead(): void {
-    this.configurationRead.abort();
-    this.configurationRead = new AbortController();
+  private restartWaits(): void {
+    this.waits.abort();
+    this.waits = new AbortController();
   }
 
   private noteFailure(read: string, failure: StoreFailure): void {
     this.failures += 1;
     if (this.failures === 1) {
-      this.restartConfigurationRead();
+      this.restartWaits();
     }
     this.parts.onRead(false);
     this.parts.logger.warn(
--- /dev/null
+++ b/src/gateway/crash_guard.ts
@@ -0,0 +1,64 @@
+/** What one request has to do with upstreams that crash. */
+
+import type {IncomingMessage} from 'node:http';
+import type {RegisteredUpstream} from '../decisions/registry/index.js';
+import type {ServiceProfile} from '../decisions/routes/index.js';
+import type {RequestBody} from '../http/index.js';
+import type {Milliseconds} from '../time/index.js';
+import {sleep} from '../time/index.js';
+import {fingerprintOf} from './fingerprint.js';
+import type {GatewayContext} from './types.js';
+
+/**
+ * A repeat waits this long to hear whether its upstream ended, which takes one round
+ * trip: the crash that it ended by may be the one that holds the request back.
+ */
+const CHECK_MS: Milliseconds = 50;
+
+export interface CrashGuardParts {
+  readonly context: GatewayContext;
+  readonly request: IncomingMessage;
+  readonly body: RequestBody;
+  /** Id of the request's arrival. */
+  readonly id: string;
+  readonly service: ServiceProfile;
+}
+
+export class CrashGuard {
+  private fingerprint: string | undefined;
+  /** Ends once it is known whether the last broken send's upstream ended. */
+  private check: Promise<void> | undefined;
+
+  constructor(private readonly parts: CrashGuardParts) {}
+
+  /** How long the request is held back; undefined when it may be sent. */
+  async heldForMs(): Promise<Milliseconds | undefined> {
+    await this.check;
+    return this.parts.context.crashes.heldForMs(this.read);
+  }
+
+  /** A send broke off. */
+  noteBroken(upstream: RegisteredUpstream): void {
+    const {context, id: request, service} = this.parts;
+    const {crashes, logger} = context;
+    const fingerprint = this.read();
+    const check = crashes
+      .note({upstream, service, request, fingerprint})
+      .catch((error: unknown) => {
+        logger.error({error, upstream: upstream.id}, 'crash check failed');
+      });
+    this.check = Promise.race([check, sleep(CHECK_MS)]);
+  }
+
+  /** An upstream has answered. */
+  noteAnswer(): void {
+    this.parts.context.crashes.survived(this.read);
+  }
+
+  /** Computed when it is first needed: for most requests it never is. */
+  private readonly read = (): string => {
+    const {request, body} = this.parts;
+    this.fingerprint ??= fingerprintOf(request, body);
+    return this.fingerprint;
+  };
+}
--- a/src/gateway/crash_watch.ts
+++ b/src/gateway/crash_watch.ts
@@ -7,15 +7,11 @@
  * broke there: refused, its process has ended under them.
  */
 
-import type {
-  Crash,
-  Fingerprint,
-  Quarantine,
-} from '../decisions/quarantine/index.js';
+import type {Crash, Fingerprint} from '../decisions/quarantine/index.js';
 import type {RegisteredUpstream} from '../decisions/registry/index.js';
 import type {ServiceProfile} from '../decisions/routes/index.js';
 import type {FleetState} from '../fleet/index.js';
-import type {CrashExchange} from '../quarantine/index.js';
+import type {CrashMemory} from '../quarantine/index.js';
 import type {Milliseconds} from '../time/index.js';
 import type {GatewayMetrics} from './gateway_metrics.js';
 import type {RequestLog} from './request_log.js';
@@ -33,8 +29,7 @@
 export interface CrashWatchParts {
   readonly desk: UpstreamDesk;
   readonly state: FleetState;
-  readonly quarantine: Quarantine;
-  readonly exchange: CrashExchange;
+  readonly memory: CrashMemory;
   readonly metrics: GatewayMetrics;
   readonly log: RequestLog;
 }
@@ -47,7 +42,7 @@
   /** A send broke off: finds out whether its upstream ended under it. */
   async note(send: BrokenSend): Promise<void> {
     const {upstream, service, request, fingerprint} = send;
-    const {quarantine, exchange, metrics, log} = this.parts;
+    const {memory, metrics, log} = this.parts;
     const presence = await this.check(upstream, service);
     metrics.countBrokenSend(presence);
     log.failed(
@@ -61,16 +56,15 @@
       'a send broke off',
     );
     if (presence === 'ended') {
-      quarantine.noteCrash(fingerprint, upstream.id);
-      exchange.learnt(fingerprint);
+      memory.noteCrash(fingerprint, upstream.id);
     }
   }
 
   /** An upstream has answered a request, so that it lives on. */
   survived(fingerprintOf: () => Fingerprint): void {
-    const {quarantine, exchange} = this.parts;
-    if (quarantine.size > 0 && quarantine.noteSurvival(fingerprintOf())) {
-      exchange.learnt(fingerprintOf());
+    const {memory} = this.parts;
+    if (memory.quarantine.size > 0) {
+      memory.noteSurvival(fingerprintOf());
     }
   }
 
@@ -81,7 +75,7 @@
   async heldForMs(
     fingerprintOf: () => Fingerprint,
   ): Promise<Milliseconds | undefined> {
-    const {quarantine} = this.parts;
+    const {quarantine} = this.parts.memory;
     if (quarantine.size === 0) {
       return undefined;
     }
@@ -108,7 +102,8 @@
    * that harms nobody. Asked only where such a request arrives, once for a life.
    */
   private async examine({life, ageMs}: Crash): Promise<void> {
-    const {state, quarantine} = this.parts;
+    const {state, memory} = this.parts;
+    const {quarantine} = memory;
     const upstream = state.registry.find(life);
     if (!upstream) {
       const endedBefore = ageMs > state.upstreamsKnownForMs;
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -9,7 +9,6 @@
 import {BodyTooLargeError, sendProblem} from '../http/index.js';
 import {HEADERS} from '../platform/index.js';
 import type {Milliseconds} from '../time/index.js';
-import {sleep} from '../time/index.js';
 import type {
   AttemptResult,
   ForwardedRequest,
@@ -18,7 +17,7 @@
 } from '../upstreams/index.js';
 import {BodyIntake} from './body_intake.js';
 import {endOf, failureOf} from './attempt_end.js';
-import {fingerprintOf} from './fingerprint.js';
+import {CrashGuard} from './crash_guard.js';
 import {forwardedRequest} from './forwarded_request.js';
 import {streamLong, writeWhole} from './reply.js';
 import type {WantedPlacement} from './scheduler.js';
@@ -29,19 +28,13 @@
 
 /** When to come back if no upstream could be reached. */
 const UNREACHABLE_RETRY_MS: Milliseconds = 150;
-/**
- * A repeat waits this long to hear whether its upstream ended, which takes one round
- * trip: the crash that it ended by may be the one that holds the request back.
- */
-const CRASH_CHECK_MS: Milliseconds = 50;
 /** Time that a caller waits who doesn't say. */
 const DEFAULT_TIME_MS: Milliseconds = 60_000;
 
 /** A request whose body has arrived, and what its sends need. */
 interface ReadyRequest {
   readonly forwarded: ForwardedRequest;
-  /** Computed when it is first asked for: most requests never need it. */
-  readonly fingerprint: () => string;
+  readonly guard: CrashGuard;
   readonly bodyHeld: boolean;
 }
 
@@ -56,8 +49,6 @@
   private timer: NodeJS.Timeout | undefined;
   private watch: StallWatch | undefined;
   private done = false;
-  /** Ends once it is known whether the last broken send's upstream ended. */
-  private crashCheck: Promise<void> | undefined;
   /** An upstream's own error, delivered if nothing better comes. */
   private failure: WholeAnswer | undefined;
   /** What upstreams told when none of them had room. */
@@ -122,9 +113,10 @@
   }
 
   private async serve(body: RequestBody): Promise<void> {
+    const {context, request, id, service} = this;
     const ready = {
-      forwarded: forwardedRequest(this.request, this.id, body),
-      fingerprint: once(() => fingerprintOf(this.request, body)),
+      forwarded: forwardedRequest(request, id, body),
+      guard: new CrashGuard({context, request, body, id, service}),
       bodyHeld: body.kind !== 'stream',
     };
     while (!this.done) {
@@ -132,7 +124,7 @@
       if (await this.isHeldBack(ready)) {
         return;
       }
-      const placing = await this.context
+      const placing = await context
         .schedulerOf(this.service.name)
         .place(this.wanted(), this.service, this.ended.signal);
       if (this.done) {
@@ -152,9 +144,8 @@
   }
 
   /** Refuses a request under which upstreams crash. */
-  private async isHeldBack({fingerprint}: ReadyRequest): Promise<boolean> {
-    await this.crashCheck;
-    const heldMs = await this.context.crashes.heldForMs(fingerprint);
+  private async isHeldBack({guard}: ReadyRequest): Promise<boolean> {
+    const heldMs = await guard.heldForMs();
     if (heldMs !== undefined) {
       this.refuseOrFail('quarantined', heldMs);
     }
@@ -232,7 +223,8 @@
       this.service,
       this.ended.signal,
     );
-    if (await this.isHeldBack(ready)) {
+    // The first send goes on: its answer would show that the request is harmless.
+    if ((await ready.guard.heldForMs()) !== undefined) {
       return;
     }
     const isWanted = !this.done && silent.isPending && this.record.mayHedge;
@@ -252,16 +244,16 @@
       return;
     }
     if (result.kind === 'long') {
-      this.context.crashes.survived(ready.fingerprint);
+      ready.guard.noteAnswer();
       this.passOn(result);
       return;
     }
     this.noteFailure(result, send.upstream.id);
     if (result.kind === 'broken') {
-      this.noteBroken(send, ready);
+      ready.guard.noteBroken(send.upstream);
     }
     if (result.kind === 'answered') {
-      this.context.crashes.survived(ready.fingerprint);
+      ready.guard.noteAnswer();
     }
     const step = this.record.noteEnd(endOf(result), {
       leftMs: this.leftMs,
@@ -316,18 +308,6 @@
     );
   }
 
-  private noteBroken({upstream}: UpstreamSend, ready: ReadyRequest): void {
-    const {crashes, logger} = this.context;
-    const {service, id: request} = this;
-    const fingerprint = ready.fingerprint();
-    const check = crashes
-      .note({upstream, service, request, fingerprint})
-      .catch((error: unknown) => {
-        logger.error({error, upstream: upstream.id}, 'crash check failed');
-      });
-    this.crashCheck = Promise.race([check, sleep(CRASH_CHECK_MS)]);
-  }
-
   private spendRepeat(): boolean {
     const {retries, metrics} = this.context;
     const granted = retries.spend(this.service.name);
@@ -418,12 +398,3 @@
     }
   }
 }
-
-/** Calls a function when its result is first wanted, and not again. */
-function once<T>(compute: () => T): () => T {
-  let result: {readonly value: T} | undefined;
-  return () => {
-    result ??= {value: compute()};
-    return result.value;
-  };
-}
--- a/src/host/gateway_host.ts
+++ b/src/host/gateway_host.ts
@@ -10,7 +10,6 @@
   PlacementPolicy,
   WorkEstimates,
 } from '../decisions/placement/index.js';
-import {Quarantine} from '../decisions/quarantine/index.js';
 import {HostRetries} from '../decisions/retries/index.js';
 import {NewsBox} from '../decisions/sharing/index.js';
 import {StallPolicy} from '../decisions/stalls/index.js';
@@ -29,7 +28,7 @@
 } from '../gateway/index.js';
 import {LifeCycle} from '../lifecycle/index.js';
 import {DatagramPort} from '../datagrams/index.js';
-import {CrashExchange} from '../quarantine/index.js';
+import {CrashMemory} from '../quarantine/index.js';
 import {LoadExchange} from '../sharing/index.js';
 import type {HostSettings, Store} from '../platform/index.js';
 import type {Clock, Milliseconds, Random} from '../time/index.js';
@@ -72,8 +71,7 @@
   private readonly metricsServer: MetricsServer;
   private readonly datagrams: DatagramPort;
   private readonly loadExchange: LoadExchange;
-  private readonly quarantine: Quarantine;
-  private readonly crashExchange: CrashExchange;
+  private readonly crashMemory: CrashMemory;
   private readonly desk: UpstreamDesk;
   private readonly policy: PlacementPolicy;
   private readonly probes: ProbeBudget;
@@ -85,7 +83,6 @@
   constructor(private readonly parts: GatewayHostParts) {
     const {settings, clock, random, logger} = parts;
     const {dataCentre} = settings;
-    this.quarantine = new Quarantine(clock);
     this.lifeCycle = new LifeCycle(logger);
     this.state = this.lifeCycle.own(
       'state',
@@ -103,7 +100,7 @@
       new DatagramPort(logger),
       one => one.close(),
     );
-    this.crashExchange = this.createCrashExchange();
+    this.crashMemory = this.createCrashMemory();
     const news = new NewsBox(clock, () => this.loadExchange.wake());
     const view = new LoadView(clock, news);
     this.loadExchange = this.createLoadExchange(view, news);
@@ -177,7 +174,7 @@
       this.loadExchange.start(address);
     }
     this.member.start(address);
-    this.crashExchange.start();
+    this.crashMemory.start();
     return ports;
   }
 
@@ -227,8 +224,8 @@
       hosts: state.size.estimate,
       inFlight: this.gateway.inFlightCount,
       looking,
-      suspects: this.quarantine.size,
-      quarantined: this.quarantine.heldCount,
+      suspects: this.crashMemory.quarantine.size,
+      quarantined: this.crashMemory.quarantine.heldCount,
     };
   }
 
@@ -258,6 +255,7 @@
         clock,
         random,
         logger,
+        topics: [this.crashMemory.topic],
         onBadRecord: sort => metrics.countBadRecord(sort),
         onTell: () => this.relay.tellSign(),
         onSilent: follower => this.relay.cutOff(follower),
@@ -296,20 +294,13 @@
     );
   }
 
-  private createCrashExchange(): CrashExchange {
-    const {clock, random, logger} = this.parts;
-    const {quarantine, datagrams} = this;
+  private createCrashMemory(): CrashMemory {
+    const {store, clock, random, logger} = this.parts;
+    const {datagrams} = this;
     const peers = (): readonly string[] => this.member.peers;
     return this.lifeCycle.own(
-      'crash exchange',
-      new CrashExchange({
-        quarantine,
-        datagrams,
-        peers,
-        clock,
-        random,
-        logger,
-      }),
+      'crash memory',
+      new CrashMemory({datagrams, store, peers, clock, random, logger}),
       one => one.close(),
     );
   }
@@ -331,8 +322,7 @@
       crashes: new CrashWatch({
         desk,
         state: this.state,
-        quarantine: this.quarantine,
-        exchange: this.crashExchange,
+        memory: this.crashMemory,
         metrics,
         log,
       }),
--- /dev/null
+++ b/src/quarantine/crash_archive.ts
@@ -0,0 +1,122 @@
+/**
+ * Keeps what is known of crashing requests in the platform's store.
+ *
+ * Hosts tell each other, which needs no store. Kept for two cases that talk can't
+ * answer: all hosts lose power at once, and would let each such request crash three
+ * upstreams again; and a host that only the store reaches.
+ */
+
+import type {Logger} from 'pino';
+import type {CrashRecord} from '../decisions/quarantine/index.js';
+import {CRASH_MEMORY_MS} from '../decisions/quarantine/index.js';
+import type {FollowedTopic} from '../fleet/index.js';
+import type {KeyedRecord, Store} from '../platform/index.js';
+import type {Milliseconds} from '../time/index.js';
+import {sleep} from '../time/index.js';
+import {recordOf, recordRow} from './codec.js';
+
+/** A topic of the system's own; keeps the newest record of each fingerprint. */
+export const CRASH_TOPIC = 'keyed.crashes';
+/** A read waits this long; each is paid for, and most days have no such record. */
+const WAIT_MS: Milliseconds = 20_000;
+/** A write that fails is tried again so often: the other hosts know anyway. */
+const TRIES = 5;
+const PAUSE_MS: Milliseconds = 1_000;
+/** Old records that are dropped at once, a call each. */
+const DROPPED_AT_ONCE = 4;
+
+export interface CrashArchiveParts {
+  readonly store: Store;
+  /** Takes in what the store keeps. */
+  readonly recall: (records: readonly CrashRecord[]) => void;
+  /**
+   * Unix time: ages must hold from one start of a host to the next. Seconds by
+   * which it is wrong don't matter to what is held back for minutes.
+   */
+  readonly unixNow: () => Milliseconds;
+  readonly logger: Logger;
+}
+
+export class CrashArchive {
+  private closed = false;
+
+  constructor(private readonly parts: CrashArchiveParts) {}
+
+  /** What readers of the store follow for it. */
+  get topic(): FollowedTopic {
+    return {
+      name: 'crashes',
+      topic: CRASH_TOPIC,
+      waitMs: WAIT_MS,
+      take: records => this.take(records),
+    };
+  }
+
+  async keep(record: CrashRecord): Promise<void> {
+    const {store, unixNow, logger} = this.parts;
+    const value = JSON.stringify({at: unixNow(), row: recordRow(record)});
+    for (let tries = 1; tries <= TRIES && !this.closed; tries += 1) {
+      const done = await store.put(CRASH_TOPIC, record.fingerprint, value);
+      if (done.isOk()) {
+        return;
+      }
+      logger.warn(
+        {event: 'store', write: 'crashes', tries, error: done.error.message},
+        'cannot keep a crashing request',
+      );
+      await sleep(PAUSE_MS);
+    }
+  }
+
+  close(): void {
+    this.closed = true;
+  }
+
+  private take(records: readonly KeyedRecord[]): void {
+    const kept = records.flatMap(record => this.decode(record));
+    const isOld = ({crashes}: CrashRecord): boolean =>
+      crashes.every(({ageMs}) => ageMs > CRASH_MEMORY_MS);
+    this.parts.recall(kept.filter(record => !isOld(record)));
+    void this.drop(kept.filter(isOld).slice(0, DROPPED_AT_ONCE));
+  }
+
+  /** Keys stay in the store for good unless somebody drops them. */
+  private async drop(records: readonly CrashRecord[]): Promise<void> {
+    for (const {fingerprint} of records) {
+      const done = await this.parts.store.put(CRASH_TOPIC, fingerprint, '');
+      if (done.isErr()) {
+        // Left for the next reader that takes all records in.
+        return;
+      }
+    }
+  }
+
+  private decode({value}: KeyedRecord): readonly CrashRecord[] {
+    if (value === undefined) {
+      return [];
+    }
+    try {
+      const {at, row} = JSON.parse(value) as {at?: unknown; row?: unknown};
+      const sinceMs = Math.max(0, this.parts.unixNow() - Number(at));
+      return Number.isFinite(sinceMs)
+        ? recordOf(row).map(record => aged(record, sinceMs))
+        : [];
+    } catch {
+      // Written by another program, or another version: it names no request.
+      return [];
+    }
+  }
+}
+
+function aged(record: CrashRecord, byMs: Milliseconds): CrashRecord {
+  const {survivedAgeMs} = record;
+  return {
+    ...record,
+    crashes: record.crashes.map(({life, ageMs}) => ({
+      life,
+      ageMs: ageMs + byMs,
+    })),
+    survivedAgeMs:
+      survivedAgeMs === undefined ? undefined : survivedAgeMs + byMs,
+  };
+}
--- /dev/null
+++ b/src/quarantine/crash_memory.ts
@@ -0,0 +1,75 @@
+/** What a host knows of crashing requests, shared with other hosts and kept. */
+
+import type {Logger} from 'pino';
+import type {DatagramPort} from '../datagrams/index.js';
+import type {Fingerprint} from '../decisions/quarantine/index.js';
+import {CRASHES_TO_HOLD, Quarantine} from '../decisions/quarantine/index.js';
+import type {FollowedTopic} from '../fleet/index.js';
+import type {Store} from '../platform/index.js';
+import type {Clock, Random} from '../time/index.js';
+import {CrashArchive} from './crash_archive.js';
+import {CrashExchange} from './crash_exchange.js';
+
+export interface CrashMemoryParts {
+  readonly datagrams: DatagramPort;
+  readonly store: Store;
+  /** Addresses of the hosts that this one knows. */
+  readonly peers: () => readonly string[];
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly logger: Logger;
+}
+
+export class CrashMemory {
+  readonly quarantine: Quarantine;
+  private readonly exchange: CrashExchange;
+  private readonly archive: CrashArchive;
+
+  constructor(parts: CrashMemoryParts) {
+    const {store, logger, clock} = parts;
+    this.quarantine = new Quarantine(clock);
+    this.exchange = new CrashExchange({...parts, quarantine: this.quarantine});
+    this.archive = new CrashArchive({
+      store,
+      recall: records => this.exchange.recall(records),
+      unixNow: () => Date.now(),
+      logger,
+    });
+  }
+
+  /** What readers of the store follow for it. */
+  get topic(): FollowedTopic {
+    return this.archive.topic;
+  }
+
+  /** Begins to ask and to tell; peers are known from now on. */
+  start(): void {
+    this.exchange.start();
+  }
+
+  /** This host saw an upstream's life end under a request. */
+  noteCrash(fingerprint: Fingerprint, life: string): void {
+    this.quarantine.noteCrash(fingerprint, life);
+    this.share(fingerprint);
+  }
+
+  /** An upstream has answered a request that may be suspected. */
+  noteSurvival(fingerprint: Fingerprint): void {
+    if (this.quarantine.noteSurvival(fingerprint)) {
+      this.share(fingerprint);
+    }
+  }
+
+  close(): void {
+    this.exchange.close();
+    this.archive.close();
+  }
+
+  private share(fingerprint: Fingerprint): void {
+    this.exchange.learnt(fingerprint);
+    const record = this.quarantine.recordOf(fingerprint);
+    if (record && record.crashes.length >= CRASHES_TO_HOLD) {
+      void this.archive.keep(record);
+    }
+  }
+}
--- a/src/quarantine/index.ts
+++ b/src/quarantine/index.ts
@@ -1,2 +1,3 @@
 export {decodeNews, encodeNews} from './codec.js';
-export {CrashExchange} from './crash_exchange.js';
+export {CRASH_TOPIC, CrashArchive} from './crash_archive.js';
+export {CrashMemory} from './crash_memory.js';
--- a/tests/crashing_requests.test.ts
+++ b/tests/crashing_requests.test.ts
@@ -1,7 +1,14 @@
+import {createSocket} from 'node:dgram';
+import type {IncomingMessage} from 'node:http';
+import {pino} from 'pino';
 import {afterEach, beforeEach, expect, test} from 'vitest';
+import {DatagramPort} from '../src/datagrams/index.js';
+import {fingerprintOf} from '../src/gateway/index.js';
+import {StoreClient} from '../src/platform/index.js';
+import {CRASH_TOPIC, encodeNews} from '../src/quarantine/index.js';
 import {ReportingUpstream} from '../src/standins/index.js';
-import type {Call} from './support/gateway.js';
-import {GatewaySystem} from './support/gateway.js';
+import type {Call, RunningHost} from './support/gateway.js';
+import {GatewaySystem, get, until} from './support/gateway.js';
 
 const UPSTREAMS = 14;
 const HOSTS = 3;
@@ -11,8 +18,16 @@
 /** ... and sends that may be under way before all hosts know it. */
 const SENDS_AFTER = 3;
 
+/** Answers from which a host learns how long runs take. */
+const RUNS_TO_LEARN = 40;
+
 const LOOKUP: Call = {path: '/lookup/crash'};
 const ORDER: Call = {method: 'POST', path: '/order/crash', body: 'a bundle'};
+const UPLOAD: Call = {
+  method: 'POST',
+  path: '/order/crash',
+  body: 'x'.repeat(2_000_000),
+};
 
 let system: GatewaySystem;
 
@@ -42,6 +57,49 @@
   return system.upstreams.filter(({hasEnded}) => hasEnded).length;
 }
 
+function host(index: number): RunningHost {
+  const running = system.hosts[index];
+  if (!running) {
+    throw new Error(`there is no host ${index}`);
+  }
+  return running;
+}
+
+/** Whether a host has learnt that a number of requests are to be held back. */
+async function holdsBack(running: RunningHost, count = 1): Promise<boolean> {
+  const {body} = await get(running.ports.metrics, '/metrics');
+  return body.includes(`cyclamenlever_host{figure="quarantined"} ${count}`);
+}
+
+/** A port for datagrams that nobody has at the moment. */
+function freePort(): Promise<number> {
+  return new Promise(resolve => {
+    const socket = createSocket('udp4');
+    socket.bind(0, '127.0.0.1', () => {
+      const {port} = socket.address();
+      socket.close(() => resolve(port));
+    });
+  });
+}
+
+/** Tells a host of crashes as another host would, with a fault in its program. */
+async function spreadFalseReport(call: Call, lives: readonly string[]) {
+  const liar = new DatagramPort(pino({level: 'silent'}));
+  const {url, method} = {url: call.path, method: call.method ?? 'GET'};
+  const headers = {host: 'shop.example'};
+  const request = {url, method, headers} as unknown as IncomingMessage;
+  const record = {
+    fingerprint: fingerprintOf(request, {kind: 'none'}),
+    crashes: lives.map(life => ({life, ageMs: 10})),
+    survivedAgeMs: undefined,
+  };
+  await liar.bind(`127.0.0.1:${await freePort()}`);
+  const to = system.hosts.map(({ports}) => `127.0.0.1:${ports.peers}`);
+  const news = encodeNews({kind: 'report', records: [record]});
+  liar.send('crashes', news, to);
+  return liar;
+}
+
 async function sendToHostsInTurn(call: Call): Promise<void> {
   for (let i = 0; i < ARRIVALS; i += 1) {
     const host = system.hosts[i % HOSTS];
@@ -55,6 +113,7 @@
 test.each([
   ['a lookup', LOOKUP],
   ['an order', ORDER],
+  ['an upload of 2 MB', UPLOAD],
 ])('%s that crashes upstreams is held back by all hosts', async (_, call) => {
   // Users saw a tenth and more of all requests refused for ten seconds and longer.
   // A caller's request ended the upstream that ran it; the host sent it to a
@@ -69,3 +128,128 @@
     expect((await system.call(host)).status).toBe(200);
   }
 });
+
+test('a host that starts in the midst holds back what others know', async () => {
+  // Hosts are replaced while a request crashes upstreams. It comes next to one that
+  // has just started and saw none of the crashes.
+  await sendToHostsInTurn(LOOKUP);
+  const before = endedCount();
+  const started = await system.startReadyHost();
+  await until(() => holdsBack(started));
+  expect((await system.call(started, LOOKUP)).status).toBe(503);
+  expect(endedCount()).toBe(before);
+});
+
+test('a fleet that starts again as a whole knows from the store', async () => {
+  // All hosts lose power at once: nobody is left to ask.
+  await sendToHostsInTurn(LOOKUP);
+  await until(() => system.storeServer.topics.end(CRASH_TOPIC) > 0);
+  const before = endedCount();
+  await Promise.all(system.hosts.map(one => one.host.stopNow()));
+  const started = await system.startReadyHost();
+  await until(() => holdsBack(started));
+  expect((await system.call(started, LOOKUP)).status).toBe(503);
+  expect(endedCount()).toBe(before);
+});
+
+test('the caller is told at once that it has not run, and when to come', async () => {
+  await sendToHostsInTurn(LOOKUP);
+  await until(() => holdsBack(host(0)));
+  const {status, headers, body} = await system.call(host(0), LOOKUP);
+  expect(status).toBe(503);
+  expect(body).toContain('not-run');
+  expect(body).toContain('quarantined');
+  // Half an hour at most, after the three crashes more that the test allows.
+  expect(Number(headers['retry-after'])).toBeGreaterThan(500);
+  expect(Number(headers['retry-after'])).toBeLessThanOrEqual(2_400);
+});
+
+test('what ran before it was held back is not called not run', async () => {
+  // Two crashes are known when an order arrives; its own send is the third. It may
+  // have run there, so that 503 would have its caller send it once more.
+  await system.call(host(0), ORDER);
+  await system.call(host(0), ORDER);
+  const {status, body} = await system.call(host(0), ORDER);
+  expect(status).toBe(502);
+  expect(body).toContain('unknown');
+});
+
+test('other requests are served while one is held back', async () => {
+  await sendToHostsInTurn(LOOKUP);
+  const others = ['/lookup/crash?page=2', '/lookup/crash/', '/lookup/other'];
+  for (const path of others) {
+    expect((await system.call(host(1), {path})).status).toBe(200);
+  }
+});
+
+test('a false report of crashes makes no host refuse a good request', async () => {
+  // One host's memory or program is broken: it says that a common lookup ended
+  // three upstreams. They live, and one that is made up never did.
+  const good = {path: '/lookup/good'};
+  const liar = await spreadFalseReport(good, ['i-1', 'i-2', 'i-3', 'nobody']);
+  await until(() => holdsBack(host(0)));
+  expect((await system.call(host(0), good)).status).toBe(200);
+  await until(async () => !(await holdsBack(host(0))));
+  liar.close();
+});
+
+test('no second send of a lookup that is held back meanwhile', async () => {
+  // A lookup is silent at its first upstream while other hosts learn that it ends
+  // upstreams. The second send that its silence calls for would end one more.
+  const silent: Call = {path: '/lookup/silent', timeLeftMs: 2_500};
+  const [one, two, three, ...others] = system.upstreams;
+  system.configure(2, [
+    {path_prefix: '/lookup/', kind: 'idempotent', timeout: '30s'},
+  ]);
+  await until(() => host(0).host.version === 2);
+  for (let i = 0; i < RUNS_TO_LEARN; i += 1) {
+    await system.call(host(0), {path: `/lookup/${i}`});
+  }
+  const full = {running: 6, waiting: 0, slots: 6, percent: 100};
+  [one, two, three].forEach(upstream => upstream && (upstream.load = full));
+  others.forEach(upstream => (upstream.fault = 'hang'));
+  const answer = system.call(host(0), silent);
+  const runCount = (): number =>
+    others
+      .flatMap(upstream => upstream.runs)
+      .filter(({target}) => target === silent.path).length;
+  await until(() => runCount() === 1);
+  await Promise.all([one, two, three].map(upstream => upstream?.close()));
+  const liar = await spreadFalseReport(silent, ['i-0', 'i-1', 'i-2']);
+  expect((await answer).status).toBeGreaterThanOrEqual(502);
+  expect(runCount()).toBe(1);
+  liar.close();
+});
+
+test('old and foreign records of crashes in the store are passed over', async () => {
+  const {storeServer} = system;
+  const day = 86_400_000;
+  const row = [
+    'old',
+    [
+      ['i-90', 5],
+      ['i-91', 5],
+      ['i-92', 5],
+    ],
+    null,
+  ];
+  storeServer.put(
+    CRASH_TOPIC,
+    'old',
+    JSON.stringify({at: Date.now() - day, row}),
+  );
+  storeServer.put(CRASH_TOPIC, 'text', 'no JSON');
+  storeServer.put(CRASH_TOPIC, 'other', JSON.stringify({at: 'x', row: [1]}));
+  await Promise.all(system.hosts.map(one => one.host.stopNow()));
+  const started = await system.startReadyHost();
+  // Keys stay in the store for good unless they are dropped.
+  const {port} = started.door;
+  const store = new StoreClient({ip: '127.0.0.1', port});
+  await until(async () => {
+    const kept = (await store.newest(CRASH_TOPIC))._unsafeUnwrap().records;
+    return !kept.some(({key}) => key === 'old');
+  });
+  store.close();
+  expect(await holdsBack(started, 0)).toBe(true);
+  expect((await system.call(started)).status).toBe(200);
+});
