--- a/src/standins/store_server.ts
+++ b/src/standins/store_server.ts
@@ -57,8 +57,8 @@
   readonly writes = new CallRate(systemClock, MANY);
   /** Calls that were refused because of the rate. */
   limited = 0;
-  /** Longest time that a read asked to wait. */
-  longestWaitMs: Milliseconds = 0;
+  /** Longest time that a read asked to wait, by topic. */
+  readonly longestWaits = new Map<string, Milliseconds>();
   private readonly doors: StoreDoor[] = [];
   private readonly servers: Server[] = [];
   private common: StoreFault = 'none';
@@ -208,7 +208,8 @@
     from: number,
     waitMs: Milliseconds,
   ): Promise<Answer> {
-    this.longestWaitMs = Math.max(this.longestWaitMs, waitMs);
+    const longest = this.longestWaits.get(name) ?? 0;
+    this.longestWaits.set(name, Math.max(longest, waitMs));
     const page = await this.topics.read(name, from, waitMs);
     return page
       ? {status: STATUS.ok, body: encodePage(page)}
