Hold back a path under which upstreams crash whatever its query

Each request now has two fingerprints, with and without its query. A path is held only for crashes that no query of it explains, so that one query that crashes upstreams doesn't take the others of its path with it.

--- a/src/decisions/quarantine/quarantine.ts
+++ b/src/decisions/quarantine/quarantine.ts
@@ -24,6 +24,7 @@
   MOST_SUSPECTS,
 } from './constants.js';
 import type {CrashRecord, Fingerprint, Verdict} from './types.js';
+import {PATH_MARK} from './types.js';
 
 interface Suspect {
   /** When each life ended, by its id. */
@@ -201,12 +202,11 @@
     if (own.length < CRASHES_TO_HOLD) {
       return own;
     }
-    // Innocents that were sent on beside the cause share some of its crashes.
     const explained = new Set<string>();
     for (const other of this.suspects.keys()) {
-      const worse = this.streakOf(other);
-      if (worse.length > own.length) {
-        worse.forEach(([life]) => explained.add(life));
+      const streak = this.streakOf(other);
+      if (explains(other, streak.length, fingerprint, own.length)) {
+        streak.forEach(([life]) => explained.add(life));
       }
     }
     return own.filter(([life]) => !explained.has(life));
@@ -268,3 +268,22 @@
 }: Suspect): readonly (readonly [string, Milliseconds])[] {
   return [...crashes].filter(([, at]) => at > survivedAt);
 }
+
+/**
+ * Whether one suspect's crashes count for it alone. Innocents that were sent on
+ * beside the cause share some of its crashes, and fewer. And where one query crashes
+ * upstreams, the other queries of its path are to be served: the path is held back
+ * only for crashes under queries that aren't.
+ */
+function explains(
+  cause: Fingerprint,
+  causeCrashes: number,
+  suspect: Fingerprint,
+  suspectCrashes: number,
+): boolean {
+  const isPath = suspect.startsWith(PATH_MARK);
+  if (cause.startsWith(PATH_MARK) === isPath) {
+    return causeCrashes > suspectCrashes;
+  }
+  return isPath && causeCrashes >= CRASHES_TO_HOLD;
+}
--- a/src/decisions/quarantine/types.ts
+++ b/src/decisions/quarantine/types.ts
@@ -3,6 +3,16 @@
 /** What a request asks: the same for each of its sends, arrivals and hosts. */
 export type Fingerprint = string;
 
+/** A request is known by both: what it asks, and the same whatever its query is. */
+export interface Fingerprints {
+  readonly exact: Fingerprint;
+  /** Marked by `PATH_MARK`. */
+  readonly path: Fingerprint;
+}
+
+/** How fingerprints begin that leave out the query. */
+export const PATH_MARK = 'path:';
+
 /** A life of an upstream that ended while it ran a request. */
 export interface Crash {
   /** Id of the life; a life ends once. */
--- a/src/gateway/crash_guard.ts
+++ b/src/gateway/crash_guard.ts
@@ -1,12 +1,13 @@
 /** What one request has to do with upstreams that crash. */
 
 import type {IncomingMessage} from 'node:http';
+import type {Fingerprints} from '../decisions/quarantine/index.js';
 import type {RegisteredUpstream} from '../decisions/registry/index.js';
 import type {ServiceProfile} from '../decisions/routes/index.js';
 import type {RequestBody} from '../http/index.js';
 import type {Milliseconds} from '../time/index.js';
 import {sleep} from '../time/index.js';
-import {fingerprintOf} from './fingerprint.js';
+import {fingerprintsOf} from './fingerprint.js';
 import type {GatewayContext} from './types.js';
 
 /**
@@ -25,7 +26,7 @@
 }
 
 export class CrashGuard {
-  private fingerprint: string | undefined;
+  private fingerprints: Fingerprints | undefined;
   /** Ends once it is known whether the last broken send's upstream ended. */
   private check: Promise<void> | undefined;
 
@@ -41,9 +42,9 @@
   noteBroken(upstream: RegisteredUpstream): void {
     const {context, id: request, service} = this.parts;
     const {crashes, logger} = context;
-    const fingerprint = this.read();
+    const fingerprints = this.read();
     const check = crashes
-      .note({upstream, service, request, fingerprint})
+      .note({upstream, service, request, fingerprints})
       .catch((error: unknown) => {
         logger.error({error, upstream: upstream.id}, 'crash check failed');
       });
@@ -56,9 +57,9 @@
   }
 
   /** Computed when it is first needed: for most requests it never is. */
-  private readonly read = (): string => {
+  private readonly read = (): Fingerprints => {
     const {request, body} = this.parts;
-    this.fingerprint ??= fingerprintOf(request, body);
-    return this.fingerprint;
+    this.fingerprints ??= fingerprintsOf(request, body);
+    return this.fingerprints;
   };
 }
--- a/src/gateway/crash_watch.ts
+++ b/src/gateway/crash_watch.ts
@@ -7,7 +7,11 @@
  * broke there: refused, its process has ended under them.
  */
 
-import type {Crash, Fingerprint} from '../decisions/quarantine/index.js';
+import type {
+  Crash,
+  Fingerprint,
+  Fingerprints,
+} from '../decisions/quarantine/index.js';
 import type {RegisteredUpstream} from '../decisions/registry/index.js';
 import type {ServiceProfile} from '../decisions/routes/index.js';
 import type {FleetState} from '../fleet/index.js';
@@ -23,7 +27,7 @@
   readonly service: ServiceProfile;
   /** Id of the request's arrival. */
   readonly request: string;
-  readonly fingerprint: Fingerprint;
+  readonly fingerprints: Fingerprints;
 }
 
 export interface CrashWatchParts {
@@ -41,7 +45,7 @@
 
   /** A send broke off: finds out whether its upstream ended under it. */
   async note(send: BrokenSend): Promise<void> {
-    const {upstream, service, request, fingerprint} = send;
+    const {upstream, service, request, fingerprints} = send;
     const {memory, metrics, log} = this.parts;
     const presence = await this.check(upstream, service);
     metrics.countBrokenSend(presence);
@@ -49,22 +53,23 @@
       {
         event: 'broken-send',
         request,
-        fingerprint,
+        fingerprint: fingerprints.exact,
+        pathFingerprint: fingerprints.path,
         upstream: upstream.id,
         presence,
       },
       'a send broke off',
     );
     if (presence === 'ended') {
-      memory.noteCrash(fingerprint, upstream.id);
+      memory.noteCrash(fingerprints, upstream.id);
     }
   }
 
   /** An upstream has answered a request, so that it lives on. */
-  survived(fingerprintOf: () => Fingerprint): void {
+  survived(read: () => Fingerprints): void {
     const {memory} = this.parts;
     if (memory.quarantine.size > 0) {
-      memory.noteSurvival(fingerprintOf());
+      memory.noteSurvival(read());
     }
   }
 
@@ -72,14 +77,18 @@
    * How long a request is held back; undefined when it may be sent. Most requests
    * need no fingerprint: nothing is suspected.
    */
-  async heldForMs(
-    fingerprintOf: () => Fingerprint,
-  ): Promise<Milliseconds | undefined> {
-    const {quarantine} = this.parts.memory;
-    if (quarantine.size === 0) {
+  async heldForMs(read: () => Fingerprints): Promise<Milliseconds | undefined> {
+    if (this.parts.memory.quarantine.size === 0) {
       return undefined;
     }
-    const fingerprint = fingerprintOf();
+    const {exact, path} = read();
+    return (await this.heldAs(exact)) ?? this.heldAs(path);
+  }
+
+  private async heldAs(
+    fingerprint: Fingerprint,
+  ): Promise<Milliseconds | undefined> {
+    const {quarantine} = this.parts.memory;
     const verdict = quarantine.verdictOf(fingerprint);
     switch (verdict.kind) {
       case 'free':
--- a/src/gateway/fingerprint.ts
+++ b/src/gateway/fingerprint.ts
@@ -7,11 +7,16 @@
  * the body. Other headers are left out, since a caller's repeat may bear another
  * trace, date or deadline; and so is the address that it comes from: one caller's
  * arrivals come by several, and a count for each address held nothing back.
+ *
+ * What crashes an upstream may be one query, or its path whatever the query is: each
+ * has a fingerprint.
  */
 
 import type {Hash} from 'node:crypto';
 import {createHash} from 'node:crypto';
 import type {IncomingMessage} from 'node:http';
+import type {Fingerprints} from '../decisions/quarantine/index.js';
+import {PATH_MARK} from '../decisions/quarantine/index.js';
 import type {RequestBody} from '../http/index.js';
 
 /**
@@ -23,14 +28,22 @@
 /** Two requests of a fleet meet by chance once in 2^64 requests. */
 const DIGEST_BYTES = 16;
 
-export function fingerprintOf(
+export function fingerprintsOf(
   {method = '', url = '', headers}: IncomingMessage,
   body: RequestBody,
-): string {
-  const hash = createHash('sha256');
+): Fingerprints {
   const {host = '', authorization = ''} = headers;
-  [method, host, url, authorization].forEach(part => addPart(hash, part));
-  hash.update(beginningOf(body).subarray(0, BODY_BYTES));
+  const queryAt = url.includes('?') ? url.indexOf('?') : url.length;
+  const path = url.slice(0, queryAt);
+  const shared = createHash('sha256');
+  [method, host, path, authorization].forEach(part => addPart(shared, part));
+  shared.update(beginningOf(body).subarray(0, BODY_BYTES));
+  const exact = shared.copy();
+  addPart(exact, url.slice(queryAt));
+  return {exact: digestOf(exact), path: `${PATH_MARK}${digestOf(shared)}`};
+}
+
+function digestOf(hash: Hash): string {
   return hash.digest().subarray(0, DIGEST_BYTES).toString('base64url');
 }
 
--- a/src/gateway/index.ts
+++ b/src/gateway/index.ts
@@ -2,7 +2,7 @@
 export type {HostFigures} from './gateway_metrics.js';
 export {GatewayMetrics} from './gateway_metrics.js';
 export {GatewayServer} from './gateway_server.js';
-export {fingerprintOf} from './fingerprint.js';
+export {fingerprintsOf} from './fingerprint.js';
 export {CrashWatch} from './crash_watch.js';
 export {Scheduler} from './scheduler.js';
 export {UpstreamDesk} from './upstream_desk.js';
--- a/src/quarantine/crash_memory.ts
+++ b/src/quarantine/crash_memory.ts
@@ -2,7 +2,7 @@
 
 import type {Logger} from 'pino';
 import type {DatagramPort} from '../datagrams/index.js';
-import type {Fingerprint} from '../decisions/quarantine/index.js';
+import type {Fingerprint, Fingerprints} from '../decisions/quarantine/index.js';
 import {CRASHES_TO_HOLD, Quarantine} from '../decisions/quarantine/index.js';
 import type {FollowedTopic} from '../fleet/index.js';
 import type {Store} from '../platform/index.js';
@@ -48,15 +48,19 @@
   }
 
   /** This host saw an upstream's life end under a request. */
-  noteCrash(fingerprint: Fingerprint, life: string): void {
-    this.quarantine.noteCrash(fingerprint, life);
-    this.share(fingerprint);
+  noteCrash({exact, path}: Fingerprints, life: string): void {
+    for (const fingerprint of [exact, path]) {
+      this.quarantine.noteCrash(fingerprint, life);
+      this.share(fingerprint);
+    }
   }
 
   /** An upstream has answered a request that may be suspected. */
-  noteSurvival(fingerprint: Fingerprint): void {
-    if (this.quarantine.noteSurvival(fingerprint)) {
-      this.share(fingerprint);
+  noteSurvival({exact, path}: Fingerprints): void {
+    for (const fingerprint of [exact, path]) {
+      if (this.quarantine.noteSurvival(fingerprint)) {
+        this.share(fingerprint);
+      }
     }
   }
 
--- a/tests/crashing_requests.test.ts
+++ b/tests/crashing_requests.test.ts
@@ -3,7 +3,7 @@
 import {pino} from 'pino';
 import {afterEach, beforeEach, expect, test} from 'vitest';
 import {DatagramPort} from '../src/datagrams/index.js';
-import {fingerprintOf} from '../src/gateway/index.js';
+import {fingerprintsOf} from '../src/gateway/index.js';
 import {StoreClient} from '../src/platform/index.js';
 import {CRASH_TOPIC, encodeNews} from '../src/quarantine/index.js';
 import {ReportingUpstream} from '../src/standins/index.js';
@@ -22,6 +22,9 @@
 const RUNS_TO_LEARN = 40;
 
 const LOOKUP: Call = {path: '/lookup/crash'};
+const ANY_PAGE: ReadonlySet<string> = new Set(
+  Array.from({length: ARRIVALS}, (_, i) => `/lookup/crash?page=${i}`),
+);
 const ORDER: Call = {method: 'POST', path: '/order/crash', body: 'a bundle'};
 const UPLOAD: Call = {
   method: 'POST',
@@ -89,7 +92,7 @@
   const headers = {host: 'shop.example'};
   const request = {url, method, headers} as unknown as IncomingMessage;
   const record = {
-    fingerprint: fingerprintOf(request, {kind: 'none'}),
+    fingerprint: fingerprintsOf(request, {kind: 'none'}).exact,
     crashes: lives.map(life => ({life, ageMs: 10})),
     survivedAgeMs: undefined,
   };
@@ -129,6 +132,16 @@
   }
 });
 
+test('a path that crashes upstreams whatever its query is held back', async () => {
+  // A caller's program adds another page or trace to each arrival: no two ask the
+  // same, and each would crash two upstreams.
+  system.upstreams.forEach(one => (one.crashTargets = ANY_PAGE));
+  for (let i = 0; i < ARRIVALS; i += 1) {
+    await system.call(host(i % HOSTS), {path: `/lookup/crash?page=${i}`});
+  }
+  expect(endedCount()).toBeLessThanOrEqual(CRASHES_TO_KNOW + SENDS_AFTER);
+});
+
 test('a host that starts in the midst holds back what others know', async () => {
   // Hosts are replaced while a request crashes upstreams. It comes next to one that
   // has just started and saw none of the crashes.
--- a/tests/quarantine.test.ts
+++ b/tests/quarantine.test.ts
@@ -5,10 +5,13 @@
   HOLD_MS,
   MOST_CRASHES,
   MOST_SUSPECTS,
+  PATH_MARK,
   Quarantine,
 } from '../src/decisions/quarantine/index.js';
 import {ManualClock} from '../src/time/index.js';
 
+const PATH = `${PATH_MARK}a`;
+
 let clock: ManualClock;
 let quarantine: Quarantine;
 
@@ -84,6 +87,32 @@
   expect(verdict('innocent')).toBe('free');
 });
 
+test('a path is not held for crashes under one of its queries', () => {
+  // One query crashes whichever upstream runs it; the others of its path are good.
+  for (const life of ['u1', 'u2', 'u3', 'u4']) {
+    crash('query', life);
+    crash(PATH, life);
+  }
+  expect(verdict('query')).toBe('held');
+  expect(verdict(PATH)).toBe('free');
+});
+
+test('a path is held where each query crashes an upstream', () => {
+  crash('one', 'u1', 'u2');
+  crash(PATH, 'u1', 'u2');
+  crash('two', 'u3');
+  crash(PATH, 'u3');
+  expect(verdict(PATH)).toBe('held');
+  expect(verdict('one')).toBe('free');
+});
+
+test("a path and one of its queries are not each other's excuse", () => {
+  crash('query', 'u1', 'u2', 'u3');
+  crash(PATH, 'u1', 'u2', 'u3', 'u4', 'u5', 'u6');
+  expect(verdict('query')).toBe('held');
+  expect(verdict(PATH)).toBe('held');
+});
+
 test('hosts agree whatever order they hear of crashes in', () => {
   const other = new Quarantine(clock);
   crash('a', 'u1', 'u2', 'u3');
