--- a/src/explain/explain.ts
+++ b/src/explain/explain.ts
@@ -27,7 +27,7 @@
     ...request.sends.map(send => tellSend(request.request, send, lines)),
     ...(request.sends.length === 0 ? ['It was sent to no upstream.'] : []),
     ...tellRoom(request),
-    ...tellCrashes(request.request, lines),
+    ...tellCrashes(request, lines),
     tellTime(request),
     meaning,
     `Next: ${advice}`,
@@ -130,14 +130,13 @@
 
 /** Upstreams that ended under the request, in this arrival and in others. */
 function tellCrashes(
-  id: string,
+  {request: id, fingerprint}: RequestLine,
   lines: readonly LocatedLine[],
 ): readonly string[] {
   const broken = lines.flatMap(({line}) =>
     line.event === 'broken-send' ? [line] : [],
   );
   const own = broken.filter(({request}) => request === id);
-  const fingerprint = own[0]?.fingerprint;
   if (fingerprint === undefined) {
     return [];
   }
--- a/src/explain/types.ts
+++ b/src/explain/types.ts
@@ -39,6 +39,7 @@
   ms: z.number().optional(),
   leftMs: z.number().optional(),
   targetMs: z.number().optional(),
+  fingerprint: z.string().optional(),
   told: z.array(TOLD).optional(),
   sends: z.array(SEND).default([]),
   version: z.number().optional(),
--- a/src/gateway/crash_guard.ts
+++ b/src/gateway/crash_guard.ts
@@ -32,6 +32,11 @@
 
   constructor(private readonly parts: CrashGuardParts) {}
 
+  /** What the request asks, for logs; undefined where nobody needed it. */
+  get fingerprint(): string | undefined {
+    return this.fingerprints?.exact;
+  }
+
   /** How long the request is held back; undefined when it may be sent. */
   async heldForMs(): Promise<Milliseconds | undefined> {
     await this.check;
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -48,6 +48,7 @@
   private readonly ended = new AbortController();
   private timer: NodeJS.Timeout | undefined;
   private watch: StallWatch | undefined;
+  private guard: CrashGuard | undefined;
   private done = false;
   /** An upstream's own error, delivered if nothing better comes. */
   private failure: WholeAnswer | undefined;
@@ -114,9 +115,11 @@
 
   private async serve(body: RequestBody): Promise<void> {
     const {context, request, id, service} = this;
+    const guard = new CrashGuard({context, request, body, id, service});
+    this.guard = guard;
     const ready = {
       forwarded: forwardedRequest(request, id, body),
-      guard: new CrashGuard({context, request, body, id, service}),
+      guard,
       bodyHeld: body.kind !== 'stream',
     };
     while (!this.done) {
@@ -392,6 +395,7 @@
       ms: Math.round(elapsedMs),
       leftMs: Math.round(this.leftMs),
       targetMs: this.route.targetMs,
+      fingerprint: this.guard?.fingerprint,
       sends: this.sends.map(({entry}) => entry),
       told: this.told,
       version: state.routes.version,
--- a/tests/explain.test.ts
+++ b/tests/explain.test.ts
@@ -47,7 +47,8 @@
     ([request, upstream, presence]) =>
       `{"event":"broken-send","request":"${request}","fingerprint":"f","upstream":"${upstream}","presence":"${presence}"}\n`,
   );
-  const told = explain('r1', readLines(LOST + lines.join('')));
+  const lost = LOST.replace('"version"', '"fingerprint":"f","version"');
+  const told = explain('r1', readLines(lost + lines.join('')));
   expect(told).toContain('had ended when its sends broke off: i-8;');
   expect(told).toContain('all 2 arrivals of the same request (f)');
   expect(told).toContain('in these logs: i-8, i-9.');
