See fresh reports of crashes at once, before an upstream is back under its name

Cause, read in the diff: what others say of a crash was seen when the request came, by then perhaps seconds later; an upstream that starts again under its name answers, and the true report was refuted for good. Change: where two crashes or more stand against a request, a report younger than 1 s is seen as it is heard (a process that crashed isn't back by then); one of 1 to 10 s whose upstream answers is neither believed nor refuted. Test: three upstreams crash by one host and are back at their addresses before the request comes to another; it fails without the early look. Metric: ended_lives.

--- a/src/decisions/quarantine/constants.ts
+++ b/src/decisions/quarantine/constants.ts
@@ -24,6 +24,16 @@
  * crash under thousands of different requests, one says little about the next.
  */
 export const MOST_SUSPECTS = 1_024;
+/**
+ * A process that has crashed takes longer to be back: one that answers within this
+ * time of the crash that is told of it has not crashed.
+ */
+export const SOONEST_BACK_MS: Milliseconds = 1_000;
+/**
+ * After this time a life that is still registered has not ended: one that starts
+ * again under its name has told so.
+ */
+export const RESTART_KNOWN_MS: Milliseconds = 10_000;
 /** Upstreams found alive, of which reports are disbelieved. */
 export const MOST_REFUTED = 256;
 
--- a/src/decisions/quarantine/quarantine.ts
+++ b/src/decisions/quarantine/quarantine.ts
@@ -20,10 +20,11 @@
   CRASH_MEMORY_MS,
   HOLD_MS,
   MOST_REFUTED,
+  SOONEST_BACK_MS,
 } from './constants.js';
 import type {Ending} from './suspect_table.js';
 import {SuspectTable} from './suspect_table.js';
-import type {CrashRecord, Fingerprint, Verdict} from './types.js';
+import type {Crash, CrashRecord, Fingerprint, Verdict} from './types.js';
 import {PATH_MARK} from './types.js';
 
 export class Quarantine {
@@ -45,6 +46,11 @@
     return this.table.fingerprints.filter(one => this.isHeld(one)).length;
   }
 
+  /** Lives that are known to have ended, not only said to. */
+  get endedLives(): number {
+    return this.confirmed.size;
+  }
+
   has(fingerprint: Fingerprint): boolean {
     return this.table.has(fingerprint);
   }
@@ -111,6 +117,21 @@
     return this.streakOf(fingerprint).length >= CRASHES_TO_HOLD;
   }
 
+  /**
+   * Crashes that only others told of, of a request that nears being held back, and
+   * so fresh that nothing can have started again since.
+   */
+  freshDoubts(fingerprint: Fingerprint): readonly Crash[] {
+    const now = this.clock.now();
+    const streak = this.streakOf(fingerprint);
+    return streak.length < CRASHES_TO_HOLD - 1
+      ? []
+      : streak
+          .filter(({life}) => !this.confirmed.has(life))
+          .map(({life, at}) => ({life, ageMs: now - at}))
+          .filter(({ageMs}) => ageMs < SOONEST_BACK_MS);
+  }
+
   /** A life has ended: reports that say so are believed. */
   confirm(life: string): void {
     this.confirmed.add(life);
--- a/src/gateway/crash_watch.ts
+++ b/src/gateway/crash_watch.ts
@@ -7,11 +7,16 @@
  * broke there: refused, its process has ended under them.
  */
 
+import type {Logger} from 'pino';
 import type {
   Crash,
   Fingerprint,
   Fingerprints,
 } from '../decisions/quarantine/index.js';
+import {
+  RESTART_KNOWN_MS,
+  SOONEST_BACK_MS,
+} from '../decisions/quarantine/index.js';
 import type {RegisteredUpstream} from '../decisions/registry/index.js';
 import type {ServiceProfile} from '../decisions/routes/index.js';
 import type {FleetState} from '../fleet/index.js';
@@ -36,12 +41,15 @@
   readonly memory: CrashMemory;
   readonly metrics: GatewayMetrics;
   readonly log: RequestLog;
+  readonly logger: Logger;
 }
 
 export class CrashWatch {
   private readonly checks = new Map<string, Promise<Presence>>();
 
-  constructor(private readonly parts: CrashWatchParts) {}
+  constructor(private readonly parts: CrashWatchParts) {
+    parts.memory.listen(fingerprint => this.examineFresh(fingerprint));
+  }
 
   /** A send broke off: finds out whether its upstream ended under it. */
   async note(send: BrokenSend): Promise<void> {
@@ -107,10 +115,23 @@
     }
   }
 
+  /**
+   * An upstream may start again under its name, so that its address answers once
+   * more: what others tell of a request that nears being held back is seen at once.
+   */
+  private examineFresh(fingerprint: Fingerprint): void {
+    const {quarantine} = this.parts.memory;
+    for (const crash of quarantine.freshDoubts(fingerprint)) {
+      this.examine(crash).catch((error: unknown) => {
+        this.parts.logger.error({error, life: crash.life}, 'check failed');
+      });
+    }
+  }
+
   /**
    * Sees whether a life has ended of which another host says so. Without, one
    * host whose memory or program is broken could make all others refuse a request
-   * that harms nobody. Asked only where such a request arrives, once for a life.
+   * that harms nobody. Asked for few requests, and once for a life.
    */
   private async examine({life, ageMs}: Crash): Promise<void> {
     const {state, memory} = this.parts;
@@ -125,10 +146,10 @@
     }
     const service = state.routes.service(upstream.service);
     const presence = service && (await this.check(upstream, service));
-    if (presence === 'present') {
-      quarantine.refute(life);
-    } else {
+    if (presence !== 'present') {
       quarantine.confirm(life);
+    } else if (ageMs < SOONEST_BACK_MS || ageMs > RESTART_KNOWN_MS) {
+      quarantine.refute(life);
     }
   }
 
--- a/src/gateway/gateway_metrics.ts
+++ b/src/gateway/gateway_metrics.ts
@@ -21,6 +21,8 @@
   /** Requests under which upstreams crashed, and those that are held back. */
   readonly suspects: number;
   readonly quarantined: number;
+  /** Lives of upstreams that this host knows to have ended under requests. */
+  readonly endedLives: number;
 }
 
 /** What a host did since it was last asked. */
@@ -96,7 +98,7 @@
   });
   private readonly host = new Gauge({
     name: 'cyclamenlever_host',
-    help: 'State of this host: ready, reader, version, age_seconds, upstreams, hosts, in_flight, looking, suspects, quarantined',
+    help: 'State of this host: ready, reader, version, age_seconds, upstreams, hosts, in_flight, looking, suspects, quarantined, ended_lives',
     labelNames: ['figure'] as const,
     registers: this.registers,
   });
@@ -172,6 +174,7 @@
       looking: figures.looking,
       suspects: figures.suspects,
       quarantined: figures.quarantined,
+      ended_lives: figures.endedLives,
     };
     for (const [figure, value] of Object.entries(values)) {
       this.host.set({figure}, value);
--- a/src/host/gateway_host.ts
+++ b/src/host/gateway_host.ts
@@ -224,6 +224,7 @@
       looking: this.lookingCount,
       suspects: this.crashMemory.quarantine.size,
       quarantined: this.crashMemory.quarantine.heldCount,
+      endedLives: this.crashMemory.quarantine.endedLives,
     };
   }
 
@@ -330,6 +331,7 @@
         memory: this.crashMemory,
         metrics,
         log,
+        logger,
       }),
       work,
       stalls: new StallPolicy(),
--- a/src/quarantine/crash_exchange.ts
+++ b/src/quarantine/crash_exchange.ts
@@ -25,6 +25,8 @@
   readonly quarantine: Quarantine;
   readonly datagrams: DatagramPort;
   readonly peers: () => readonly string[];
+  /** Told of requests of which others said something new. */
+  readonly onHeard: (fingerprint: Fingerprint) => void;
   readonly clock: Clock;
   readonly random: Random;
   readonly logger: Logger;
@@ -56,9 +58,12 @@
     this.arm();
   }
 
-  /** Takes in what the store keeps. */
+  /** Takes in what other hosts say, or the store keeps. */
   recall(records: readonly CrashRecord[]): void {
-    this.spread?.heard(records).forEach(one => this.log(one));
+    for (const fingerprint of this.spread?.heard(records) ?? []) {
+      this.log(fingerprint);
+      this.parts.onHeard(fingerprint);
+    }
     this.arm();
   }
 
--- a/src/quarantine/crash_memory.ts
+++ b/src/quarantine/crash_memory.ts
@@ -24,11 +24,16 @@
   readonly quarantine: Quarantine;
   private readonly exchange: CrashExchange;
   private readonly archive: CrashArchive;
+  private listener: (fingerprint: Fingerprint) => void = () => undefined;
 
   constructor(parts: CrashMemoryParts) {
     const {store, logger, clock} = parts;
     this.quarantine = new Quarantine(clock);
-    this.exchange = new CrashExchange({...parts, quarantine: this.quarantine});
+    this.exchange = new CrashExchange({
+      ...parts,
+      quarantine: this.quarantine,
+      onHeard: fingerprint => this.listener(fingerprint),
+    });
     this.archive = new CrashArchive({
       store,
       recall: records => this.exchange.recall(records),
@@ -42,6 +47,11 @@
     return this.archive.topic;
   }
 
+  /** @param listener told of requests of which others said something new */
+  listen(listener: (fingerprint: Fingerprint) => void): void {
+    this.listener = listener;
+  }
+
   /** Begins to ask and to tell; peers are known from now on. */
   start(): void {
     this.exchange.start();
--- a/src/standins/reporting_upstream.ts
+++ b/src/standins/reporting_upstream.ts
@@ -86,6 +86,8 @@
   private readonly sockets = new Set<Socket>();
   private readonly muted = new Set<Socket>();
   private working = 0;
+  /** The same each time that it listens again. */
+  private port = 0;
 
   /**
    * @param id names this start of the upstream
@@ -118,7 +120,10 @@
 
   listen(): Promise<string> {
     return new Promise(resolve => {
-      this.server.listen(0, '127.0.0.1', () => resolve(this.address));
+      this.server.listen(this.port, '127.0.0.1', () => {
+        this.port = Number(this.address.split(':')[1]);
+        resolve(this.address);
+      });
     });
   }
 
--- a/tests/crashing_requests.test.ts
+++ b/tests/crashing_requests.test.ts
@@ -91,6 +91,13 @@
   return body.includes(`cyclamenlever_host{figure="${figure}"} ${value}\n`);
 }
 
+/** Whether a host has found that so many upstreams that ended don't answer. */
+async function hasSeen(running: RunningHost, count: number): Promise<boolean> {
+  const {body} = await get(running.ports.metrics, '/metrics');
+  const figure = /cyclamenlever_host\{figure="ended_lives"\} (\d+)/;
+  return Number(figure.exec(body)?.[1] ?? 0) >= count;
+}
+
 /** Sends again what was refused for want of room, until one upstream runs it. */
 async function sendUntilRun(
   upstream: ReportingUpstream,
@@ -224,6 +231,24 @@
   expect(await hasFigure(host(0), 'suspects', 0)).toBe(true);
 });
 
+test('upstreams back under their names are still held against a request', async () => {
+  // Three upstreams crash by way of one host and are back under their names, at the
+  // same addresses, before the request comes to another host. There they answer.
+  const crashed = new Set<ReportingUpstream>();
+  while (crashed.size < CRASHES_TO_KNOW) {
+    await system.call(host(0), ORDER);
+    system.upstreams
+      .filter(one => one.hasEnded)
+      .forEach(one => crashed.add(one));
+  }
+  await until(async () => (await holdsBack(host(1))) && holdsBack(host(2)));
+  await until(() => hasSeen(host(1), crashed.size));
+  await Promise.all([...crashed].map(one => one.listen()));
+  const before = system.upstreams.flatMap(({runs}) => runs).length;
+  expect((await system.call(host(1), ORDER)).status).toBe(503);
+  expect(system.upstreams.flatMap(({runs}) => runs)).toHaveLength(before);
+});
+
 test('a host that starts in the midst holds back what others know', async () => {
   // Hosts are replaced while a request crashes upstreams. It comes next to one that
   // has just started and saw none of the crashes.
--- a/tests/quarantine.test.ts
+++ b/tests/quarantine.test.ts
@@ -7,6 +7,7 @@
   MOST_SUSPECTS,
   PATH_MARK,
   Quarantine,
+  SOONEST_BACK_MS,
 } from '../src/decisions/quarantine/index.js';
 import {ManualClock} from '../src/time/index.js';
 
@@ -159,6 +160,21 @@
   expect(quarantine.recordOf('a')?.crashes).toHaveLength(2);
 });
 
+test('fresh reports of a request with two crashes are seen at once', () => {
+  // An upstream is back under its name after some seconds and answers again: later
+  // on, nobody can see any more that its life of before has ended.
+  hear('a', 'u1');
+  expect(quarantine.freshDoubts('a')).toEqual([]);
+  hear('a', 'u2');
+  expect(quarantine.freshDoubts('a').map(({life}) => life)).toEqual([
+    'u1',
+    'u2',
+  ]);
+  quarantine.confirm('u1');
+  clock.advance(SOONEST_BACK_MS);
+  expect(quarantine.freshDoubts('a')).toEqual([]);
+});
+
 test('a request may be sent again once its time is over', () => {
   crash('a', 'u1', 'u2', 'u3');
   clock.advance(HOLD_MS);
--- a/tests/request_log.test.ts
+++ b/tests/request_log.test.ts
@@ -55,6 +55,7 @@
     looking: 0,
     suspects: 0,
     quarantined: 0,
+    endedLives: 0,
   });
   expect(text).toContain('cyclamenlever_log_lines_dropped_total 60');
   expect(text).toContain('cyclamenlever_host{figure="version"} 3');
