--- a/tests/crashing_requests.test.ts
+++ b/tests/crashing_requests.test.ts
@@ -175,8 +175,8 @@
   // second one, told its caller 502, and the caller came again, at any host. Each
   // host kept to its budget of repeats, and 31 and 34 upstreams ended under two
   // requests: nothing remembered a request across sends, arrivals and hosts.
-  // Evidence: upstreams with one run and five free slots ended one after the other;
-  // all 14 upstreams of this test ended under its 30 arrivals.
+  // Evidence: upstreams that told of one run in six slots ended under the same
+  // lookup one after the other; all 14 upstreams of this test ended under its 30 arrivals.
   await sendToHostsInTurn(call);
   expect(endedCount()).toBeLessThanOrEqual(CRASHES_TO_KNOW + SENDS_AFTER);
   for (const host of system.hosts) {
