One copy of the datagrams' field checks and of bounded names; one judgement a verdict

Written twice: the checks of names and ages in the codecs of greetings, crashes and loads (datagrams/fields.ts serves all three); sets that forget their oldest entry, in the quarantine and the registry (RecentNames). Done twice: each verdict worked out the blamed crashes again; ages were made of endings in three places.

--- a/src/decisions/limits/index.ts
+++ b/src/decisions/limits/index.ts
@@ -2,3 +2,4 @@
 export {ByteBudget} from './byte_budget.js';
 export {LineBudget} from './line_budget.js';
 export {WaitingRoom} from './waiting_room.js';
+export {RecentNames} from './recent_names.js';
--- a/src/decisions/quarantine/quarantine.ts
+++ b/src/decisions/quarantine/quarantine.ts
@@ -15,6 +15,7 @@
  */
 
 import type {Clock, Milliseconds} from '../../time/index.js';
+import {RecentNames} from '../limits/index.js';
 import {
   CRASHES_TO_HOLD,
   CRASH_MEMORY_MS,
@@ -32,7 +33,7 @@
   /** Lives that this host knows to have ended. */
   private readonly confirmed = new Set<string>();
   /** Lives that answered this host after others said that they had ended. */
-  private readonly refuted = new Set<string>();
+  private readonly refuted = new RecentNames(MOST_REFUTED);
 
   constructor(private readonly clock: Clock) {}
 
@@ -43,7 +44,8 @@
 
   /** Requests that are held back if what others say is true. */
   get heldCount(): number {
-    return this.table.fingerprints.filter(one => this.isHeld(one)).length;
+    return this.table.fingerprints.filter(one => this.holds(this.blamed(one)))
+      .length;
   }
 
   /** Lives that are known to have ended, not only said to. */
@@ -96,17 +98,14 @@
 
   /** Whether a request may be sent. */
   verdictOf(fingerprint: Fingerprint): Verdict {
-    if (!this.isHeld(fingerprint)) {
-      return {kind: 'free'};
-    }
-    const now = this.clock.now();
     const blamed = this.blamed(fingerprint);
-    const doubtful = blamed.filter(({life}) => !this.confirmed.has(life));
-    if (blamed.length - doubtful.length < CRASHES_TO_HOLD) {
-      const crashes = doubtful.map(({life, at}) => ({life, ageMs: now - at}));
-      return {kind: 'doubtful', crashes};
+    if (!this.holds(blamed)) {
+      return {kind: 'free'};
     }
-    return {kind: 'held', leftMs: heldUntil(blamed) - now};
+    const doubtful = this.unconfirmed(blamed);
+    return blamed.length - doubtful.length < CRASHES_TO_HOLD
+      ? {kind: 'doubtful', crashes: doubtful}
+      : {kind: 'held', leftMs: heldUntil(blamed) - this.clock.now()};
   }
 
   /**
@@ -122,14 +121,10 @@
    * so fresh that nothing can have started again since.
    */
   freshDoubts(fingerprint: Fingerprint): readonly Crash[] {
-    const now = this.clock.now();
     const streak = this.streakOf(fingerprint);
     return streak.length < CRASHES_TO_HOLD - 1
       ? []
-      : streak
-          .filter(({life}) => !this.confirmed.has(life))
-          .map(({life, at}) => ({life, ageMs: now - at}))
-          .filter(({ageMs}) => ageMs < SOONEST_BACK_MS);
+      : this.unconfirmed(streak).filter(({ageMs}) => ageMs < SOONEST_BACK_MS);
   }
 
   /** A life has ended: reports that say so are believed. */
@@ -140,10 +135,6 @@
   /** A life answers: reports that it has ended are wrong. */
   refute(life: string): void {
     this.refuted.add(life);
-    const [oldest] = this.refuted;
-    if (this.refuted.size > MOST_REFUTED && oldest !== undefined) {
-      this.refuted.delete(oldest);
-    }
   }
 
   /** What others are to be told of a request. */
@@ -156,10 +147,7 @@
     const survivedAt = table.survivedAt(fingerprint);
     return {
       fingerprint,
-      crashes: table
-        .endings(fingerprint)
-        .filter(({life}) => !this.refuted.has(life))
-        .map(({life, at}) => ({life, ageMs: now - at})),
+      crashes: this.aged(this.unrefuted(table.endings(fingerprint))),
       survivedAgeMs: survivedAt > -Infinity ? now - survivedAt : undefined,
     };
   }
@@ -182,8 +170,8 @@
     });
   }
 
-  private isHeld(fingerprint: Fingerprint): boolean {
-    const blamed = this.blamed(fingerprint);
+  /** Whether a request with these crashes against it is held back now. */
+  private holds(blamed: readonly Ending[]): boolean {
     return (
       blamed.length >= CRASHES_TO_HOLD && heldUntil(blamed) > this.clock.now()
     );
@@ -211,9 +199,21 @@
   }
 
   private streakOf(fingerprint: Fingerprint): readonly Ending[] {
-    return this.table
-      .streak(fingerprint)
-      .filter(({life}) => !this.refuted.has(life));
+    return this.unrefuted(this.table.streak(fingerprint));
+  }
+
+  private unrefuted(endings: readonly Ending[]): readonly Ending[] {
+    return endings.filter(({life}) => !this.refuted.has(life));
+  }
+
+  /** Those that this host only heard of. */
+  private unconfirmed(endings: readonly Ending[]): readonly Crash[] {
+    return this.aged(endings.filter(({life}) => !this.confirmed.has(life)));
+  }
+
+  private aged(endings: readonly Ending[]): readonly Crash[] {
+    const now = this.clock.now();
+    return endings.map(({life, at}) => ({life, ageMs: now - at}));
   }
 }
 
--- a/src/decisions/registry/upstream_registry.ts
+++ b/src/decisions/registry/upstream_registry.ts
@@ -1,6 +1,7 @@
 /** The upstreams that requests may be sent to, as the store tells of them. */
 
 import type {Clock, Milliseconds} from '../../time/index.js';
+import {RecentNames} from '../limits/index.js';
 import type {
   RegisteredUpstream,
   RegistryEntry,
@@ -37,7 +38,7 @@
   private readonly known = new Map<string, Known>();
   private byService = new Map<string, readonly UpstreamInService[]>();
   private byId = new Map<string, RegisteredUpstream>();
-  private readonly formerLives = new Set<string>();
+  private readonly formerLives = new RecentNames(MOST_FORMER_LIVES);
   private staleUntil: Milliseconds = -Infinity;
   private end = 0;
   /** What was removed from this offset on is remembered. */
@@ -214,17 +215,10 @@
       byService.set(upstream.service, list);
     }
     this.byService = byService;
-    before.forEach((_, id) => this.rememberIfGone(id));
-  }
-
-  private rememberIfGone(id: string): void {
-    if (this.byId.has(id)) {
-      return;
-    }
-    this.formerLives.add(id);
-    const [oldest] = this.formerLives;
-    if (this.formerLives.size > MOST_FORMER_LIVES && oldest !== undefined) {
-      this.formerLives.delete(oldest);
+    for (const id of before.keys()) {
+      if (!this.byId.has(id)) {
+        this.formerLives.add(id);
+      }
     }
   }
 }
--- a/src/explain/explain.ts
+++ b/src/explain/explain.ts
@@ -133,17 +133,17 @@
   {request: id, fingerprint}: RequestLine,
   lines: readonly LocatedLine[],
 ): readonly string[] {
-  const broken = lines.flatMap(({line}) =>
-    line.event === 'broken-send' ? [line] : [],
-  );
-  const own = broken.filter(({request}) => request === id);
   if (fingerprint === undefined) {
     return [];
   }
-  const ended = own.filter(({presence}) => presence === 'ended');
-  const all = broken.filter(
-    one => one.presence === 'ended' && one.fingerprint === fingerprint,
+  const all = lines.flatMap(({line}) =>
+    line.event === 'broken-send' &&
+    line.presence === 'ended' &&
+    line.fingerprint === fingerprint
+      ? [line]
+      : [],
   );
+  const ended = all.filter(({request}) => request === id);
   const arrivals = new Set(all.map(({request}) => request)).size;
   return [
     `Upstreams that had ended when its sends broke off: ${namesOf(ended)}; ` +
--- a/src/fleet/greeting_codec.ts
+++ b/src/fleet/greeting_codec.ts
@@ -6,6 +6,7 @@
  * callers wait for hosts that return.
  */
 
+import {isName, isTime} from '../datagrams/index.js';
 import type {
   Greeting,
   KnownPeer,
@@ -18,8 +19,6 @@
 /** A count beyond this is no host's: budgets would shrink to nothing. */
 const MOST_HOSTS = 100_000;
 
-const MOST_CHARACTERS = 128;
-
 type StatusRow = readonly [
   address: string,
   dataCentre: string,
@@ -80,7 +79,7 @@
   return isName(address) &&
     isName(dataCentre) &&
     (reader === null || isName(reader)) &&
-    isAge(newsAgeMs) &&
+    isTime(newsAgeMs) &&
     isPath(path) &&
     (head === '' || isName(head)) &&
     isCount(below)
@@ -109,21 +108,11 @@
     return [];
   }
   const [address, dataCentre, ageMs] = row as readonly unknown[];
-  return isName(address) && isName(dataCentre) && isAge(ageMs)
+  return isName(address) && isName(dataCentre) && isTime(ageMs)
     ? [{address, dataCentre, ageMs}]
     : [];
 }
 
-function isName(value: unknown): value is string {
-  return (
-    typeof value === 'string' && value !== '' && value.length <= MOST_CHARACTERS
-  );
-}
-
-function isAge(value: unknown): value is number {
-  return typeof value === 'number' && Number.isFinite(value) && value >= 0;
-}
-
 function isPath(value: unknown): value is readonly string[] {
   return (
     Array.isArray(value) && value.length <= MOST_PATH && value.every(isName)
--- a/src/quarantine/codec.ts
+++ b/src/quarantine/codec.ts
@@ -4,12 +4,10 @@
  * Checked by hand, as greetings are: a library of schemas makes each start slower.
  */
 
+import {isName, isTime} from '../datagrams/index.js';
 import type {CrashNews, CrashRecord} from '../decisions/quarantine/index.js';
 import {MOST_CRASHES, MOST_TOLD} from '../decisions/quarantine/index.js';
 
-/** Fingerprints and ids of lives are shorter: nobody fills a host's memory. */
-const MOST_CHARACTERS = 128;
-
 type CrashRow = readonly [life: string, ageMs: number];
 type RecordRow = readonly [
   fingerprint: string,
@@ -60,7 +58,7 @@
     Array.isArray(rows) &&
     rows.length <= MOST_CRASHES &&
     rows.every(isCrashRow) &&
-    (survived === null || isAge(survived));
+    (survived === null || isTime(survived));
   if (!isSound) {
     return [];
   }
@@ -69,15 +67,5 @@
 }
 
 function isCrashRow(row: unknown): row is CrashRow {
-  return Array.isArray(row) && isName(row[0]) && isAge(row[1]);
-}
-
-function isName(value: unknown): value is string {
-  return (
-    typeof value === 'string' && value !== '' && value.length <= MOST_CHARACTERS
-  );
-}
-
-function isAge(value: unknown): value is number {
-  return typeof value === 'number' && Number.isFinite(value) && value >= 0;
+  return Array.isArray(row) && isName(row[0]) && isTime(row[1]);
 }
--- a/src/sharing/codec.ts
+++ b/src/sharing/codec.ts
@@ -1,5 +1,6 @@
 /** What hosts of a data centre tell each other of upstreams, as rows. */
 
+import {isTime} from '../datagrams/index.js';
 import type {ProbeAnswer} from '../decisions/placement/index.js';
 import type {LoadNews} from '../decisions/sharing/index.js';
 import type {Milliseconds} from '../time/index.js';
@@ -97,7 +98,3 @@
   }
   return value;
 }
-
-function isTime(value: unknown): value is number {
-  return typeof value === 'number' && Number.isFinite(value) && value >= 0;
-}
--- a/src/soak/main.ts
+++ b/src/soak/main.ts
@@ -37,7 +37,7 @@
   });
   readonly harmful = Option.Boolean('--harmful', true, {
     description:
-      'one request ends each upstream that runs it; not in regressions',
+      'one request ends each upstream that runs it; regressions keep their plans',
   });
   readonly jobs = Option.String('--jobs', '2', {
     description: 'runs at the same time',
--- a/tests/support/crash_simulation.ts
+++ b/tests/support/crash_simulation.ts
@@ -12,24 +12,24 @@
 /** Hosts that each one knows: as many as its view holds. */
 const KNOWN = 24;
 
-export interface SimulatedHost {
+export interface GossipHost {
   readonly address: string;
   readonly quarantine: Quarantine;
-  spread: CrashSpread;
+  readonly spread: CrashSpread;
   isCut: boolean;
   sent: number;
 }
 
 interface Delivery {
   readonly at: Milliseconds;
-  readonly from: SimulatedHost;
-  readonly to: SimulatedHost;
+  readonly from: GossipHost;
+  readonly to: GossipHost;
   readonly news: CrashNews;
 }
 
 export class CrashSimulation {
   readonly clock = new ManualClock(0);
-  readonly hosts: SimulatedHost[] = [];
+  readonly hosts: GossipHost[] = [];
   private readonly random: Random;
   private underWay: Delivery[] = [];
 
@@ -45,10 +45,10 @@
     }
   }
 
-  start(address: string): SimulatedHost {
+  start(address: string): GossipHost {
     const {clock, random} = this;
     const quarantine = new Quarantine(clock);
-    const known = new Map<SimulatedHost, string>();
+    const known = new Map<GossipHost, string>();
     const peers = (): readonly string[] => {
       const others = this.hosts.filter(one => one !== host);
       while (known.size < Math.min(KNOWN, others.length)) {
@@ -65,7 +65,7 @@
     return host;
   }
 
-  crash(host: SimulatedHost, fingerprint: string, life: string): void {
+  crash(host: GossipHost, fingerprint: string, life: string): void {
     host.quarantine.noteCrash(fingerprint, life);
     host.spread.learnt(fingerprint);
   }
@@ -90,7 +90,7 @@
     ).length;
   }
 
-  private send(from: SimulatedHost, messages: readonly CrashMessage[]): void {
+  private send(from: GossipHost, messages: readonly CrashMessage[]): void {
     for (const {to, news} of messages) {
       for (const address of to) {
         const receiver = this.hosts.find(one => one.address === address);
