Log lines tell a loss of news apart from the end of a connection

What callers saw: requests served by a replaced configuration. The logs could not tell the three hypotheses of docs/incidents/late-configuration.md apart: a host whose source stays connected but has no news any more said nothing, and the line of a configuration in force told neither who read it nor how old the news before it were.

`source` lines say when news begin or cease to come from the store, on whatever connection, with depth, whether this host reads, and the age; `configuration` lines add reader and age. Lines come with a change of state only: two for each loss. No logic changes. Tests of fleet and host process pass.

--- a/src/fleet/fleet_member.ts
+++ b/src/fleet/fleet_member.ts
@@ -16,6 +16,7 @@
 import type {Store} from '../platform/index.js';
 import type {Clock, Milliseconds, Random} from '../time/index.js';
 import type {FleetState} from './fleet_state.js';
+import {finiteAge} from './fleet_state.js';
 import {decodeGreeting, encodeGreeting} from './greeting_codec.js';
 import {listIntroducers, registerIntroducer} from './introducer_list.js';
 import type {BadRecordObserver} from './record_intake.js';
@@ -65,6 +66,7 @@
   private self: Peer | undefined;
   private client: RelayClient | undefined;
   private timer: NodeJS.Timeout | undefined;
+  private hadSource = false;
   private closed = false;
 
   constructor(private readonly parts: FleetMemberParts) {
@@ -163,9 +165,33 @@
   private carryOut(actions: readonly NodeAction[] = []): void {
     if (!this.closed) {
       actions.forEach(action => this.perform(action));
+      this.logSource();
     }
   }
 
+  /** Tells a loss of news apart from the end of a connection. */
+  private logSource(): void {
+    const {node} = this;
+    if (!node || node.hasSource === this.hadSource) {
+      return;
+    }
+    this.hadSource = node.hasSource;
+    const {followed, depth} = node.position;
+    const {freshness} = this.parts.state;
+    this.parts.logger.info(
+      {
+        event: 'source',
+        fresh: node.hasSource,
+        peer: followed?.address,
+        depth,
+        reading: node.duty.isReading,
+        reader: freshness.reader,
+        newsAgeMs: finiteAge(freshness.ageMs),
+      },
+      node.hasSource ? 'news come from the store' : 'no fresh news',
+    );
+  }
+
   private perform(action: NodeAction): void {
     switch (action.kind) {
       case 'greet':
--- a/src/fleet/fleet_state.ts
+++ b/src/fleet/fleet_state.ts
@@ -156,8 +156,16 @@
     if (!this.routes.offer(table)) {
       return;
     }
+    const {reader} = this.freshness;
+    const newsAgeMs = finiteAge(this.ageMs);
     this.logger.info(
-      {event: 'configuration', version: table.version, before},
+      {
+        event: 'configuration',
+        version: table.version,
+        before,
+        reader,
+        newsAgeMs,
+      },
       'configuration in force',
     );
     this.tell({kind: 'table', table});
@@ -267,6 +275,11 @@
   return {era: eraOf(position), offset: offsetOf(position)};
 }
 
+/** For logs, which know no infinity; undefined before the first news. */
+export function finiteAge(ageMs: Milliseconds): number | undefined {
+  return Number.isFinite(ageMs) ? Math.round(ageMs) : undefined;
+}
+
 /** A number in a query; lower than any where there is none. */
 function numberOf(text: string | null): number {
   return text ? Number(text) : -1;
