Configurations that come in force late at hosts that nothing befell: failing tests

What callers saw: requests run by a service that the operator had taken them from more than 2 s before.

- The reader's reads of the configuration get no answer, its reads of upstreams do (tests/fleet.test.ts): no host takes over, the configuration comes nowhere in force.

Bound and contact are the users' (2 s, 3 s).

The simulation knows hosts cut off from the store: their reads end by the reader's own time-out. The stand-in store loses answers to reads of chosen topics.

--- a/src/standins/store_server.ts
+++ b/src/standins/store_server.ts
@@ -34,6 +34,8 @@
   fault: StoreFault;
   /** Added to each answer. */
   delayMs: Milliseconds;
+  /** Answers to reads of these topics are lost. */
+  readonly lostTopics: Set<string>;
 }
 
 interface Answer {
@@ -86,7 +88,12 @@
 
   /** Opens one more way to the store, for a host of its own. */
   async addDoor(): Promise<StoreDoor> {
-    const door = {port: 0, fault: 'none' as StoreFault, delayMs: 0};
+    const door: StoreDoor & {port: number} = {
+      port: 0,
+      fault: 'none',
+      delayMs: 0,
+      lostTopics: new Set(),
+    };
     const server = createServer((request, response) => {
       void this.serve(request, response, door);
     });
@@ -159,13 +166,25 @@
         return;
       case 'none':
       case 'deaf':
-        this.respond(response, await this.answer(url, body));
+        await this.answerBy(door, url, body, response);
         return;
       default:
         fault satisfies never;
     }
   }
 
+  private async answerBy(
+    door: StoreDoor,
+    url: URL,
+    body: Buffer,
+    response: ServerResponse,
+  ): Promise<void> {
+    const answer = await this.answer(url, body);
+    if (!door.lostTopics.has(url.searchParams.get('topic') ?? '')) {
+      this.respond(response, answer);
+    }
+  }
+
   private async answer(url: URL, body: Buffer): Promise<Answer> {
     const isWrite = url.pathname === '/api/log-append';
     if (!(isWrite ? this.writes : this.reads).take()) {
--- a/tests/fleet.test.ts
+++ b/tests/fleet.test.ts
@@ -104,6 +104,19 @@
   expect(system.hosts[1]?.host.isReader).toBe(true);
 });
 
+test('a reader gives way whose reads of the configuration get no answer', async () => {
+  await system.startReadyHost('east');
+  await system.startReadyHost('east');
+  await system.startReadyHost('west');
+  const readers = () => system.hosts.filter(({host}) => host.isReader);
+  await until(() => readers().length === 1);
+  readers()[0]?.door.lostTopics.add(OPERATOR_TOPIC);
+  system.configure(2, [{path_prefix: '/new/', kind: 'idempotent'}]);
+  for (const index of system.hosts.keys()) {
+    await until(() => serves(index, '/new/1'));
+  }
+});
+
 test('a reader that stops hands over before it has ended', async () => {
   const reader = await system.startReadyHost();
   await system.startReadyHost();
--- a/tests/support/fleet_simulation.ts
+++ b/tests/support/fleet_simulation.ts
@@ -23,6 +23,7 @@
 const SILENCE_MS = 700;
 const STORE_MS = 5;
 const STORE_WAIT_MS = 900;
+const STORE_TIMEOUT_MS = 500;
 const STORE_GATHER_MS = 250;
 const START_SPREAD_MS = 300;
 
@@ -34,7 +35,7 @@
   newest = 1;
   isStoreDown = false;
   readonly listed = new Map<string, Peer>();
-  private readonly random: Random;
+  readonly random: Random;
   private readonly waiting = new Set<() => void>();
   private readonly byAddress = new Map<string, SimulatedHost>();
 
@@ -84,6 +85,11 @@
     this.network.run(ms);
   }
 
+  /** Runs something after a while, whatever befalls the hosts. */
+  later(ms: Milliseconds, run: () => void): void {
+    this.network.after(ms, run);
+  }
+
   /** @returns ends the cut */
   cut(parts: Cut): () => void {
     return this.network.cut(parts);
@@ -375,44 +381,55 @@
       return;
     }
     host.calls += 1;
+    const waitMs = host.node.isRoot ? STORE_WAIT_MS : 0;
     let done = false;
-    const finish = (): void => {
+    const settle = (action: () => void): void => {
       if (done) {
         return;
       }
       done = true;
       this.waiting.delete(finish);
-      this.network.after(STORE_MS, () =>
-        this.network.whenAwake(host, () => {
-          if (!isCurrent()) {
-            return;
-          }
-          if (!this.isServed(host)) {
-            this.carryOut(host, host.node.storeFailed());
-            this.network.after(host.node.duty.pauseMs, () =>
-              this.read(host, life),
-            );
-            return;
-          }
-          this.learn(host, this.newest);
+      this.network.whenAwake(host, () => {
+        if (isCurrent()) {
+          action();
+        }
+      });
+    };
+    const fail = (): void =>
+      settle(() => {
+        this.carryOut(host, host.node.storeFailed());
+        this.network.after(host.node.duty.pauseMs, () => this.read(host, life));
+      });
+    const finish = (): void =>
+      this.network.after(STORE_MS, () => {
+        if (host.isCutFromStore) {
+          return;
+        }
+        if (!this.isServed(host)) {
+          fail();
+          return;
+        }
+        const {newest} = this;
+        settle(() => {
+          this.learn(host, newest);
           this.carryOut(host, host.node.storeAnswered());
           this.network.after(STORE_GATHER_MS, () => this.read(host, life));
-        }),
-      );
-    };
-    const hasNews = host.known < this.newest || !host.node.isRoot;
-    if (hasNews || !this.isServed(host)) {
+        });
+      });
+    this.network.after(waitMs + STORE_TIMEOUT_MS, fail);
+    if (host.known < this.newest || waitMs === 0 || !this.isServed(host)) {
       finish();
       return;
     }
     this.waiting.add(finish);
-    this.network.after(STORE_WAIT_MS, finish);
+    this.network.after(waitMs, finish);
   }
 
   private list(host: SimulatedHost): void {
     host.calls += 1;
     const {life} = host;
-    this.network.after(STORE_MS, () => {
+    const answerMs = host.isCutFromStore ? STORE_TIMEOUT_MS : STORE_MS;
+    this.network.after(answerMs, () => {
       if (host.alive && host.life === life) {
         const all = [...this.listed.values()];
         const peers = this.isServed(host) ? all : undefined;
@@ -422,6 +439,6 @@
   }
 
   private isServed(host: SimulatedHost): boolean {
-    return !this.isStoreDown && !host.isTurnedAway;
+    return !this.isStoreDown && !host.isTurnedAway && !host.isCutFromStore;
   }
 }
--- a/tests/support/simulated_host.ts
+++ b/tests/support/simulated_host.ts
@@ -30,6 +30,8 @@
   stream: Stream | undefined;
   readonly streams = new Set<Stream>();
   isTurnedAway = false;
+  /** Nothing that it sends to the store is answered. */
+  isCutFromStore = false;
   calls = 0;
   datagrams = 0;
 
