Hosts doubt a source whose news are overdue, and know changes in time

What callers saw: requests run by a service that the operator had taken them from 2 s before and more, at hosts that nothing had befallen.

Cause: how old a host's news were had no effect by itself. Each step had a time of its own (1.7 s until news were stale, 1 s of waiting with a source that has none, 0.8 to 1.2 s before reading after a loss, 3 s far from the reader, 0.7 s for each source that says nothing), and none knew what the others had used up. A host whose source was cut off but still there went on with news up to 5 s old while others had fresh ones.

Change: one budget, shares of the shortest bound in the settings (2, 2.5 or 3 s by deployment). The age of the news travels with them, so every host knows what is used up: from 0.55 of the bound on, the source is doubted whatever it says; from 0.65 others are asked; at 0.8 the host reads itself, unless it is far from the reader and hears that the store itself fails (signs of life say so now). First news of a new source may take 0.15. Reads wait a quarter of the bound.

--- a/src/decisions/fleet/constants.ts
+++ b/src/decisions/fleet/constants.ts
@@ -38,12 +38,6 @@
  */
 export const FAR_PATIENCE_MS: Milliseconds = 60;
 
-/**
- * News older than this come from nobody who reads. Between two answers to a
- * waiting read they grow to 1.2 s; an answer may take 0.3 s.
- */
-export const STALE_NEWS_MS: Milliseconds = 1_700;
-
 /**
  * Followers are told that there is no source after this time: most hosts that
  * lose theirs find another in 20 ms, and all below them would look for one too.
@@ -59,9 +53,8 @@
 /** One that lost a near follower of the reader is soon found another. */
 export const NEAR_LOSS_DELAY_MS: Milliseconds = 800;
 /**
- * Hosts further from the reader ask the store themselves after this time, in
- * case it turns away all those before them. A change may take 2 s to be in force
- * only while the store serves everybody.
+ * Hosts further from the reader that hear that the store fails ask it themselves
+ * after this time, in case it turns away all those before them.
  */
 export const DEEP_DELAY_MS: Milliseconds = 3_000;
 /** Calls of these hosts together a second, however many they are. */
@@ -119,7 +112,7 @@
 /** Hosts of the store's list that are asked at once. */
 export const MOST_LISTED = 4;
 /**
- * Time for which a host waits with the one that it follows for its source before
- * it takes another that it happens to hear of.
+ * Rounds in which a host asks others while it still follows one without news. More
+ * would find nobody: while the store is away no host has a source.
  */
-export const ATTACHED_WAIT_MS: Milliseconds = 1_000;
+export const ATTACHED_ROUNDS = 4;
--- a/src/decisions/fleet/fleet_node.ts
+++ b/src/decisions/fleet/fleet_node.ts
@@ -12,15 +12,11 @@
  */
 
 import type {Clock, Milliseconds, Random} from '../../time/index.js';
-import {
-  ATTACHED_WAIT_MS,
-  LOSS_GRACE_MS,
-  MOST_LISTED,
-  STALE_NEWS_MS,
-} from './constants.js';
+import {ATTACHED_ROUNDS, LOSS_GRACE_MS, MOST_LISTED} from './constants.js';
 import type {FleetSize} from './fleet_size.js';
 import {FollowerSlots} from './follower_slots.js';
 import type {Freshness} from './freshness.js';
+import type {NewsBudget} from './news_budget.js';
 import {PeerTalk} from './peer_talk.js';
 import {pick} from './pick.js';
 import type {Followed} from './position.js';
@@ -50,6 +46,7 @@
   readonly firstStart: boolean;
   /** Followers of the same data centre that the link bears. */
   readonly mostFollowers: number;
+  readonly budget: NewsBudget;
   readonly freshness: Freshness;
   readonly size: FleetSize;
   readonly clock: Clock;
@@ -70,7 +67,7 @@
 
   constructor(private readonly parts: FleetNodeParts) {
     const {self, introducers, firstStart, mostFollowers} = parts;
-    const {size, clock, random} = parts;
+    const {budget, freshness, size, clock, random} = parts;
     const position = new Position(self);
     this.position = position;
     this.talk = new PeerTalk(self, introducers, clock, random);
@@ -81,6 +78,8 @@
       self,
       introducers,
       firstStart,
+      freshness,
+      budget,
       size,
       position,
       clock,
@@ -112,11 +111,12 @@
     if (this.isRoot) {
       this.parts.size.observe(this.followers.below);
     }
-    return this.signs.signOfLife(end);
+    return this.signs.signOfLife(end, this.knowsStoreFails);
   }
 
   /** Lets what is due happen; call it every few tens of milliseconds. */
   tick(): readonly NodeAction[] {
+    this.doubtSourceIfOverdue();
     const {sourcelessSince = Infinity} = this;
     if (this.parts.clock.now() - sourcelessSince >= LOSS_GRACE_MS) {
       this.tellLoss();
@@ -157,7 +157,8 @@
       return this.flush();
     }
     const {reader, ageMs} = sign;
-    const isFresh = reader !== undefined && ageMs <= STALE_NEWS_MS;
+    const {overdueMs} = this.parts.budget;
+    const isFresh = reader !== undefined && ageMs <= overdueMs;
     if (!isFresh && !followed.proved) {
       this.leave('stale');
       return this.flush();
@@ -192,9 +193,13 @@
     return this.flush();
   }
 
-  /** The store has answered a read. */
-  storeAnswered(): readonly NodeAction[] {
-    const {self, freshness, size, clock} = this.parts;
+  /**
+   * The store has answered reads of all topics that must be known in time.
+   *
+   * @param provedAt up to when they are known
+   */
+  storeAnswered(provedAt: Milliseconds): readonly NodeAction[] {
+    const {self, freshness, size} = this.parts;
     const {position, duty} = this;
     const isNews = !this.hasSource || !duty.isAnswered;
     duty.noteAnswer();
@@ -210,7 +215,7 @@
       position.becomeRoot();
     }
     this.sourcelessSince = undefined;
-    freshness.renew(clock.now(), self.address);
+    freshness.renew(provedAt, self.address);
     size.observe(this.followers.below);
     if (isNews) {
       this.actions.push({kind: 'tell'}, ...this.talk.announce(former));
@@ -269,15 +274,39 @@
     if (!followed) {
       return true;
     }
-    const waitedMs = this.parts.clock.now() - this.sourcelessSince;
-    const isOpen = this.duty.isReading || waitedMs > ATTACHED_WAIT_MS;
-    return followed.proved && isOpen;
+    return followed.proved && (this.duty.isReading || this.mayAskOthers);
   }
 
-  /** Others wait with the host that they follow, and hear of a source there. */
+  /**
+   * Others wait for a while with the host that they follow: if it finds a source,
+   * they hear of it there.
+   */
   private get isAsking(): boolean {
     const {followed, depth} = this.position;
-    return !followed || (this.duty.isReading && depth <= 1);
+    if (!followed || (this.duty.isReading && depth <= 1)) {
+      return true;
+    }
+    return this.mayAskOthers && this.search.roundCount < ATTACHED_ROUNDS;
+  }
+
+  private get mayAskOthers(): boolean {
+    const {freshness, budget} = this.parts;
+    return freshness.ageMs >= budget.askOthersMs;
+  }
+
+  private get knowsStoreFails(): boolean {
+    return this.duty.isFailing || this.position.hearsStoreFails;
+  }
+
+  /**
+   * News that are overdue are a loss of the source, whatever it says of itself: it
+   * may wait in vain for its own.
+   */
+  private doubtSourceIfOverdue(): void {
+    const {freshness, budget} = this.parts;
+    if (this.hasSource && freshness.ageMs > budget.overdueMs) {
+      this.loseSource(() => this.duty.planWhileAttached());
+    }
   }
 
   private consider(peer: PeerStatus): void {
@@ -285,7 +314,8 @@
     const {followed} = this.position;
     const isOpen =
       peer.address !== followed?.address && !this.suspensions.has(peer.address);
-    if (!isOpen || !hasNewsFor(self, peer)) {
+    const {overdueMs} = this.parts.budget;
+    if (!isOpen || !hasNewsFor(self, peer, overdueMs)) {
       return;
     }
     if (this.isSearching) {
@@ -332,7 +362,8 @@
     const {followed, followsFar} = position;
     // One that was just asked is about to tell whether it has news.
     const awaitsAnswer = followed !== undefined && !followed.proved;
-    if (duty.isDue && !this.hasSource && !awaitsAnswer) {
+    const isOpen = !awaitsAnswer || duty.isPressing;
+    if (duty.isDue && !this.hasSource && isOpen) {
       duty.begin();
       this.actions.push({kind: 'read'});
     }
--- a/src/decisions/fleet/freshness.ts
+++ b/src/decisions/fleet/freshness.ts
@@ -8,11 +8,16 @@
 
   constructor(private readonly clock: Clock) {}
 
-  /** Time since the store was last known to have been read. */
+  /** Time since the store was last known to have been read; Infinity before. */
   get ageMs(): Milliseconds {
     return this.clock.now() - this.at;
   }
 
+  /** The time at which news reach an age; long past before the first. */
+  whenAged(ageMs: Milliseconds): Milliseconds {
+    return this.at + ageMs;
+  }
+
   /** The host that reads the store; undefined while none is known. */
   get reader(): string | undefined {
     return this.from;
--- a/src/decisions/fleet/index.ts
+++ b/src/decisions/fleet/index.ts
@@ -1,10 +1,11 @@
 export * from './types.js';
-export {STALE_NEWS_MS} from './constants.js';
 export type {FleetNodeParts} from './fleet_node.js';
 export {FleetNode} from './fleet_node.js';
 export {FleetSize} from './fleet_size.js';
 export {FollowerSlots} from './follower_slots.js';
 export {Freshness} from './freshness.js';
+export type {NewsBudget} from './news_budget.js';
+export {newsBudget} from './news_budget.js';
 export {PartialView} from './partial_view.js';
 export {pick} from './pick.js';
 export {pauseAfter} from './read_pacing.js';
--- a/src/decisions/fleet/position.ts
+++ b/src/decisions/fleet/position.ts
@@ -16,6 +16,7 @@
   private way: readonly string[] = [];
   private readerFollowers: readonly string[] = [];
   private sourceHead = NO_HEAD;
+  private isStoreFailing = false;
 
   constructor(private readonly self: Peer) {}
 
@@ -47,6 +48,11 @@
     return rank < 0 ? this.heirs.length : rank;
   }
 
+  /** Whether the host that is followed says that the store fails. */
+  get hearsStoreFails(): boolean {
+    return this.source !== undefined && this.isStoreFailing;
+  }
+
   /** Whether the host that is followed is in another data centre. */
   get followsFar(): boolean {
     const {source, self} = this;
@@ -63,6 +69,7 @@
 
   follow({address, dataCentre}: Peer): void {
     this.source = {address, dataCentre, proved: false};
+    this.isStoreFailing = false;
   }
 
   unfollow(): void {
@@ -74,10 +81,11 @@
   }
 
   /** The host that is followed has told where it stands itself. */
-  learn({path, heirs, head}: SignOfLife): void {
+  learn({path, heirs, head, isStoreFailing}: SignOfLife): void {
     this.way = path;
     this.readerFollowers = heirs;
     this.sourceHead = head;
+    this.isStoreFailing = isStoreFailing;
   }
 
   /** This host reads the store itself. */
--- a/src/decisions/fleet/reading_duty.ts
+++ b/src/decisions/fleet/reading_duty.ts
@@ -21,17 +21,25 @@
   START_PATIENCE_MS,
 } from './constants.js';
 import type {FleetSize} from './fleet_size.js';
+import type {Freshness} from './freshness.js';
+import type {NewsBudget} from './news_budget.js';
 import type {Followed, Position} from './position.js';
 import {pauseAfter} from './read_pacing.js';
 import type {Peer} from './types.js';
 
 const MS_PER_SECOND = 1_000;
+/** Share of their age over which hosts whose news are overdue begin to read. */
+const READ_SPREAD = 0.05;
+/** Multiple of the bound after which it no longer presses: the store is away. */
+const PRESSING_BOUNDS = 2;
 
 export interface ReadingDutyParts {
   readonly self: Peer;
   readonly introducers: readonly string[];
   /** Whether the whole fleet starts for the first time. */
   readonly firstStart: boolean;
+  readonly freshness: Freshness;
+  readonly budget: NewsBudget;
   readonly size: FleetSize;
   readonly position: Position;
   readonly clock: Clock;
@@ -57,11 +65,21 @@
     return this.reading && this.answered;
   }
 
+  /** Whether the last read of the store has failed. */
+  get isFailing(): boolean {
+    return this.reading && this.failures > 0;
+  }
+
   /** Whether to begin now. */
   get isDue(): boolean {
     return !this.reading && this.parts.clock.now() >= this.readAt;
   }
 
+  /** Whether to read although a host that was just asked may have news. */
+  get isPressing(): boolean {
+    return this.parts.clock.now() >= this.latestReadAt;
+  }
+
   begin(): void {
     this.readAt = Infinity;
     this.reading = true;
@@ -78,7 +96,7 @@
   /** Others have a source: gives them time once more. */
   waitForOthers(): void {
     const least = this.parts.clock.now() + FULL_DELAY_MS;
-    this.readAt = Math.max(this.readAt, least);
+    this.readAt = Math.min(Math.max(this.readAt, least), this.latestReadAt);
   }
 
   /** Nobody else can be asked: reads at once. */
@@ -119,8 +137,24 @@
 
   private plan(delayMs: Milliseconds): void {
     if (!this.reading) {
-      this.readAt = this.parts.clock.now() + delayMs;
+      const plannedAt = this.parts.clock.now() + delayMs;
+      this.readAt = Math.min(plannedAt, this.latestReadAt);
+    }
+  }
+
+  /**
+   * When to read at the latest, so that changes come in time. Hosts far from the
+   * reader that hear that the store fails don't add their calls to those of others.
+   */
+  private get latestReadAt(): Milliseconds {
+    const {freshness, budget, position, clock, random} = this.parts;
+    const isTooLate =
+      clock.now() > freshness.whenAged(PRESSING_BOUNDS * budget.boundMs);
+    if (isTooLate || (position.depth > 1 && position.hearsStoreFails)) {
+      return Infinity;
     }
+    const spread = 1 + READ_SPREAD * random();
+    return freshness.whenAged(budget.readItselfMs * spread);
   }
 
   private startDelay(): Milliseconds {
--- a/src/decisions/fleet/signs.ts
+++ b/src/decisions/fleet/signs.ts
@@ -31,8 +31,11 @@
     };
   }
 
-  /** @param end up to where upstreams have been told */
-  signOfLife(end: LogPosition): SignOfLife {
+  /**
+   * @param end up to where upstreams have been told
+   * @param isStoreFailing as far as this host knows
+   */
+  signOfLife(end: LogPosition, isStoreFailing: boolean): SignOfLife {
     const {self, freshness, size, followers, position} = this.parts;
     const {path, head, heirs, depth} = position;
     return {
@@ -41,6 +44,7 @@
       reader: freshness.reader,
       path: [...path, self.address],
       head,
+      isStoreFailing,
       heirs: depth === 0 ? followers.addresses : heirs,
       hosts: size.estimate,
       isCounted: size.isSettled,
--- a/src/decisions/fleet/source_rules.ts
+++ b/src/decisions/fleet/source_rules.ts
@@ -1,16 +1,25 @@
 /** Which hosts may be followed, and which are better than the one that is. */
 
-import {LONGEST_PATH, STALE_NEWS_MS, WORTH_MOVING} from './constants.js';
+import type {Milliseconds} from '../../time/index.js';
+import {LONGEST_PATH, WORTH_MOVING} from './constants.js';
 import type {Position} from './position.js';
 import type {Peer, PeerStatus} from './types.js';
 
-/** Whether a host has fresh news that don't come by this one. */
-export function hasNewsFor(self: Peer, peer: PeerStatus): boolean {
+/**
+ * Whether a host has fresh news that don't come by this one.
+ *
+ * @param overdueMs age from which news aren't fresh
+ */
+export function hasNewsFor(
+  self: Peer,
+  peer: PeerStatus,
+  overdueMs: Milliseconds,
+): boolean {
   const {reader, newsAgeMs, path} = peer;
   return (
     reader !== undefined &&
     reader !== self.address &&
-    newsAgeMs <= STALE_NEWS_MS &&
+    newsAgeMs <= overdueMs &&
     path.length < LONGEST_PATH &&
     !path.includes(self.address)
   );
--- a/src/decisions/fleet/source_search.ts
+++ b/src/decisions/fleet/source_search.ts
@@ -46,6 +46,11 @@
     this.beganAt = clock.now();
   }
 
+  /** Rounds since the source was lost. */
+  get roundCount(): number {
+    return this.rounds;
+  }
+
   /** Starts anew: the source was lost just now. */
   begin(): void {
     this.beganAt = this.clock.now();
--- a/src/decisions/fleet/types.ts
+++ b/src/decisions/fleet/types.ts
@@ -55,6 +55,8 @@
   readonly path: readonly string[];
   /** The sender's own `head`. */
   readonly head: string;
+  /** Whether the store fails the sender, or the one that it hears from. */
+  readonly isStoreFailing: boolean;
   /** Followers of the reader, in the order in which they take its place. */
   readonly heirs: readonly string[];
   /** Hosts in the fleet, as the reader counts them. */
--- a/src/fleet/fleet_member.ts
+++ b/src/fleet/fleet_member.ts
@@ -5,6 +5,7 @@
 import type {
   Admission,
   Asker,
+  NewsBudget,
   NodeAction,
   Peer,
   PeerFault,
@@ -46,6 +47,7 @@
   /** Whether the whole fleet starts for the first time. */
   readonly firstStart: boolean;
   readonly linkMbps: number;
+  readonly budget: NewsBudget;
   readonly store: Store;
   readonly state: FleetState;
   readonly datagrams: DatagramPort;
@@ -70,13 +72,14 @@
   private closed = false;
 
   constructor(private readonly parts: FleetMemberParts) {
-    const {store, state, clock, random, logger} = parts;
+    const {store, state, budget, clock, random, logger} = parts;
     const {onBadRecord, topics} = parts;
     this.reader = new StoreReader({
       store,
       state,
       intake: new RecordIntake(state, clock, logger, onBadRecord),
       topics,
+      budget,
       random,
       logger,
       onRead: isAnswered => this.noteRead(isAnswered),
@@ -125,7 +128,7 @@
   /** @param address of this host for others */
   start(address: string): void {
     const {dataCentre, introducers, firstStart, linkMbps} = this.parts;
-    const {state, clock, random} = this.parts;
+    const {state, budget, clock, random} = this.parts;
     const followers = Math.floor(linkMbps / LINK_MBPS_EACH);
     this.self = {address, dataCentre};
     this.node = new FleetNode({
@@ -136,6 +139,7 @@
         MOST_FOLLOWERS,
         Math.max(FEWEST_FOLLOWERS, followers),
       ),
+      budget,
       freshness: state.freshness,
       size: state.size,
       clock,
@@ -260,6 +264,7 @@
       self,
       node.suspensions.unreachable,
       this.parts.state.known,
+      this.parts.budget.firstNewsMs,
       {
         onUpdate: update => this.take(address, update),
         onEnd: (fault, reason) => this.ended(address, fault, reason),
@@ -302,7 +307,8 @@
 
   private noteRead(isAnswered: boolean): void {
     const {node} = this;
-    this.carryOut(isAnswered ? node?.storeAnswered() : node?.storeFailed());
+    const now = this.parts.clock.now();
+    this.carryOut(isAnswered ? node?.storeAnswered(now) : node?.storeFailed());
   }
 
   private async list(): Promise<void> {
--- a/src/fleet/fleet_state.ts
+++ b/src/fleet/fleet_state.ts
@@ -22,11 +22,10 @@
 import type {Clock, Milliseconds} from '../time/index.js';
 
 /**
- * From this age on, entries may have lapsed in the store unseen, and routes
- * may have been added. Readers hear from the store every 1.2 s; its answer
- * and a change of readers take up to a second more.
+ * From this multiple of the time that a change may take, entries may have lapsed in
+ * the store unseen, and routes may have been added.
  */
-const STALE_AFTER_MS: Milliseconds = 2_200;
+const STALE_BOUNDS = 1.1;
 const TICK_MS: Milliseconds = 200;
 
 interface RecordPlace {
@@ -49,9 +48,11 @@
   private readonly lossListeners = new Set<() => void>();
   private readonly timer: NodeJS.Timeout;
 
+  /** @param changeBoundMs time in which every host must know of a change */
   constructor(
     private readonly clock: Clock,
     private readonly logger: Logger,
+    private readonly changeBoundMs: Milliseconds,
   ) {
     this.registry = new UpstreamRegistry(clock);
     this.evacuations = new EvacuationBook(clock);
@@ -67,7 +68,7 @@
   }
 
   get isFresh(): boolean {
-    return this.ageMs <= STALE_AFTER_MS;
+    return this.ageMs <= STALE_BOUNDS * this.changeBoundMs;
   }
 
   /** Upstreams in use; those of services that no route knows aren't. */
--- a/src/fleet/relay_client.ts
+++ b/src/fleet/relay_client.ts
@@ -24,7 +24,8 @@
 export class RelayClient {
   private readonly outgoing: ClientRequest;
   private readonly decoder = new StringDecoder('utf8');
-  private readonly timer: NodeJS.Timeout;
+  private timer: NodeJS.Timeout;
+  private hasNews = false;
   private rest = '';
   private ended = false;
 
@@ -32,12 +33,14 @@
    * @param address of the host that is followed
    * @param avoid hosts that could not be reached of late
    * @param known what this host knows already, so that it isn't sent
+   * @param firstNewsMs time for the first news, in which others aren't asked
    */
   constructor(
     readonly address: string,
     self: Peer,
     avoid: readonly string[],
     known: KnownState,
+    firstNewsMs: Milliseconds,
     private readonly following: Following,
   ) {
     const peer = parseAddress(address);
@@ -49,10 +52,7 @@
       path: `/updates?${query.toString()}`,
       agent: false,
     });
-    this.timer = setTimeout(
-      () => this.end(`silent for ${SILENCE_MS} ms`),
-      SILENCE_MS,
-    );
+    this.timer = this.endIfSilent(Math.min(firstNewsMs, SILENCE_MS));
     this.outgoing.on('error', error => this.end(error.message));
     this.outgoing.on('response', answer => this.read(answer));
     this.outgoing.end();
@@ -76,7 +76,13 @@
   }
 
   private take(chunk: Buffer): void {
-    this.timer.refresh();
+    if (this.hasNews) {
+      this.timer.refresh();
+    } else {
+      this.hasNews = true;
+      clearTimeout(this.timer);
+      this.timer = this.endIfSilent(SILENCE_MS);
+    }
     const lines = (this.rest + this.decoder.write(chunk)).split('\n');
     this.rest = lines.pop() ?? '';
     for (const line of lines) {
@@ -92,6 +98,10 @@
     }
   }
 
+  private endIfSilent(afterMs: Milliseconds): NodeJS.Timeout {
+    return setTimeout(() => this.end(`silent for ${afterMs} ms`), afterMs);
+  }
+
   private end(reason: string, fault: PeerFault = 'unreachable'): void {
     if (this.ended) {
       return;
--- a/src/fleet/store_reader.ts
+++ b/src/fleet/store_reader.ts
@@ -1,6 +1,7 @@
 /** Reads the store for this host and those that follow it. */
 
 import type {Logger} from 'pino';
+import type {NewsBudget} from '../decisions/fleet/index.js';
 import {pauseAfter} from '../decisions/fleet/index.js';
 import type {LogPosition} from '../decisions/registry/index.js';
 import type {Store, StoreFailure} from '../platform/index.js';
@@ -11,13 +12,6 @@
 import type {RecordIntake} from './record_intake.js';
 import type {TopicNews} from './types.js';
 
-/**
- * Longest wait for a change of an upstream. With the store's answer timeout
- * it is the time after which this host notices that the store doesn't answer
- * it; another must then read in time for what the operators allow, 2 s. A
- * call is paid for whatever it brings.
- */
-const UPSTREAM_WAIT_MS: Milliseconds = 900;
 /**
  * Longest wait for a change of the configuration. The store may be deaf to a
  * change for those who wait while it drops its history: they hear of it at the
@@ -26,8 +20,6 @@
 const CONFIGURATION_WAIT_MS: Milliseconds = 1_400;
 /** Other topics are read again after this time, or when the store is back. */
 const OUTAGE_PAUSE_MS: Milliseconds = 5_000;
-/** Changes that come in quick succession are read together. */
-const GATHER_MS: Milliseconds = 250;
 
 /** A topic of the store that readers follow, beside the upstreams'. */
 export interface FollowedTopic {
@@ -45,6 +37,7 @@
   readonly intake: RecordIntake;
   /** Followed beside upstreams and the configuration. */
   readonly topics: readonly FollowedTopic[];
+  readonly budget: NewsBudget;
   readonly random: Random;
   readonly logger: Logger;
   /** Told of each read of upstreams that the store answers, or doesn't. */
@@ -116,7 +109,7 @@
       }
       if (!failure) {
         this.noteSuccess();
-        await sleep(GATHER_MS);
+        await sleep(this.parts.budget.gatherMs);
         continue;
       }
       if (failure.kind === 'trimmed') {
@@ -173,7 +166,7 @@
     const {cursor} = this.parts.state.registry;
     // A host that takes over has heard nothing for a while: if the store
     // doesn't answer it either, its followers must learn that soon.
-    const waitMs = this.proved ? UPSTREAM_WAIT_MS : 0;
+    const waitMs = this.proved ? this.parts.budget.readWaitMs : 0;
     const page = await this.parts.store.read(UPSTREAM_TOPIC, cursor, waitMs);
     if (page.isErr()) {
       return page.error;
--- a/src/host/gateway_host.ts
+++ b/src/host/gateway_host.ts
@@ -1,6 +1,7 @@
 /** An entry host on the platform: its parts put together and stopped in order. */
 
 import type {Logger} from 'pino';
+import {newsBudget} from '../decisions/fleet/index.js';
 import {ByteBudget} from '../decisions/limits/index.js';
 import {DEFAULT_OPTIONS} from '../decisions/options/index.js';
 import {HostRetries} from '../decisions/retries/index.js';
@@ -72,7 +73,7 @@
     this.lifeCycle = new LifeCycle(logger);
     this.state = this.lifeCycle.own(
       'state',
-      new FleetState(clock, logger),
+      new FleetState(clock, logger, settings.changeBoundMs),
       one => one.close(),
     );
     const {metrics} = parts;
@@ -234,6 +235,7 @@
         introducers,
         firstStart,
         linkMbps,
+        budget: newsBudget(settings.changeBoundMs),
         store,
         state,
         datagrams,
--- a/src/platform/settings_file.ts
+++ b/src/platform/settings_file.ts
@@ -38,6 +38,12 @@
   readonly linkMbps: number;
   readonly metrics: SocketAddress;
   readonly store: SocketAddress;
+  /**
+   * Time after the store's acknowledgement within which every host must know of a
+   * change: the shortest that holds for configurations, upstreams that leave or
+   * evacuations.
+   */
+  readonly changeBoundMs: Milliseconds;
   /** Time from SIGTERM to SIGKILL. */
   readonly graceMs: Milliseconds;
   /** Most repeats as a share of first sends, over the whole fleet. */
@@ -53,6 +59,7 @@
   readonly coldSlack: number;
 }
 
+const DEFAULT_CHANGE_BOUND_MS: Milliseconds = 2_000;
 const DEFAULT_GRACE_MS: Milliseconds = 6_000;
 const DEFAULT_RETRY_RATIO = 0.2;
 const DEFAULT_RETRY_WINDOW_MS: Milliseconds = 10_000;
@@ -150,6 +157,7 @@
     linkMbps: number(fields, 'self.limits.link_mbps', DEFAULT_LINK_MBPS),
     metrics: {ip, port: METRICS_PORT},
     store: address(fields, 'platform.platform.address'),
+    changeBoundMs: changeBound(fields),
     graceMs: duration(fields, 'terms.bounds.grace', DEFAULT_GRACE_MS),
     retryRatio: number(fields, 'terms.bounds.retry_ratio', DEFAULT_RETRY_RATIO),
     retryWindowMs: duration(
@@ -172,6 +180,14 @@
   };
 }
 
+function changeBound(fields: Fields): Milliseconds {
+  const bounds = ['config_apply', 'drain', 'evacuate']
+    .map(name => `terms.bounds.${name}`)
+    .filter(name => fields.has(name))
+    .map(name => duration(fields, name, DEFAULT_CHANGE_BOUND_MS));
+  return bounds.length > 0 ? Math.min(...bounds) : DEFAULT_CHANGE_BOUND_MS;
+}
+
 /**
  * The platform names a port of its own for its seeds. Hosts meet where they
  * reach each other anyway, on the same port everywhere.
--- a/src/quickstart/platform.ts
+++ b/src/quickstart/platform.ts
@@ -77,6 +77,7 @@
       linkMbps: 1_000,
       metrics: ANY_PORT,
       store,
+      changeBoundMs: 2_000,
       graceMs: 6_000,
       retryRatio: 0.2,
       retryWindowMs: 10_000,
--- a/tests/platform.test.ts
+++ b/tests/platform.test.ts
@@ -32,6 +32,20 @@
   expect(settings.graceMs).toBe(6_000);
 });
 
+test.each([
+  ['', 2_000],
+  ['terms.bounds.config_apply=3000ms', 3_000],
+  ['terms.bounds.config_apply=2500ms\nterms.bounds.drain=2s', 2_000],
+  ['terms.bounds.drain=3s\nterms.bounds.evacuate=1s', 1_000],
+])('changes are in time by the shortest bound of %j', (bounds, boundMs) => {
+  const unbound = SETTINGS.replace(
+    /terms\.bounds\.(config_apply|drain).*\n/g,
+    '',
+  );
+  const settings = parseSettings(`${unbound}\n${bounds}`)._unsafeUnwrap();
+  expect(settings.changeBoundMs).toBe(boundMs);
+});
+
 test.each([
   ['self.ip', /self\.ip=.*\n/, ''],
   ['network.listen.front', /8144/, 'port'],
--- a/tests/support/gateway.ts
+++ b/tests/support/gateway.ts
@@ -135,6 +135,7 @@
       linkMbps: 100,
       metrics: ANY,
       store: {ip: '127.0.0.1', port: door.port},
+      changeBoundMs: 2_000,
       graceMs: 2_000,
       retryRatio: 0.2,
       retryWindowMs: 10_000,
--- a/tests/support/simulated_host.ts
+++ b/tests/support/simulated_host.ts
@@ -4,6 +4,7 @@
   FleetNode,
   FleetSize,
   Freshness,
+  NewsBudget,
   Peer,
 } from '../../src/decisions/fleet/index.js';
 import type {Milliseconds} from '../../src/time/index.js';
@@ -13,6 +14,8 @@
   readonly follower: SimulatedHost;
   readonly leader: SimulatedHost;
   heardAt: Milliseconds;
+  /** Whether the leader has told anything yet. */
+  hasNews: boolean;
   closed: boolean;
 }
 
@@ -49,6 +52,7 @@
   readonly seed?: number;
   /** Share of datagrams that are lost. */
   readonly loss?: number;
+  readonly budget?: NewsBudget;
 }
 
 export function sumOf(
