--- a/tests/late_news.test.ts
+++ b/tests/late_news.test.ts
@@ -64,6 +64,15 @@
     fleet.later(forMs, heal);
     return 0;
   },
+  suspensions: ({fleet, struck, forMs}) => {
+    struck.forEach(host => fleet.suspend(host, forMs));
+    return forMs;
+  },
+  'ways that stall': ({fleet, struck, forMs}) => {
+    const set = new Set(struck);
+    fleet.stall((a, b) => set.has(a) !== set.has(b), forMs / 4);
+    return 0;
+  },
   'a mix of troubles': strike => anyOf(strike)(strike),
 } satisfies Readonly<Record<string, Trouble>>;
 
--- a/tests/support/fleet_simulation.ts
+++ b/tests/support/fleet_simulation.ts
@@ -20,12 +20,11 @@
 import {SimulatedHost, sumOf} from './simulated_host.js';
 import type {Cut} from './simulated_network.js';
 import {SimulatedNetwork} from './simulated_network.js';
+import {SimulatedStore} from './simulated_store.js';
 
 const TICK_MS = 50;
 const SIGN_MS = 200;
 const SILENCE_MS = 700;
-const STORE_MS = 5;
-const STORE_TIMEOUT_MS = 500;
 const BOUND_MS = 2_000;
 const START_SPREAD_MS = 300;
 
@@ -34,18 +33,15 @@
   private readonly network: SimulatedNetwork;
   private readonly budget: NewsBudget;
   readonly hosts: SimulatedHost[] = [];
-  /** Newest change at the store. */
-  newest = 1;
-  isStoreDown = false;
-  readonly listed = new Map<string, Peer>();
+  private readonly store: SimulatedStore;
   readonly random: Random;
-  private readonly waiting = new Set<() => void>();
   private readonly byAddress = new Map<string, SimulatedHost>();
 
   constructor(private readonly options: SimulationOptions) {
     this.random = seededRandom(options.seed ?? 1);
     this.budget = options.budget ?? newsBudget(BOUND_MS);
     this.network = new SimulatedNetwork(this.clock, this.random);
+    this.store = new SimulatedStore(this.network);
     for (let i = 0; i < options.hosts; i += 1) {
       const dataCentre = `dc-${i % options.dataCentres}`;
       const host = new SimulatedHost({
@@ -57,6 +53,20 @@
     }
   }
 
+  /** Newest change at the store. */
+  get newest(): number {
+    return this.store.newest;
+  }
+
+  set isStoreDown(isDown: boolean) {
+    this.store.isDown = isDown;
+  }
+
+  /** Hosts that the store names to those who know nobody. */
+  get listed(): ReadonlyMap<string, Peer> {
+    return this.store.listed;
+  }
+
   get live(): readonly SimulatedHost[] {
     return this.hosts.filter(({alive}) => alive);
   }
@@ -99,10 +109,21 @@
     return this.network.cut(parts);
   }
 
+  /** Holds messages back for a while; then all of them arrive. */
+  stall(parts: Cut, forMs: Milliseconds): void {
+    this.network.stall(parts, forMs);
+  }
+
+  /** Stands still, its own clock too. */
+  suspend(host: SimulatedHost, ms: Milliseconds): void {
+    const from = Math.max(host.frozenUntil, this.clock.now());
+    this.freeze(host, ms);
+    host.suspendedMs += Math.max(0, host.frozenUntil - from);
+  }
+
   /** The operator or an upstream changes something. */
   change(): void {
-    this.newest += 1;
-    [...this.waiting].forEach(wake => wake());
+    this.store.change();
   }
 
   /** @param silent without a word, as a host that loses power */
@@ -119,7 +140,7 @@
   }
 
   freeze(host: SimulatedHost, ms: Milliseconds): void {
-    host.frozenUntil = this.clock.now() + ms;
+    host.frozenUntil = Math.max(host.frozenUntil, this.clock.now() + ms);
   }
 
   private startHost(host: SimulatedHost, firstStart: boolean): void {
@@ -134,8 +155,9 @@
     host.known = 0;
     host.stream = undefined;
     host.streams.clear();
-    host.freshness = new Freshness(this.clock);
-    host.size = new FleetSize(this.clock);
+    const clock = {now: () => this.clock.now() - host.suspendedMs};
+    host.freshness = new Freshness(clock);
+    host.size = new FleetSize(clock);
     host.node = new FleetNode({
       self: host.peer,
       introducers,
@@ -144,7 +166,7 @@
       budget: this.budget,
       freshness: host.freshness,
       size: host.size,
-      clock: this.clock,
+      clock,
       random: this.random,
     });
     const {life} = host;
@@ -206,8 +228,8 @@
           break;
         case 'register':
           host.calls += 1;
-          if (this.isServed(host)) {
-            this.listed.set(host.address, host.peer);
+          if (this.store.isServing(host)) {
+            this.store.listed.set(host.address, host.peer);
           } else {
             host.node.listing.noteFailure();
           }
@@ -396,68 +418,33 @@
     if (!isCurrent()) {
       return;
     }
-    host.calls += 1;
     const waitMs = host.node.isRoot ? this.budget.readWaitMs : 0;
-    const askedAt = this.clock.now();
-    let done = false;
-    const settle = (action: () => void): void => {
-      if (done) {
+    const askedAt = this.clock.now() - host.suspendedMs;
+    const readAfter = (ms: Milliseconds): void =>
+      this.network.after(ms, () => this.read(host, life));
+    this.store.read(host, waitMs, newest => {
+      if (!isCurrent()) {
         return;
       }
-      done = true;
-      this.waiting.delete(finish);
-      this.network.whenAwake(host, () => {
-        if (isCurrent()) {
-          action();
-        }
-      });
-    };
-    const fail = (): void =>
-      settle(() => {
+      if (newest === undefined) {
         this.carryOut(host, host.node.storeFailed());
-        this.network.after(host.node.duty.pauseMs, () => this.read(host, life));
-      });
-    const finish = (): void =>
-      this.network.after(STORE_MS, () => {
-        if (host.isCutFromStore) {
-          return;
-        }
-        if (!this.isServed(host)) {
-          fail();
-          return;
-        }
-        const {newest} = this;
-        settle(() => {
-          this.learn(host, newest);
-          const now = this.clock.now();
-          const provedAt = provedBy(askedAt, waitMs, now);
-          this.carryOut(host, host.node.storeAnswered(provedAt));
-          this.network.after(this.budget.gatherMs, () => this.read(host, life));
-        });
-      });
-    this.network.after(waitMs + STORE_TIMEOUT_MS, fail);
-    if (host.known < this.newest || waitMs === 0 || !this.isServed(host)) {
-      finish();
-      return;
-    }
-    this.waiting.add(finish);
-    this.network.after(waitMs, finish);
+        readAfter(host.node.duty.pauseMs);
+        return;
+      }
+      this.learn(host, newest);
+      const now = this.clock.now() - host.suspendedMs;
+      const provedAt = provedBy(askedAt, waitMs, now);
+      this.carryOut(host, host.node.storeAnswered(provedAt));
+      readAfter(this.budget.gatherMs);
+    });
   }
 
   private list(host: SimulatedHost): void {
-    host.calls += 1;
     const {life} = host;
-    const answerMs = host.isCutFromStore ? STORE_TIMEOUT_MS : STORE_MS;
-    this.network.after(answerMs, () => {
+    this.store.list(host, peers => {
       if (host.alive && host.life === life) {
-        const all = [...this.listed.values()];
-        const peers = this.isServed(host) ? all : undefined;
         this.carryOut(host, host.node.listed(peers));
       }
     });
   }
-
-  private isServed(host: SimulatedHost): boolean {
-    return !this.isStoreDown && !host.isTurnedAway && !host.isCutFromStore;
-  }
 }
--- a/tests/support/simulated_host.ts
+++ b/tests/support/simulated_host.ts
@@ -29,6 +29,8 @@
   /** Without power: it doesn't even refuse connections. */
   isDark = false;
   frozenUntil = 0;
+  /** Time that its own clock hasn't counted. */
+  suspendedMs = 0;
   life = 0;
   stream: Stream | undefined;
   readonly streams = new Set<Stream>();
--- a/tests/support/simulated_network.ts
+++ b/tests/support/simulated_network.ts
@@ -14,6 +14,12 @@
   readonly run: () => void;
 }
 
+/** Messages that the first sends the second are held back until then. */
+interface Stall {
+  readonly parts: Cut;
+  readonly until: Milliseconds;
+}
+
 /** Whether nothing that the first sends reaches the second. */
 export type Cut = (from: SimulatedHost, to: SimulatedHost) => boolean;
 
@@ -22,6 +28,7 @@
     a.at === b.at ? a.number - b.number : a.at - b.at,
   );
   private readonly cuts: Cut[] = [];
+  private stalls: readonly Stall[] = [];
   private number = 0;
 
   constructor(
@@ -49,12 +56,28 @@
     return () => this.cuts.splice(this.cuts.indexOf(parts), 1);
   }
 
+  /** Holds messages back for a while; then all of them arrive. */
+  stall(parts: Cut, forMs: Milliseconds): void {
+    const now = this.clock.now();
+    const lasting = this.stalls.filter(({until}) => until > now);
+    this.stalls = [...lasting, {parts, until: now + forMs}];
+  }
+
   /** Runs at a host once a message reaches it, if it does. */
   deliver(from: SimulatedHost, to: SimulatedHost, run: () => void): void {
     if (this.isCut(from, to)) {
       return;
     }
-    this.after(this.delay(from, to), () => this.whenAwake(to, run));
+    const waitMs = this.stallMs(from, to) + this.delay(from, to);
+    this.after(waitMs, () => this.whenAwake(to, run));
+  }
+
+  private stallMs(from: SimulatedHost, to: SimulatedHost): Milliseconds {
+    const now = this.clock.now();
+    const waits = this.stalls
+      .filter(({parts}) => parts(from, to))
+      .map(({until}) => until - now);
+    return Math.max(0, ...waits);
   }
 
   whenAwake(host: SimulatedHost, run: () => void): void {
