Fleet node: whether news come from the store is a class of its own

NewsSource holds since when news are missing, when they are doubted, and whether others are asked or followed; the node keeps who does what next.

--- a/src/decisions/fleet/fleet_node.ts
+++ b/src/decisions/fleet/fleet_node.ts
@@ -12,11 +12,12 @@
  */
 
 import type {Clock, Milliseconds, Random} from '../../time/index.js';
-import {ATTACHED_ROUNDS, LOSS_GRACE_MS, MOST_LISTED} from './constants.js';
+import {MOST_LISTED} from './constants.js';
 import type {FleetSize} from './fleet_size.js';
 import {FollowerSlots} from './follower_slots.js';
 import type {Freshness} from './freshness.js';
 import type {NewsBudget} from './news_budget.js';
+import {NewsSource} from './news_source.js';
 import {PeerTalk} from './peer_talk.js';
 import {pick} from './pick.js';
 import type {Followed} from './position.js';
@@ -62,7 +63,7 @@
   readonly listing: StoreListing;
   private readonly signs: Signs;
   private readonly search: SourceSearch;
-  private sourcelessSince: Milliseconds | undefined;
+  private readonly source: NewsSource;
   private actions: NodeAction[] = [];
 
   constructor(private readonly parts: FleetNodeParts) {
@@ -89,7 +90,8 @@
     this.signs = new Signs({...parts, followers, position});
     const hasIntroducers = introducers.length > 0;
     this.listing = new StoreListing(clock, hasIntroducers, firstStart, random);
-    this.sourcelessSince = clock.now();
+    const {search, duty} = this;
+    this.source = new NewsSource({...parts, position, search, duty});
   }
 
   /** Whether this host reads the store with success, for itself and others. */
@@ -116,9 +118,8 @@
 
   /** Lets what is due happen; call it every few tens of milliseconds. */
   tick(): readonly NodeAction[] {
-    this.doubtSourceIfOverdue();
-    const {sourcelessSince = Infinity} = this;
-    if (this.parts.clock.now() - sourcelessSince >= LOSS_GRACE_MS) {
+    this.source.doubtIfOverdue();
+    if (this.source.isLossLasting) {
       this.tellLoss();
     }
     this.useStoreIfDue();
@@ -168,7 +169,7 @@
     if (isFresh) {
       this.takeNews(followed, ageMs, reader);
     } else {
-      this.loseSource(() => this.duty.planWhileAttached());
+      this.source.lose(() => this.duty.planWhileAttached());
       this.tellLoss();
     }
     return this.flush();
@@ -214,7 +215,7 @@
     if (!position.followed) {
       position.becomeRoot();
     }
-    this.sourcelessSince = undefined;
+    this.source.gain();
     freshness.renew(provedAt, self.address);
     size.observe(this.followers.below);
     if (isNews) {
@@ -227,7 +228,7 @@
   storeFailed(): readonly NodeAction[] {
     this.duty.noteFailure();
     if (!this.hasFreshParent) {
-      this.loseSource(() => undefined);
+      this.source.lose(() => undefined);
       this.tellLoss();
     }
     return this.flush();
@@ -262,53 +263,13 @@
 
   /** Whether this host's news come from the store now. */
   get hasSource(): boolean {
-    return this.sourcelessSince === undefined;
-  }
-
-  /** Whether a host with a source would be followed. */
-  private get isSearching(): boolean {
-    const {followed} = this.position;
-    if (this.sourcelessSince === undefined) {
-      return false;
-    }
-    if (!followed) {
-      return true;
-    }
-    return followed.proved && (this.duty.isReading || this.mayAskOthers);
-  }
-
-  /**
-   * Others wait for a while with the host that they follow: if it finds a source,
-   * they hear of it there.
-   */
-  private get isAsking(): boolean {
-    const {followed, depth} = this.position;
-    if (!followed || (this.duty.isReading && depth <= 1)) {
-      return true;
-    }
-    return this.mayAskOthers && this.search.roundCount < ATTACHED_ROUNDS;
-  }
-
-  private get mayAskOthers(): boolean {
-    const {freshness, budget} = this.parts;
-    return freshness.ageMs >= budget.askOthersMs;
+    return this.source.isPresent;
   }
 
   private get knowsStoreFails(): boolean {
     return this.duty.isFailing || this.position.hearsStoreFails;
   }
 
-  /**
-   * News that are overdue are a loss of the source, whatever it says of itself: it
-   * may wait in vain for its own.
-   */
-  private doubtSourceIfOverdue(): void {
-    const {freshness, budget} = this.parts;
-    if (this.hasSource && freshness.ageMs > budget.overdueMs) {
-      this.loseSource(() => this.duty.planWhileAttached());
-    }
-  }
-
   private consider(peer: PeerStatus): void {
     const {self} = this.parts;
     const {followed} = this.position;
@@ -318,7 +279,7 @@
     if (!isOpen || !hasNewsFor(self, peer, overdueMs)) {
       return;
     }
-    if (this.isSearching) {
+    if (this.source.isSought) {
       this.search.answered(peer);
       this.searchIfDue();
     } else if (this.isBetter(peer)) {
@@ -343,7 +304,7 @@
     const isNew = !followed.proved || !this.hasSource;
     freshness.renew(clock.now() - ageMs, reader);
     this.position.prove();
-    this.sourcelessSince = undefined;
+    this.source.gain();
     this.suspensions.clear(followed.address);
     if (isNew) {
       this.search.stop();
@@ -377,7 +338,7 @@
   }
 
   private searchIfDue(): void {
-    if (!this.isSearching) {
+    if (!this.source.isSought) {
       return;
     }
     const {near, far} = this.talk.view;
@@ -386,7 +347,7 @@
       this.follow(chosen);
       return;
     }
-    if (!this.isAsking) {
+    if (!this.source.isAsked) {
       return;
     }
     const asked = this.search.round({
@@ -429,16 +390,7 @@
       this.talk.view.forget(followed.address);
     }
     if (!this.isRoot) {
-      this.loseSource(() => this.duty.planAfterLoss(followed));
-    }
-  }
-
-  /** @param plan when to read the store, if nobody is found by then */
-  private loseSource(plan: () => void): void {
-    if (this.hasSource) {
-      this.sourcelessSince = this.parts.clock.now();
-      this.search.begin();
-      plan();
+      this.source.lose(() => this.duty.planAfterLoss(followed));
     }
   }
 
