Soak: answers to one host's reads of a topic are lost; its trouble excuses it alone

Why soaks missed the late configurations: trouble with one host's way to the store was noted as trouble of the store, and excused every host; and a way failed for all reads at once, or for none. Both checks of what must be in force in time (configurations, upstreams that leave) hold every other host to its time now, and evacuations too; a new drill loses the store's answers to one host's reads of configurations or upstreams for 8 s while three configurations come. Drawn apart, so that other seeds play as before.

--- a/src/soak/checks.ts
+++ b/src/soak/checks.ts
@@ -89,9 +89,7 @@
       return [];
     }
     const span = {from: leftAt - REST_MS, to: run.at};
-    const excused =
-      overlaps(span, history.storeTroubles) ||
-      overlaps(span, [...history.hostTroubles.values()].flat());
+    const excused = overlaps(span, history.deafSpans(request.host));
     const detail = `${describe(run)}, ${Math.round(lateBy)} ms too late`;
     return excused ? [] : [finding('drain', request, detail)];
   });
@@ -109,12 +107,12 @@
       return [];
     }
     const span = {from: evacuation.from - REST_MS, to: evacuation.from};
+    const {host} = request;
+    const since = {from: run.at - REST_MS, to: run.at};
     const excused =
       overlaps(span, history.storeTroubles) ||
-      overlaps(
-        {from: run.at - REST_MS, to: run.at},
-        history.hostTroubles.get(request.host) ?? [],
-      );
+      overlaps(since, history.hostTroubles.get(host) ?? []) ||
+      overlaps({...span, to: run.at}, history.wayTroubles.get(host) ?? []);
     const lateBy = Math.round(run.at - evacuation.from - EVACUATE_MS);
     const detail = `${describe(run)}, ${lateBy} ms too late`;
     return excused ? [] : [finding('evacuated', request, detail)];
--- a/src/soak/drills.ts
+++ b/src/soak/drills.ts
@@ -22,9 +22,9 @@
 export type DrillKind = 'evacuate' | 'lose-records' | 'turn-cold';
 
 /** Carries one drill out; resolves when it is over. */
-type Handler = (world: World, random: Random) => Promise<void>;
+export type Drill = (world: World, random: Random) => Promise<void>;
 
-export const DRILLS: Readonly<Record<DrillKind, Handler>> = {
+export const DRILLS: Readonly<Record<DrillKind, Drill>> = {
   evacuate: async (world, random) => {
     const dataCentre = pick({random}, DATA_CENTRES);
     world.evacuate(dataCentre);
@@ -50,8 +50,6 @@
   },
 };
 
-export const DRILL_KINDS = Object.keys(DRILLS) as readonly DrillKind[];
-
 /** Each writer writes what holds of its own, a while after the store is back. */
 async function writeAgain(
   world: World,
--- a/src/soak/faults.ts
+++ b/src/soak/faults.ts
@@ -85,13 +85,15 @@
     duringStoreTrouble(world, lastsMs, fault => {
       world.store.fault = fault;
     }),
-  'store-of-one': (world, lastsMs) => {
-    const way = world.ways[pickHost(world)];
-    return duringStoreTrouble(world, lastsMs, fault => {
-      if (way) {
-        way.door.fault = fault;
-      }
-    });
+  'store-of-one': async (world, lastsMs) => {
+    const host = pickHost(world);
+    const door = world.ways[host]?.door;
+    world.noteWayTrouble(host, lastsMs);
+    if (door) {
+      door.fault = pick(world, STORE_FAULTS);
+      await sleep(lastsMs);
+      door.fault = 'none';
+    }
   },
   'store-slow': async (world, lastsMs) => {
     world.history.storeTroubles.push(spanFrom(world, lastsMs + REST_MS));
@@ -112,8 +114,9 @@
     return Promise.resolve();
   },
   'store-link': async (world, lastsMs) => {
-    const way = world.ways[pickHost(world)];
-    world.history.storeTroubles.push(spanFrom(world, lastsMs + REST_MS));
+    const host = pickHost(world);
+    const way = world.ways[host];
+    world.noteWayTrouble(host, lastsMs);
     if (way) {
       way.link.fault = pick(world, LINK_FAULTS);
       await sleep(lastsMs);
--- a/src/soak/history.ts
+++ b/src/soak/history.ts
@@ -9,10 +9,12 @@
   readonly runs: ObservedRun[] = [];
   /** Trouble with any upstream or with the way to it. */
   readonly upstreamTroubles: Span[] = [];
-  /** Trouble with the store or the way to it, of any host. */
+  /** Trouble with the store itself. */
   readonly storeTroubles: Span[] = [];
   /** Signals to each host and their after-effects. */
   readonly hostTroubles = new Map<number, Span[]>();
+  /** Trouble with each host's own way to the store. */
+  readonly wayTroubles = new Map<number, Span[]>();
   /** When each upstream's leaving was known to the store. */
   readonly leftAt = new Map<string, Milliseconds>();
   /** Upstreams that got more than they bear while cold. */
@@ -63,6 +65,19 @@
     this.hostTroubles.set(host, [...(this.hostTroubles.get(host) ?? []), span]);
   }
 
+  noteWayTrouble(host: number, span: Span): void {
+    this.wayTroubles.set(host, [...(this.wayTroubles.get(host) ?? []), span]);
+  }
+
+  /** What excuses a host that doesn't know of a change. */
+  deafSpans(host: number): readonly Span[] {
+    return [
+      ...this.storeTroubles,
+      ...(this.hostTroubles.get(host) ?? []),
+      ...(this.wayTroubles.get(host) ?? []),
+    ];
+  }
+
   noteStop(host: number, span: Span): void {
     this.stops.set(host, [...(this.stops.get(host) ?? []), span]);
   }
--- a/src/soak/main.ts
+++ b/src/soak/main.ts
@@ -36,6 +36,10 @@
     description:
       'evacuations, losses of the store’s records, upstreams that turn cold; regressions keep their plans',
   });
+  readonly lostReads = Option.String('--lost-reads', '1', {
+    description:
+      'times at which one host’s reads of a topic get no answer; regressions keep their plans',
+  });
   readonly seconds = Option.String('--seconds', '8', {
     description: 'how long faults begin',
   });
@@ -74,6 +78,7 @@
         ...this.plan(seed, logFolder),
         harmful: false,
         drills: 0,
+        lostReads: 0,
         ...plan,
       })),
       ...Array.from({length: count}, (_, index) =>
@@ -92,6 +97,7 @@
       faults: Number(this.faults),
       harmful: this.harmful,
       drills: Number(this.drills),
+      lostReads: Number(this.lostReads),
       lengthMs: Number(this.seconds) * SECOND_MS,
     };
   }
--- a/src/soak/marker_watch.ts
+++ b/src/soak/marker_watch.ts
@@ -91,8 +91,7 @@
     const {history} = this.world;
     const span = {from: since.from - REST_MS, to: since.to};
     const excused =
-      overlaps(span, history.storeTroubles) ||
-      overlaps(span, history.hostTroubles.get(host) ?? []) ||
+      overlaps(span, history.deafSpans(host)) ||
       overlaps(span, history.stops.get(host) ?? []);
     if (!excused) {
       const lateMs = Math.round(since.to - since.from);
--- a/src/soak/regressions.ts
+++ b/src/soak/regressions.ts
@@ -38,4 +38,9 @@
     },
     cause: 'a second SIGTERM ended a host that was stopping in order',
   },
+  {
+    seed: 302,
+    plan: {faults: 2, lostReads: 3, harmful: true},
+    cause: 'a reader vouched for configurations whose reads got no answer',
+  },
 ];
--- a/src/soak/run.ts
+++ b/src/soak/run.ts
@@ -7,11 +7,13 @@
 import {Callers} from './callers.js';
 import {CHECKS} from './checks.js';
 import {SLACK_MS} from './constants.js';
-import {DRILLS, DRILL_KINDS} from './drills.js';
+import type {Drill} from './drills.js';
+import {DRILLS} from './drills.js';
 import {FAULTS, FAULT_KINDS, stop} from './faults.js';
 import {HarmfulCaller} from './harmful_caller.js';
 import {History} from './history.js';
 import {GRACE_MS} from './host_process.js';
+import {LOST_READS} from './lost_reads.js';
 import {MarkerWatch} from './marker_watch.js';
 import type {Finding, RunReport} from './types.js';
 import type {WorldSize} from './world.js';
@@ -25,6 +27,8 @@
   readonly callers: number;
   /** Evacuations, losses of the store's records, upstreams that turn cold. */
   readonly drills: number;
+  /** Times at which one host's reads of a topic get no answer. */
+  readonly lostReads: number;
   /** Whether one caller's request ends each upstream that runs it. */
   readonly harmful: boolean;
   readonly logFolder: string;
@@ -38,6 +42,7 @@
 /** Draws of its own, so that a seed's faults are the same without it. */
 const HARMFUL_SEED = 100_000;
 const DRILL_SEED = 200_000;
+const LOST_READS_SEED = 300_000;
 /** Time for a refused request to run after all. */
 const SETTLE_MS: Milliseconds = 500;
 
@@ -66,7 +71,16 @@
     }
     const played = await Promise.all([
       playFaults(world, plan, counts),
-      playDrills(world, plan, counts),
+      playDrills(world, plan, counts, {
+        drills: DRILLS,
+        count: plan.drills,
+        seed: plan.seed + DRILL_SEED,
+      }),
+      playDrills(world, plan, counts, {
+        drills: LOST_READS,
+        count: plan.lostReads,
+        seed: plan.seed + LOST_READS_SEED,
+      }),
     ]);
     findings.push(...played.flat());
     await harmful.stop();
@@ -126,24 +140,33 @@
   return findings;
 }
 
+interface DrillPlan {
+  readonly drills: Readonly<Record<string, Drill>>;
+  readonly count: number;
+  readonly seed: number;
+}
+
 /** Begins drills at moments of their own, beside the faults. */
 async function playDrills(
   world: World,
-  {drills, lengthMs, seed}: RunPlan,
+  {lengthMs}: RunPlan,
   counts: Map<string, number>,
+  {drills, count, seed}: DrillPlan,
 ): Promise<readonly Finding[]> {
-  const draws = seededRandom(seed + DRILL_SEED);
+  const draws = seededRandom(seed);
   const findings: Finding[] = [];
-  const moments = momentsOf(drills, lengthMs, draws);
+  const kinds = Object.keys(drills);
+  const moments = momentsOf(count, lengthMs, draws);
   const pending = moments.map(async (at, index) => {
     // One of its own: drills overlap, and would draw in an order that differs.
-    const random = seededRandom(seed + DRILL_SEED + index + 1);
+    const random = seededRandom(seed + index + 1);
     await sleep(at);
-    const kind = DRILL_KINDS[Math.floor(random() * DRILL_KINDS.length)];
-    if (kind) {
+    const kind = kinds[Math.floor(random() * kinds.length)];
+    const drill = kind === undefined ? undefined : drills[kind];
+    if (kind !== undefined && drill) {
       counts.set(kind, (counts.get(kind) ?? 0) + 1);
       world.history.noteDeed(kind);
-      await DRILLS[kind](world, random).catch((error: unknown) => {
+      await drill(world, random).catch((error: unknown) => {
         findings.push({promise: 'drill', detail: String(error)});
       });
     }
--- a/src/soak/world.ts
+++ b/src/soak/world.ts
@@ -164,12 +164,19 @@
     }
   }
 
+  /** The host is excused for what it doesn't hear; the others aren't. */
+  noteWayTrouble(host: number, lastsMs: Milliseconds): void {
+    const from = this.history.clock.now();
+    this.history.noteWayTrouble(host, {from, to: from + lastsMs + REST_MS});
+  }
+
   /** Ends all trouble at the store, the upstreams and the links. */
   heal(): void {
     this.store.fault = 'none';
     for (const {door, link} of this.ways) {
       door.fault = 'none';
       door.delayMs = 0;
+      door.lostTopics.clear();
       link.fault = 'none';
     }
     for (const {server, link} of this.all) {
--- a/tests/soak.test.ts
+++ b/tests/soak.test.ts
@@ -22,6 +22,7 @@
     lengthMs: 2_000,
     harmful: false,
     drills: 0,
+    lostReads: 0,
     logFolder,
   });
   expect(report.findings).toEqual([]);
@@ -38,6 +39,7 @@
     lengthMs: 9_000,
     harmful: true,
     drills: 0,
+    lostReads: 0,
     logFolder,
   });
   expect(report.findings).toEqual([]);
@@ -54,6 +56,24 @@
     lengthMs: 3_000,
     harmful: false,
     drills: 6,
+    lostReads: 0,
+    logFolder,
+  });
+  expect(report.findings).toEqual([]);
+  expect(report.requests).toBeGreaterThan(100);
+});
+
+test('a run in which reads of one topic get no answer breaks no promise', async () => {
+  const report = await runOnce({
+    seed: 302,
+    hosts: 5,
+    upstreams: 6,
+    callers: 8,
+    faults: 2,
+    lengthMs: 8_000,
+    harmful: true,
+    drills: 0,
+    lostReads: 3,
     logFolder,
   });
   expect(report.findings).toEqual([]);
