A reader of a slow store reads sooner, so that nobody takes over from it

Cause: an answer is as old as it was on its way when it comes, and the next comes a wait, a pause and an answer later: 1.55 s, where news are overdue at 1.1 s. Whoever took over found the store as slow.

Change: ReadPace (pure) takes the time of answers off the pause and the wait.

--- a/src/fleet/store_reader.ts
+++ b/src/fleet/store_reader.ts
@@ -2,7 +2,12 @@
 
 import type {Logger} from 'pino';
 import type {NewsBudget} from '../decisions/fleet/index.js';
-import {ReadProofs, pauseAfter, provedBy} from '../decisions/fleet/index.js';
+import {
+  ReadPace,
+  ReadProofs,
+  pauseAfter,
+  provedBy,
+} from '../decisions/fleet/index.js';
 import type {LogPosition} from '../decisions/registry/index.js';
 import type {Store, StoreFailure} from '../platform/index.js';
 import {OPERATOR_TOPIC, UPSTREAM_TOPIC} from '../platform/index.js';
@@ -23,8 +28,8 @@
   /** As logs call it. */
   readonly name: string;
   readonly topic: string;
-  /** How long a read waits for a change. */
-  readonly waitMs: Milliseconds;
+  /** How long the next read waits for a change. */
+  readonly waitMs: () => Milliseconds;
   readonly take: (news: TopicNews) => void;
 }
 
@@ -55,10 +60,13 @@
   /** Whether the store has answered a read of upstreams since the start. */
   private answered = false;
   private readonly proofs = new ReadProofs([UPSTREAMS, CONFIGURATION]);
+  private readonly pace: ReadPace;
   /** Ends waits for changes, on connections that may be dead. */
   private waits = new AbortController();
 
-  constructor(private readonly parts: StoreReaderParts) {}
+  constructor(private readonly parts: StoreReaderParts) {
+    this.pace = new ReadPace(parts.budget);
+  }
 
   get isRunning(): boolean {
     return this.running;
@@ -77,11 +85,11 @@
     this.parts.intake.restart();
     this.parts.logger.info({event: 'reader'}, 'reading the store');
     void this.loopUpstreams(this.run);
-    const {intake, topics, budget} = this.parts;
+    const {intake, topics} = this.parts;
     const configuration = {
       name: CONFIGURATION,
       topic: OPERATOR_TOPIC,
-      waitMs: budget.gatherMs + budget.readWaitMs,
+      waitMs: () => this.pace.pauseMs + this.pace.waitMs,
       take: (news: TopicNews) => intake.takeOperatorRecords(news),
     };
     for (const followed of [configuration, ...topics]) {
@@ -101,11 +109,11 @@
   }
 
   private async loopUpstreams(run: number): Promise<void> {
-    const {budget, clock} = this.parts;
+    const {clock} = this.parts;
     while (this.isCurrent(run)) {
       // A host that takes over has heard nothing for a while: if the store
       // doesn't answer it either, its followers must learn that soon.
-      const waitMs = this.answered ? budget.readWaitMs : 0;
+      const waitMs = this.answered ? this.pace.waitMs : 0;
       const askedAt = clock.now();
       const failure = this.upstreamsLoaded
         ? await this.readUpstreams(waitMs)
@@ -117,7 +125,7 @@
       if (!failure) {
         this.noteSuccess();
         this.prove(UPSTREAMS, askedAt, waitMs);
-        await sleep(budget.gatherMs);
+        await sleep(this.pace.pauseMs);
         continue;
       }
       if (failure.kind === 'trimmed') {
@@ -131,12 +139,12 @@
 
   /** Reads a topic of few records: all of them first, then what changes. */
   private async loopTopic(run: number, followed: FollowedTopic): Promise<void> {
-    const {name, topic, waitMs, take} = followed;
+    const {name, topic, take} = followed;
     let cursor: LogPosition | undefined;
     let failures = 0;
     while (this.isCurrent(run)) {
       const askedAt = this.parts.clock.now();
-      const isFirst = cursor === undefined;
+      const waitMs = cursor === undefined ? 0 : followed.waitMs();
       const found =
         cursor === undefined
           ? await this.parts.store.newest(topic)
@@ -153,7 +161,7 @@
         cursor = isWhole ? page.end : page.next;
         take({records: page.records, end: cursor, isWhole});
         if (name === CONFIGURATION && this.isCurrent(run)) {
-          this.prove(name, askedAt, isFirst ? 0 : waitMs);
+          this.prove(name, askedAt, waitMs);
         }
         continue;
       }
@@ -220,7 +228,9 @@
     waitMs: Milliseconds,
   ): void {
     const {clock, onProof} = this.parts;
-    this.proofs.prove(topic, provedBy(askedAt, waitMs, clock.now()));
+    const now = clock.now();
+    this.pace.note(waitMs, now - askedAt);
+    this.proofs.prove(topic, provedBy(askedAt, waitMs, now));
     const {oldest} = this.proofs;
     if (oldest !== undefined) {
       onProof(oldest);
--- a/src/quarantine/crash_archive.ts
+++ b/src/quarantine/crash_archive.ts
@@ -45,7 +45,7 @@
     return {
       name: 'crashes',
       topic: CRASH_TOPIC,
-      waitMs: WAIT_MS,
+      waitMs: () => WAIT_MS,
       take: news => this.take(news),
     };
   }
--- a/tests/late_news.test.ts
+++ b/tests/late_news.test.ts
@@ -16,6 +16,7 @@
 const CHANGE_EACH_MS: Milliseconds = 450;
 const TROUBLE_EACH_MS: Milliseconds = 1_500;
 const MOST_STRUCK = 3;
+const SLOW_ANSWER_MS = 400;
 const BUDGET = newsBudget(IN_FORCE_MS);
 
 interface Strike {
@@ -205,3 +206,16 @@
   expect(Math.max(...depths)).toBeGreaterThan(2);
   expect(oldestNews(fleet, 20_000)).toBeLessThan(BUDGET.overdueMs);
 });
+
+// Many hosts that read a slow store in place of the one that it serves.
+test('a store that answers slowly is read by one host', () => {
+  const fleet = new FleetSimulation({hosts: 30, dataCentres: 4, seed: 1});
+  fleet.start(true);
+  fleet.run(SETTLED_MS);
+  fleet.storeAnswerMs = SLOW_ANSWER_MS;
+  fleet.run(5_000);
+  const before = fleet.callCount;
+  expect(oldestNews(fleet, PLAYED_MS)).toBeLessThan(BUDGET.overdueMs);
+  const callsOfOne = PLAYED_MS / SLOW_ANSWER_MS;
+  expect(fleet.callCount - before).toBeLessThanOrEqual(callsOfOne);
+});
--- a/tests/read_proofs.test.ts
+++ b/tests/reading_store.test.ts
@@ -1,5 +1,10 @@
 import {expect, test} from 'vitest';
-import {ReadProofs, provedBy} from '../src/decisions/fleet/index.js';
+import {
+  ReadProofs,
+  ReadPace,
+  newsBudget,
+  provedBy,
+} from '../src/decisions/fleet/index.js';
 
 test('all is known up to the oldest answer, once each topic has one', () => {
   const proofs = new ReadProofs(['upstreams', 'configuration']);
@@ -29,3 +34,17 @@
 ])('an answer %s proves no more than it can know', (_, wait, at, proved) => {
   expect(provedBy(1_000, wait, at)).toBe(proved);
 });
+
+test('reads of a store that answers slowly wait less, and as before after', () => {
+  const budget = newsBudget(2_000);
+  const pace = new ReadPace(budget);
+  expect(pace.waitMs).toBe(budget.readWaitMs);
+  expect(pace.pauseMs).toBe(budget.gatherMs);
+  pace.note(500, 900);
+  const oldestMs = 2 * 400 + pace.pauseMs + pace.waitMs;
+  expect(oldestMs).toBeLessThan(budget.overdueMs);
+  for (let read = 0; read < 5; read += 1) {
+    pace.note(pace.waitMs, pace.waitMs + 4);
+  }
+  expect(pace.waitMs).toBe(budget.readWaitMs);
+});
--- a/tests/support/fleet_simulation.ts
+++ b/tests/support/fleet_simulation.ts
@@ -11,6 +11,7 @@
   FleetNode,
   FleetSize,
   Freshness,
+  ReadPace,
   newsBudget,
   provedBy,
 } from '../../src/decisions/fleet/index.js';
@@ -58,6 +59,11 @@
     return this.store.newest;
   }
 
+  /** Time that the store takes for an answer. */
+  set storeAnswerMs(ms: Milliseconds) {
+    this.store.answerMs = ms;
+  }
+
   set isStoreDown(isDown: boolean) {
     this.store.isDown = isDown;
   }
@@ -158,6 +164,7 @@
     const clock = {now: () => this.clock.now() - host.suspendedMs};
     host.freshness = new Freshness(clock);
     host.size = new FleetSize(clock);
+    host.pace = new ReadPace(this.budget);
     host.node = new FleetNode({
       self: host.peer,
       introducers,
@@ -418,7 +425,7 @@
     if (!isCurrent()) {
       return;
     }
-    const waitMs = host.node.isRoot ? this.budget.readWaitMs : 0;
+    const waitMs = host.node.isRoot ? host.pace.waitMs : 0;
     const askedAt = this.clock.now() - host.suspendedMs;
     const readAfter = (ms: Milliseconds): void =>
       this.network.after(ms, () => this.read(host, life));
@@ -434,8 +441,9 @@
       this.learn(host, newest);
       const now = this.clock.now() - host.suspendedMs;
       const provedAt = provedBy(askedAt, waitMs, now);
+      host.pace.note(waitMs, now - askedAt);
       this.carryOut(host, host.node.storeAnswered(provedAt));
-      readAfter(this.budget.gatherMs);
+      readAfter(host.pace.pauseMs);
     });
   }
 
--- a/tests/support/simulated_host.ts
+++ b/tests/support/simulated_host.ts
@@ -6,6 +6,7 @@
   Freshness,
   NewsBudget,
   Peer,
+  ReadPace,
 } from '../../src/decisions/fleet/index.js';
 import type {Milliseconds} from '../../src/time/index.js';
 
@@ -23,6 +24,7 @@
   node!: FleetNode;
   freshness!: Freshness;
   size!: FleetSize;
+  pace!: ReadPace;
   /** Newest change that it knows of. */
   known = 0;
   alive = false;
--- a/tests/support/simulated_store.ts
+++ b/tests/support/simulated_store.ts
@@ -5,13 +5,13 @@
 import type {SimulatedHost} from './simulated_host.js';
 import type {SimulatedNetwork} from './simulated_network.js';
 
-const ANSWER_MS: Milliseconds = 5;
 const TIMEOUT_MS: Milliseconds = 500;
 
 export class SimulatedStore {
   /** Newest change. */
   newest = 1;
   isDown = false;
+  answerMs: Milliseconds = 5;
   readonly listed = new Map<string, Peer>();
   private readonly waiting = new Set<() => void>();
 
@@ -42,7 +42,7 @@
       }
     };
     const answer = (): void =>
-      this.network.after(ANSWER_MS, () => {
+      this.network.after(this.answerMs, () => {
         if (!host.isCutFromStore) {
           settle(this.isServing(host) ? this.newest : undefined);
         }
@@ -62,7 +62,7 @@
     done: (peers: readonly Peer[] | undefined) => void,
   ): void {
     host.calls += 1;
-    const answerMs = host.isCutFromStore ? TIMEOUT_MS : ANSWER_MS;
+    const answerMs = host.isCutFromStore ? TIMEOUT_MS : this.answerMs;
     this.network.after(answerMs, () =>
       done(this.isServing(host) ? [...this.listed.values()] : undefined),
     );
