Reads ask the store for whole milliseconds; a fraction made it answer at once

Cause: waits are shares of a bound and take the time of answers off, so that they may be fractions of a millisecond. The store takes whole ones only and answers such a read at once; the loop that follows configurations has no pause of its own. With a bound of 2.5 s each wait was one (937.5 ms). The stand-in store took any number for a wait.

Change: the store's client rounds up. The stand-in refuses what isn't whole with 400.

Evidence: 'a read that waits for a fraction of a millisecond waits' fails without the change (the stand-in refuses), passes with it.

--- a/src/platform/store_client.ts
+++ b/src/platform/store_client.ts
@@ -98,7 +98,8 @@
     waitMs: Milliseconds,
     signal?: AbortSignal,
   ): Promise<Result<RecordPage, StoreFailure>> {
-    const wait = waitMs > 0 ? `&wait_ms=${waitMs}` : '';
+    // The store takes whole milliseconds only, and doesn't wait for others.
+    const wait = waitMs > 0 ? `&wait_ms=${Math.ceil(waitMs)}` : '';
     const answer = await this.call({
       name: 'read',
       method: 'GET',
--- a/src/standins/store_server.ts
+++ b/src/standins/store_server.ts
@@ -49,7 +49,14 @@
 const LATE_MS: Milliseconds = 400;
 const MANY = 1e9;
 
-const STATUS = {ok: 200, trimmed: 410, moved: 412, limited: 429, down: 503};
+const STATUS = {
+  ok: 200,
+  bad: 400,
+  trimmed: 410,
+  moved: 412,
+  limited: 429,
+  down: 503,
+};
 
 export class StoreServer {
   readonly topics = new StoreTopics();
@@ -251,6 +258,9 @@
     from: number,
     waitMs: Milliseconds,
   ): Promise<Answer> {
+    if (!Number.isInteger(waitMs)) {
+      return {status: STATUS.bad, body: json({error: 'wait_ms is not whole'})};
+    }
     const longest = this.longestWaits.get(name) ?? 0;
     this.longestWaits.set(name, Math.max(longest, waitMs));
     const page = await this.topics.read(name, from, waitMs);
--- a/tests/platform.test.ts
+++ b/tests/platform.test.ts
@@ -318,3 +318,11 @@
     expect(decodeConfiguration(text).isErr()).toBe(true);
   },
 );
+
+// A store that takes whole milliseconds only answers at once, and is asked again.
+test('a read that waits for a fraction of a millisecond waits', async () => {
+  const {end} = (await store.newest('keyed.op'))._unsafeUnwrap();
+  const page = await store.read('keyed.op', end, 20.5);
+  expect(page.isOk()).toBe(true);
+  expect(server.longestWaits.get('keyed.op')).toBe(21);
+});
