Some hosts ask a store that is said to fail; those who say so may be cut off together

Traced: all of them heard 'the store fails' from the two, and left it to others for 3 s, as hosts far from the reader do so that an outage doesn't cost a call of each.

Cause: what two hosts say of the store was taken for all. Ruled out: searches (all asked had the same source), the budget's shares (none applied).

Change: of the hosts that would leave it to others, so many as make eight of the fleet ask in time all the same, drawn at each loss.

--- a/src/decisions/fleet/constants.ts
+++ b/src/decisions/fleet/constants.ts
@@ -64,6 +64,11 @@
  * after this time, in case it turns away all those before them.
  */
 export const DEEP_DELAY_MS: Milliseconds = 3_000;
+/**
+ * Of these, so many of the fleet ask it in time all the same: those that hear that the
+ * store fails hear it from few hosts, which may be cut off from it together.
+ */
+export const DEEP_SCOUTS = 8;
 /** Calls of these hosts together a second, however many they are. */
 export const DEEP_CALLS_PER_SECOND = 5;
 /** Heirs that ask an absent store at once and each second or two, ... */
--- a/src/decisions/fleet/reading_duty.ts
+++ b/src/decisions/fleet/reading_duty.ts
@@ -9,6 +9,7 @@
 import {
   DEEP_CALLS_PER_SECOND,
   DEEP_DELAY_MS,
+  DEEP_SCOUTS,
   EAGER_HEIRS,
   FAR_LOSS_DELAY_MS,
   FIRST_INTRODUCER_DELAY_MS,
@@ -50,6 +51,8 @@
   private reading = false;
   private answered = false;
   private failures = 0;
+  /** Whether to ask a store that is said to fail, in time for changes. */
+  private isScout = false;
   private readAt: Milliseconds;
 
   constructor(private readonly parts: ReadingDutyParts) {
@@ -137,20 +140,23 @@
 
   private plan(delayMs: Milliseconds): void {
     if (!this.reading) {
-      const plannedAt = this.parts.clock.now() + delayMs;
+      const {size, random, clock} = this.parts;
+      this.isScout = random() < DEEP_SCOUTS / size.estimate;
+      const plannedAt = clock.now() + delayMs;
       this.readAt = Math.min(plannedAt, this.latestReadAt);
     }
   }
 
   /**
-   * When to read at the latest, so that changes come in time. Hosts far from the
+   * When to read at the latest, so that changes come in time. Most hosts far from the
    * reader that hear that the store fails don't add their calls to those of others.
    */
   private get latestReadAt(): Milliseconds {
     const {freshness, budget, position, clock, random} = this.parts;
     const isTooLate =
       clock.now() > freshness.whenAged(PRESSING_BOUNDS * budget.boundMs);
-    if (isTooLate || (position.depth > 1 && position.hearsStoreFails)) {
+    const isFailing = position.depth > 1 && position.hearsStoreFails;
+    if (isTooLate || (isFailing && !this.isScout)) {
       return Infinity;
     }
     const spread = 1 + READ_SPREAD * random();
--- a/tests/late_news.test.ts
+++ b/tests/late_news.test.ts
@@ -186,6 +186,23 @@
   expect(playSeeds(60, 3, 'a mix of troubles')).toEqual([]);
 });
 
+// Hosts that leave the store to others, all of which are cut off from it.
+test.each([1, 2, 3, 4, 5, 6])(
+  'changes come in time though the reader is cut off with all that follow it (seed %i)',
+  seed => {
+    const fleet = new FleetSimulation({hosts: 30, dataCentres: 4, seed});
+    fleet.start(true);
+    fleet.run(SETTLED_MS);
+    const isNear = ({node}: SimulatedHost): boolean => node.position.depth <= 1;
+    cutFromStore(fleet, fleet.live.filter(isNear), CONTACT_MS);
+    const others = fleet.live.filter(host => !isNear(host));
+    fleet.change();
+    fleet.run(IN_FORCE_MS);
+    const lacking = others.filter(({known}) => known < fleet.newest);
+    expect(lacking.map(({address}) => address)).toEqual([]);
+  },
+);
+
 /** Age of the oldest news that any host has within the next while. */
 function oldestNews(fleet: FleetSimulation, ms: Milliseconds): Milliseconds {
   let oldest = 0;
