--- a/tests/support/fleet_simulation.ts
+++ b/tests/support/fleet_simulation.ts
@@ -5,7 +5,6 @@
   NodeAction,
   Peer,
   PeerStatus,
-  SignOfLife,
 } from '../../src/decisions/fleet/index.js';
 import {
   FleetNode,
@@ -17,15 +16,15 @@
 } from '../../src/decisions/fleet/index.js';
 import type {Milliseconds, Random} from '../../src/time/index.js';
 import {ManualClock, seededRandom} from '../../src/time/index.js';
-import type {SimulationOptions, Stream} from './simulated_host.js';
+import type {SimulationOptions} from './simulated_host.js';
 import {SimulatedHost, sumOf} from './simulated_host.js';
 import type {Cut} from './simulated_network.js';
 import {SimulatedNetwork} from './simulated_network.js';
 import {SimulatedStore} from './simulated_store.js';
+import {SimulatedStreams} from './simulated_streams.js';
 
 const TICK_MS = 50;
 const SIGN_MS = 200;
-const SILENCE_MS = 700;
 const BOUND_MS = 2_000;
 const START_SPREAD_MS = 300;
 
@@ -35,6 +34,7 @@
   private readonly budget: NewsBudget;
   readonly hosts: SimulatedHost[] = [];
   private readonly store: SimulatedStore;
+  private readonly streams: SimulatedStreams;
   readonly random: Random;
   private readonly byAddress = new Map<string, SimulatedHost>();
 
@@ -43,6 +43,14 @@
     this.budget = options.budget ?? newsBudget(BOUND_MS);
     this.network = new SimulatedNetwork(this.clock, this.random);
     this.store = new SimulatedStore(this.network);
+    const {network, budget, clock} = this;
+    this.streams = new SimulatedStreams({
+      network,
+      budget,
+      clock,
+      carryOut: (host, actions) => this.carryOut(host, actions),
+      learn: (host, known) => this.learn(host, known),
+    });
     for (let i = 0; i < options.hosts; i += 1) {
       const dataCentre = `dc-${i % options.dataCentres}`;
       const host = new SimulatedHost({
@@ -138,10 +146,10 @@
     host.isDark = silent;
     host.life += 1;
     for (const stream of [...host.streams]) {
-      this.closeStream(stream, !silent, 'leader');
+      this.streams.close(stream, !silent, 'leader');
     }
     if (host.stream) {
-      this.closeStream(host.stream, !silent, 'follower');
+      this.streams.close(host.stream, !silent, 'follower');
     }
   }
 
@@ -178,14 +186,14 @@
     });
     const {life} = host;
     this.every(host, life, TICK_MS, () => {
-      this.watchStream(host);
+      this.streams.watch(host);
       const {silent} = host.node.followers;
       [...host.streams]
         .filter(({follower}) => silent.includes(follower.address))
-        .forEach(stream => this.closeStream(stream, true, 'leader'));
+        .forEach(stream => this.streams.close(stream, true, 'leader'));
       this.carryOut(host, host.node.tick());
     });
-    this.every(host, life, SIGN_MS, () => this.tellSigns(host));
+    this.every(host, life, SIGN_MS, () => this.streams.tellSigns(host));
   }
 
   private every(
@@ -222,7 +230,7 @@
           break;
         case 'unfollow':
           if (host.stream) {
-            this.closeStream(host.stream, true, 'follower');
+            this.streams.close(host.stream, true, 'follower');
           }
           break;
         case 'read':
@@ -242,7 +250,7 @@
           }
           break;
         case 'tell':
-          this.tellSigns(host);
+          this.streams.tellSigns(host);
           break;
         default:
           action satisfies never;
@@ -280,142 +288,13 @@
     if (!leader) {
       throw new Error(`nobody has the address ${address}`);
     }
-    const heardAt = this.clock.now();
-    const stream: Stream = {
-      follower,
-      leader,
-      heardAt,
-      hasNews: false,
-      closed: false,
-    };
-    follower.stream = stream;
-    if (!leader.alive && !this.network.isCut(follower, leader)) {
-      const back = this.network.delay(follower, leader) * 2;
-      // Nobody listens there, or nobody is there at all.
-      if (!leader.isDark) {
-        this.network.after(back, () => this.endAt(stream, 'unreachable'));
-      }
-      return;
-    }
-    this.network.deliver(follower, leader, () => {
-      if (stream.closed) {
-        return;
-      }
-      const asker = {
-        ...follower.peer,
-        avoid: follower.node.suspensions.unreachable,
-      };
-      const admission = leader.node.admit(asker);
-      if (admission.kind === 'accept') {
-        leader.streams.add(stream);
-        this.tellSign(stream);
-        return;
-      }
-      this.network.deliver(leader, follower, () => {
-        if (stream.closed || follower.stream !== stream) {
-          return;
-        }
-        if (admission.kind === 'redirect') {
-          stream.closed = true;
-          follower.stream = undefined;
-          const {peers} = admission;
-          this.carryOut(follower, follower.node.redirected(peers));
-        } else {
-          this.endAt(stream, 'stale');
-        }
-      });
-    });
-  }
-
-  private tellSigns(host: SimulatedHost): void {
-    host.streams.forEach(stream => this.tellSign(stream));
-  }
-
-  private tellSign(stream: Stream): void {
-    const {leader, follower} = stream;
-    const sign = leader.node.signOfLife(leader.known);
-    const {known} = leader;
-    this.network.deliver(leader, follower, () =>
-      this.hear(stream, sign, known),
-    );
-  }
-
-  private hear(stream: Stream, sign: SignOfLife, known: number): void {
-    const {follower} = stream;
-    if (stream.closed || follower.stream !== stream) {
-      return;
-    }
-    stream.heardAt = this.clock.now();
-    stream.hasNews = true;
-    this.learn(follower, known);
-    this.carryOut(follower, follower.node.heard(sign));
+    this.streams.open(follower, leader);
   }
 
   private learn(host: SimulatedHost, known: number): void {
     if (known > host.known) {
       host.known = known;
-      this.tellSigns(host);
-    }
-  }
-
-  private watchStream(host: SimulatedHost): void {
-    const {stream} = host;
-    if (!stream) {
-      return;
-    }
-    const patienceMs = stream.hasNews ? SILENCE_MS : this.budget.firstNewsMs;
-    if (this.clock.now() - stream.heardAt > patienceMs) {
-      this.endAt(stream, 'unreachable');
-    }
-  }
-
-  /** A follower finds that its stream has ended. */
-  private endAt(stream: Stream, fault: 'unreachable' | 'stale'): void {
-    const {follower, leader} = stream;
-    if (stream.closed || follower.stream !== stream) {
-      return;
-    }
-    stream.closed = true;
-    follower.stream = undefined;
-    this.network.deliver(follower, leader, () => this.releaseAt(stream));
-    this.carryOut(follower, follower.node.ended(fault));
-  }
-
-  private releaseAt(stream: Stream): void {
-    const {leader, follower} = stream;
-    leader.streams.delete(stream);
-    const isBack = [...leader.streams].some(one => one.follower === follower);
-    if (!isBack) {
-      leader.node.followers.release(follower.address);
-    }
-  }
-
-  /** One end closes; the other hears of it if anything reaches it. */
-  private closeStream(
-    stream: Stream,
-    isTold: boolean,
-    by: 'leader' | 'follower',
-  ): void {
-    const {leader, follower} = stream;
-    if (by === 'leader') {
-      this.releaseAt(stream);
-      if (isTold && !this.network.isCut(leader, follower)) {
-        const wayMs = this.network.delay(leader, follower);
-        this.network.after(wayMs, () =>
-          this.network.whenAwake(follower, () =>
-            this.endAt(stream, 'unreachable'),
-          ),
-        );
-      }
-      return;
-    }
-    stream.closed = true;
-    follower.stream = undefined;
-    if (isTold && !this.network.isCut(follower, leader)) {
-      const wayMs = this.network.delay(follower, leader);
-      this.network.after(wayMs, () =>
-        this.network.whenAwake(leader, () => this.releaseAt(stream)),
-      );
+      this.streams.tellSigns(host);
     }
   }
 
