Soak: a host that SIGHUP ends before its first line is started again

Traced in its deeds: five hosts started at once after a loss of all, SIGHUP came 122 ms after host 2's start, and the process ended; it had not logged a line in that life. No program can take a signal before it runs. The platform starts a process again that ends; the soak didn't. Hosts that listen and are ended by SIGHUP are a finding as before.

--- a/src/soak/faults.ts
+++ b/src/soak/faults.ts
@@ -197,6 +197,9 @@
   if (process && !process.isRunning) {
     world.history.noteHostTrouble(host, spanFrom(world, REST_MS));
     await process.start();
+    if (process.endedUnstarted) {
+      await startAgain(world, host);
+    }
   }
 }
 
--- a/src/soak/host_process.ts
+++ b/src/soak/host_process.ts
@@ -34,6 +34,7 @@
   private child: ChildProcess | undefined;
   private known: HostPorts | undefined;
   private starts = 0;
+  private hungUp = false;
 
   /** @param note told of starts, signals and ends, to be traced by */
   constructor(
@@ -55,6 +56,14 @@
     return this.starts;
   }
 
+  /**
+   * Whether SIGHUP ended it before it listened. No program can take a signal before
+   * its first line runs; the platform starts such a process again.
+   */
+  get endedUnstarted(): boolean {
+    return this.hungUp && !this.isRunning;
+  }
+
   /** Starts the program; resolves once it listens, or was killed before. */
   async start(): Promise<void> {
     const {name, folder} = this.place;
@@ -84,7 +93,9 @@
     const end = (): void => void child.kill('SIGKILL');
     process.once('exit', end);
     child.once('exit', () => process.off('exit', end));
-    this.known = (await readPorts(child)) ?? this.known;
+    const ports = await readPorts(child);
+    this.hungUp = !ports && child.signalCode === 'SIGHUP';
+    this.known = ports ?? this.known;
   }
 
   /** Sends a signal to this process alone. */
--- a/src/soak/regressions.ts
+++ b/src/soak/regressions.ts
@@ -38,6 +38,12 @@
     },
     cause: 'a second SIGTERM ended a host that was stopping in order',
   },
+  {
+    seed: 11,
+    plan: {harmful: true, drills: 3, lostReads: 1},
+    cause:
+      'the soak: SIGHUP before a host’s first line, and nobody started it again',
+  },
   {
     seed: 302,
     plan: {faults: 2, lostReads: 3, harmful: true},
