A host that begins to read asks the store once; the rest follows the first answer

Change: configurations and crashes are read once upstreams have been answered; until then one read finds out for all. A host that takes over knows configurations one answer later (4 ms of the store, and the way).

--- a/src/fleet/store_reader.ts
+++ b/src/fleet/store_reader.ts
@@ -85,16 +85,6 @@
     this.parts.intake.restart();
     this.parts.logger.info({event: 'reader'}, 'reading the store');
     void this.loopUpstreams(this.run);
-    const {intake, topics} = this.parts;
-    const configuration = {
-      name: CONFIGURATION,
-      topic: OPERATOR_TOPIC,
-      waitMs: () => this.pace.pauseMs + this.pace.waitMs,
-      take: (news: TopicNews) => intake.takeOperatorRecords(news),
-    };
-    for (const followed of [configuration, ...topics]) {
-      void this.loopTopic(this.run, followed);
-    }
   }
 
   stop(): void {
@@ -218,7 +208,24 @@
       );
     }
     this.failures = 0;
-    this.answered = true;
+    if (!this.answered) {
+      this.answered = true;
+      this.followTopics();
+    }
+  }
+
+  /** Begins once the store answers: until then one read finds out for all. */
+  private followTopics(): void {
+    const {intake, topics} = this.parts;
+    const configuration: FollowedTopic = {
+      name: CONFIGURATION,
+      topic: OPERATOR_TOPIC,
+      waitMs: () => this.pace.pauseMs + this.pace.waitMs,
+      take: news => intake.takeOperatorRecords(news),
+    };
+    for (const followed of [configuration, ...topics]) {
+      void this.loopTopic(this.run, followed);
+    }
   }
 
   /** Tells how far all is known, once that holds for all that must be in time. */
