Every share of the news budget stands in the budget; one file name for retries of reads

Read again as a newcomer: ReadPace kept a share of the bound of its own, apart from the table of all others, and read_pace.ts stood beside read_pacing.ts, which paces retries of a store that fails (retry_pause.ts now). Values, draws and order are the same.

--- a/src/decisions/fleet/index.ts
+++ b/src/decisions/fleet/index.ts
@@ -8,7 +8,7 @@
 export {newsBudget} from './news_budget.js';
 export {PartialView} from './partial_view.js';
 export {pick} from './pick.js';
-export {pauseAfter} from './read_pacing.js';
+export {pauseAfter} from './retry_pause.js';
 export {ReadPace} from './read_pace.js';
 export {ReadProofs, provedBy} from './read_proofs.js';
 export {SourceSearch} from './source_search.js';
--- a/src/decisions/fleet/news_budget.ts
+++ b/src/decisions/fleet/news_budget.ts
@@ -16,6 +16,8 @@
   readonly gatherMs: Milliseconds;
   /** Longest wait of a read for a change. */
   readonly readWaitMs: Milliseconds;
+  /** Time in which news reach the hosts furthest from the reader. */
+  readonly spreadMs: Milliseconds;
   /** Time for the first news of a host that is followed. */
   readonly firstNewsMs: Milliseconds;
   /** Age from which news are missing, whatever the source says of itself. */
@@ -34,6 +36,7 @@
 const SHARES = {
   gatherMs: 0.125,
   readWaitMs: 0.25,
+  spreadMs: 0.1,
   firstNewsMs: 0.15,
   overdueMs: 0.55,
   askOthersMs: 0.65,
@@ -45,6 +48,7 @@
     boundMs,
     gatherMs: SHARES.gatherMs * boundMs,
     readWaitMs: SHARES.readWaitMs * boundMs,
+    spreadMs: SHARES.spreadMs * boundMs,
     firstNewsMs: SHARES.firstNewsMs * boundMs,
     overdueMs: SHARES.overdueMs * boundMs,
     askOthersMs: SHARES.askOthersMs * boundMs,
--- a/src/decisions/fleet/read_pace.ts
+++ b/src/decisions/fleet/read_pace.ts
@@ -8,8 +8,6 @@
 import type {Milliseconds} from '../../time/index.js';
 import type {NewsBudget} from './news_budget.js';
 
-/** Share of the bound in which news reach the hosts furthest from the reader. */
-const SPREAD_SHARE = 0.1;
 const SHORTEST_WAIT_MS: Milliseconds = 50;
 /** Part of a slow answer's time that is still reckoned with at the next one. */
 const MEMORY = 0.5;
@@ -26,8 +24,8 @@
 
   /** Longest wait of the next read for a change. */
   get waitMs(): Milliseconds {
-    const {boundMs, overdueMs, readWaitMs} = this.budget;
-    const onItsWayMs = SPREAD_SHARE * boundMs + 2 * this.answerMs;
+    const {spreadMs, overdueMs, readWaitMs} = this.budget;
+    const onItsWayMs = spreadMs + 2 * this.answerMs;
     const leftMs = overdueMs - onItsWayMs - this.pauseMs;
     return Math.max(SHORTEST_WAIT_MS, Math.min(readWaitMs, leftMs));
   }
--- a/src/decisions/fleet/reading_duty.ts
+++ b/src/decisions/fleet/reading_duty.ts
@@ -25,7 +25,7 @@
 import type {Freshness} from './freshness.js';
 import type {NewsBudget} from './news_budget.js';
 import type {Followed, Position} from './position.js';
-import {pauseAfter} from './read_pacing.js';
+import {pauseAfter} from './retry_pause.js';
 import type {Peer} from './types.js';
 
 const MS_PER_SECOND = 1_000;
