Log unknown headers in upstream responses, each name once

Hosts act on a few headers of an upstream's response and silently ignore all others. When an upstream sends information that hosts don't act on, neither a log line nor a metric shows it, so an incident can't be diagnosed from its logs.

Change: pass the headers of each response to a request to UnknownHeaders, which logs names that are neither common HTTP headers nor known platform headers. No decision changes. Headers are considered only if the response comes from the expected upstream and belongs to this request: responses with status 421 or with the id of another request are skipped.

--- a/src/gateway/index.ts
+++ b/src/gateway/index.ts
@@ -7,5 +7,6 @@
 export {Scheduler} from './scheduler.js';
 export {UpstreamDesk} from './upstream_desk.js';
 export {RequestLog} from './request_log.js';
+export {UnknownHeaders} from './unknown_headers.js';
 export {MetricsServer} from './metrics_server.js';
 export {ReadinessServer} from './readiness_server.js';
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -11,6 +11,7 @@
 import type {GatewayMetrics} from './gateway_metrics.js';
 import type {RequestLog} from './request_log.js';
 import type {Scheduler} from './scheduler.js';
+import type {UnknownHeaders} from './unknown_headers.js';
 import type {UpstreamDesk} from './upstream_desk.js';
 
 /** What exchanges need of the host they run on. */
@@ -29,6 +30,8 @@
   readonly split: TrafficSplit;
   /** Repeats that this host may send. */
   readonly retries: HostRetries;
+  /** Logs unknown headers in upstream responses. */
+  readonly unknownHeaders: UnknownHeaders;
   readonly metrics: GatewayMetrics;
   readonly logger: Logger;
   readonly log: RequestLog;
--- a/src/gateway/upstream_send.ts
+++ b/src/gateway/upstream_send.ts
@@ -65,7 +65,10 @@
       parts.request,
       upstream.name,
       parts.timeLeftMs,
-      reusable => desk.release(this.ticket, reusable),
+      {
+        onHead: headers => context.unknownHeaders.note(upstream.id, headers),
+        onSettled: reusable => desk.release(this.ticket, reusable),
+      },
     );
   }
 
--- a/src/host/gateway_host.ts
+++ b/src/host/gateway_host.ts
@@ -16,6 +16,7 @@
   MetricsServer,
   ReadinessServer,
   RequestLog,
+  UnknownHeaders,
 } from '../gateway/index.js';
 import {LifeCycle} from '../lifecycle/index.js';
 import {DatagramPort} from '../datagrams/index.js';
@@ -298,6 +299,7 @@
       schedulerOf: service => this.choice.schedulerOf(service),
       split,
       retries: this.createRetries(),
+      unknownHeaders: new UnknownHeaders(logger),
       metrics,
       logger,
       log,
--- a/src/platform/index.ts
+++ b/src/platform/index.ts
@@ -6,6 +6,7 @@
   WRONG_UPSTREAM_STATUS,
   readColdLeft,
   readLoad,
+  unknownHeaderNames,
 } from './headers.js';
 export {
   CONFIGURATION_KEY,
--- a/src/upstreams/attempt.ts
+++ b/src/upstreams/attempt.ts
@@ -6,7 +6,12 @@
 import type {Milliseconds} from '../time/index.js';
 import {AnswerEnd, isFramed, keepsConnection} from './answer_end.js';
 import type {UpstreamConnection} from './connection.js';
-import type {AttemptResult, ForwardedRequest, SentAttempt} from './types.js';
+import type {
+  AttemptObserver,
+  AttemptResult,
+  ForwardedRequest,
+  SentAttempt,
+} from './types.js';
 
 /**
  * Answers up to this size are held until they are whole, so that one that is
@@ -25,16 +30,15 @@
 /**
  * @param upstreamName of the upstream that is meant
  * @param timeLeftMs how long the caller still waits
- * @param onSettled told whether the connection may be used again
  */
 export function sendAttempt(
   connection: UpstreamConnection,
   request: ForwardedRequest,
   upstreamName: string,
   timeLeftMs: Milliseconds,
-  onSettled: (reusable: boolean) => void,
+  observer: AttemptObserver,
 ): SentAttempt {
-  const attempt = new Attempt(connection, request, onSettled);
+  const attempt = new Attempt(connection, request, observer);
   return {
     result: attempt.send(upstreamName, timeLeftMs),
     cancel: () => attempt.settle({kind: 'cancelled'}, false),
@@ -54,7 +58,7 @@
   constructor(
     private readonly connection: UpstreamConnection,
     private readonly request: ForwardedRequest,
-    private readonly onSettled: (reusable: boolean) => void,
+    private readonly observer: AttemptObserver,
   ) {}
 
   send(upstreamName: string, timeLeftMs: Milliseconds): Promise<AttemptResult> {
@@ -98,7 +102,7 @@
     if (!reusable) {
       this.outgoing?.destroy();
     }
-    this.onSettled(reusable);
+    this.observer.onSettled(reusable);
     this.resolve(result);
   }
 
@@ -114,6 +118,9 @@
 
   private collect(answer: IncomingMessage): void {
     const closing = new AnswerEnd(answer, this.request.method);
+    if (this.isExpectedAnswer(answer)) {
+      this.observer.onHead(answer.headers);
+    }
     const chunks: Buffer[] = [];
     let held = 0;
     answer.on('data', (chunk: Buffer) => {
@@ -150,7 +157,7 @@
     }
     this.settled = true;
     const {status, headers} = judged;
-    answer.once('close', () => this.onSettled(false));
+    answer.once('close', () => this.observer.onSettled(false));
     this.resolve({kind: 'long', status, headers, begun, rest: answer, end});
   }
 
@@ -164,10 +171,21 @@
     );
   }
 
+  private answersAnotherRequest({headers}: IncomingMessage): boolean {
+    const echoed = headers[HEADERS.requestId];
+    return echoed !== undefined && echoed !== this.request.id;
+  }
+
+  /** Whether the expected upstream sent the answer, and for this request. */
+  private isExpectedAnswer(answer: IncomingMessage): boolean {
+    const isExpectedUpstream = answer.statusCode !== WRONG_UPSTREAM_STATUS;
+    return isExpectedUpstream && !this.answersAnotherRequest(answer);
+  }
+
   private judge(answer: IncomingMessage, body: Buffer): AttemptResult {
     const {headers, statusCode: status = 0} = answer;
     const echoed = headers[HEADERS.requestId];
-    if (echoed !== undefined && echoed !== this.request.id) {
+    if (this.answersAnotherRequest(answer)) {
       return {kind: 'broken', detail: 'the answer is to another request'};
     }
     const load = readLoad(headers);
--- a/src/upstreams/types.ts
+++ b/src/upstreams/types.ts
@@ -1,5 +1,5 @@
 import type {LoadReport} from '../decisions/placement/index.js';
-import type {IncomingMessage} from 'node:http';
+import type {IncomingHttpHeaders, IncomingMessage} from 'node:http';
 import type {AnswerEnd} from './answer_end.js';
 import type {RequestBody} from '../http/index.js';
 import type {RawHeaders} from '../transport/index.js';
@@ -58,6 +58,18 @@
   | {readonly kind: 'broken'; readonly detail: string}
   | {readonly kind: 'cancelled'};
 
+/** Callbacks for the events of an attempt. */
+export interface AttemptObserver {
+  /** Called when the expected upstream's response headers for this request arrive. */
+  readonly onHead: (headers: IncomingHttpHeaders) => void;
+  /**
+   * Called when the attempt no longer uses its connection.
+   *
+   * @param reusable whether the connection may be used again
+   */
+  readonly onSettled: (reusable: boolean) => void;
+}
+
 export interface SentAttempt {
   readonly result: Promise<AttemptResult>;
   /** Ends the attempt; the upstream sees its connection close. */
--- /dev/null
+++ b/tests/unknown_headers.test.ts
@@ -0,0 +1,48 @@
+import {Writable} from 'node:stream';
+import {pino} from 'pino';
+import {beforeEach, expect, test} from 'vitest';
+import {UnknownHeaders} from '../src/gateway/index.js';
+
+let lines: Record<string, unknown>[];
+let unknownHeaders: UnknownHeaders;
+
+beforeEach(() => {
+  lines = [];
+  const sink = new Writable({
+    write(chunk: Buffer, _encoding, done): void {
+      lines.push(JSON.parse(chunk.toString()) as Record<string, unknown>);
+      done();
+    },
+  });
+  unknownHeaders = new UnknownHeaders(pino({base: undefined}, sink));
+});
+
+test('an unknown header is logged once with its value', () => {
+  unknownHeaders.note('i-1', {'content-length': '2', 'server-mood': 'low'});
+  unknownHeaders.note('i-2', {'server-mood': 'high'});
+  expect(lines).toMatchObject([
+    {
+      event: 'unknown-header',
+      upstream: 'i-1',
+      header: 'server-mood',
+      value: 'low',
+    },
+  ]);
+});
+
+test('common HTTP headers and platform headers are not logged', () => {
+  unknownHeaders.note('i-1', {
+    'cyclamenlever-server-load': '1,0,6',
+    'retry-after': '3',
+    'keep-alive': 'timeout=10',
+  });
+  expect(lines).toEqual([]);
+});
+
+test('many distinct header names and long values do not flood the log', () => {
+  for (let i = 0; i < 1_000; i += 1) {
+    unknownHeaders.note('i-1', {[`made-up-${i}`]: 'x'.repeat(10_000)});
+  }
+  expect(lines.length).toBeLessThanOrEqual(32);
+  expect(lines.every(({value}) => String(value).length <= 64)).toBe(true);
+});
