--- a/src/standins/reporting_upstream.ts
+++ b/src/standins/reporting_upstream.ts
@@ -84,6 +84,10 @@
   tellsLoad = true;
   /** Requests that are being worked on count as running in what is told. */
   countsRuns = false;
+  /** Requests a second that its answers say it takes, as they say it. */
+  rateLimit: string | undefined;
+  /** Told of each request that reaches it, whatever becomes of it. */
+  onArrival: () => void = () => undefined;
   /** Told when more reach it while it is cold than it bears. */
   onOverwhelmed: () => void = () => undefined;
   private readonly server: Server;
@@ -201,6 +205,7 @@
       socket.write(this.answer(run, this.healthy ? 200 : 503, ''));
       return;
     }
+    this.onArrival();
     if (this.fault === 'shed') {
       socket.write(this.answer(run, 503, '', [NOT_RUN]));
       return;
@@ -317,6 +322,9 @@
         ? [`Cyclamenlever-Warmup-Ms: ${this.coldLeftMs}`]
         : []),
       ...(this.tellsLoad ? [`Cyclamenlever-Server-Load: ${load}`] : []),
+      ...(this.rateLimit === undefined || run.target === '/health'
+        ? []
+        : [`Server-Limit: ${this.rateLimit}`]),
       'Keep-Alive: timeout=10',
       `Content-Length: ${body.length}`,
       ...more,
