Make gossip between hosts independent of the record type

CrashSpread decided which hosts are sent records of crashing requests, and when. Gossip now spreads the records of any GossipBook, and GossipExchange carries them in datagrams. CrashExchange keeps what is specific to crashes: log lines, pruning and the row codec. Messages, rows, intervals and limits are unchanged.

--- a/src/decisions/quarantine/crash_spread.ts
+++ b/src/decisions/gossip/gossip.ts
@@ -1,11 +1,11 @@
 /**
- * Decides whom a host tells what it knows of crashing requests, and when.
+ * Decides which records a host sends to which peers, and when, so that all hosts
+ * have them soon.
  *
- * A request may crash three upstreams at three hosts, and come next at a fourth:
- * each has to learn of all crashes, without the store. Each host passes on what is
- * new to it to a few others at once (gossip); what was lost on the way is made up
- * for by reminders. A host that starts asks until somebody has answered.
- * Messages a host depend on crashes and on time, not on the fleet's size.
+ * Works without the store. Each host forwards records that are new to it to a few
+ * peers at once; reminders make up for lost datagrams. A host that starts queries
+ * its peers until one answers or a timeout expires. The number of messages per host
+ * depends on new records and on time, not on the size of the fleet.
  *
  * Says what is to be told and does nothing itself.
  */
@@ -23,42 +23,25 @@
   REMIND_MS,
   TOLD_TOGETHER,
 } from './constants.js';
-import type {Quarantine} from './quarantine.js';
-import type {CrashRecord, Fingerprint} from './types.js';
+import type {GossipBook, GossipMessage} from './types.js';
 
-/** What one host tells another of crashing requests. */
-export type CrashNews =
-  /** The sender has started and wants to know. */
-  | {readonly kind: 'question'}
-  /** What the sender learnt, or reminds of; an answer may be empty. */
-  | {
-      readonly kind: 'report' | 'answer';
-      readonly records: readonly CrashRecord[];
-    };
-
-/** One message to some hosts. */
-export interface CrashMessage {
-  readonly to: readonly string[];
-  readonly news: CrashNews;
-}
-
-export interface CrashSpreadParts {
-  readonly quarantine: Quarantine;
+export interface GossipParts<Item> {
+  readonly book: GossipBook<Item>;
   /** Addresses of the hosts that this one knows. */
   readonly peers: () => readonly string[];
   readonly clock: Clock;
   readonly random: Random;
 }
 
-export class CrashSpread {
-  private readonly untold = new Set<Fingerprint>();
+export class Gossip<Item> {
+  private readonly untold = new Set<string>();
   private readonly startedAt: Milliseconds;
   private batchAt: Milliseconds = Infinity;
   private askAt: Milliseconds;
   private remindAt: Milliseconds;
   private answered = false;
 
-  constructor(private readonly parts: CrashSpreadParts) {
+  constructor(private readonly parts: GossipParts<Item>) {
     const {clock, random} = parts;
     this.startedAt = clock.now();
     this.askAt = this.startedAt;
@@ -67,24 +50,28 @@
 
   /** When `due` is to be called next. */
   get dueAt(): Milliseconds {
-    const {quarantine} = this.parts;
-    const remindAt = quarantine.size > 0 ? this.remindAt : Infinity;
+    const {book} = this.parts;
+    const remindAt = book.size > 0 ? this.remindAt : Infinity;
     const askAt = this.isAsking ? this.askAt : Infinity;
     return Math.min(this.batchAt, remindAt, askAt);
   }
 
-  /** This host has learnt something of a request. */
-  learnt(fingerprint: Fingerprint): void {
-    this.untold.add(fingerprint);
+  /** Adds the record of `key`, which is new or has changed, to the next report. */
+  learnt(key: string): void {
+    this.untold.add(key);
     this.batchAt = Math.min(this.batchAt, this.parts.clock.now() + BATCH_MS);
   }
 
-  /** Requests of which another host's records tell something new. */
-  heard(records: readonly CrashRecord[]): readonly Fingerprint[] {
+  /**
+   * Merges records of another host and forwards those with new information.
+   *
+   * @returns the keys of the records with new information
+   */
+  heard(records: readonly Item[]): readonly string[] {
     const news = records
-      .filter(record => this.parts.quarantine.merge(record))
-      .map(({fingerprint}) => fingerprint);
-    news.forEach(fingerprint => this.learnt(fingerprint));
+      .filter(record => this.parts.book.merge(record))
+      .map(record => this.parts.book.keyOf(record));
+    news.forEach(key => this.learnt(key));
     return news;
   }
 
@@ -94,8 +81,8 @@
   }
 
   /** One that knows nothing answers too, so that the asking ends. */
-  answerTo(asker: string): readonly CrashMessage[] {
-    const worth = this.parts.quarantine.worthTelling(MOST_TOLD);
+  answerTo(asker: string): readonly GossipMessage<Item>[] {
+    const worth = this.parts.book.worthTelling(MOST_TOLD);
     const told = this.tell([asker], worth, 'answer');
     return told.length > 0
       ? told
@@ -103,9 +90,9 @@
   }
 
   /** What is to be told now. */
-  due(): readonly CrashMessage[] {
+  due(): readonly GossipMessage<Item>[] {
     const now = this.parts.clock.now();
-    const messages: CrashMessage[] = [];
+    const messages: GossipMessage<Item>[] = [];
     if (now >= this.batchAt) {
       this.batchAt = Infinity;
       const untold = [...this.untold];
@@ -114,7 +101,7 @@
     }
     if (now >= this.remindAt) {
       this.remindAt = now + REMIND_MS * (0.9 + 0.2 * this.parts.random());
-      const worth = this.parts.quarantine.worthTelling(MOST_TOLD);
+      const worth = this.parts.book.worthTelling(MOST_TOLD);
       messages.push(...this.tell(this.pickPeers(REMINDED), worth));
     }
     if (this.isAsking && now >= this.askAt) {
@@ -132,15 +119,15 @@
 
   private tell(
     to: readonly string[],
-    fingerprints: readonly Fingerprint[],
+    keys: readonly string[],
     kind: 'report' | 'answer' = 'report',
-  ): readonly CrashMessage[] {
-    const {quarantine} = this.parts;
-    const records = fingerprints.flatMap(one => {
-      const record = quarantine.recordOf(one);
+  ): readonly GossipMessage<Item>[] {
+    const {book} = this.parts;
+    const records = keys.flatMap(one => {
+      const record = book.recordOf(one);
       return record ? [record] : [];
     });
-    const messages: CrashMessage[] = [];
+    const messages: GossipMessage<Item>[] = [];
     for (let at = 0; at < records.length; at += TOLD_TOGETHER) {
       const together = records.slice(at, at + TOLD_TOGETHER);
       messages.push({to, news: {kind, records: together}});
--- a/src/decisions/quarantine/constants.ts
+++ b/src/decisions/quarantine/constants.ts
@@ -35,25 +35,3 @@
 export const RESTART_KNOWN_MS: Milliseconds = 10_000;
 /** Upstreams found alive, of which reports are disbelieved. */
 export const MOST_REFUTED = 256;
-
-/** Reports of one moment are told together after this time. */
-export const BATCH_MS: Milliseconds = 10;
-/**
- * Hosts that are told of each change, by each host that learns it. The few that all
- * others miss hear of it by a reminder.
- */
-export const FANOUT = 8;
-/** Known crashes are told again this often, to hosts that missed them, ... */
-export const REMIND_MS: Milliseconds = 500;
-/** ... to so many, so that each host is reminded twice in this time on average. */
-export const REMINDED = 2;
-/** Requests that a reminder or an answer tells of, the latest first. */
-export const MOST_TOLD = 64;
-/** Requests in one datagram, so that it isn't split on the way. */
-export const TOLD_TOGETHER = 8;
-/** A host that starts asks others for what they know this often, ... */
-export const ASK_MS: Milliseconds = 100;
-/** ... so many at once, ... */
-export const ASKED = 3;
-/** ... until one has answered or this time is over: then it is reminded. */
-export const ASK_FOR_MS: Milliseconds = 5_000;
--- a/src/decisions/quarantine/quarantine.ts
+++ b/src/decisions/quarantine/quarantine.ts
@@ -15,6 +15,7 @@
  */
 
 import type {Clock, Milliseconds} from '../../time/index.js';
+import type {GossipBook} from '../gossip/index.js';
 import {RecentNames} from '../limits/index.js';
 import {
   CRASHES_TO_HOLD,
@@ -28,7 +29,7 @@
 import type {Crash, CrashRecord, Fingerprint, Verdict} from './types.js';
 import {PATH_MARK} from './types.js';
 
-export class Quarantine {
+export class Quarantine implements GossipBook<CrashRecord> {
   private readonly table = new SuspectTable();
   /** Lives that this host knows to have ended. */
   private readonly confirmed = new Set<string>();
@@ -57,6 +58,10 @@
     return this.table.has(fingerprint);
   }
 
+  keyOf({fingerprint}: CrashRecord): Fingerprint {
+    return fingerprint;
+  }
+
   /** This host saw a life end under a request. */
   noteCrash(fingerprint: Fingerprint, life: string): void {
     this.confirm(life);
--- a/src/quarantine/codec.ts
+++ b/src/quarantine/codec.ts
@@ -5,8 +5,9 @@
  */
 
 import {isName, isTime} from '../datagrams/index.js';
-import type {CrashNews, CrashRecord} from '../decisions/quarantine/index.js';
-import {MOST_CRASHES, MOST_TOLD} from '../decisions/quarantine/index.js';
+import type {CrashRecord} from '../decisions/quarantine/index.js';
+import {MOST_CRASHES} from '../decisions/quarantine/index.js';
+import type {RecordCodec} from '../gossip/index.js';
 
 type CrashRow = readonly [life: string, ageMs: number];
 type RecordRow = readonly [
@@ -15,28 +16,10 @@
   survivedAgeMs: number | null,
 ];
 
-export function encodeNews(news: CrashNews): unknown {
-  return news.kind === 'question'
-    ? [news.kind]
-    : [news.kind, news.records.map(recordRow)];
-}
-
-/** Undefined for what no host of this version sends. */
-export function decodeNews(body: unknown): CrashNews | undefined {
-  if (!Array.isArray(body)) {
-    return undefined;
-  }
-  const [kind, rows] = body as readonly unknown[];
-  if (kind === 'question') {
-    return {kind};
-  }
-  const isKnown = kind === 'report' || kind === 'answer';
-  if (!isKnown || !Array.isArray(rows) || rows.length > MOST_TOLD) {
-    return undefined;
-  }
-  const records = rows.flatMap(recordOf);
-  return records.length === rows.length ? {kind, records} : undefined;
-}
+export const CRASH_CODEC: RecordCodec<CrashRecord> = {
+  encode: recordRow,
+  decode: recordOf,
+};
 
 export function recordRow(record: CrashRecord): RecordRow {
   const {fingerprint, crashes, survivedAgeMs} = record;
@@ -47,10 +30,10 @@
   ];
 }
 
-/** Empty for what is no such row. */
-export function recordOf(row: unknown): readonly CrashRecord[] {
+/** Returns undefined for an invalid row. */
+export function recordOf(row: unknown): CrashRecord | undefined {
   if (!Array.isArray(row)) {
-    return [];
+    return undefined;
   }
   const [fingerprint, rows, survived] = row as readonly unknown[];
   const isSound =
@@ -60,10 +43,10 @@
     rows.every(isCrashRow) &&
     (survived === null || isTime(survived));
   if (!isSound) {
-    return [];
+    return undefined;
   }
   const crashes = rows.map(([life, ageMs]) => ({life, ageMs}));
-  return [{fingerprint, crashes, survivedAgeMs: survived ?? undefined}];
+  return {fingerprint, crashes, survivedAgeMs: survived ?? undefined};
 }
 
 function isCrashRow(row: unknown): row is CrashRow {
--- a/src/quarantine/crash_exchange.ts
+++ b/src/quarantine/crash_exchange.ts
@@ -1,18 +1,16 @@
-/** Carries what hosts tell each other of crashing requests, in datagrams. */
+/** Exchanges and logs records of crashing requests, and prunes old ones. */
 
 import type {Logger} from 'pino';
 import type {DatagramPort} from '../datagrams/index.js';
 import type {
-  CrashMessage,
-  CrashNews,
   CrashRecord,
   Fingerprint,
   Quarantine,
 } from '../decisions/quarantine/index.js';
-import {CrashSpread} from '../decisions/quarantine/index.js';
 import {LineBudget} from '../decisions/limits/index.js';
+import {GossipExchange} from '../gossip/index.js';
 import type {Clock, Milliseconds, Random} from '../time/index.js';
-import {decodeNews, encodeNews} from './codec.js';
+import {CRASH_CODEC} from './codec.js';
 
 /** Kind of the datagrams that tell of crashes. */
 const CRASHES = 'crashes';
@@ -35,91 +33,45 @@
 export class CrashExchange {
   private readonly lines = new LineBudget(LINES_PER_SECOND);
   private readonly pruneTimer: NodeJS.Timeout;
-  private spread: CrashSpread | undefined;
-  private timer: NodeJS.Timeout | undefined;
+  private readonly exchange: GossipExchange<CrashRecord>;
 
   constructor(private readonly parts: CrashExchangeParts) {
-    const {datagrams, quarantine} = parts;
-    datagrams.handle(CRASHES, (from, body) => this.take(from, body));
+    const {quarantine} = parts;
+    this.exchange = new GossipExchange({
+      ...parts,
+      kind: CRASHES,
+      book: quarantine,
+      codec: CRASH_CODEC,
+      onHeard: fingerprint => this.heard(fingerprint),
+    });
     this.pruneTimer = setInterval(() => quarantine.prune(), PRUNE_MS);
     this.pruneTimer.unref();
   }
 
   /** Begins to ask and to tell; peers are known from now on. */
   start(): void {
-    this.spread = new CrashSpread(this.parts);
-    this.arm();
+    this.exchange.start();
   }
 
   /** This host has learnt something of a request, and tells the others. */
   learnt(fingerprint: Fingerprint): void {
     this.log(fingerprint);
-    this.spread?.learnt(fingerprint);
-    this.arm();
+    this.exchange.learnt(fingerprint);
   }
 
   /** Takes in what other hosts say, or the store keeps. */
   recall(records: readonly CrashRecord[]): void {
-    for (const fingerprint of this.spread?.heard(records) ?? []) {
-      this.log(fingerprint);
-      this.parts.onHeard(fingerprint);
-    }
-    this.arm();
+    this.exchange.recall(records);
   }
 
   close(): void {
     clearInterval(this.pruneTimer);
-    clearTimeout(this.timer);
-    this.spread = undefined;
-  }
-
-  private take(from: string, body: unknown): boolean {
-    const news = decodeNews(body);
-    if (!news) {
-      return false;
-    }
-    if (this.spread) {
-      this.hear(this.spread, from, news);
-      this.arm();
-    }
-    return true;
-  }
-
-  private hear(spread: CrashSpread, from: string, news: CrashNews): void {
-    switch (news.kind) {
-      case 'question':
-        this.send(spread.answerTo(from));
-        return;
-      case 'answer':
-        spread.noteAnswer();
-        this.recall(news.records);
-        return;
-      case 'report':
-        this.recall(news.records);
-        return;
-      default:
-        news satisfies never;
-    }
-  }
-
-  private send(messages: readonly CrashMessage[]): void {
-    for (const {to, news} of messages) {
-      this.parts.datagrams.send(CRASHES, encodeNews(news), to);
-    }
+    this.exchange.close();
   }
 
-  private arm(): void {
-    clearTimeout(this.timer);
-    const {spread} = this;
-    if (!spread || spread.dueAt === Infinity) {
-      return;
-    }
-    const inMs = Math.max(0, spread.dueAt - this.parts.clock.now());
-    this.timer = setTimeout(() => {
-      this.send(spread.due());
-      this.arm();
-    }, inMs);
-    this.timer.unref();
+  private heard(fingerprint: Fingerprint): void {
+    this.log(fingerprint);
+    this.parts.onHeard(fingerprint);
   }
 
   private log(fingerprint: Fingerprint): void {
--- a/src/quarantine/crash_memory.ts
+++ b/src/quarantine/crash_memory.ts
@@ -2,8 +2,9 @@
 
 import type {Logger} from 'pino';
 import type {DatagramPort} from '../datagrams/index.js';
+import {MOST_TOLD} from '../decisions/gossip/index.js';
 import type {Fingerprint, Fingerprints} from '../decisions/quarantine/index.js';
-import {MOST_TOLD, Quarantine} from '../decisions/quarantine/index.js';
+import {Quarantine} from '../decisions/quarantine/index.js';
 import type {FollowedTopic} from '../fleet/index.js';
 import type {Store} from '../platform/index.js';
 import type {Clock, Random} from '../time/index.js';
--- a/src/quarantine/kept_record.ts
+++ b/src/quarantine/kept_record.ts
@@ -23,9 +23,8 @@
   try {
     const {at, row} = JSON.parse(value) as {at?: unknown; row?: unknown};
     const sinceMs = Math.max(0, unixNow - Number(at));
-    return Number.isFinite(sinceMs)
-      ? recordOf(row).map(record => aged(record, sinceMs))
-      : [];
+    const record = recordOf(row);
+    return record && Number.isFinite(sinceMs) ? [aged(record, sinceMs)] : [];
   } catch {
     // No JSON: it names no request.
     return [];
--- a/tests/crash_codec.test.ts
+++ b/tests/crash_codec.test.ts
@@ -1,10 +1,12 @@
 import fc from 'fast-check';
 import {expect, test} from 'vitest';
-import type {CrashNews} from '../src/decisions/quarantine/index.js';
-import {MOST_TOLD} from '../src/decisions/quarantine/index.js';
-import {decodeNews, encodeNews} from '../src/quarantine/index.js';
+import type {GossipNews} from '../src/decisions/gossip/index.js';
+import {MOST_TOLD} from '../src/decisions/gossip/index.js';
+import type {CrashRecord} from '../src/decisions/quarantine/index.js';
+import {decodeGossip, encodeGossip} from '../src/gossip/index.js';
+import {CRASH_CODEC} from '../src/quarantine/index.js';
 
-const NEWS: CrashNews = {
+const NEWS: GossipNews<CrashRecord> = {
   kind: 'report',
   records: [
     {
@@ -19,10 +21,14 @@
   ],
 };
 
+function decodeNews(body: unknown): GossipNews<CrashRecord> | undefined {
+  return decodeGossip(body, CRASH_CODEC);
+}
+
 test.each([NEWS, {...NEWS, kind: 'answer'}, {kind: 'question'}] as const)(
   'what a host tells is read by another (%#)',
   news => {
-    expect(decodeNews(encodeNews(news))).toEqual(news);
+    expect(decodeNews(encodeGossip(news, CRASH_CODEC))).toEqual(news);
   },
 );
 
--- a/tests/crashing_requests.test.ts
+++ b/tests/crashing_requests.test.ts
@@ -9,7 +9,8 @@
 import type {CrashRecord} from '../src/decisions/quarantine/index.js';
 import {fingerprintsOf} from '../src/gateway/index.js';
 import {StoreClient} from '../src/platform/index.js';
-import {CRASH_TOPIC, encodeNews} from '../src/quarantine/index.js';
+import {encodeGossip} from '../src/gossip/index.js';
+import {CRASH_CODEC, CRASH_TOPIC} from '../src/quarantine/index.js';
 import {ReportingUpstream} from '../src/standins/index.js';
 import type {Call, Reply, RunningHost} from './support/gateway.js';
 import {GatewaySystem, get, until} from './support/gateway.js';
@@ -150,7 +151,7 @@
   };
   await liar.bind(`127.0.0.1:${await freePort()}`);
   const to = system.hosts.map(({ports}) => `127.0.0.1:${ports.peers}`);
-  const news = encodeNews({kind: 'report', records: [record]});
+  const news = encodeGossip({kind: 'report', records: [record]}, CRASH_CODEC);
   liar.send('crashes', news, to);
   return liar;
 }
--- a/tests/support/crash_simulation.ts
+++ b/tests/support/crash_simulation.ts
@@ -1,10 +1,12 @@
 /** Hosts that tell each other of crashing requests, in simulated time. */
 
 import type {
-  CrashMessage,
-  CrashNews,
-} from '../../src/decisions/quarantine/index.js';
-import {CrashSpread, Quarantine} from '../../src/decisions/quarantine/index.js';
+  GossipMessage,
+  GossipNews,
+} from '../../src/decisions/gossip/index.js';
+import {Gossip} from '../../src/decisions/gossip/index.js';
+import type {CrashRecord} from '../../src/decisions/quarantine/index.js';
+import {Quarantine} from '../../src/decisions/quarantine/index.js';
 import type {Milliseconds, Random} from '../../src/time/index.js';
 import {ManualClock, seededRandom} from '../../src/time/index.js';
 
@@ -15,7 +17,7 @@
 export interface GossipHost {
   readonly address: string;
   readonly quarantine: Quarantine;
-  readonly spread: CrashSpread;
+  readonly spread: Gossip<CrashRecord>;
   isCut: boolean;
   sent: number;
 }
@@ -24,7 +26,7 @@
   readonly at: Milliseconds;
   readonly from: GossipHost;
   readonly to: GossipHost;
-  readonly news: CrashNews;
+  readonly news: GossipNews<CrashRecord>;
 }
 
 export class CrashSimulation {
@@ -59,7 +61,7 @@
       }
       return [...known.values()];
     };
-    const spread = new CrashSpread({quarantine, peers, clock, random});
+    const spread = new Gossip({book: quarantine, peers, clock, random});
     const host = {address, quarantine, spread, isCut: false, sent: 0};
     this.hosts.push(host);
     return host;
@@ -90,7 +92,10 @@
     ).length;
   }
 
-  private send(from: GossipHost, messages: readonly CrashMessage[]): void {
+  private send(
+    from: GossipHost,
+    messages: readonly GossipMessage<CrashRecord>[],
+  ): void {
     for (const {to, news} of messages) {
       for (const address of to) {
         const receiver = this.hosts.find(one => one.address === address);
