--- a/tests/rate_limits.test.ts
+++ b/tests/rate_limits.test.ts
@@ -111,3 +111,17 @@
     true,
   );
 });
+
+// Guards against hosts that go on refusing requests after limits have ended.
+test('limits that end are lifted at all hosts', async () => {
+  const limited = await Promise.all(
+    ['i-limited-0', 'i-limited-1'].map(id => system.addUpstream(id)),
+  );
+  await startHosts();
+  limited.forEach(upstream => (upstream.rateLimit = '4'));
+  await generateLoad(CONVERGENCE_MS);
+  limited.forEach(upstream => (upstream.rateLimit = undefined));
+  await generateLoad(CONVERGENCE_MS);
+  const replies = await generateLoad(1_000);
+  expect(replies.every(({status}) => status === 200)).toBe(true);
+});
