--- a/src/standins/reporting_upstream.ts
+++ b/src/standins/reporting_upstream.ts
@@ -86,6 +86,8 @@
   countsRuns = false;
   /** Value of the rate limit header in responses to requests, not to probes. */
   rateLimit: string | undefined;
+  /** Retry-After header of refusals; none if undefined. */
+  retryAfter: string | undefined;
   /** Called for each request that arrives, whatever its outcome. */
   onArrival: () => void = () => undefined;
   /** Told when more reach it while it is cold than it bears. */
@@ -207,7 +209,7 @@
     }
     this.onArrival();
     if (this.fault === 'shed') {
-      socket.write(this.answer(run, 503, '', [NOT_RUN]));
+      socket.write(this.answer(run, 503, '', this.refusalHeaders));
       return;
     }
     if (this.fault === 'mute') {
@@ -237,6 +239,12 @@
     }, this.workMs);
   }
 
+  private get refusalHeaders(): readonly string[] {
+    return this.retryAfter === undefined
+      ? [NOT_RUN]
+      : [NOT_RUN, `Retry-After: ${this.retryAfter}`];
+  }
+
   private isOverwhelmed(): boolean {
     const now = systemClock.now();
     const ofLate = this.begunAt.filter(at => now - at < SECOND_MS);
