Log the Retry-After header of shed attempts

The detail of an `attempt` log line was only `status 503`, so a refusal with a Retry-After header could not be told from one without. The detail now includes the header value as the upstream sent it, truncated to 32 characters. No decision changes.

Evidence: 49 tests of the gateway, of broken sends and of attempts pass.

--- a/src/upstreams/attempt.ts
+++ b/src/upstreams/attempt.ts
@@ -24,6 +24,8 @@
   'DELETE',
   'OPTIONS',
 ]);
+/** Bounds log line length when an upstream sends a long Retry-After header. */
+const MAX_RETRY_AFTER_CHARACTERS = 32;
 const SUCCESS_FROM = 200;
 const SUCCESS_BELOW = 300;
 
@@ -201,7 +203,7 @@
       return {
         kind: 'not-run',
         reason: 'shed',
-        detail: `status ${status}`,
+        detail: shedDetail(answer),
         load,
       };
     }
@@ -214,6 +216,14 @@
   }
 }
 
+/** Describes a shed request, including its Retry-After header if present. */
+function shedDetail({statusCode, headers}: IncomingMessage): string {
+  const retryAfter = headers['retry-after'];
+  return retryAfter === undefined
+    ? `status ${statusCode}`
+    : `status ${statusCode}, retry-after ${retryAfter.slice(0, MAX_RETRY_AFTER_CHARACTERS)}`;
+}
+
 function framingOf(method: string, body: RequestBody): readonly string[] {
   switch (body.kind) {
     case 'none':
