Propagate the end of a rate limit that closely follows a report of it

A host that sends nothing to an upstream learns only from other hosts that its limit has ended. If the end came within 100 ms of the last report of the limit, the tolerance for message transit time discarded it, and each later reminder as well, until the limit was rechecked after 15 s or more.

Apply the tolerance only between reports of the same limit, where it prevents records from becoming younger as they are forwarded. A newer report of a different limit is always accepted.

A new test failed before the change and passes now.

--- a/src/decisions/rate_limits/limit_book.ts
+++ b/src/decisions/rate_limits/limit_book.ts
@@ -86,7 +86,9 @@
       return false;
     }
     // Without the tolerance, each forwarding host would make the record younger.
-    const isNewer = !known || at > known.at + AGE_TOLERANCE_MS;
+    // Changes of the limit are exempt: one shortly after a report would be discarded.
+    const toleranceMs = known?.perSecond === perSecond ? AGE_TOLERANCE_MS : 0;
+    const isNewer = !known || at > known.at + toleranceMs;
     return isNewer && this.update(upstream, {perSecond, at});
   }
 
--- a/tests/rate_limit_shares.test.ts
+++ b/tests/rate_limit_shares.test.ts
@@ -204,6 +204,16 @@
   expect(other.size).toBe(0);
 });
 
+// Guards against an age tolerance that discards the end of a limit.
+test('a limit that ends right after a report also ends at other hosts', () => {
+  const {book} = createBook();
+  book.merge({upstream: 'u', perSecond: 2, ageMs: 40});
+  expect(book.merge({upstream: 'u', perSecond: undefined, ageMs: 20})).toBe(
+    true,
+  );
+  expect(book.limitOf('u')).toBe(undefined);
+});
+
 // Guards against gossip that keeps a limit from becoming stale.
 test('a limit that two hosts send each other repeatedly still ages', () => {
   const {clock, book} = createBook();
