Honour Retry-After from upstreams that refuse requests

Requests were refused although other upstreams could have served them. Two upstreams that refused everything received more requests than before (7 to 34 per second together), because hosts ignored Retry-After: a refusal counted against an upstream for a while, but its low reported load outweighed that. In general, an upstream stated a requirement in a response and no host acted on it.

- A 503 or 429 with Retry-After, also in response to a probe, starts a backoff.
During it the host sends the upstream no first sends, retries, second sends or probes; all of them use the same check.
Of overlapping backoffs, the one that ends last applies, up to ten minutes.
- After a backoff, one trial request is sent first, and others follow 250 ms later unless it is refused.
A request that has already used an attempt is never the trial.
- If all upstreams are in backoff, a request is refused at once, with a Retry-After derived from the time at which the first upstream becomes available.
The log line of the refusal lists the backoffs and `explain` prints them.
Adds the log line `backoff` and the figure `backoffs`, and counts malformed headers.

--- /dev/null
+++ b/src/decisions/backoff/index.ts
@@ -0,0 +1,2 @@
+export type {Backoff} from './types.js';
+export {Backoffs} from './backoffs.js';
--- a/src/decisions/placement/placement_policy.ts
+++ b/src/decisions/placement/placement_policy.ts
@@ -7,6 +7,7 @@
  * a connection that is kept open.
  */
 
+import type {Backoff, Backoffs} from '../backoff/index.js';
 import type {DecisionOptions} from '../options/index.js';
 import type {LimitRecord, RateLimits} from '../rate_limits/index.js';
 import type {UpstreamInService} from '../registry/index.js';
@@ -72,6 +73,7 @@
   readonly view: LoadView;
   readonly cold: ColdLimits;
   readonly rateLimits: RateLimits;
+  readonly backoffs: Backoffs;
   readonly options: DecisionOptions;
 }
 
@@ -147,7 +149,7 @@
       one =>
         !asked.has(one.id) &&
         !request.tried.has(one.id) &&
-        this.allowsSend(one),
+        this.allowsSend(one, request),
     );
     const near = open.filter(one => one.dataCentre === dataCentre);
     const far = open.filter(one => one.dataCentre !== dataCentre);
@@ -197,21 +199,20 @@
   noteSend(upstream: UpstreamInService): void {
     this.surroundings.cold.noteSend(upstream);
     this.surroundings.rateLimits.noteSend(upstream);
+    this.surroundings.backoffs.noteSend(upstream.id);
     this.surroundings.view.noteSend(upstream.id);
   }
 
-  /** Time until rate limits allow a request to one of these upstreams. */
+  /** Time until rate limits and backoffs allow a request to one of these upstreams. */
   waitMs(
     upstreams: readonly UpstreamInService[],
     {tried}: PlacementRequest,
   ): Milliseconds {
-    const {rateLimits} = this.surroundings;
+    const {rateLimits, backoffs} = this.surroundings;
     return upstreams
       .filter(({id}) => !tried.has(id))
-      .reduce(
-        (least, one) => Math.min(least, rateLimits.waitMs(one)),
-        Infinity,
-      );
+      .map(one => Math.max(rateLimits.waitMs(one), backoffs.waitMs(one.id)))
+      .reduce((least, waitMs) => Math.min(least, waitMs), Infinity);
   }
 
   /** Rate limits due to which this host can't send to some of these upstreams now. */
@@ -221,10 +222,18 @@
     return this.surroundings.rateLimits.blockingLimits(upstreams);
   }
 
+  /** Backoffs due to which this host can't send to some of these upstreams now. */
+  blockingBackoffs(
+    upstreams: readonly UpstreamInService[],
+  ): readonly Backoff[] {
+    return this.surroundings.backoffs.blocking(upstreams.map(({id}) => id));
+  }
+
   /** Drops what belongs to upstreams that are no longer in service. */
   prune(isInService: (id: string) => boolean): void {
     this.surroundings.cold.prune();
     this.surroundings.rateLimits.prune(isInService);
+    this.surroundings.backoffs.prune(isInService);
     this.subset.prune(isInService);
   }
 
@@ -275,7 +284,7 @@
       upstreams.some(one => one.dataCentre === dataCentre);
     return answers.flatMap(answer => {
       const upstream = byId.get(answer.id);
-      if (!upstream || !this.allowsSend(upstream)) {
+      if (!upstream || !this.allowsSend(upstream, request)) {
         return [];
       }
       const isNear = upstream.dataCentre === dataCentre || !prefersNear;
@@ -313,9 +322,17 @@
     };
   }
 
-  private allowsSend(upstream: UpstreamInService): boolean {
-    const {cold, rateLimits} = this.surroundings;
-    return cold.allows(upstream) && rateLimits.allows(upstream);
+  private allowsSend(
+    upstream: UpstreamInService,
+    {tried}: PlacementRequest,
+  ): boolean {
+    const {cold, rateLimits, backoffs} = this.surroundings;
+    return (
+      backoffs.allows(upstream.id) &&
+      (tried.size === 0 || !backoffs.needsTrial(upstream.id)) &&
+      cold.allows(upstream) &&
+      rateLimits.allows(upstream)
+    );
   }
 
   private noteHealth(service: string, answers: readonly ProbeAnswer[]): void {
--- a/src/decisions/scheduling/service_scheduler.ts
+++ b/src/decisions/scheduling/service_scheduler.ts
@@ -38,7 +38,7 @@
 const NO_UPSTREAM_RETRY_MS: Milliseconds = 1_000;
 
 /** Bounds the log line of a refusal. */
-const MAX_REPORTED_LIMITS = 8;
+const MAX_REPORTED_UPSTREAMS = 8;
 
 /** What a scheduler needs to know of the host and the fleet. */
 export interface SchedulerSurroundings {
@@ -268,13 +268,16 @@
     );
     const limits = policy
       .blockingLimits(upstreams)
-      .slice(0, MAX_REPORTED_LIMITS);
+      .slice(0, MAX_REPORTED_UPSTREAMS);
     const placing: Refused = {
       kind: 'refused',
       reason,
       retryAfterMs,
       told,
       limits,
+      backoffs: policy
+        .blockingBackoffs(upstreams)
+        .slice(0, MAX_REPORTED_UPSTREAMS),
     };
     this.actions.push({kind: 'settle', id: request.id, placing});
   }
--- a/src/decisions/scheduling/types.ts
+++ b/src/decisions/scheduling/types.ts
@@ -1,5 +1,6 @@
 import type {Milliseconds} from '../../time/index.js';
 import type {PlacementRequest, ProbeAnswer} from '../placement/index.js';
+import type {Backoff} from '../backoff/index.js';
 import type {LimitRecord} from '../rate_limits/index.js';
 import type {UpstreamInService} from '../registry/index.js';
 
@@ -30,6 +31,8 @@
   readonly told: readonly ProbeAnswer[];
   /** Rate limits that prevented sends; only the first few. */
   readonly limits: readonly LimitRecord[];
+  /** Backoffs that prevented sends; only the first few. */
+  readonly backoffs: readonly Backoff[];
 }
 
 export type Placing = Placed | Refused;
--- a/src/emulator/host_model.ts
+++ b/src/emulator/host_model.ts
@@ -8,6 +8,7 @@
   PlacementPolicy,
   WorkEstimates,
 } from '../decisions/placement/index.js';
+import {Backoffs} from '../decisions/backoff/index.js';
 import {ProbeBudget} from '../decisions/probing/index.js';
 import type {NearHosts} from '../decisions/rate_limits/index.js';
 import {LimitBook, RateLimits} from '../decisions/rate_limits/index.js';
@@ -114,6 +115,7 @@
         clock: loop,
         random,
       }),
+      backoffs: new Backoffs(loop),
       options,
     });
     this.probes = new ProbeBudget(loop, scenario.probes_per_upstream_second);
--- a/src/explain/explain.ts
+++ b/src/explain/explain.ts
@@ -28,6 +28,7 @@
     ...(request.sends.length === 0 ? ['It was sent to no upstream.'] : []),
     ...tellRoom(request),
     ...tellLimits(request),
+    ...tellBackoffs(request),
     ...tellCrashes(request, lines),
     tellTime(request),
     meaning,
@@ -91,6 +92,16 @@
     : [];
 }
 
+/** Backoffs that prevented sends to some upstreams. */
+function tellBackoffs({backoffs = []}: RequestLine): readonly string[] {
+  const all = backoffs.map(
+    ({upstream, leftMs}) => `${upstream} for ${Math.round(leftMs)} ms more`,
+  );
+  return all.length > 0
+    ? [`Upstreams that had turned this host away: ${all.join('; ')}.`]
+    : [];
+}
+
 function tellLoad({load, healthy}: Pick<Send, 'load' | 'healthy'>): string {
   const health = healthy ? 'healthy' : 'unhealthy';
   if (!load) {
--- a/src/explain/types.ts
+++ b/src/explain/types.ts
@@ -32,6 +32,9 @@
   ageMs: z.number(),
 });
 
+/** A backoff that prevented sends to an upstream. */
+const BACKOFF = z.object({upstream: z.string(), leftMs: z.number()});
+
 /** The line that an entry host writes when a request has its final answer. */
 export const REQUEST_LINE = z.object({
   event: z.literal('request'),
@@ -49,6 +52,7 @@
   fingerprint: z.string().optional(),
   told: z.array(TOLD).optional(),
   limits: z.array(LIMIT).optional(),
+  backoffs: z.array(BACKOFF).optional(),
   sends: z.array(SEND).default([]),
   version: z.number().optional(),
   ageMs: z.number().nullish(),
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -2,6 +2,7 @@
 
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {AttemptRecord} from '../decisions/attempts/index.js';
+import type {Backoff} from '../decisions/backoff/index.js';
 import type {ProbeAnswer} from '../decisions/placement/index.js';
 import type {LimitRecord} from '../decisions/rate_limits/index.js';
 import type {Route, ServiceProfile} from '../decisions/routes/index.js';
@@ -57,6 +58,8 @@
   private told: readonly ProbeAnswer[] | undefined;
   /** Rate limits that prevented sends when it was refused. */
   private limits: readonly LimitRecord[] | undefined;
+  /** Backoffs that prevented sends when it was refused. */
+  private backoffs: readonly Backoff[] | undefined;
   /** Called when another upstream is wanted, or nothing more is. */
   private proceed: () => void = () => undefined;
 
@@ -138,7 +141,8 @@
       }
       if (placing.kind === 'refused') {
         this.told = placing.told;
-        this.limits = placing.limits.length > 0 ? placing.limits : undefined;
+        this.limits = undefinedIfEmpty(placing.limits);
+        this.backoffs = undefinedIfEmpty(placing.backoffs);
         this.refuseOrFail(placing.reason, placing.retryAfterMs);
         return;
       }
@@ -405,6 +409,7 @@
       sends: this.sends.map(({entry}) => entry),
       told: this.told,
       limits: this.limits,
+      backoffs: this.backoffs,
       version: state.routes.version,
       ageMs: Math.round(state.ageMs),
     };
@@ -415,3 +420,8 @@
     }
   }
 }
+
+/** Empty lists become undefined, which log lines omit. */
+function undefinedIfEmpty<T>(list: readonly T[]): readonly T[] | undefined {
+  return list.length > 0 ? list : undefined;
+}
--- a/src/gateway/gateway_metrics.ts
+++ b/src/gateway/gateway_metrics.ts
@@ -20,6 +20,8 @@
   readonly looking: number;
   /** Upstreams that currently announce a rate limit. */
   readonly rateLimited: number;
+  /** Upstreams whose backoff has not ended. */
+  readonly backoffs: number;
   /** Requests under which upstreams crashed, and those that are held back. */
   readonly suspects: number;
   /** Data centres that get nothing new. */
@@ -108,7 +110,7 @@
   });
   private readonly host = new Gauge({
     name: 'cyclamenlever_host',
-    help: 'State of this host: ready, reader, version, age_seconds, upstreams, evacuated, hosts, in_flight, looking, rate_limited, suspects, quarantined, ended_lives',
+    help: 'State of this host: ready, reader, version, age_seconds, upstreams, evacuated, hosts, in_flight, looking, rate_limited, backoffs, suspects, quarantined, ended_lives',
     labelNames: ['figure'] as const,
     registers: this.registers,
   });
@@ -187,6 +189,7 @@
       in_flight: figures.inFlight,
       looking: figures.looking,
       rate_limited: figures.rateLimited,
+      backoffs: figures.backoffs,
       suspects: figures.suspects,
       evacuated: figures.evacuated,
       quarantined: figures.quarantined,
--- a/src/gateway/upstream_desk.ts
+++ b/src/gateway/upstream_desk.ts
@@ -1,6 +1,7 @@
 /** Connections to upstreams and what they tell of their load. */
 
 import type {Logger} from 'pino';
+import type {Backoffs} from '../decisions/backoff/index.js';
 import type {DecisionOptions} from '../decisions/options/index.js';
 import type {LoadView, ProbeAnswer} from '../decisions/placement/index.js';
 import {OutcomeBook} from '../decisions/placement/index.js';
@@ -16,6 +17,7 @@
 import type {ProbeResult, UpstreamConnection} from '../upstreams/index.js';
 import {ConnectionPool, probe} from '../upstreams/index.js';
 import type {GatewayMetrics} from './gateway_metrics.js';
+import {RetryAfterReader} from './retry_after.js';
 
 /** An upstream that answers no probe for this time isn't reachable. */
 const PROBE_TIMEOUT_MS: Milliseconds = 500;
@@ -52,6 +54,7 @@
   readonly view: LoadView;
   readonly state: FleetState;
   readonly rateLimits: RateLimitExchange;
+  readonly backoffs: Backoffs;
   readonly clock: Clock;
   readonly logger: Logger;
   readonly metrics: GatewayMetrics;
@@ -59,10 +62,12 @@
 
 export class UpstreamDesk {
   readonly outcomes: OutcomeBook;
+  readonly retryAfter: RetryAfterReader;
   private readonly contacts = new Map<string, Contact>();
 
   constructor(private readonly parts: UpstreamDeskParts) {
     this.outcomes = new OutcomeBook(parts.clock, parts.options);
+    this.retryAfter = new RetryAfterReader(parts);
   }
 
   get view(): LoadView {
@@ -97,6 +102,9 @@
    * the oldest of it is lost. Never so where no load is told.
    */
   async lacks(ticket: SendTicket, service: ServiceProfile): Promise<boolean> {
+    if (!this.parts.backoffs.allows(ticket.upstream.id)) {
+      return false;
+    }
     const contact = this.contactOf(ticket.upstream);
     const before = contact.atWork.size;
     const answer = await this.probe(ticket.upstream, service);
@@ -191,6 +199,7 @@
     );
     if (result.kind === 'told') {
       rateLimits.noteHealth(id, result.headers);
+      this.retryAfter.note(id, result.status, result.headers);
       view.note({id, ...result.told}, askedAt);
       this.contactOf(upstream).pool.release(connection);
     } else {
--- a/src/gateway/upstream_send.ts
+++ b/src/gateway/upstream_send.ts
@@ -67,7 +67,7 @@
       upstream.name,
       parts.timeLeftMs,
       {
-        onHead: headers => this.noteHead(headers),
+        onHead: (status, headers) => this.noteHead(status, headers),
         onSettled: reusable => desk.release(this.ticket, reusable),
       },
     );
@@ -128,10 +128,11 @@
     this.attempt.giveUp(detail);
   }
 
-  private noteHead(headers: IncomingHttpHeaders): void {
+  private noteHead(status: number, headers: IncomingHttpHeaders): void {
     const {context, upstream} = this.parts;
     const {unknownHeaders, desk} = context;
     unknownHeaders.note(upstream.id, headers);
+    desk.retryAfter.note(upstream.id, status, headers);
     desk.rateLimits.noteAnswer(upstream.id, headers, this.startedAt);
   }
 
--- a/src/host/gateway_host.ts
+++ b/src/host/gateway_host.ts
@@ -212,6 +212,7 @@
       inFlight: this.gateway.inFlightCount,
       looking: this.choice.lookingCount,
       rateLimited: this.choice.limitedCount,
+      backoffs: this.choice.backoffCount,
       suspects: this.crashMemory.quarantine.size,
       quarantined: this.crashMemory.quarantine.heldCount,
       endedLives: this.crashMemory.quarantine.endedLives,
--- a/src/host/upstream_choice.ts
+++ b/src/host/upstream_choice.ts
@@ -2,6 +2,7 @@
 
 import type {Logger} from 'pino';
 import type {DatagramPort} from '../datagrams/index.js';
+import {Backoffs} from '../decisions/backoff/index.js';
 import {NEAR_VIEW} from '../decisions/fleet/index.js';
 import {DEFAULT_OPTIONS} from '../decisions/options/index.js';
 import type {HostCounts} from '../decisions/placement/index.js';
@@ -50,6 +51,7 @@
   private readonly gain: SharingGain;
   private readonly exchange: LoadExchange;
   private readonly rateLimits: RateLimitExchange;
+  private readonly backoffs: Backoffs;
   private readonly policy: PlacementPolicy;
   private readonly probes: ProbeBudget;
   private readonly schedulers = new Map<string, Scheduler>();
@@ -63,6 +65,7 @@
     const view = new LoadView(clock, news);
     this.exchange = this.createExchange(view, news);
     this.rateLimits = this.createRateLimits();
+    this.backoffs = new Backoffs(clock);
     this.desk = this.createDesk(view);
     this.probes = new ProbeBudget(clock, settings.probesPerSecond);
     this.policy = this.createPolicy(view);
@@ -80,6 +83,11 @@
     return this.rateLimits.book.limitedCount;
   }
 
+  /** Number of upstreams whose backoff has not ended. */
+  get backoffCount(): number {
+    return this.backoffs.count;
+  }
+
   /** @param address of this host for others */
   start(address: string): void {
     this.address = address;
@@ -126,7 +134,7 @@
   private createDesk(view: LoadView): UpstreamDesk {
     const {clock, logger, metrics, state, lifeCycle} = this.parts;
     const options = DEFAULT_OPTIONS;
-    const {rateLimits} = this;
+    const {rateLimits, backoffs} = this;
     return lifeCycle.own(
       'upstream connections',
       new UpstreamDesk({
@@ -134,6 +142,7 @@
         view,
         state,
         rateLimits,
+        backoffs,
         clock,
         logger,
         metrics,
@@ -203,6 +212,7 @@
         clock,
         random,
       }),
+      backoffs: this.backoffs,
       options: DEFAULT_OPTIONS,
     });
   }
--- a/src/platform/headers.ts
+++ b/src/platform/headers.ts
@@ -110,3 +110,27 @@
     ? {kind: 'valid', perSecond: Number(text)}
     : {kind: 'malformed', text};
 }
+
+/** Retry-After in the headers of a response that refuses a request. */
+export type RetryAfterHeader =
+  | {readonly kind: 'valid'; readonly forMs: Milliseconds}
+  | {readonly kind: 'absent'}
+  | {readonly kind: 'malformed'; readonly text: string};
+
+/** Statuses with which an upstream refuses a request. */
+const REFUSAL_STATUSES: ReadonlySet<number> = new Set([429, 503]);
+const MS_PER_SECOND = 1_000;
+
+/** Accepts only a number of seconds, as the platform doesn't send HTTP dates. */
+export function readRetryAfter(
+  status: number,
+  headers: IncomingHttpHeaders,
+): RetryAfterHeader {
+  const text = headers['retry-after'];
+  if (text === undefined || !REFUSAL_STATUSES.has(status)) {
+    return {kind: 'absent'};
+  }
+  return DECIMAL.test(text)
+    ? {kind: 'valid', forMs: Number(text) * MS_PER_SECOND}
+    : {kind: 'malformed', text};
+}
--- a/src/platform/index.ts
+++ b/src/platform/index.ts
@@ -1,6 +1,6 @@
 export * from './types.js';
 export * from './errors.js';
-export type {RateLimitHeader} from './headers.js';
+export type {RateLimitHeader, RetryAfterHeader} from './headers.js';
 export {
   HEADERS,
   READINESS_PATH,
@@ -8,6 +8,7 @@
   readColdLeft,
   readLoad,
   readRateLimit,
+  readRetryAfter,
   unknownHeaderNames,
 } from './headers.js';
 export {
--- a/src/upstreams/attempt.ts
+++ b/src/upstreams/attempt.ts
@@ -121,7 +121,7 @@
   private collect(answer: IncomingMessage): void {
     const closing = new AnswerEnd(answer, this.request.method);
     if (this.isExpectedAnswer(answer)) {
-      this.observer.onHead(answer.headers);
+      this.observer.onHead(answer.statusCode ?? 0, answer.headers);
     }
     const chunks: Buffer[] = [];
     let held = 0;
--- a/src/upstreams/probe.ts
+++ b/src/upstreams/probe.ts
@@ -13,6 +13,7 @@
   | {
       readonly kind: 'told';
       readonly told: Omit<ProbeAnswer, 'id'>;
+      readonly status: number;
       readonly headers: IncomingHttpHeaders;
     }
   /** Another upstream has the address by now. */
@@ -76,7 +77,7 @@
 }
 
 function judge(answer: IncomingMessage, name: string): ProbeResult {
-  const {headers, statusCode} = answer;
+  const {headers, statusCode: status = 0} = answer;
   if (headers[HEADERS.signature] !== undefined) {
     // A second answer to an earlier request, read in this one's place.
     return {kind: 'failed', detail: 'the answer is to another request'};
@@ -89,9 +90,10 @@
     kind: 'told',
     told: {
       report: readLoad(headers),
-      healthy: statusCode === HEALTHY_STATUS,
+      healthy: status === HEALTHY_STATUS,
       coldMs: readColdLeft(headers),
     },
+    status,
     headers,
   };
 }
--- a/src/upstreams/types.ts
+++ b/src/upstreams/types.ts
@@ -61,7 +61,7 @@
 /** Callbacks for the events of an attempt. */
 export interface AttemptObserver {
   /** Called when the expected upstream's response headers for this request arrive. */
-  readonly onHead: (headers: IncomingHttpHeaders) => void;
+  readonly onHead: (status: number, headers: IncomingHttpHeaders) => void;
   /**
    * Called when the attempt no longer uses its connection.
    *
--- a/tests/explain.test.ts
+++ b/tests/explain.test.ts
@@ -93,3 +93,13 @@
   expect(told).toContain('i-8 takes 1.4 requests a second from all hosts');
   expect(told).toContain('said 812 ms before');
 });
+
+test('a refusal lists the backoffs that prevented sends', () => {
+  const told = explain(
+    'r6',
+    readLines(
+      '{"event":"request","request":"r6","route":"a","service":"s","outcome":"no-room","ms":1,"leftMs":763,"sends":[],"told":[],"backoffs":[{"upstream":"i-8","leftMs":1812.4}],"version":13,"ageMs":400}',
+    ),
+  );
+  expect(told).toContain('turned this host away: i-8 for 1812 ms more');
+});
--- a/tests/placement.test.ts
+++ b/tests/placement.test.ts
@@ -11,6 +11,7 @@
   WorkEstimates,
   estimateCompletion,
 } from '../src/decisions/placement/index.js';
+import {Backoffs} from '../src/decisions/backoff/index.js';
 import {DEFAULT_OPTIONS} from '../src/decisions/options/index.js';
 import type {UpstreamInService} from '../src/decisions/registry/index.js';
 import {ManualClock, seededRandom} from '../src/time/index.js';
@@ -40,6 +41,7 @@
     view,
     cold: noColdLimits(clock),
     rateLimits: noRateLimits(clock),
+    backoffs: new Backoffs(clock),
     options: DEFAULT_OPTIONS,
   });
   work.observe('s', 'r', 200, IDLE);
--- a/tests/request_log.test.ts
+++ b/tests/request_log.test.ts
@@ -55,6 +55,7 @@
     inFlight: 0,
     looking: 0,
     rateLimited: 0,
+    backoffs: 0,
     suspects: 0,
     quarantined: 0,
     endedLives: 0,
--- a/tests/scheduling.test.ts
+++ b/tests/scheduling.test.ts
@@ -1,4 +1,5 @@
 import {beforeEach, expect, test} from 'vitest';
+import {Backoffs} from '../src/decisions/backoff/index.js';
 import {DEFAULT_OPTIONS} from '../src/decisions/options/index.js';
 import type {ProbeAnswer} from '../src/decisions/placement/index.js';
 import {
@@ -51,6 +52,7 @@
     view,
     cold: noColdLimits(clock),
     rateLimits: noRateLimits(clock),
+    backoffs: new Backoffs(clock),
     options: DEFAULT_OPTIONS,
   });
   scheduler = new ServiceScheduler({
--- a/tests/subset.test.ts
+++ b/tests/subset.test.ts
@@ -1,4 +1,5 @@
 import {expect, test} from 'vitest';
+import {Backoffs} from '../src/decisions/backoff/index.js';
 import {DEFAULT_OPTIONS} from '../src/decisions/options/index.js';
 import {
   LoadView,
@@ -99,6 +100,7 @@
     view: new LoadView(clock),
     cold: noColdLimits(clock),
     rateLimits: noRateLimits(clock),
+    backoffs: new Backoffs(clock),
     options: DEFAULT_OPTIONS,
   });
   const near = upstreams(45);
