Stop sending to upstreams that announce in responses that they are leaving

An upstream that is leaving says so in all its responses (Server-Leaving: 1), even while the store is silent or its record still says ready.

A response from the expected upstream, including a probe response, now marks that instance as leaving in the registry. No record returns it to service (the latest 1,024 instances are remembered), and once its record is removed it is gone, even while entries may have lapsed. Hosts exchange announcements by gossip, so that hosts that have just started or seldom send to the upstream also learn of them.

--- a/src/decisions/registry/upstream_registry.ts
+++ b/src/decisions/registry/upstream_registry.ts
@@ -18,6 +18,8 @@
 const LAPSE_GRACE_MS: Milliseconds = 2_500;
 /** Lives that ended are remembered by their ids: some 400 kB at most. */
 const MOST_FORMER_LIVES = 4_096;
+/** Bounds memory; the store usually reports a leaving upstream soon after. */
+const MOST_ANNOUNCED_LEAVING = 1_024;
 /** A report that is read late tells of a later end of being cold than the last. */
 const COLD_JITTER_MS: Milliseconds = 500;
 /** Removed entries are kept, so that an older record can't bring them back. */
@@ -51,6 +53,8 @@
   private byService = new Map<string, readonly UpstreamInService[]>();
   private byId = new Map<string, RegisteredUpstream>();
   private readonly formerLives = new RecentNames(MOST_FORMER_LIVES);
+  /** Ids of instances that announced that they are leaving; overrides their records. */
+  private readonly announcedLeaving = new RecentNames(MOST_ANNOUNCED_LEAVING);
   /** Data centres whose upstreams get nothing new. */
   private excluded: ReadonlySet<string> = new Set();
   private staleUntil: Milliseconds = -Infinity;
@@ -94,6 +98,12 @@
     return true;
   }
 
+  /** Marks an instance as leaving, regardless of what its records say. */
+  noteLeaving(id: string): void {
+    this.announcedLeaving.add(id);
+    this.rebuild();
+  }
+
   /** A life of an upstream, in service or leaving. */
   find(id: string): RegisteredUpstream | undefined {
     return this.byId.get(id);
@@ -272,21 +282,27 @@
     const before = known?.lapsed ?? known?.entry.upstream;
     const mayHaveLapsed = this.clock.now() < this.staleUntil;
     const isRemoved = entry.kind === 'removed';
-    return isRemoved && before && !before.leaving && mayHaveLapsed
+    return isRemoved && before && !this.isLeaving(before) && mayHaveLapsed
       ? before
       : undefined;
   }
 
+  private isLeaving({id, leaving}: RegisteredUpstream): boolean {
+    return leaving || this.announcedLeaving.has(id);
+  }
+
   private rebuild(): void {
     const byService = new Map<string, UpstreamInService[]>();
     const before = this.byId;
     this.byId = new Map();
     for (const {entry, lapsed, learnedAt} of this.known.values()) {
-      const upstream = lapsed ?? entry.upstream;
-      if (upstream) {
-        this.byId.set(upstream.id, upstream);
+      const registered = lapsed ?? entry.upstream;
+      if (!registered) {
+        continue;
       }
-      if (!upstream || !this.isOpen(upstream)) {
+      const upstream = {...registered, leaving: this.isLeaving(registered)};
+      this.byId.set(upstream.id, upstream);
+      if (!this.isOpen(upstream)) {
         continue;
       }
       const list = byService.get(upstream.service) ?? [];
--- a/src/gateway/upstream_desk.ts
+++ b/src/gateway/upstream_desk.ts
@@ -12,6 +12,7 @@
 import type {ServiceProfile} from '../decisions/routes/index.js';
 import type {FleetState} from '../fleet/index.js';
 import {parseAddress} from '../platform/index.js';
+import type {LeavingExchange} from '../leaving/index.js';
 import type {RateLimitExchange} from '../rate_limits/index.js';
 import type {Clock, Milliseconds} from '../time/index.js';
 import type {ProbeResult, UpstreamConnection} from '../upstreams/index.js';
@@ -55,6 +56,7 @@
   readonly state: FleetState;
   readonly rateLimits: RateLimitExchange;
   readonly backoffs: Backoffs;
+  readonly leaving: LeavingExchange;
   readonly clock: Clock;
   readonly logger: Logger;
   readonly metrics: GatewayMetrics;
@@ -74,6 +76,10 @@
     return this.parts.view;
   }
 
+  get leaving(): LeavingExchange {
+    return this.parts.leaving;
+  }
+
   get rateLimits(): RateLimitExchange {
     return this.parts.rateLimits;
   }
@@ -199,6 +205,7 @@
     );
     if (result.kind === 'told') {
       rateLimits.noteHealth(id, result.headers);
+      this.leaving.note(id, result.headers);
       this.retryAfter.note(id, result.status, result.headers);
       view.note({id, ...result.told}, askedAt);
       this.contactOf(upstream).pool.release(connection);
--- a/src/gateway/upstream_send.ts
+++ b/src/gateway/upstream_send.ts
@@ -132,6 +132,7 @@
     const {context, upstream} = this.parts;
     const {unknownHeaders, desk} = context;
     unknownHeaders.note(upstream.id, headers);
+    desk.leaving.note(upstream.id, headers);
     desk.retryAfter.note(upstream.id, status, headers);
     desk.rateLimits.noteAnswer(upstream.id, headers, this.startedAt);
   }
--- a/src/host/upstream_choice.ts
+++ b/src/host/upstream_choice.ts
@@ -20,6 +20,7 @@
 import type {FleetState} from '../fleet/index.js';
 import type {GatewayMetrics} from '../gateway/index.js';
 import {Scheduler, UpstreamDesk} from '../gateway/index.js';
+import {LeavingExchange} from '../leaving/index.js';
 import type {LifeCycle} from '../lifecycle/index.js';
 import type {HostSettings} from '../platform/index.js';
 import {RateLimitExchange} from '../rate_limits/index.js';
@@ -52,6 +53,7 @@
   private readonly exchange: LoadExchange;
   private readonly rateLimits: RateLimitExchange;
   private readonly backoffs: Backoffs;
+  private readonly leaving: LeavingExchange;
   private readonly policy: PlacementPolicy;
   private readonly probes: ProbeBudget;
   private readonly schedulers = new Map<string, Scheduler>();
@@ -66,6 +68,7 @@
     this.exchange = this.createExchange(view, news);
     this.rateLimits = this.createRateLimits();
     this.backoffs = new Backoffs(clock);
+    this.leaving = this.createLeaving();
     this.desk = this.createDesk(view);
     this.probes = new ProbeBudget(clock, settings.probesPerSecond);
     this.policy = this.createPolicy(view);
@@ -92,6 +95,7 @@
   start(address: string): void {
     this.address = address;
     this.rateLimits.start();
+    this.leaving.start();
     if (DEFAULT_OPTIONS.sharesView) {
       this.exchange.start(address);
     }
@@ -128,13 +132,14 @@
   prune(): void {
     const {registry} = this.parts.state;
     this.desk.prune();
+    this.leaving.prune();
     this.policy.prune(id => registry.find(id) !== undefined);
   }
 
   private createDesk(view: LoadView): UpstreamDesk {
     const {clock, logger, metrics, state, lifeCycle} = this.parts;
     const options = DEFAULT_OPTIONS;
-    const {rateLimits, backoffs} = this;
+    const {rateLimits, backoffs, leaving} = this;
     return lifeCycle.own(
       'upstream connections',
       new UpstreamDesk({
@@ -143,6 +148,7 @@
         state,
         rateLimits,
         backoffs,
+        leaving,
         clock,
         logger,
         metrics,
@@ -187,6 +193,24 @@
     );
   }
 
+  private createLeaving(): LeavingExchange {
+    const {datagrams, peers, state, lifeCycle, clock, random, logger, metrics} =
+      this.parts;
+    return lifeCycle.own(
+      'leaving upstreams',
+      new LeavingExchange({
+        datagrams,
+        peers,
+        onLeaving: upstream => state.registry.noteLeaving(upstream),
+        onMalformed: () => metrics.countMalformedHeader('leaving'),
+        clock,
+        random,
+        logger,
+      }),
+      one => one.close(),
+    );
+  }
+
   private createPolicy(view: LoadView): PlacementPolicy {
     const {settings, clock, random, state} = this.parts;
     const cold = new ColdLimits({
--- a/src/platform/headers.ts
+++ b/src/platform/headers.ts
@@ -22,6 +22,8 @@
   coldLeft: 'cyclamenlever-warmup-ms',
   /** Requests per second that the upstream accepts from all hosts together. */
   rateLimit: 'server-limit',
+  /** 1 in all responses of an upstream that is leaving. */
+  leaving: 'server-leaving',
 } as const;
 
 export const READINESS_PATH = '/api/readiness';
@@ -134,3 +136,16 @@
     ? {kind: 'valid', forMs: Number(text) * MS_PER_SECOND}
     : {kind: 'malformed', text};
 }
+
+/** Whether a response announces that its upstream is leaving. */
+export type LeavingHeader = 'leaving' | 'absent' | 'malformed';
+
+const LEAVING_VALUE = '1';
+
+export function readLeaving(headers: IncomingHttpHeaders): LeavingHeader {
+  const header = headers[HEADERS.leaving];
+  if (header === undefined) {
+    return 'absent';
+  }
+  return header === LEAVING_VALUE ? 'leaving' : 'malformed';
+}
--- a/src/platform/index.ts
+++ b/src/platform/index.ts
@@ -1,11 +1,16 @@
 export * from './types.js';
 export * from './errors.js';
-export type {RateLimitHeader, RetryAfterHeader} from './headers.js';
+export type {
+  LeavingHeader,
+  RateLimitHeader,
+  RetryAfterHeader,
+} from './headers.js';
 export {
   HEADERS,
   READINESS_PATH,
   WRONG_UPSTREAM_STATUS,
   readColdLeft,
+  readLeaving,
   readLoad,
   readRateLimit,
   readRetryAfter,
--- a/src/standins/reporting_upstream.ts
+++ b/src/standins/reporting_upstream.ts
@@ -86,6 +86,8 @@
   countsRuns = false;
   /** Value of the rate limit header in responses to requests, not to probes. */
   rateLimit: string | undefined;
+  /** Whether responses announce that it is leaving, regardless of its record. */
+  announcesLeaving = false;
   /** Value of the Retry-After header in refusals; omitted if undefined. */
   retryAfter: string | undefined;
   /** Called for each request that arrives, whatever its outcome. */
@@ -333,6 +335,7 @@
       ...(this.rateLimit === undefined || run.target === '/health'
         ? []
         : [`Server-Limit: ${this.rateLimit}`]),
+      ...(this.announcesLeaving ? ['Server-Leaving: 1'] : []),
       'Keep-Alive: timeout=10',
       `Content-Length: ${body.length}`,
       ...more,
