Combine send limits in Admission; move common header names to src/http

Admission now answers for all three, and a refusal carries its rate limits and backoffs as one value. The names of common HTTP headers aren't specific to the platform, so they move from src/platform to src/http. No behaviour changes.

--- a/src/decisions/placement/index.ts
+++ b/src/decisions/placement/index.ts
@@ -1,3 +1,5 @@
+export type {AdmissionParts, SendBlockers} from './admission.js';
+export {Admission} from './admission.js';
 export * from './types.js';
 export {estimateCompletion} from './estimate.js';
 export {LoadView} from './load_view.js';
--- a/src/decisions/placement/placement_policy.ts
+++ b/src/decisions/placement/placement_policy.ts
@@ -7,12 +7,11 @@
  * a connection that is kept open.
  */
 
-import type {Backoff, Backoffs} from '../backoff/index.js';
 import type {DecisionOptions} from '../options/index.js';
-import type {LimitRecord, RateLimits} from '../rate_limits/index.js';
 import type {UpstreamInService} from '../registry/index.js';
 import type {Clock, Milliseconds, Random} from '../../time/index.js';
 import type {ColdLimits} from '../warmup/index.js';
+import type {Admission, SendBlockers} from './admission.js';
 import {estimateCompletion, hasSlot} from './estimate.js';
 import type {LoadView} from './load_view.js';
 import type {OutcomeBook} from './outcome_book.js';
@@ -72,8 +71,7 @@
   readonly work: WorkEstimates;
   readonly view: LoadView;
   readonly cold: ColdLimits;
-  readonly rateLimits: RateLimits;
-  readonly backoffs: Backoffs;
+  readonly admission: Admission;
   readonly options: DecisionOptions;
 }
 
@@ -144,12 +142,12 @@
     asked: ReadonlySet<string>,
     isLast: boolean,
   ): readonly UpstreamInService[] {
-    const {dataCentre, hosts} = this.surroundings;
+    const {dataCentre, hosts, admission} = this.surroundings;
     const open = upstreams.filter(
       one =>
         !asked.has(one.id) &&
         !request.tried.has(one.id) &&
-        this.allowsSend(one, request),
+        admission.allows(one, request),
     );
     const near = open.filter(one => one.dataCentre === dataCentre);
     const far = open.filter(one => one.dataCentre !== dataCentre);
@@ -197,43 +195,29 @@
 
   /** A request is sent where this policy chose. */
   noteSend(upstream: UpstreamInService): void {
-    this.surroundings.cold.noteSend(upstream);
-    this.surroundings.rateLimits.noteSend(upstream);
-    this.surroundings.backoffs.noteSend(upstream.id);
+    this.surroundings.admission.noteSend(upstream);
     this.surroundings.view.noteSend(upstream.id);
   }
 
   /** Time until rate limits and backoffs allow a request to one of these upstreams. */
   waitMs(
     upstreams: readonly UpstreamInService[],
-    {tried}: PlacementRequest,
+    request: PlacementRequest,
   ): Milliseconds {
-    const {rateLimits, backoffs} = this.surroundings;
-    return upstreams
-      .filter(({id}) => !tried.has(id))
-      .map(one => Math.max(rateLimits.waitMs(one), backoffs.waitMs(one.id)))
-      .reduce((least, waitMs) => Math.min(least, waitMs), Infinity);
-  }
-
-  /** Rate limits due to which this host can't send to some of these upstreams now. */
-  blockingLimits(
-    upstreams: readonly UpstreamInService[],
-  ): readonly LimitRecord[] {
-    return this.surroundings.rateLimits.blockingLimits(upstreams);
+    return this.surroundings.admission.waitMs(upstreams, request);
   }
 
-  /** Backoffs due to which this host can't send to some of these upstreams now. */
-  blockingBackoffs(
+  /** @param maxPerKind maximum number of rate limits, and of backoffs */
+  blockers(
     upstreams: readonly UpstreamInService[],
-  ): readonly Backoff[] {
-    return this.surroundings.backoffs.blocking(upstreams.map(({id}) => id));
+    maxPerKind: number,
+  ): SendBlockers {
+    return this.surroundings.admission.blockers(upstreams, maxPerKind);
   }
 
   /** Drops what belongs to upstreams that are no longer in service. */
   prune(isInService: (id: string) => boolean): void {
-    this.surroundings.cold.prune();
-    this.surroundings.rateLimits.prune(isInService);
-    this.surroundings.backoffs.prune(isInService);
+    this.surroundings.admission.prune(isInService);
     this.subset.prune(isInService);
   }
 
@@ -276,7 +260,7 @@
     request: PlacementRequest,
     answers: readonly ProbeAnswer[],
   ): readonly Rated[] {
-    const {dataCentre, options} = this.surroundings;
+    const {dataCentre, options, admission} = this.surroundings;
     const byId = new Map(upstreams.map(one => [one.id, one]));
     // Where none is near, the far ones are as good as any.
     const prefersNear =
@@ -284,7 +268,7 @@
       upstreams.some(one => one.dataCentre === dataCentre);
     return answers.flatMap(answer => {
       const upstream = byId.get(answer.id);
-      if (!upstream || !this.allowsSend(upstream, request)) {
+      if (!upstream || !admission.allows(upstream, request)) {
         return [];
       }
       const isNear = upstream.dataCentre === dataCentre || !prefersNear;
@@ -322,19 +306,6 @@
     };
   }
 
-  private allowsSend(
-    upstream: UpstreamInService,
-    {tried}: PlacementRequest,
-  ): boolean {
-    const {cold, rateLimits, backoffs} = this.surroundings;
-    return (
-      backoffs.allows(upstream.id) &&
-      (tried.size === 0 || !backoffs.needsTrial(upstream.id)) &&
-      cold.allows(upstream) &&
-      rateLimits.allows(upstream)
-    );
-  }
-
   private noteHealth(service: string, answers: readonly ProbeAnswer[]): void {
     const share = answers.reduce(
       (before, {healthy}) =>
--- a/src/decisions/scheduling/service_scheduler.ts
+++ b/src/decisions/scheduling/service_scheduler.ts
@@ -266,18 +266,12 @@
         : this.soonestRetryMs(request, upstreams),
       random,
     );
-    const limits = policy
-      .blockingLimits(upstreams)
-      .slice(0, MAX_REPORTED_UPSTREAMS);
     const placing: Refused = {
       kind: 'refused',
       reason,
       retryAfterMs,
       told,
-      limits,
-      backoffs: policy
-        .blockingBackoffs(upstreams)
-        .slice(0, MAX_REPORTED_UPSTREAMS),
+      blockers: policy.blockers(upstreams, MAX_REPORTED_UPSTREAMS),
     };
     this.actions.push({kind: 'settle', id: request.id, placing});
   }
--- a/src/decisions/scheduling/types.ts
+++ b/src/decisions/scheduling/types.ts
@@ -1,7 +1,9 @@
 import type {Milliseconds} from '../../time/index.js';
-import type {PlacementRequest, ProbeAnswer} from '../placement/index.js';
-import type {Backoff} from '../backoff/index.js';
-import type {LimitRecord} from '../rate_limits/index.js';
+import type {
+  PlacementRequest,
+  ProbeAnswer,
+  SendBlockers,
+} from '../placement/index.js';
 import type {UpstreamInService} from '../registry/index.js';
 
 /** A request of this host that wants an upstream. */
@@ -29,10 +31,8 @@
   readonly retryAfterMs: Milliseconds;
   /** What upstreams told, or what was known of them. */
   readonly told: readonly ProbeAnswer[];
-  /** Rate limits that prevented sends; only the first few. */
-  readonly limits: readonly LimitRecord[];
-  /** Backoffs that prevented sends; only the first few. */
-  readonly backoffs: readonly Backoff[];
+  /** Rate limits and backoffs that prevented sends; only the first few of each. */
+  readonly blockers: SendBlockers;
 }
 
 export type Placing = Placed | Refused;
--- a/src/emulator/host_model.ts
+++ b/src/emulator/host_model.ts
@@ -3,6 +3,7 @@
 import type {AttemptEnd} from '../decisions/attempts/index.js';
 import {AttemptRecord} from '../decisions/attempts/index.js';
 import {
+  Admission,
   LoadView,
   OutcomeBook,
   PlacementPolicy,
@@ -88,6 +89,21 @@
     this.gain = new SharingGain(loop, options.sharesByGain);
     this.gossip = new LoadGossip(loop, news, this.gain);
     this.view = new LoadView(loop, news);
+    // Emulated upstreams have no cold limits.
+    const cold = new ColdLimits({
+      clock: loop,
+      random,
+      hosts: () => fleet.hostCount,
+      boundOf: () => undefined,
+    });
+    // Emulated upstreams announce no rate limits.
+    const rateLimits = new RateLimits({
+      book: new LimitBook(loop),
+      dataCentre: String(dataCentre),
+      nearHosts: () => SINGLE_HOST,
+      clock: loop,
+      random,
+    });
     this.policy = new PlacementPolicy({
       host: address,
       hosts: () => ({
@@ -100,22 +116,12 @@
       outcomes: this.outcomes,
       work: this.work,
       view: this.view,
-      // Emulated upstreams bear anything while they are cold.
-      cold: new ColdLimits({
-        clock: loop,
-        random,
-        hosts: () => fleet.hostCount,
-        boundOf: () => undefined,
-      }),
-      // Emulated upstreams announce no rate limits.
-      rateLimits: new RateLimits({
-        book: new LimitBook(loop),
-        dataCentre: String(dataCentre),
-        nearHosts: () => SINGLE_HOST,
-        clock: loop,
-        random,
+      cold,
+      admission: new Admission({
+        cold,
+        rateLimits,
+        backoffs: new Backoffs(loop),
       }),
-      backoffs: new Backoffs(loop),
       options,
     });
     this.probes = new ProbeBudget(loop, scenario.probes_per_upstream_second);
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -2,11 +2,8 @@
 
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {AttemptRecord} from '../decisions/attempts/index.js';
-import type {Backoff} from '../decisions/backoff/index.js';
-import type {ProbeAnswer} from '../decisions/placement/index.js';
-import type {LimitRecord} from '../decisions/rate_limits/index.js';
 import type {Route, ServiceProfile} from '../decisions/routes/index.js';
-import type {Placed} from '../decisions/scheduling/index.js';
+import type {Placed, Refused} from '../decisions/scheduling/index.js';
 import type {ProblemReason, RequestBody} from '../http/index.js';
 import {BodyTooLargeError, sendProblem} from '../http/index.js';
 import {HEADERS} from '../platform/index.js';
@@ -54,12 +51,8 @@
   private done = false;
   /** An upstream's own error, delivered if nothing better comes. */
   private failure: WholeAnswer | undefined;
-  /** What upstreams told when none of them had room. */
-  private told: readonly ProbeAnswer[] | undefined;
-  /** Rate limits that prevented sends when it was refused. */
-  private limits: readonly LimitRecord[] | undefined;
-  /** Backoffs that prevented sends when it was refused. */
-  private backoffs: readonly Backoff[] | undefined;
+  /** Set when the scheduler refuses the request. */
+  private refusal: Refused | undefined;
   /** Called when another upstream is wanted, or nothing more is. */
   private proceed: () => void = () => undefined;
 
@@ -140,9 +133,7 @@
         return;
       }
       if (placing.kind === 'refused') {
-        this.told = placing.told;
-        this.limits = undefinedIfEmpty(placing.limits);
-        this.backoffs = undefinedIfEmpty(placing.backoffs);
+        this.refusal = placing;
         this.refuseOrFail(placing.reason, placing.retryAfterMs);
         return;
       }
@@ -407,9 +398,9 @@
       targetMs: this.route.targetMs,
       fingerprint: this.guard?.fingerprint,
       sends: this.sends.map(({entry}) => entry),
-      told: this.told,
-      limits: this.limits,
-      backoffs: this.backoffs,
+      told: this.refusal?.told,
+      limits: undefinedIfEmpty(this.refusal?.blockers.limits),
+      backoffs: undefinedIfEmpty(this.refusal?.blockers.backoffs),
       version: state.routes.version,
       ageMs: Math.round(state.ageMs),
     };
@@ -422,6 +413,8 @@
 }
 
 /** Empty lists become undefined, which log lines omit. */
-function undefinedIfEmpty<T>(list: readonly T[]): readonly T[] | undefined {
+function undefinedIfEmpty<T>(
+  list: readonly T[] = [],
+): readonly T[] | undefined {
   return list.length > 0 ? list : undefined;
 }
--- a/src/gateway/unknown_headers.ts
+++ b/src/gateway/unknown_headers.ts
@@ -5,7 +5,8 @@
 
 import type {IncomingHttpHeaders} from 'node:http';
 import type {Logger} from 'pino';
-import {unknownHeaderNames} from '../platform/index.js';
+import {COMMON_RESPONSE_HEADERS} from '../http/index.js';
+import {PLATFORM_HEADERS} from '../platform/index.js';
 
 /** Bounds log volume and memory when an upstream sends many distinct names. */
 const MAX_LOGGED_NAMES = 32;
@@ -17,7 +18,7 @@
   constructor(private readonly logger: Logger) {}
 
   note(upstream: string, headers: IncomingHttpHeaders): void {
-    for (const name of unknownHeaderNames(headers)) {
+    for (const name of Object.keys(headers).filter(isUnknown)) {
       if (
         this.loggedNames.has(name) ||
         this.loggedNames.size >= MAX_LOGGED_NAMES
@@ -37,3 +38,7 @@
     }
   }
 }
+
+function isUnknown(name: string): boolean {
+  return !COMMON_RESPONSE_HEADERS.has(name) && !PLATFORM_HEADERS.has(name);
+}
--- a/src/host/upstream_choice.ts
+++ b/src/host/upstream_choice.ts
@@ -7,6 +7,7 @@
 import {DEFAULT_OPTIONS} from '../decisions/options/index.js';
 import type {HostCounts} from '../decisions/placement/index.js';
 import {
+  Admission,
   LoadView,
   PlacementPolicy,
   WorkEstimates,
@@ -219,6 +220,13 @@
       hosts: () => state.size.settled,
       boundOf: service => this.coldBound(service),
     });
+    const rateLimits = new RateLimits({
+      book: this.rateLimits.book,
+      dataCentre: settings.dataCentre,
+      nearHosts: () => this.nearHosts(),
+      clock,
+      random,
+    });
     return new PlacementPolicy({
       host: settings.host,
       hosts: () => this.hostCounts(),
@@ -229,14 +237,7 @@
       work: this.work,
       view,
       cold,
-      rateLimits: new RateLimits({
-        book: this.rateLimits.book,
-        dataCentre: settings.dataCentre,
-        nearHosts: () => this.nearHosts(),
-        clock,
-        random,
-      }),
-      backoffs: this.backoffs,
+      admission: new Admission({cold, rateLimits, backoffs: this.backoffs}),
       options: DEFAULT_OPTIONS,
     });
   }
--- a/src/http/index.ts
+++ b/src/http/index.ts
@@ -1,3 +1,4 @@
+export {COMMON_RESPONSE_HEADERS} from './common_headers.js';
 export * from './constants.js';
 export type {FramingFault} from './framing.js';
 export {findFramingFault} from './framing.js';
--- a/src/platform/headers.ts
+++ b/src/platform/headers.ts
@@ -32,40 +32,10 @@
 
 const USUAL_SPEED = 100;
 
-/** Standard HTTP headers that are common in responses. */
-const COMMON_HEADERS: ReadonlySet<string> = new Set([
-  'accept-ranges',
-  'age',
-  'allow',
-  'cache-control',
-  'connection',
-  'content-encoding',
-  'content-language',
-  'content-length',
-  'content-type',
-  'date',
-  'etag',
-  'expires',
-  'keep-alive',
-  'last-modified',
-  'location',
-  'retry-after',
-  'server',
-  'set-cookie',
-  'trailer',
-  'transfer-encoding',
-  'vary',
-]);
-const PLATFORM_HEADERS: ReadonlySet<string> = new Set(Object.values(HEADERS));
-
-/** Names of headers that are neither common HTTP headers nor platform headers. */
-export function unknownHeaderNames(
-  headers: IncomingHttpHeaders,
-): readonly string[] {
-  return Object.keys(headers).filter(
-    name => !COMMON_HEADERS.has(name) && !PLATFORM_HEADERS.has(name),
-  );
-}
+/** Names of headers that the platform defines. */
+export const PLATFORM_HEADERS: ReadonlySet<string> = new Set(
+  Object.values(HEADERS),
+);
 
 /** How much longer an upstream is cold; 0 when the header is missing or malformed. */
 export function readColdLeft(headers: IncomingHttpHeaders): Milliseconds {
--- a/src/platform/index.ts
+++ b/src/platform/index.ts
@@ -7,6 +7,7 @@
 } from './headers.js';
 export {
   HEADERS,
+  PLATFORM_HEADERS,
   READINESS_PATH,
   WRONG_UPSTREAM_STATUS,
   readColdLeft,
@@ -14,7 +15,6 @@
   readLoad,
   readRateLimit,
   readRetryAfter,
-  unknownHeaderNames,
 } from './headers.js';
 export {
   CONFIGURATION_KEY,
--- a/tests/placement.test.ts
+++ b/tests/placement.test.ts
@@ -11,11 +11,14 @@
   WorkEstimates,
   estimateCompletion,
 } from '../src/decisions/placement/index.js';
-import {Backoffs} from '../src/decisions/backoff/index.js';
 import {DEFAULT_OPTIONS} from '../src/decisions/options/index.js';
 import type {UpstreamInService} from '../src/decisions/registry/index.js';
 import {ManualClock, seededRandom} from '../src/time/index.js';
-import {inService, noColdLimits, noRateLimits} from './support/upstreams.js';
+import {
+  inService,
+  noColdLimits,
+  coldLimitAdmission,
+} from './support/upstreams.js';
 
 const IDLE: LoadReport = {running: 0, waiting: 0, slots: 6, slowness: 1};
 
@@ -30,6 +33,7 @@
   outcomes = new OutcomeBook(clock, DEFAULT_OPTIONS);
   work = new WorkEstimates();
   view = new LoadView(clock);
+  const cold = noColdLimits(clock);
   policy = new PlacementPolicy({
     host: 'entry-1',
     hosts: () => ({all: 312, near: 52}),
@@ -39,9 +43,8 @@
     outcomes,
     work,
     view,
-    cold: noColdLimits(clock),
-    rateLimits: noRateLimits(clock),
-    backoffs: new Backoffs(clock),
+    cold,
+    admission: coldLimitAdmission(clock, cold),
     options: DEFAULT_OPTIONS,
   });
   work.observe('s', 'r', 200, IDLE);
--- a/tests/scheduling.test.ts
+++ b/tests/scheduling.test.ts
@@ -1,5 +1,4 @@
 import {beforeEach, expect, test} from 'vitest';
-import {Backoffs} from '../src/decisions/backoff/index.js';
 import {DEFAULT_OPTIONS} from '../src/decisions/options/index.js';
 import type {ProbeAnswer} from '../src/decisions/placement/index.js';
 import {
@@ -18,7 +17,11 @@
 import {ServiceScheduler} from '../src/decisions/scheduling/index.js';
 import {SharingGain} from '../src/decisions/sharing/index.js';
 import {ManualClock, seededRandom} from '../src/time/index.js';
-import {inService, noColdLimits, noRateLimits} from './support/upstreams.js';
+import {
+  inService,
+  noColdLimits,
+  coldLimitAdmission,
+} from './support/upstreams.js';
 
 const REGIONS = new Map([
   ['east', 'here'],
@@ -41,6 +44,7 @@
   const random = seededRandom(3);
   const work = new WorkEstimates();
   work.observe('s', 'r', 100, undefined);
+  const cold = noColdLimits(clock);
   const policy = new PlacementPolicy({
     host: 'entry-1',
     hosts: () => ({all: 312, near: 52}),
@@ -50,9 +54,8 @@
     outcomes: new OutcomeBook(clock, DEFAULT_OPTIONS),
     work,
     view,
-    cold: noColdLimits(clock),
-    rateLimits: noRateLimits(clock),
-    backoffs: new Backoffs(clock),
+    cold,
+    admission: coldLimitAdmission(clock, cold),
     options: DEFAULT_OPTIONS,
   });
   scheduler = new ServiceScheduler({
--- a/tests/subset.test.ts
+++ b/tests/subset.test.ts
@@ -1,5 +1,4 @@
 import {expect, test} from 'vitest';
-import {Backoffs} from '../src/decisions/backoff/index.js';
 import {DEFAULT_OPTIONS} from '../src/decisions/options/index.js';
 import {
   LoadView,
@@ -10,7 +9,11 @@
 } from '../src/decisions/placement/index.js';
 import type {UpstreamInService} from '../src/decisions/registry/index.js';
 import {ManualClock, seededRandom} from '../src/time/index.js';
-import {inService, noColdLimits, noRateLimits} from './support/upstreams.js';
+import {
+  inService,
+  noColdLimits,
+  coldLimitAdmission,
+} from './support/upstreams.js';
 
 const SIZE = 10;
 
@@ -89,6 +92,7 @@
 test('beyond the subset any are asked, and elsewhere a subset again', () => {
   // All of a host's subset are slow or full. Others nearby have room.
   const clock = new ManualClock();
+  const cold = noColdLimits(clock);
   const policy = new PlacementPolicy({
     host: 'entry-1',
     hosts: () => ({all: 312, near: 52}),
@@ -98,9 +102,8 @@
     outcomes: new OutcomeBook(clock, DEFAULT_OPTIONS),
     work: new WorkEstimates(),
     view: new LoadView(clock),
-    cold: noColdLimits(clock),
-    rateLimits: noRateLimits(clock),
-    backoffs: new Backoffs(clock),
+    cold,
+    admission: coldLimitAdmission(clock, cold),
     options: DEFAULT_OPTIONS,
   });
   const near = upstreams(45);
--- a/tests/support/upstreams.ts
+++ b/tests/support/upstreams.ts
@@ -2,6 +2,8 @@
 
 import type {Clock} from '../../src/time/index.js';
 import {seededRandom} from '../../src/time/index.js';
+import {Backoffs} from '../../src/decisions/backoff/index.js';
+import {Admission} from '../../src/decisions/placement/index.js';
 import {LimitBook, RateLimits} from '../../src/decisions/rate_limits/index.js';
 import {ColdLimits} from '../../src/decisions/warmup/index.js';
 import type {
@@ -52,9 +54,9 @@
   });
 }
 
-/** Of a single host whose upstreams announce no rate limit. */
-export function noRateLimits(clock: Clock): RateLimits {
-  return new RateLimits({
+/** Admission of a single host without rate limits; `cold` is its only configured limit. */
+export function coldLimitAdmission(clock: Clock, cold: ColdLimits): Admission {
+  const rateLimits = new RateLimits({
     book: new LimitBook(clock),
     dataCentre: 'east',
     nearHosts: () => ({
@@ -67,4 +69,5 @@
     clock,
     random: seededRandom(1),
   });
+  return new Admission({cold, rateLimits, backoffs: new Backoffs(clock)});
 }
