Soak: upstreams announce rate limits, refuse with Retry-After and announce leaving

Announcements use their own random sequence, separate from faults and drills, so existing seeds replay unchanged. The checks use what upstreams observe: runs in any 4 s under a rate limit, once hosts have had contact time to learn of it; arrivals from a host during the time for which it was refused; and runs after leaving was announced. Runs are not counted if their host was disturbed, or while there was trouble with upstreams or links to them.

--- a/src/soak/checks.ts
+++ b/src/soak/checks.ts
@@ -25,6 +25,15 @@
 /** Sends of it that may be on their way then. */
 const MOST_LATE_RUNS = 3;
 
+/** An upstream may receive up to 1.5 times its rate limit plus 5 requests in any 4 s. */
+const LIMIT_OVERAGE = 1.5;
+const LIMIT_SLACK = 5;
+const LIMIT_WINDOW_S = 4;
+
+/** Requests in flight when a refusal is sent may arrive within this time. */
+const TRANSIT_MS: Milliseconds = 500;
+const MAX_ARRIVALS_IN_BACKOFF = 2;
+
 type Check = (history: History) => readonly Finding[];
 
 /** Each check reads the whole history once the run is over. */
@@ -36,6 +45,9 @@
   findRunsAfterLeaving,
   findRunsInEvacuated,
   findOverwhelmed,
+  findRateLimitViolations,
+  findArrivalsInBackoff,
+  findRunsAfterAnnouncedLeaving,
   findCutRequests,
   findHarmfulRuns,
 ];
@@ -126,6 +138,74 @@
   }));
 }
 
+/** Counts only runs undisturbed since shortly before the limit was announced. */
+function findRateLimitViolations(history: History): readonly Finding[] {
+  return history.rateLimits.flatMap(({upstream, perSecond, from, to}) => {
+    const times = history.runs
+      .filter(run => run.upstream === upstream && run.at <= to)
+      .filter(({at}) => at > from + CONTACT_MS + SLACK_MS)
+      .filter(run => isUndisturbed(history, run, from - REST_MS))
+      .map(({at}) => at);
+    const peak = Math.max(0, ...times.map(at => countInWindow(times, at)));
+    const allowed =
+      Math.floor(LIMIT_OVERAGE * perSecond * LIMIT_WINDOW_S) + LIMIT_SLACK;
+    const detail = `${upstream} announced a limit of ${perSecond} a second and ran ${peak} requests in ${LIMIT_WINDOW_S} s`;
+    return peak > allowed ? [{promise: 'rate limit', detail}] : [];
+  });
+}
+
+function countInWindow(
+  times: readonly Milliseconds[],
+  from: Milliseconds,
+): number {
+  const to = from + LIMIT_WINDOW_S * 1_000;
+  return times.filter(at => at >= from && at < to).length;
+}
+
+/** Ignores requests that were in flight when the refusal was sent. */
+function findArrivalsInBackoff(history: History): readonly Finding[] {
+  return history.refusals.flatMap(({id, upstream, at, until}) => {
+    const host = history.sent.get(id)?.host;
+    const arrivals = history.refusals.filter(
+      other =>
+        other.upstream === upstream &&
+        history.sent.get(other.id)?.host === host &&
+        other.at > at + TRANSIT_MS &&
+        other.at < until &&
+        isUndisturbed(history, other, at - REST_MS),
+    );
+    const detail = `${upstream} refused host ${host} and received ${arrivals.length} requests from it before Retry-After elapsed`;
+    return arrivals.length > MAX_ARRIVALS_IN_BACKOFF
+      ? [{promise: 'backoff', detail}]
+      : [];
+  });
+}
+
+function findRunsAfterAnnouncedLeaving(history: History): readonly Finding[] {
+  return history.runs.flatMap(run => {
+    const announcedAt =
+      history.leavingAnnouncedAt.get(run.upstream) ?? Infinity;
+    const lateBy = run.at - announcedAt - DRAIN_MS - SLACK_MS;
+    return lateBy > 0 && isUndisturbed(history, run, announcedAt - REST_MS)
+      ? [{promise: 'announced leaving', detail: describe(run)}]
+      : [];
+  });
+}
+
+/** Whether no fault affected the request's host, any upstream or its link since then. */
+function isUndisturbed(
+  history: History,
+  {id, at}: Pick<ObservedRun, 'id' | 'at'>,
+  since: Milliseconds,
+): boolean {
+  const host = history.sent.get(id)?.host ?? 0;
+  const span = {from: since, to: at};
+  return (
+    !overlaps(span, history.hostTroubles.get(host) ?? []) &&
+    !overlaps(span, history.upstreamTroubles)
+  );
+}
+
 /** A planned stop cuts nothing off that had reached an upstream. */
 function findCutRequests(history: History): readonly Finding[] {
   return pairs(history).flatMap(([request, end]) => {
--- a/src/soak/constants.ts
+++ b/src/soak/constants.ts
@@ -18,3 +18,5 @@
 export const HARMFUL_TARGET = '/lookup/harmful';
 /** Time in which all hosts act on what some have learnt. */
 export const CONTACT_MS: Milliseconds = 3_000;
+/** An upstream that leaves serves on for so long after it has said so. */
+export const LEAVING_MS: Milliseconds = 4_000;
--- a/src/soak/faults.ts
+++ b/src/soak/faults.ts
@@ -3,14 +3,12 @@
 import type {ReportingFault, StoreFault} from '../standins/index.js';
 import type {Milliseconds} from '../time/index.js';
 import {sleep} from '../time/index.js';
-import {REST_MS} from './constants.js';
+import {LEAVING_MS, REST_MS} from './constants.js';
 import type {LinkFault} from './fault_proxy.js';
 import {GRACE_MS, type HostProcess} from './host_process.js';
 import type {Span} from './types.js';
 import type {SoakUpstream, World} from './world.js';
 
-/** An upstream that leaves serves on for so long after it has said so. */
-const LEAVING_MS: Milliseconds = 4_000;
 const LAG_MS: Milliseconds = 100;
 
 const LINK_FAULTS: readonly LinkFault[] = [
--- a/src/soak/history.ts
+++ b/src/soak/history.ts
@@ -1,7 +1,14 @@
 /** What callers sent and got, and what upstreams ran, in one run. */
 
 import type {Clock, Milliseconds} from '../time/index.js';
-import type {ObservedRun, RequestEnd, SentRequest, Span} from './types.js';
+import type {
+  ObservedRun,
+  RateLimitSpan,
+  Refusal,
+  RequestEnd,
+  SentRequest,
+  Span,
+} from './types.js';
 
 export class History {
   readonly sent = new Map<string, SentRequest>();
@@ -19,6 +26,11 @@
   readonly leftAt = new Map<string, Milliseconds>();
   /** Upstreams that got more than they bear while cold. */
   readonly overwhelmed: string[] = [];
+  readonly rateLimits: RateLimitSpan[] = [];
+  /** In order of arrival. */
+  readonly refusals: Refusal[] = [];
+  /** When each upstream began to announce in its responses that it is leaving. */
+  readonly leavingAnnouncedAt = new Map<string, Milliseconds>();
   /** The data centre of each upstream. */
   readonly dataCentres = new Map<string, string>();
   /** Spans in which nothing was to be sent to a data centre. */
--- a/src/soak/main.ts
+++ b/src/soak/main.ts
@@ -40,6 +40,10 @@
     description:
       'times at which one host’s reads of a topic get no answer; regressions keep their plans',
   });
+  readonly announcements = Option.String('--announcements', '2', {
+    description:
+      'number of rate limits, refusals with Retry-After and departures that upstreams announce',
+  });
   readonly seconds = Option.String('--seconds', '8', {
     description: 'how long faults begin',
   });
@@ -79,6 +83,7 @@
         harmful: false,
         drills: 0,
         lostReads: 0,
+        announcements: 0,
         ...plan,
       })),
       ...Array.from({length: count}, (_, index) =>
@@ -98,6 +103,7 @@
       harmful: this.harmful,
       drills: Number(this.drills),
       lostReads: Number(this.lostReads),
+      announcements: Number(this.announcements),
       lengthMs: Number(this.seconds) * SECOND_MS,
     };
   }
--- a/src/soak/run.ts
+++ b/src/soak/run.ts
@@ -4,6 +4,7 @@
 import {join} from 'node:path';
 import type {Milliseconds, Random} from '../time/index.js';
 import {seededRandom, sleep, systemClock} from '../time/index.js';
+import {ANNOUNCEMENTS} from './announcements.js';
 import {Callers} from './callers.js';
 import {CHECKS} from './checks.js';
 import {SLACK_MS} from './constants.js';
@@ -29,6 +30,8 @@
   readonly drills: number;
   /** Times at which one host's reads of a topic get no answer. */
   readonly lostReads: number;
+  /** Number of rate limits, refusals with Retry-After and departures to announce. */
+  readonly announcements: number;
   /** Whether one caller's request ends each upstream that runs it. */
   readonly harmful: boolean;
   readonly logFolder: string;
@@ -43,6 +46,7 @@
 const HARMFUL_SEED = 100_000;
 const DRILL_SEED = 200_000;
 const LOST_READS_SEED = 300_000;
+const ANNOUNCEMENTS_SEED = 400_000;
 /** Time for a refused request to run after all. */
 const SETTLE_MS: Milliseconds = 500;
 
@@ -81,6 +85,11 @@
         count: plan.lostReads,
         seed: plan.seed + LOST_READS_SEED,
       }),
+      playDrills(world, plan, counts, {
+        drills: ANNOUNCEMENTS,
+        count: plan.announcements,
+        seed: plan.seed + ANNOUNCEMENTS_SEED,
+      }),
     ]);
     findings.push(...played.flat());
     await harmful.stop();
--- a/src/soak/types.ts
+++ b/src/soak/types.ts
@@ -46,6 +46,20 @@
   readonly to: Milliseconds;
 }
 
+/** The time during which an upstream announced a rate limit. */
+export interface RateLimitSpan extends Span {
+  readonly upstream: string;
+  readonly perSecond: number;
+}
+
+/** A request that an upstream refused with Retry-After. */
+export interface Refusal {
+  readonly id: string;
+  readonly upstream: string;
+  readonly at: Milliseconds;
+  readonly until: Milliseconds;
+}
+
 /** What happened in one seeded run. */
 export interface RunReport {
   readonly seed: number;
--- a/src/soak/world.ts
+++ b/src/soak/world.ts
@@ -121,11 +121,16 @@
 
   /** Says that an upstream leaves; it serves on until it is removed. */
   drain(upstream: SoakUpstream): void {
-    this.upstreams = this.upstreams.filter(one => one !== upstream);
+    this.excludeFromFaults(upstream);
     this.register(upstream, 'draining');
     this.history.leftAt.set(upstream.server.id, this.history.clock.now());
   }
 
+  /** Excludes an upstream from further faults, drills and announcements. */
+  excludeFromFaults(upstream: SoakUpstream): void {
+    this.upstreams = this.upstreams.filter(one => one !== upstream);
+  }
+
   remove({server}: SoakUpstream): void {
     this.write(UPSTREAM_TOPIC, server.id, undefined);
   }
@@ -182,6 +187,7 @@
     for (const {server, link} of this.all) {
       server.fault = 'none';
       server.healthy = true;
+      server.rateLimit = undefined;
       link.fault = 'none';
     }
   }
--- a/src/standins/reporting_upstream.ts
+++ b/src/standins/reporting_upstream.ts
@@ -91,7 +91,7 @@
   /** Value of the Retry-After header in refusals; omitted if undefined. */
   retryAfter: string | undefined;
   /** Called for each request that arrives, whatever its outcome. */
-  onArrival: () => void = () => undefined;
+  onArrival: (run: UpstreamRun) => void = () => undefined;
   /** Told when more reach it while it is cold than it bears. */
   onOverwhelmed: () => void = () => undefined;
   private readonly server: Server;
@@ -209,7 +209,7 @@
       socket.write(this.answer(run, this.healthy ? 200 : 503, ''));
       return;
     }
-    this.onArrival();
+    this.onArrival(run);
     if (this.fault === 'shed') {
       socket.write(this.answer(run, 503, '', this.refusalHeaders));
       return;
--- a/tests/soak.test.ts
+++ b/tests/soak.test.ts
@@ -23,6 +23,7 @@
     harmful: false,
     drills: 0,
     lostReads: 0,
+    announcements: 0,
     logFolder,
   });
   expect(report.findings).toEqual([]);
@@ -40,6 +41,7 @@
     harmful: true,
     drills: 0,
     lostReads: 0,
+    announcements: 0,
     logFolder,
   });
   expect(report.findings).toEqual([]);
@@ -57,6 +59,7 @@
     harmful: false,
     drills: 6,
     lostReads: 0,
+    announcements: 0,
     logFolder,
   });
   expect(report.findings).toEqual([]);
@@ -74,6 +77,25 @@
     harmful: true,
     drills: 0,
     lostReads: 3,
+    announcements: 0,
+    logFolder,
+  });
+  expect(report.findings).toEqual([]);
+  expect(report.requests).toBeGreaterThan(100);
+});
+
+test('a run with rate limits, Retry-After and announced leaving breaks no promise', async () => {
+  const report = await runOnce({
+    seed: 12,
+    hosts: 4,
+    upstreams: 8,
+    callers: 10,
+    faults: 0,
+    lengthMs: 4_000,
+    harmful: false,
+    drills: 0,
+    lostReads: 0,
+    announcements: 5,
     logFolder,
   });
   expect(report.findings).toEqual([]);
