Identify customers by their keys

Cause: configurations with customers were read without them: keys were passed on to upstreams, removed keys were served and the customer's name was not sent.

Change: customers and public routes are decoded; a request that needs a key gets 401, or 503 while the host's data is stale; the upstream gets the customer's name and never the key; fingerprints of requests use the name. A configuration in which two customers hold one key is rejected. Downloads are idempotent. The gates for quotas and overload control admit everything until those parts exist. Configurations without customers are served as before.

--- /dev/null
+++ b/src/decisions/customers/index.ts
@@ -0,0 +1,3 @@
+export * from './types.js';
+export {CustomerDirectory} from './customer_directory.js';
+export {identify} from './identify.js';
--- /dev/null
+++ b/src/decisions/quotas/index.ts
@@ -0,0 +1,1 @@
+export * from './types.js';
--- a/src/decisions/routes/types.ts
+++ b/src/decisions/routes/types.ts
@@ -1,6 +1,7 @@
 /** Routes that an operator configures, and their destinations. */
 
 import type {Milliseconds} from '../../time/index.js';
+import type {Customer} from '../customers/index.js';
 
 /** A service that gets a share of a route's requests. */
 export interface Destination {
@@ -27,6 +28,10 @@
   readonly destinations: readonly Destination[];
   /** Regions whose upstreams may run its requests; undefined if all may. */
   readonly regions?: readonly string[];
+  /** Whether callers need no key. */
+  readonly isPublic: boolean;
+  /** Whether responses are so large that they fill a host's network link. */
+  readonly hasLargeResponses: boolean;
 }
 
 export interface ServiceProfile {
@@ -53,5 +58,7 @@
   readonly version: number;
   readonly routes: readonly Route[];
   readonly services: readonly ServiceProfile[];
+  /** Empty if requests need no key. */
+  readonly customers: readonly Customer[];
   readonly limits: CallerLimits;
 }
--- a/src/fleet/fleet_state.ts
+++ b/src/fleet/fleet_state.ts
@@ -1,6 +1,7 @@
 /** What a host knows of configuration, evacuations and upstreams, and how fresh it is. */
 
 import type {Logger} from 'pino';
+import {CustomerDirectory} from '../decisions/customers/index.js';
 import type {Evacuations} from '../decisions/evacuation/index.js';
 import {EvacuationState} from '../decisions/evacuation/index.js';
 import type {Update} from '../decisions/fleet/index.js';
@@ -38,6 +39,7 @@
 
 export class FleetState {
   readonly routes = new RouteIndex();
+  readonly customers = new CustomerDirectory();
   readonly registry: UpstreamRegistry;
   readonly evacuations: EvacuationState;
   readonly freshness: Freshness;
@@ -166,6 +168,7 @@
     if (!this.routes.applyIfNewer(table)) {
       return;
     }
+    this.customers.replace(table.customers);
     const {reader} = this.freshness;
     const newsAgeMs = finiteAge(this.ageMs);
     this.logger.info(
--- a/src/gateway/crash_guard.ts
+++ b/src/gateway/crash_guard.ts
@@ -8,6 +8,7 @@
 import type {Milliseconds} from '../time/index.js';
 import {sleep} from '../time/index.js';
 import {fingerprintsOf} from './fingerprint.js';
+import type {Sender} from './forwarded_request.js';
 import type {GatewayContext} from './types.js';
 
 /**
@@ -23,6 +24,7 @@
   /** The request id, different for each arrival of the same request. */
   readonly id: string;
   readonly service: ServiceProfile;
+  readonly sender: Sender;
 }
 
 export class CrashGuard {
@@ -63,8 +65,8 @@
 
   /** Computed on first use: most requests need no fingerprint. */
   private readonly computeFingerprints = (): Fingerprints => {
-    const {request, body} = this.parts;
-    this.fingerprints ??= fingerprintsOf(request, body);
+    const {request, body, sender} = this.parts;
+    this.fingerprints ??= fingerprintsOf(request, body, sender);
     return this.fingerprints;
   };
 }
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -1,6 +1,7 @@
 /** Handles one caller request until its final response. */
 
 import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {Customer} from '../decisions/customers/index.js';
 import {RequestAttempts} from '../decisions/attempts/index.js';
 import type {Route, ServiceProfile} from '../decisions/routes/index.js';
 import type {Placed, Refused} from '../decisions/scheduling/index.js';
@@ -17,7 +18,10 @@
 import {BodyReader} from './body_reader.js';
 import {attemptEndOf, failureOf, isServerError} from './attempt_end.js';
 import {CrashGuard} from './crash_guard.js';
+import type {Sender} from './forwarded_request.js';
 import {forwardedRequest} from './forwarded_request.js';
+import {RequestAdmission} from './request_admission.js';
+import {recordRequestEnd} from './request_end.js';
 import {streamResponse, writeResponse} from './response_writer.js';
 import type {PlacementRequest} from './scheduler.js';
 import {StallWatch} from './stall_watch.js';
@@ -44,6 +48,7 @@
   private readonly record: RequestAttempts;
   private readonly attempts: UpstreamAttempt[] = [];
   private readonly bodyReader: BodyReader;
+  private readonly admission: RequestAdmission;
   private readonly controller = new AbortController();
   private timer: NodeJS.Timeout | undefined;
   private stallWatch: StallWatch | undefined;
@@ -61,6 +66,7 @@
     private readonly response: ServerResponse,
     private readonly route: Route,
     private readonly service: ServiceProfile,
+    private readonly customer: Customer | undefined,
     private readonly context: GatewayContext,
   ) {
     this.record = new RequestAttempts(route);
@@ -70,6 +76,15 @@
     const timeoutMs = requestedMs >= 0 ? requestedMs : DEFAULT_TIMEOUT_MS;
     this.giveUpAt = this.arrivedAt + Math.min(route.timeoutMs, timeoutMs);
     this.id = String(request.headers[HEADERS.requestId] ?? '');
+    const {arrivedAt, giveUpAt} = this;
+    this.admission = new RequestAdmission({
+      context,
+      route,
+      service,
+      customer,
+      arrivedAt,
+      giveUpAt,
+    });
   }
 
   /** Resolves when the final response is sent or the caller disconnects. */
@@ -77,7 +92,7 @@
     this.timer = setTimeout(() => this.handleTimeout(), this.leftMs);
     this.response.once('close', () => this.handleCallerDisconnect());
     const body = await this.readBody();
-    if (body && !this.done) {
+    if (body && (await this.isAdmitted())) {
       this.context.retries.noteFirstAttempt(this.service.name);
       await this.serve(body);
     }
@@ -112,12 +127,32 @@
     }
   }
 
+  /** Refuses a request that is over quota or shed. */
+  private async isAdmitted(): Promise<boolean> {
+    if (this.done) {
+      return false;
+    }
+    const refusal = await this.admission.admit();
+    if (refusal) {
+      this.refuse(refusal.kind, refusal.retryAfterMs);
+    }
+    if (this.done) {
+      // The caller may have left while the quota was checked.
+      this.admission.release();
+    }
+    return !this.done;
+  }
+
   private async serve(body: RequestBody): Promise<void> {
     const {context, request, id, service} = this;
-    const guard = new CrashGuard({context, request, body, id, service});
+    const sender: Sender = {
+      customer: this.customer?.name,
+      hasKeys: !context.state.customers.isEmpty,
+    };
+    const guard = new CrashGuard({context, request, body, id, service, sender});
     this.guard = guard;
     const ready = {
-      forwarded: forwardedRequest(request, id, body),
+      forwarded: forwardedRequest(request, id, body, sender),
       guard,
       isBodyBuffered: body.kind !== 'stream',
     };
@@ -134,6 +169,7 @@
       }
       if (placing.kind === 'refused') {
         this.refusal = placing;
+        this.admission.noteNoRoom();
         this.deliverErrorOrRefuse(placing.reason, placing.retryAfterMs);
         return;
       }
@@ -183,6 +219,7 @@
     const {context, route, service, arrivedAt} = this;
     const {upstream, answer, answerAgeMs, expectedMs} = placed;
     this.record.noteSend(upstream.id);
+    this.admission.notePlaced();
     const attempt = new UpstreamAttempt({
       context,
       route,
@@ -376,47 +413,26 @@
       return;
     }
     this.done = true;
+    if (this.record.outcome === 'not-run') {
+      this.admission.release();
+    }
     clearTimeout(this.timer);
     this.stallWatch?.stop();
     this.controller.abort();
     this.attempts.forEach(attempt => attempt.cancel());
-    this.logEnd(outcome);
-    this.bodyReader.release();
-    this.proceed();
-  }
-
-  private logEnd(outcome: string): void {
-    const {log, state, metrics, clock} = this.context;
-    const elapsedMs = clock.now() - this.arrivedAt;
-    metrics.countRequest(this.route.rank, outcome, elapsedMs);
-    const fields = {
-      event: 'request',
-      request: this.id,
-      route: this.route.name,
+    recordRequestEnd(this.context, {
+      id: this.id,
+      route: this.route,
       service: this.service.name,
       outcome,
-      ms: Math.round(elapsedMs),
-      leftMs: Math.round(this.leftMs),
-      targetMs: this.route.targetMs,
+      arrivedAt: this.arrivedAt,
+      leftMs: this.leftMs,
+      admission: this.admission.logFields,
       fingerprint: this.guard?.fingerprint,
-      sends: this.attempts.map(({logEntry}) => logEntry),
-      told: this.refusal?.told,
-      limits: undefinedIfEmpty(this.refusal?.blockers.limits),
-      backoffs: undefinedIfEmpty(this.refusal?.blockers.backoffs),
-      version: state.routes.version,
-      ageMs: Math.round(state.ageMs),
-    };
-    if (outcome === 'answered-200') {
-      log.logSuccess(fields, 'request ended');
-    } else {
-      log.logFailure(fields, 'request ended');
-    }
+      attempts: this.attempts,
+      refusal: this.refusal,
+    });
+    this.bodyReader.release();
+    this.proceed();
   }
 }
-
-/** Empty lists become undefined, which log lines omit. */
-function undefinedIfEmpty<T>(
-  list: readonly T[] = [],
-): readonly T[] | undefined {
-  return list.length > 0 ? list : undefined;
-}
--- a/src/gateway/fingerprint.ts
+++ b/src/gateway/fingerprint.ts
@@ -3,8 +3,9 @@
  * caller sends the same request again, to any host.
  *
  * A digest hides the request's content from logs and other hosts. It covers what
- * decides how an upstream runs a request: method, host, path, query, credentials and
- * body. Other headers are left out, since a caller's retry may have another trace,
+ * decides how an upstream runs a request: method, host, path, query, sender and body.
+ * The sender is the customer where callers have keys, since a customer has several keys
+ * and replaces them, and otherwise the credentials. Other headers are left out, since a caller's retry may have another trace,
  * date or deadline. So is the client address: one caller's requests come from several,
  * and counting crashes by address quarantined nothing.
  *
@@ -18,6 +19,7 @@
 import type {Fingerprints} from '../decisions/quarantine/index.js';
 import {PATH_FINGERPRINT_PREFIX} from '../decisions/quarantine/index.js';
 import type {RequestBody} from '../http/index.js';
+import type {Sender} from './forwarded_request.js';
 
 /**
  * The digest covers this much of a body. That much has arrived before the first
@@ -31,12 +33,14 @@
 export function fingerprintsOf(
   {method = '', url = '', headers}: IncomingMessage,
   body: RequestBody,
+  {customer = '', hasKeys}: Sender,
 ): Fingerprints {
   const {host = '', authorization = ''} = headers;
+  const sender = hasKeys ? customer : authorization;
   const queryAt = url.includes('?') ? url.indexOf('?') : url.length;
   const path = url.slice(0, queryAt);
   const shared = createHash('sha256');
-  [method, host, path, authorization].forEach(part => addPart(shared, part));
+  [method, host, path, sender].forEach(part => addPart(shared, part));
   shared.update(prefixOf(body).subarray(0, FINGERPRINTED_BODY_BYTES));
   const exact = shared.copy();
   addPart(exact, url.slice(queryAt));
--- a/src/gateway/gateway_server.ts
+++ b/src/gateway/gateway_server.ts
@@ -2,6 +2,8 @@
 
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import {createServer} from 'node:http';
+import type {Customer} from '../decisions/customers/index.js';
+import {identify} from '../decisions/customers/index.js';
 import type {Route} from '../decisions/routes/index.js';
 import type {ProblemReason} from '../http/index.js';
 import {findRequestFault, sendProblem} from '../http/index.js';
@@ -150,7 +152,7 @@
   }
 
   private route(request: IncomingMessage, response: ServerResponse): void {
-    const {state, split} = this.context;
+    const {state} = this.context;
     if (!state.isComplete) {
       this.waitForConfiguration(request, response);
       return;
@@ -158,7 +160,7 @@
     const {host = ''} = request.headers;
     const route = state.routes.find(host, request.url ?? '/');
     if (!route) {
-      this.refuseUnknownRoute(response);
+      this.refuseUnknown(response, 'unknown-route');
       return;
     }
     const limits = state.routes.current?.limits;
@@ -166,7 +168,18 @@
       this.refuse(response, 'headers-too-large', {});
       return;
     }
-    this.startExchange(request, response, route, split.next(route) ?? '');
+    const {authorization} = request.headers;
+    const identity = identify(state.customers, route.isPublic, authorization);
+    switch (identity.kind) {
+      case 'unknown-key':
+        return this.refuseUnknown(response, 'unknown-key');
+      case 'customer':
+        return this.startExchange(request, response, route, identity.customer);
+      case 'anonymous':
+        return this.startExchange(request, response, route);
+      default:
+        identity satisfies never;
+    }
   }
 
   /**
@@ -202,17 +215,17 @@
     request: IncomingMessage,
     response: ServerResponse,
     route: Route,
-    serviceName: string,
+    customer?: Customer,
   ): void {
-    const {state, logger} = this.context;
-    const service = state.routes.service(serviceName);
+    const {state, split, logger} = this.context;
+    const service = state.routes.service(split.next(route) ?? '');
     if (!service) {
       this.refuse(response, 'no-upstream', {
         retryAfterMs: NOT_READY_RETRY_AFTER_MS,
       });
       return;
     }
-    new Exchange(request, response, route, service, this.context)
+    new Exchange(request, response, route, service, customer, this.context)
       .run()
       .catch((error: unknown) => {
         logger.error({error, route: route.name}, 'exchange failed');
@@ -221,12 +234,15 @@
   }
 
   /**
-   * Responds with 404 only if the configuration is fresh: a host with stale data may
-   * lack a new route, and callers don't retry after 404.
+   * Responds with 404 or 401 only if the configuration is fresh: a host with stale data
+   * may lack a new route or key, and callers don't retry after these.
    */
-  private refuseUnknownRoute(response: ServerResponse): void {
+  private refuseUnknown(
+    response: ServerResponse,
+    reason: 'unknown-route' | 'unknown-key',
+  ): void {
     if (this.context.state.isFresh) {
-      this.refuse(response, 'unknown-route', {});
+      this.refuse(response, reason, {});
     } else {
       this.refuse(response, 'not-ready', {
         retryAfterMs: NOT_READY_RETRY_AFTER_MS,
--- a/src/gateway/refusal_problem.ts
+++ b/src/gateway/refusal_problem.ts
@@ -8,6 +8,7 @@
   ['no-upstream', 'attempt-broken'],
   ['no-room', 'attempt-broken'],
   ['quarantined', 'attempt-broken'],
+  ['shed', 'attempt-broken'],
   ['upstreams-refused', 'attempt-broken'],
   ['waited-too-long', 'attempt-timed-out'],
 ]);
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -2,6 +2,8 @@
 import type {WorkEstimates} from '../decisions/placement/index.js';
 import type {DecisionOptions} from '../decisions/options/index.js';
 import type {ByteBudget} from '../decisions/limits/index.js';
+import type {AdmissionControl} from '../decisions/overload/index.js';
+import type {QuotaGate} from '../decisions/quotas/index.js';
 import type {HostRetryBudgets} from '../decisions/retries/index.js';
 import type {TrafficSplit} from '../decisions/routes/index.js';
 import type {StallDetector} from '../decisions/stalls/index.js';
@@ -28,6 +30,10 @@
   readonly crashes: CrashDetector;
   readonly schedulerOf: (service: string) => Scheduler;
   readonly split: TrafficSplit;
+  /** Quotas of customers. */
+  readonly quotas: QuotaGate;
+  /** Overload control of services. */
+  readonly admission: AdmissionControl;
   /** This host's retry budgets. */
   readonly retries: HostRetryBudgets;
   /** Logs unknown headers in upstream responses. */
--- a/src/host/gateway_host.ts
+++ b/src/host/gateway_host.ts
@@ -4,6 +4,8 @@
 import {propagationBudget} from '../decisions/fleet/index.js';
 import {ByteBudget} from '../decisions/limits/index.js';
 import {DEFAULT_OPTIONS} from '../decisions/options/index.js';
+import {OPEN_ADMISSION} from '../decisions/overload/index.js';
+import {UNLIMITED_QUOTAS} from '../decisions/quotas/index.js';
 import {HostRetryBudgets} from '../decisions/retries/index.js';
 import {StallDetector} from '../decisions/stalls/index.js';
 import {planShutdown} from '../decisions/stopping/index.js';
@@ -137,6 +139,11 @@
     return this.state.size.settledEstimate > 0;
   }
 
+  /** Whether the data is recent enough to say that a route or key doesn't exist. */
+  get isFresh(): boolean {
+    return this.state.isFresh;
+  }
+
   /** Version of the active configuration; undefined before the first. */
   get version(): number | undefined {
     return this.state.routes.version;
@@ -302,6 +309,8 @@
       options: DEFAULT_OPTIONS,
       schedulerOf: service => this.upstreamSelection.schedulerOf(service),
       split,
+      quotas: UNLIMITED_QUOTAS,
+      admission: OPEN_ADMISSION,
       retries: this.createRetries(),
       unknownHeaders: new UnknownHeaders(logger),
       metrics,
--- a/src/http/problem.ts
+++ b/src/http/problem.ts
@@ -26,7 +26,11 @@
   | 'headers-too-large'
   | 'no-room'
   | 'quarantined'
-  | 'waited-too-long';
+  | 'waited-too-long'
+  | 'unknown-key'
+  | 'over-quota'
+  | 'shed'
+  | 'host-busy';
 
 interface ProblemKind {
   readonly status: number;
@@ -81,9 +85,20 @@
     title: 'Upstreams crashed under this request',
   },
   'waited-too-long': {status: 503, title: 'No upstream was free in time'},
+  'unknown-key': {status: 401, title: 'The key is missing or not valid'},
+  'over-quota': {status: 429, title: 'The quota of the customer is used up'},
+  shed: {
+    status: 503,
+    title: 'The service is overloaded and serves others first',
+  },
+  'host-busy': {status: 503, title: 'This entry host is busy: try another'},
   'request-timeout': {status: 408, title: 'The request arrived too slowly'},
 };
 
+/** Required with 401 (RFC 9110, 15.5.2). */
+const UNAUTHORIZED = 401;
+const CHALLENGE = 'Bearer';
+
 const REMEDIES: Readonly<Record<Outcome, string>> = {
   'not-run': 'It was not run: it may be sent again.',
   unknown: 'It may have run: ask for its state before sending it again.',
@@ -117,6 +132,9 @@
   );
   response.statusCode = status;
   response.setHeader('content-type', 'application/problem+json');
+  if (status === UNAUTHORIZED) {
+    response.setHeader('www-authenticate', CHALLENGE);
+  }
   response.setHeader('content-length', body.length);
   response.setHeader(OUTCOME_HEADER, problem.outcome);
   response.setHeader(REASON_HEADER, problem.reason);
--- a/src/platform/configuration_record.ts
+++ b/src/platform/configuration_record.ts
@@ -1,6 +1,7 @@
 /** Decodes the configuration that the operator writes to the store. */
 
 import type {Result} from 'neverthrow';
+import type {Customer} from '../decisions/customers/index.js';
 import type {
   CallerLimits,
   Destination,
@@ -24,6 +25,14 @@
 export const OPERATOR_TOPIC = 'keyed.op';
 export const CONFIGURATION_KEY = 'config';
 
+/** Kind of routes with large responses. */
+const LARGE_RESPONSE_KIND = 'download';
+/** Requests of other kinds, also unknown ones, run at most once. */
+const REPEATABLE_KINDS: ReadonlySet<string> = new Set([
+  'idempotent',
+  LARGE_RESPONSE_KIND,
+]);
+
 const DEFAULT_LIMITS: CallerLimits = {
   headerBytes: 16_384,
   bodyBytes: 67_108_864,
@@ -39,6 +48,7 @@
       version: version(record['version']),
       routes: [] as Route[],
       services: [] as ServiceProfile[],
+      customers: [] as Customer[],
       limits: DEFAULT_LIMITS,
     };
     for (const resource of objectList(record['resources'], 'resources')) {
@@ -52,6 +62,9 @@
         case 'services':
           table.services.push(service(name, spec));
           break;
+        case 'tenants':
+          table.customers.push(customer(name, spec));
+          break;
         case 'limits':
           table.limits = limits(spec);
           break;
@@ -59,17 +72,21 @@
         // Skips resource kinds that this version doesn't know.
       }
     }
+    checkKeysAreUnique(table.customers);
     return table;
   });
 }
 
 function route(name: string, spec: Fields): Route {
+  const kind = text(spec['kind'], `${name}.kind`);
   const host = text(spec['hostname'], `${name}.hostname`).toLowerCase();
   return {
     name,
     host,
     prefix: text(spec['path_prefix'], `${name}.path_prefix`),
-    repeatable: text(spec['kind'], `${name}.kind`) === 'idempotent',
+    repeatable: REPEATABLE_KINDS.has(kind),
+    hasLargeResponses: kind === LARGE_RESPONSE_KIND,
+    isPublic: spec['public'] === true,
     timeoutMs: duration(spec['timeout'], `${name}.timeout`),
     targetMs: duration(spec['target_latency'], `${name}.target_latency`),
     rank: nonNegativeNumber(spec['priority'] ?? 0, `${name}.priority`),
@@ -122,6 +139,53 @@
   };
 }
 
+function customer(name: string, spec: Fields): Customer {
+  const keys = spec['api_keys'];
+  if (!Array.isArray(keys)) {
+    throw new RecordError(`${name}.api_keys`, 'write a list');
+  }
+  const ratePerSecond = optionalNumber(spec, name, 'rate_per_s') ?? 0;
+  const burst = optionalNumber(spec, name, 'burst') ?? 0;
+  return {
+    name: text(name, 'tenants.metadata.name'),
+    keys: keys.map(key => text(key, `${name}.api_keys`)),
+    priority: optionalNumber(spec, name, 'priority'),
+    quota: ratePerSecond > 0 ? {ratePerSecond, burst} : undefined,
+  };
+}
+
+function optionalNumber(
+  spec: Fields,
+  name: string,
+  field: string,
+): number | undefined {
+  return spec[field] === undefined
+    ? undefined
+    : nonNegativeNumber(spec[field], `${name}.${field}`);
+}
+
+/** A key that two customers hold would let one use the other's quota and name. */
+function checkKeysAreUnique(customers: readonly Customer[]): void {
+  const names = new Set<string>();
+  const holders = new Map<string, string>();
+  for (const {name, keys} of customers) {
+    if (names.has(name)) {
+      throw new RecordError(`tenants.${name}`, 'name each tenant once');
+    }
+    names.add(name);
+    for (const key of keys) {
+      const holder = holders.get(key);
+      if (holder !== undefined && holder !== name) {
+        throw new RecordError(
+          'tenants.api_keys',
+          `give a key to one tenant only, not to both ${holder} and ${name}`,
+        );
+      }
+      holders.set(key, name);
+    }
+  }
+}
+
 function limits(spec: Fields): CallerLimits {
   return {
     headerBytes: nonNegativeNumber(
--- a/src/platform/headers.ts
+++ b/src/platform/headers.ts
@@ -20,6 +20,8 @@
   load: 'cyclamenlever-server-load',
   /** How much longer the upstream is cold, in ms; in health responses. */
   coldLeft: 'cyclamenlever-warmup-ms',
+  /** Name of the customer that sent the request; set by hosts only. */
+  customer: 'cyclamenlever-tenant-id',
   /** Requests per second that the upstream accepts from all hosts together. */
   rateLimit: 'server-limit',
   /** 1 in all responses of an upstream that is leaving. */
--- a/src/platform/settings_file.ts
+++ b/src/platform/settings_file.ts
@@ -2,6 +2,7 @@
 
 import {readFileSync} from 'node:fs';
 import {Result, err, ok} from 'neverthrow';
+import type {QuotaTolerance} from '../decisions/quotas/index.js';
 import type {Milliseconds} from '../time/index.js';
 import {parseDuration} from './duration.js';
 import {SettingsFileError} from './errors.js';
@@ -56,6 +57,8 @@
   readonly coldOverage: number;
   /** Requests allowed in addition, from the whole fleet. */
   readonly coldSlack: number;
+  /** How closely the quotas of customers must be kept. */
+  readonly quotaTolerance: QuotaTolerance;
 }
 
 const DEFAULT_CHANGE_BOUND_MS: Milliseconds = 2_000;
@@ -67,6 +70,11 @@
 const DEFAULT_LINK_MBPS = 100;
 const DEFAULT_COLD_OVERAGE = 1;
 const DEFAULT_COLD_SLACK = 0;
+const DEFAULT_QUOTA_TOLERANCE: QuotaTolerance = {
+  windowMs: 5_000,
+  overage: 0,
+  slack: 0,
+};
 /** Also in the deploy file; outside the ports that the platform assigns. */
 const METRICS_PORT = 9_464;
 const MAX_PORT = 65_535;
@@ -179,6 +187,16 @@
       DEFAULT_COLD_OVERAGE,
     ),
     coldSlack: number(fields, 'terms.bounds.warmup_slack', DEFAULT_COLD_SLACK),
+    quotaTolerance: quotaTolerance(fields),
+  };
+}
+
+function quotaTolerance(fields: Fields): QuotaTolerance {
+  const {windowMs, overage, slack} = DEFAULT_QUOTA_TOLERANCE;
+  return {
+    windowMs: duration(fields, 'terms.bounds.quota_window', windowMs),
+    overage: number(fields, 'terms.bounds.quota_overage', overage),
+    slack: number(fields, 'terms.bounds.quota_slack', slack),
   };
 }
 
--- a/src/quickstart/platform.ts
+++ b/src/quickstart/platform.ts
@@ -84,6 +84,7 @@
       retrySlack: 20,
       probesPerSecond: 600,
       coldOverage: 1,
+      quotaTolerance: {windowMs: 5_000, overage: 0.1, slack: 20},
       coldSlack: 0,
     },
     store: new StoreClient(store),
--- a/src/standins/index.ts
+++ b/src/standins/index.ts
@@ -12,6 +12,7 @@
   InstanceSpec,
   LimitsSpec,
   RouteSpec,
+  CustomerSpec,
   ServiceSpec,
 } from './platform_records.js';
 export {
--- a/src/standins/platform_records.ts
+++ b/src/standins/platform_records.ts
@@ -3,7 +3,7 @@
 /** A route in the operator's format; omitted fields get default values. */
 export interface RouteSpec {
   readonly path_prefix: string;
-  readonly kind: 'idempotent' | 'non_idempotent' | 'upload';
+  readonly kind: 'idempotent' | 'non_idempotent' | 'upload' | 'download';
   readonly [field: string]: unknown;
 }
 
@@ -13,6 +13,15 @@
   readonly header_timeout?: string;
 }
 
+/** A customer in the operator's format. */
+export interface CustomerSpec {
+  readonly name: string;
+  readonly keys: readonly string[];
+  readonly priority?: number;
+  readonly ratePerSecond?: number;
+  readonly burst?: number;
+}
+
 /** Overrides of the defaults of all services. */
 export interface ServiceSpec {
   /** Requests per second that an upstream can serve while cold. */
@@ -48,6 +57,7 @@
   services: readonly string[],
   limits: LimitsSpec = {},
   {coldPerSecond}: ServiceSpec = {},
+  customers: readonly CustomerSpec[] = [],
 ): string {
   const [firstService] = services;
   const resources = [
@@ -69,6 +79,11 @@
         warmup_per_s: coldPerSecond,
       },
     })),
+    ...customers.map(({name, keys, priority, ratePerSecond, burst}) => ({
+      resource_kind: 'tenants',
+      metadata: {name},
+      spec: {api_keys: keys, priority, rate_per_s: ratePerSecond, burst},
+    })),
     {resource_kind: 'limits', metadata: {name: 'limits'}, spec: limits},
   ];
   return JSON.stringify({version: `r${version}`, resources});
--- a/tests/crashing_requests.test.ts
+++ b/tests/crashing_requests.test.ts
@@ -147,6 +147,9 @@
   });
 }
 
+/** The sender where the configuration has no customers. */
+const NO_CUSTOMER = {customer: undefined, hasKeys: false};
+
 /** Sends a crash report to all hosts as a faulty host would. */
 async function sendFalseReport(call: Call, instances: readonly string[]) {
   const faultyPeer = new DatagramPort(pino({level: 'silent'}));
@@ -154,7 +157,7 @@
   const headers = {host: 'shop.example'};
   const request = {url, method, headers} as unknown as IncomingMessage;
   const record = {
-    fingerprint: fingerprintsOf(request, {kind: 'none'}).exact,
+    fingerprint: fingerprintsOf(request, {kind: 'none'}, NO_CUSTOMER).exact,
     crashes: instances.map(instance => ({life: instance, ageMs: 10})),
     survivedAgeMs: undefined,
   };
--- a/tests/foreign_records.test.ts
+++ b/tests/foreign_records.test.ts
@@ -39,6 +39,7 @@
     version: 1,
     routes: [],
     services: [{name: 's', healthPath: '/health', maxConnections: 10}],
+    customers: [],
     limits: {headerBytes: 1, bodyBytes: 1, headerMs: 1, idleMs: 1},
   });
 });
--- a/tests/routes.test.ts
+++ b/tests/routes.test.ts
@@ -16,13 +16,15 @@
     rank: 0,
     attempts: 2,
     destinations: [{service: 's', weight: 1}],
+    isPublic: false,
+    hasLargeResponses: false,
     ...overrides,
   };
 }
 
 function table(version: number, ...prefixes: string[]): RouteTable {
   const routes = prefixes.map(prefix => route(prefix));
-  return {version, routes, services: [], limits: LIMITS};
+  return {version, routes, services: [], customers: [], limits: LIMITS};
 }
 
 test('the longest matching prefix wins', () => {
--- a/tests/support/gateway.ts
+++ b/tests/support/gateway.ts
@@ -13,6 +13,7 @@
   UPSTREAM_TOPIC,
 } from '../../src/platform/index.js';
 import type {
+  CustomerSpec,
   InstanceSpec,
   LimitsSpec,
   RouteSpec,
@@ -58,6 +59,10 @@
   readonly host?: string;
   readonly id?: string;
   readonly body?: string;
+  /** Key of the customer. */
+  readonly key?: string;
+  /** Further headers. */
+  readonly headers?: Readonly<Record<string, string>>;
   readonly timeLeftMs?: number;
   /** Address that the caller connects from. */
   readonly from?: string;
@@ -75,6 +80,7 @@
     routes: readonly RouteSpec[] = DEFAULT_ROUTES,
     limits: LimitsSpec = {},
     service: ServiceSpec = {},
+    customers: readonly CustomerSpec[] = [],
   ): void {
     this.storeServer.put(
       OPERATOR_TOPIC,
@@ -85,6 +91,7 @@
         ['listings', 'swaps'],
         limits,
         service,
+        customers,
       ),
     );
   }
@@ -143,6 +150,7 @@
       probesPerSecond: 60,
       coldOverage: 1.5,
       coldSlack: 8,
+      quotaTolerance: {windowMs: 5_000, overage: 0.1, slack: 20},
     };
     const host = new GatewayHost({
       settings,
@@ -174,6 +182,8 @@
       host: call.host ?? 'shop.example',
       'cyclamenlever-request-id': id,
       'cyclamenlever-deadline-ms': String(timeLeft),
+      ...(call.key ? {authorization: `Bearer ${call.key}`} : {}),
+      ...call.headers,
     });
   }
 
