Show requests and refusals by customer from hosts' logs

Cause: explain said only the name of the outcome for 401, 429, shed and host-busy, account counted them as failures, and nothing showed use by customer.

Change: explain tells the customer, the source and age of a quota's decision, the plan's age and share, and when to return; account adds up refusals by customer and counts quarantined requests as refused instead of 'failed: otherwise'; the new command 'cyclamenlever customers' reads files block by block and shows requests, endings, causes of refusal and hosts by customer, as a table or JSON.

--- a/src/account/account.ts
+++ b/src/account/account.ts
@@ -8,9 +8,11 @@
   AttemptEntry,
 } from '../explain/index.js';
 import {classifyRequest} from './classify_request.js';
+import {CustomerTally, hostOf} from './customer_tally.js';
 import type {
   Account,
   Cause,
+  CustomerUse,
   Endings,
   Classification,
   OccupancyAccount,
@@ -38,6 +40,7 @@
   return {
     attempts: requests.length,
     routes: groupByRoute(classified),
+    customers: groupByCustomer(lines),
     seconds: groupBySecond(classified, activity),
     occupancies: groupByOccupancy(sends),
     probes: sum(activity, ({probes}) => probes),
@@ -57,6 +60,14 @@
   return [...routes].map(([route, counts]) => ({route, ...counts}));
 }
 
+function groupByCustomer(
+  lines: readonly LocatedLine[],
+): readonly CustomerUse[] {
+  const tally = new CustomerTally();
+  lines.forEach(({line, origin}) => tally.add(line, hostOf(origin)));
+  return tally.customers;
+}
+
 function groupBySecond(
   classified: readonly ClassifiedLine[],
   activity: readonly ActivityLine[],
--- a/src/account/classify_request.ts
+++ b/src/account/classify_request.ts
@@ -16,6 +16,11 @@
   'upstreams-refused': 'refused: upstreams shed',
   'no-upstream': 'refused: no upstream',
   'not-ready': 'refused: host not ready',
+  'unknown-key': 'refused: unknown key',
+  'over-quota': 'refused: over quota',
+  shed: 'refused: shed by overload control',
+  'host-busy': 'refused: host busy',
+  quarantined: 'refused: quarantined',
 };
 
 const FAILURES: Readonly<Record<string, Cause>> = {
--- a/src/account/index.ts
+++ b/src/account/index.ts
@@ -1,3 +1,4 @@
 export {buildAccount} from './account.js';
 export {classifyRequest} from './classify_request.js';
-export type {Account, Cause, Ending} from './types.js';
+export {CustomerTally, hostOf} from './customer_tally.js';
+export type {Account, Cause, CustomerUse, Ending} from './types.js';
--- a/src/account/types.ts
+++ b/src/account/types.ts
@@ -10,6 +10,11 @@
   | 'refused: upstreams shed'
   | 'refused: no upstream'
   | 'refused: host not ready'
+  | 'refused: unknown key'
+  | 'refused: over quota'
+  | 'refused: shed by overload control'
+  | 'refused: host busy'
+  | 'refused: quarantined'
   | 'late: started late'
   | 'late: ran at a slow upstream'
   | 'late: ran at a nearly full upstream'
@@ -37,6 +42,18 @@
   readonly causes: ReadonlyMap<Cause, number>;
 }
 
+/** Requests of one customer. */
+export interface CustomerUse {
+  /** Undefined for requests without a valid key. */
+  readonly customer: string | undefined;
+  readonly requests: number;
+  readonly endings: Endings;
+  /** Refused requests by cause. */
+  readonly refusals: ReadonlyMap<Cause, number>;
+  /** Requests by host. */
+  readonly hosts: ReadonlyMap<string, number>;
+}
+
 export interface SecondAccount {
   /** Seconds since the first line. */
   readonly second: number;
@@ -60,6 +77,8 @@
   /** Number of callers' requests. */
   readonly attempts: number;
   readonly routes: readonly RouteAccount[];
+  /** Empty if no request needed a key. */
+  readonly customers: readonly CustomerUse[];
   readonly seconds: readonly SecondAccount[];
   readonly occupancies: readonly OccupancyAccount[];
   readonly probes: number;
--- a/src/cli/account_command.ts
+++ b/src/cli/account_command.ts
@@ -3,10 +3,10 @@
 import {Command, Option} from 'clipanion';
 import type {Account, Ending} from '../account/index.js';
 import {buildAccount} from '../account/index.js';
-import type {ParsedLog} from '../explain/index.js';
 import type {Table} from '../queries/index.js';
 import {EXIT} from './base_command.js';
-import {readLogFiles} from './log_files.js';
+import {customerToJson} from './customers_command.js';
+import {describeSkippedRows, readLogFiles} from './log_files.js';
 import {formatTable} from './format_table.js';
 
 const EXIT_NO_REQUESTS = 2;
@@ -24,7 +24,7 @@
     description: 'reports where requests were lost or late, and why',
     details:
       'Reads log files of entry hosts and counts callers’ requests by route, ' +
-      'cause, second and slots in use. Exits with 1 if a file can’t be read ' +
+      'cause, second and slots in use, and refusals by customer. Exits with 1 if a file can’t be read ' +
       'and with 2 if no line is about a request.',
     examples: [['Account for a day', '$0 account entry-*.log']],
   });
@@ -63,15 +63,10 @@
       ...route,
       causes: Object.fromEntries(route.causes),
     })),
+    customers: account.customers.map(customerToJson),
   });
 }
 
-function describeSkippedRows(texts: readonly ParsedLog[]): string {
-  const truncated = texts.reduce((sum, text) => sum + text.truncatedRows, 0);
-  const foreign = texts.reduce((sum, text) => sum + text.foreignRows, 0);
-  return `skipped: ${truncated} truncated lines, ${foreign} not written by a host\n`;
-}
-
 function toText(account: Account): string {
   const {attempts, probes, loadAgeMs, outOfOrder} = account;
   const perRequest = (probes / attempts).toFixed(2);
@@ -81,6 +76,9 @@
       `median; ${outOfOrder} lines out of order`,
     formatTable(routeTable(account)),
     formatTable(causeTable(account)),
+    ...(account.customers.length > 0
+      ? [formatTable(refusalTable(account))]
+      : []),
     formatTable(secondTable(account)),
     formatTable(occupancyTable(account)),
   ].join('\n\n');
@@ -107,6 +105,22 @@
   };
 }
 
+function refusalTable({customers}: Account): Table {
+  return {
+    columns: ['customer', 'requests', 'cause', 'refusals'],
+    rows: customers.flatMap(({customer, requests, refusals}) =>
+      [...refusals]
+        .sort(([, a], [, b]) => b - a)
+        .map(([cause, count]) => [
+          customer ?? '-',
+          String(requests),
+          cause,
+          String(count),
+        ]),
+    ),
+  };
+}
+
 function secondTable({seconds}: Account): Table {
   return {
     columns: ['second', ...ENDINGS, 'free slots while refusing', 'probes'],
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -11,6 +11,7 @@
   RollbackCommand,
   RunCommand,
 } from './change_commands.js';
+import {CustomersCommand} from './customers_command.js';
 import {ExplainCommand} from './explain_command.js';
 import {QuarantineCommand} from './quarantine_command.js';
 import {ShowCommand} from './show_command.js';
@@ -24,6 +25,7 @@
   ShowCommand,
   ExplainCommand,
   AccountCommand,
+  CustomersCommand,
   QuarantineCommand,
   RunCommand,
   PlanCommand,
--- a/src/explain/explain.ts
+++ b/src/explain/explain.ts
@@ -2,6 +2,7 @@
 
 import {meaningOf} from './outcomes.js';
 import type {
+  Admission,
   BrokenAttemptLine,
   LocatedLine,
   RequestLine,
@@ -33,6 +34,7 @@
     describeArrival(request, origin),
     ...request.sends.map(send => describeAttempt(request.request, send, lines)),
     ...(request.sends.length === 0 ? ['It was sent to no upstream.'] : []),
+    ...describeAdmission(request),
     ...describeReportedLoads(request),
     ...describeRateLimits(request),
     ...describeBackoffs(request),
@@ -44,10 +46,11 @@
 }
 
 function describeArrival(request: RequestLine, origin: string): string {
-  const {route, service, method, target, version, ageMs} = request;
+  const {route, service, customer, version, ageMs} = request;
+  const sender = customer === undefined ? '' : `, customer ${customer}`;
   const where = route
-    ? `route ${route}, service ${service ?? 'unknown'}`
-    : `${method ?? ''} ${target ?? ''}`.trim();
+    ? `route ${route}, service ${service ?? 'unknown'}${sender}`
+    : `${request.method ?? ''} ${request.target ?? ''}`.trim();
   const known =
     version === undefined
       ? 'no configuration was known'
@@ -72,6 +75,37 @@
   ].join(' ');
 }
 
+/** Why the customer's quota or overload control refused the request. */
+function describeAdmission({admission}: RequestLine): readonly string[] {
+  return admission
+    ? [
+        describeRefusal(admission),
+        `The caller was told to return after ${Math.round(admission.retryAfterMs)} ms.`,
+      ]
+    : [];
+}
+
+function describeRefusal(admission: Admission): string {
+  switch (admission.kind) {
+    case 'over-quota':
+      return (
+        `The customer was over its quota, as decided by ${admission.source} ` +
+        `with data ${Math.round(admission.ageMs)} ms old.`
+      );
+    case 'shed':
+      return (
+        `The plan of overload control, ${Math.round(admission.planAgeMs)} ms old, ` +
+        `admitted ${formatPercent(admission.share)} of such requests.`
+      );
+    default:
+      return admission satisfies never;
+  }
+}
+
+function formatPercent(share: number): string {
+  return `${Math.round(share * 100)}%`;
+}
+
 /** Loads that upstreams had reported when a request was refused. */
 function describeReportedLoads({told}: RequestLine): readonly string[] {
   if (!told) {
--- a/src/explain/index.ts
+++ b/src/explain/index.ts
@@ -3,6 +3,7 @@
 export type {
   ActivityLine,
   LocatedLine,
+  LogLine,
   ParsedLog,
   RequestLine,
   AttemptEntry,
--- a/src/explain/outcomes.ts
+++ b/src/explain/outcomes.ts
@@ -19,7 +19,33 @@
   'no-room': {
     meaning: `${NOT_RUN} at once: no upstream could have responded in time (503).`,
     advice:
-      'Check whether many hosts do the same: then the service is too small.',
+      'Check whether many hosts do the same: then the service is too small. ' +
+      '"cyclamenlever customers" shows which customers use it.',
+  },
+  'unknown-key': {
+    meaning: `${NOT_RUN}: its key was missing, or no customer held it in the configuration in force (401).`,
+    advice:
+      'Check that the caller sends "Authorization: Bearer KEY" and that this version of the ' +
+      'configuration has the key; after a rotation, compare the version with the one that ' +
+      'removed or added it (docs/operating/customers.md).',
+  },
+  'over-quota': {
+    meaning: `${NOT_RUN}: its customer was over its quota, summed over all hosts (429).`,
+    advice:
+      'Compare the customer’s use with its quota: "cyclamenlever customers" shows its requests ' +
+      'by host. If it keeps to its quota, check the source and the age above.',
+  },
+  shed: {
+    meaning: `${NOT_RUN}: the service was overloaded, and others took precedence (503).`,
+    advice:
+      'Compare the customer’s priority and share with those of the others: ' +
+      '"cyclamenlever customers" shows them. If many are shed, the service is too small.',
+  },
+  'host-busy': {
+    meaning: `${NOT_RUN}: this host had no capacity left for it; another host may (503).`,
+    advice:
+      'Check whether other hosts refuse too; see cyclamenlever_event_loop_utilization ' +
+      'and the link of this host.',
   },
   quarantined: {
     meaning: `${NOT_RUN}: upstreams crashed on this request before (503).`,
@@ -40,7 +66,9 @@
   },
   'not-ready': {
     meaning: `${NOT_RUN}: the host had no up-to-date configuration, or was shutting down (503).`,
-    advice: 'Look for the events "store", "reader" and "stop" in its log.',
+    advice:
+      'Look for the events "store", "reader" and "stop" in its log. A host whose data is ' +
+      'old answers an unknown key like this, too.',
   },
   'unknown-route': {
     meaning: 'No route matched in the version in force (404).',
--- a/src/explain/types.ts
+++ b/src/explain/types.ts
@@ -35,12 +35,29 @@
 /** Backoff that prevented attempts at an upstream. */
 const BACKOFF = z.object({upstream: z.string(), leftMs: z.number()});
 
+/** Why the quota of the customer or overload control refused a request. */
+const ADMISSION = z.discriminatedUnion('kind', [
+  z.object({
+    kind: z.literal('over-quota'),
+    retryAfterMs: z.number(),
+    source: z.string(),
+    ageMs: z.number(),
+  }),
+  z.object({
+    kind: z.literal('shed'),
+    retryAfterMs: z.number(),
+    planAgeMs: z.number(),
+    share: z.number(),
+  }),
+]);
+
 /** Logged by an entry host when it has sent the final response to a request. */
 export const REQUEST_LINE = z.object({
   event: z.literal('request'),
   /** Time of the line, in ms since 1970. */
   time: z.number().optional(),
-  request: z.string(),
+  /** Empty if the caller sent no id. */
+  request: z.string().default(''),
   outcome: z.string(),
   route: z.string().optional(),
   service: z.string().optional(),
@@ -49,6 +66,10 @@
   ms: z.number().optional(),
   leftMs: z.number().optional(),
   targetMs: z.number().optional(),
+  /** Name of the customer that sent it. */
+  customer: z.string().optional(),
+  /** A form that this version doesn't know must not hide the rest of the line. */
+  admission: ADMISSION.optional().catch(undefined),
   fingerprint: z.string().optional(),
   told: z.array(REPORTED_UPSTREAM).optional(),
   limits: z.array(LIMIT).optional(),
@@ -93,18 +114,26 @@
   looking: z.number(),
 });
 
+/** Logged by a host that left out lines to bound their number. */
+export const DROPPED_LINES_LINE = z.object({
+  event: z.literal('log'),
+  dropped: z.number(),
+});
+
 export const LOG_LINE = z.discriminatedUnion('event', [
   REQUEST_LINE,
   FAILED_ATTEMPT_LINE,
   BROKEN_ATTEMPT_LINE,
   UPSTREAM_LINE,
   ACTIVITY_LINE,
+  DROPPED_LINES_LINE,
 ]);
 
 export type AttemptEntry = Readonly<z.infer<typeof ATTEMPT_ENTRY>>;
 export type RequestLine = Readonly<z.infer<typeof REQUEST_LINE>>;
 export type BrokenAttemptLine = Readonly<z.infer<typeof BROKEN_ATTEMPT_LINE>>;
 export type ActivityLine = Readonly<z.infer<typeof ACTIVITY_LINE>>;
+export type Admission = Readonly<z.infer<typeof ADMISSION>>;
 export type ReportedUpstream = Readonly<z.infer<typeof REPORTED_UPSTREAM>>;
 export type LogLine = Readonly<z.infer<typeof LOG_LINE>>;
 
--- a/tests/account.test.ts
+++ b/tests/account.test.ts
@@ -72,6 +72,23 @@
     'refused',
     'refused: no room to be in time',
   ],
+  [line({outcome: 'over-quota', sends: []}), 'refused', 'refused: over quota'],
+  [
+    line({outcome: 'shed', sends: []}),
+    'refused',
+    'refused: shed by overload control',
+  ],
+  [line({outcome: 'host-busy', sends: []}), 'refused', 'refused: host busy'],
+  [
+    line({outcome: 'unknown-key', sends: []}),
+    'refused',
+    'refused: unknown key',
+  ],
+  [
+    line({outcome: 'quarantined', sends: []}),
+    'refused',
+    'refused: quarantined',
+  ],
   [line({outcome: 'attempt-timed-out'}), 'failed', 'failed: silent'],
   [line({outcome: 'answered-500'}), 'failed', "failed: the upstream's error"],
   [
@@ -107,6 +124,44 @@
   ]);
 });
 
+// Guards against refusals that can't be told from those of other customers.
+test('refusals are added up by customer and cause', () => {
+  const text = textOf(
+    line({customer: 'maps'}),
+    line({customer: 'maps', outcome: 'over-quota', sends: []}),
+    line({customer: 'maps', outcome: 'over-quota', sends: []}),
+    line({customer: 'courts', outcome: 'shed', sends: []}),
+    {event: 'request', request: 'r2', outcome: 'unknown-key'},
+    {event: 'request', outcome: 'unknown-key'},
+  );
+  const {customers, attempts} = buildAccount(parseLogLines(text));
+  expect(attempts).toBe(4);
+  expect(
+    customers.map(({customer, requests, refusals}) => ({
+      customer,
+      requests,
+      refusals: Object.fromEntries(refusals),
+    })),
+  ).toEqual([
+    {customer: 'maps', requests: 3, refusals: {'refused: over quota': 2}},
+    {
+      customer: undefined,
+      requests: 2,
+      refusals: {'refused: unknown key': 2},
+    },
+    {
+      customer: 'courts',
+      requests: 1,
+      refusals: {'refused: shed by overload control': 1},
+    },
+  ]);
+});
+
+// Guards against a table of nobody in deployments without customers.
+test('without customers nothing is told by customer', () => {
+  expect(buildAccount(parseLogLines(textOf(line()))).customers).toEqual([]);
+});
+
 test('truncated and foreign rows are counted and do not fail the parse', () => {
   const {lines, truncatedRows, foreignRows} = parseLog(
     `${textOf(line())}\n{"event":"request","req\nbuilt in 3 s\n{"a":1}\n{"event":"start"}\n`,
--- a/tests/explain.test.ts
+++ b/tests/explain.test.ts
@@ -103,3 +103,64 @@
   );
   expect(text).toContain('told this host to back off: i-8 for 1812 ms more');
 });
+
+/** A refused request of customer maps, as hosts log it. */
+function refused(outcome: string, more: object = {}): string {
+  return JSON.stringify({
+    event: 'request',
+    request: 'r7',
+    route: 'a',
+    service: 's',
+    outcome,
+    ms: 1,
+    leftMs: 763,
+    targetMs: 300,
+    customer: 'maps',
+    sends: [],
+    version: 13,
+    ageMs: 400,
+    ...more,
+  });
+}
+
+// Guards against refusals under quotas and overload control that nobody can explain.
+test.each([
+  [
+    'over-quota',
+    {kind: 'over-quota', retryAfterMs: 340.2, source: 'backup', ageMs: 12.4},
+    [
+      'decided by backup with data 12 ms old',
+      'return after 340 ms',
+      '(429)',
+      'refused as not run',
+    ],
+  ],
+  [
+    'shed',
+    {kind: 'shed', retryAfterMs: 240, planAgeMs: 81.6, share: 0.345},
+    ['82 ms old, admitted 35% of such', 'return after 240 ms', '(503)'],
+  ],
+  ['no-room', undefined, ['no upstream could have responded', 'customers']],
+  ['host-busy', undefined, ['another host may (503)', 'event_loop']],
+])('a request refused as %s is explained', (outcome, admission, expected) => {
+  const line = refused(outcome, {admission});
+  const text = explain('r7', parseLogLines(line));
+  expect(text).toContain('customer maps');
+  expected.forEach(part => expect(text).toContain(part));
+});
+
+// Guards against 401s that look like faults of the load balancer.
+test('a request with an unknown key is explained by the configuration', () => {
+  const line =
+    '{"event":"request","request":"r8","method":"GET","target":"/lookup/1","outcome":"unknown-key","version":13,"ageMs":400}';
+  const text = explain('r8', parseLogLines(line));
+  expect(text).toContain('GET /lookup/1; configuration 13 was in force');
+  expect(text).toContain('(401)');
+  expect(text).toContain('after a rotation');
+});
+
+// Guards against lines of newer hosts that vanish because of one new field.
+test('an admission of an unknown form does not hide the request', () => {
+  const line = refused('shed', {admission: {kind: 'newer'}});
+  expect(explain('r7', parseLogLines(line))).toContain('took precedence');
+});
