--- a/src/platform/configuration_record.ts
+++ b/src/platform/configuration_record.ts
@@ -3,104 +3,165 @@
 import type {Result} from 'neverthrow';
 import type {Customer} from '../decisions/customers/index.js';
 import type {
+  CallerLimits,
+  Destination,
   Route,
   RouteTable,
   ServiceProfile,
 } from '../decisions/routes/index.js';
 import {RecordError} from './errors.js';
-import {decode, objectList, wholeNumber} from './fields.js';
-import {KeyHolders} from './key_holders.js';
-import {emptyList, splitRecord} from './record_segments.js';
-import type {Resource} from './resources.js';
-import {DEFAULT_LIMITS, decodeResource} from './resources.js';
+import type {Fields} from './fields.js';
+import {
+  nonNegativeNumber,
+  decode,
+  fields,
+  objectList,
+  text,
+  duration,
+  wholeNumber,
+} from './fields.js';
 
 /** Topic of the operator's records, and the key of the configuration. */
 export const OPERATOR_TOPIC = 'keyed.op';
 export const CONFIGURATION_KEY = 'config';
 
-/**
- * Decodes configurations. Resources whose JSON is the same as in the previous valid
- * configuration are not parsed and checked again: with 10,000 customers that would block
- * the event loop noticeably for each version, although few customers change.
- */
-export class ConfigurationDecoder {
-  /** Resources of the previous valid configuration. */
-  private list = emptyList<Resource>();
-  private holders = new KeyHolders();
+/** Kind of routes with large responses. */
+const LARGE_RESPONSE_KIND = 'download';
+/** Requests of other kinds, also unknown ones, run at most once. */
+const REPEATABLE_KINDS: ReadonlySet<string> = new Set([
+  'idempotent',
+  LARGE_RESPONSE_KIND,
+]);
 
-  decode(value: string): Result<RouteTable, RecordError> {
-    const split = splitRecord(value, this.list, decodeResource);
-    if (!split) {
-      return decodeWhole(value);
-    }
-    return decode(split.skeleton, record => {
-      const number = version(record['version']);
-      const table = tableOf(number, split.list.decoded);
-      this.checkKeys(table.customers);
-      this.list = split.list;
-      return table;
-    });
-  }
-
-  private checkKeys(customers: readonly Customer[]): void {
-    if (!this.holders.replace(customers)) {
-      // Describes the conflict; nothing of the invalid configuration is kept.
-      this.holders = new KeyHolders();
-      this.list = emptyList();
-      checkKeysAreUnique(customers);
-    }
-  }
-}
-
-/** Shared by all hosts of a process: what it remembers doesn't change results. */
-const DECODER = new ConfigurationDecoder();
+const DEFAULT_LIMITS: CallerLimits = {
+  headerBytes: 16_384,
+  bodyBytes: 67_108_864,
+  headerMs: 3_000,
+  idleMs: 15_000,
+};
 
 export function decodeConfiguration(
   value: string,
 ): Result<RouteTable, RecordError> {
-  return DECODER.decode(value);
-}
-
-/** Decodes a configuration without regard to earlier ones. */
-export function decodeWhole(value: string): Result<RouteTable, RecordError> {
   return decode(value, record => {
-    const number = version(record['version']);
-    const resources = objectList(record['resources'], 'resources');
-    const table = tableOf(number, resources.map(decodeResource));
+    const table = {
+      version: version(record['version']),
+      routes: [] as Route[],
+      services: [] as ServiceProfile[],
+      customers: [] as Customer[],
+      limits: DEFAULT_LIMITS,
+    };
+    for (const resource of objectList(record['resources'], 'resources')) {
+      const spec = fields(resource['spec'], 'spec');
+      const metadata = fields(resource['metadata'] ?? {}, 'metadata');
+      const name = String(metadata['name'] ?? '');
+      switch (resource['resource_kind']) {
+        case 'routes':
+          table.routes.push(route(name, spec));
+          break;
+        case 'services':
+          table.services.push(service(name, spec));
+          break;
+        case 'tenants':
+          table.customers.push(customer(name, spec));
+          break;
+        case 'limits':
+          table.limits = limits(spec);
+          break;
+        default:
+        // Skips resource kinds that this version doesn't know.
+      }
+    }
     checkKeysAreUnique(table.customers);
     return table;
   });
 }
 
-function tableOf(number: number, resources: readonly Resource[]): RouteTable {
-  const table = {
-    version: number,
-    routes: [] as Route[],
-    services: [] as ServiceProfile[],
-    customers: [] as Customer[],
-    limits: DEFAULT_LIMITS,
+function route(name: string, spec: Fields): Route {
+  const kind = text(spec['kind'], `${name}.kind`);
+  const host = text(spec['hostname'], `${name}.hostname`).toLowerCase();
+  return {
+    name,
+    host,
+    prefix: text(spec['path_prefix'], `${name}.path_prefix`),
+    repeatable: REPEATABLE_KINDS.has(kind),
+    hasLargeResponses: kind === LARGE_RESPONSE_KIND,
+    isPublic: spec['public'] === true,
+    timeoutMs: duration(spec['timeout'], `${name}.timeout`),
+    targetMs: duration(spec['target_latency'], `${name}.target_latency`),
+    rank: nonNegativeNumber(spec['priority'] ?? 0, `${name}.priority`),
+    attempts: Math.max(
+      1,
+      nonNegativeNumber(spec['max_attempts'] ?? 1, `${name}.max_attempts`),
+    ),
+    destinations: destinations(name, spec),
+    regions: regions(name, spec),
   };
-  for (const resource of resources) {
-    switch (resource.kind) {
-      case 'route':
-        table.routes.push(resource.route);
-        break;
-      case 'service':
-        table.services.push(resource.service);
-        break;
-      case 'customer':
-        table.customers.push(resource.customer);
-        break;
-      case 'limits':
-        table.limits = resource.limits;
-        break;
-      case 'unknown':
-        break;
-      default:
-        resource satisfies never;
-    }
+}
+
+function destinations(name: string, spec: Fields): readonly Destination[] {
+  if (spec['traffic_split'] === undefined) {
+    return [{service: text(spec['service'], `${name}.service`), weight: 1}];
+  }
+  return objectList(spec['traffic_split'], `${name}.traffic_split`).map(
+    part => ({
+      service: text(part['service'], `${name}.traffic_split.service`),
+      weight: nonNegativeNumber(part['weight'], `${name}.traffic_split.weight`),
+    }),
+  );
+}
+
+/** Regions that the operator allows; undefined if all are allowed. */
+function regions(name: string, spec: Fields): readonly string[] | undefined {
+  const allowed = spec['allowed_regions'];
+  if (allowed === undefined) {
+    return undefined;
   }
-  return table;
+  if (!Array.isArray(allowed)) {
+    throw new RecordError(`${name}.allowed_regions`, 'write a list');
+  }
+  const names = allowed.map(one => text(one, `${name}.allowed_regions`));
+  return names.length > 0 ? names : undefined;
+}
+
+function service(name: string, spec: Fields): ServiceProfile {
+  return {
+    name,
+    healthPath: text(spec['health_path'], `${name}.health_path`),
+    maxConnections: nonNegativeNumber(
+      spec['max_conns'] ?? 100,
+      `${name}.max_conns`,
+    ),
+    coldPerSecond:
+      spec['warmup_per_s'] === undefined
+        ? undefined
+        : nonNegativeNumber(spec['warmup_per_s'], `${name}.warmup_per_s`),
+  };
+}
+
+function customer(name: string, spec: Fields): Customer {
+  const keys = spec['api_keys'];
+  if (!Array.isArray(keys)) {
+    throw new RecordError(`${name}.api_keys`, 'write a list');
+  }
+  const ratePerSecond = optionalNumber(spec, name, 'rate_per_s') ?? 0;
+  const burst = optionalNumber(spec, name, 'burst') ?? 0;
+  return {
+    name: text(name, 'tenants.metadata.name'),
+    keys: keys.map(key => text(key, `${name}.api_keys`)),
+    priority: optionalNumber(spec, name, 'priority'),
+    quota: ratePerSecond > 0 ? {ratePerSecond, burst} : undefined,
+  };
+}
+
+function optionalNumber(
+  spec: Fields,
+  name: string,
+  field: string,
+): number | undefined {
+  return spec[field] === undefined
+    ? undefined
+    : nonNegativeNumber(spec[field], `${name}.${field}`);
 }
 
 /** A key that two customers hold would let one use the other's quota and name. */
@@ -125,6 +186,21 @@
   }
 }
 
+function limits(spec: Fields): CallerLimits {
+  return {
+    headerBytes: nonNegativeNumber(
+      spec['max_header_bytes'] ?? DEFAULT_LIMITS.headerBytes,
+      'max_header_bytes',
+    ),
+    bodyBytes: nonNegativeNumber(
+      spec['max_body_bytes'] ?? DEFAULT_LIMITS.bodyBytes,
+      'max_body_bytes',
+    ),
+    headerMs: duration(spec['header_timeout'] ?? '3s', 'header_timeout'),
+    idleMs: duration(spec['idle_timeout'] ?? '15s', 'idle_timeout'),
+  };
+}
+
 /** Versions have the form `r12` and are ordered by their numbers. */
 function version(value: unknown): number {
   const match = /^r(\d+)$/.exec(String(value));
--- a/src/platform/index.ts
+++ b/src/platform/index.ts
@@ -19,10 +19,8 @@
 } from './headers.js';
 export {
   CONFIGURATION_KEY,
-  ConfigurationDecoder,
   OPERATOR_TOPIC,
   decodeConfiguration,
-  decodeWhole,
 } from './configuration_record.js';
 export {decodeEvacuation, evacuatedDataCentre} from './evacuation_record.js';
 export {UPSTREAM_TOPIC, decodeUpstream} from './upstream_record.js';
