Give the soak's hosts bounds for quotas

Cause: the settings files of the soak's hosts had no quota_window, quota_overage and quota_slack, so hosts would keep quotas without any tolerance.

Change: the three bounds are written with the values of the requirement (5 s, 0.1, 20). MAX_APPLY_DELAY_MS moves to the constants that checks share.

--- a/src/soak/configuration_watch.ts
+++ b/src/soak/configuration_watch.ts
@@ -6,15 +6,17 @@
 import type {Milliseconds} from '../time/index.js';
 import {sleep} from '../time/index.js';
 import type {Callers} from './callers.js';
-import {FAULT_RECOVERY_MS, TIMING_SLACK_MS} from './constants.js';
+import {
+  FAULT_RECOVERY_MS,
+  MAX_APPLY_DELAY_MS,
+  TIMING_SLACK_MS,
+} from './constants.js';
 import {overlapsAny} from './history.js';
 import type {Finding, Span} from './types.js';
 import type {Testbed} from './testbed.js';
 import {versionRoutePrefix} from './testbed.js';
 
 const POLL_INTERVAL_MS: Milliseconds = 200;
-/** Each host must apply a new version within this time. */
-const MAX_APPLY_DELAY_MS: Milliseconds = 2_000;
 
 export class ConfigurationWatch {
   readonly findings: Finding[] = [];
--- a/src/soak/constants.ts
+++ b/src/soak/constants.ts
@@ -1,3 +1,4 @@
+import type {QuotaTolerance} from '../decisions/quotas/index.js';
 import type {Milliseconds} from '../time/index.js';
 
 /** Time limits don't apply to a host for this long after a fault. */
@@ -20,3 +21,11 @@
 export const PROPAGATION_MS: Milliseconds = 3_000;
 /** Time for which an upstream continues to serve after announcing that it leaves. */
 export const LEAVING_DURATION_MS: Milliseconds = 4_000;
+/** Each host must apply a new configuration within this time. */
+export const MAX_APPLY_DELAY_MS: Milliseconds = 2_000;
+/** How closely hosts must keep the quotas of customers, as in their settings. */
+export const QUOTA_TOLERANCE: QuotaTolerance = {
+  windowMs: 5_000,
+  overage: 0.1,
+  slack: 20,
+};
--- a/src/soak/host_process.ts
+++ b/src/soak/host_process.ts
@@ -10,8 +10,9 @@
   METRICS_PORT_VARIABLE,
   SETTINGS_FILE_VARIABLE,
 } from '../platform/index.js';
+import {quotaBounds} from '../standins/index.js';
 import type {Milliseconds} from '../time/index.js';
-import {COLD_OVERAGE, COLD_SLACK} from './constants.js';
+import {COLD_OVERAGE, COLD_SLACK, QUOTA_TOLERANCE} from './constants.js';
 
 /** The deployed single-file bundle; starts in a third of the time of separate modules. */
 const PROGRAM = 'target/host.cjs';
@@ -131,6 +132,7 @@
       'terms.bounds.probe_per_s=60',
       `terms.bounds.warmup_overage=${COLD_OVERAGE}`,
       `terms.bounds.warmup_slack=${COLD_SLACK}`,
+      ...quotaBounds(QUOTA_TOLERANCE),
       '',
     ].join('\n');
   }
--- a/src/standins/index.ts
+++ b/src/standins/index.ts
@@ -15,6 +15,7 @@
   CustomerSpec,
   ServiceSpec,
 } from './platform_records.js';
+export {quotaBounds} from './quota_bounds.js';
 export {
   configurationRecord,
   routesOf,
