--- a/src/soak/checks.ts
+++ b/src/soak/checks.ts
@@ -7,15 +7,16 @@
   FAULT_RECOVERY_MS,
   TIMING_SLACK_MS,
 } from './constants.js';
+import type {Check} from './findings.js';
+import {
+  completedRequests,
+  describe,
+  finding,
+  isUndisturbed,
+} from './findings.js';
 import type {History} from './history.js';
 import {overlapsAny} from './history.js';
-import type {
-  Finding,
-  ObservedRun,
-  RequestOutcome,
-  SentRequest,
-  Span,
-} from './types.js';
+import type {Finding, Span} from './types.js';
 
 /** Statuses that guarantee that a request wasn't executed and won't be. */
 const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
@@ -39,8 +40,6 @@
 const TRANSIT_MS: Milliseconds = 500;
 const MAX_ARRIVALS_IN_BACKOFF = 2;
 
-type Check = (history: History) => readonly Finding[];
-
 /** All checks, run on the complete history at the end of a run. */
 export const CHECKS: readonly Check[] = [
   findWrongResponses,
@@ -217,20 +216,6 @@
   });
 }
 
-/** Whether no fault affected the request's host, any upstream or its link since then. */
-function isUndisturbed(
-  history: History,
-  {id, at}: Pick<ObservedRun, 'id' | 'at'>,
-  since: Milliseconds,
-): boolean {
-  const host = history.sent.get(id)?.host ?? 0;
-  const span = {from: since, to: at};
-  return (
-    !overlapsAny(span, history.hostFaults.get(host) ?? []) &&
-    !overlapsAny(span, history.upstreamFaults)
-  );
-}
-
 /** A planned stop must not abort requests that have reached an upstream. */
 function findAbortedRequests(history: History): readonly Finding[] {
   return completedRequests(history).flatMap(([request, outcome]) => {
@@ -291,27 +276,3 @@
     .some(one => hosts.every(spans => overlapsAny(one, spans)));
   return allAtOnce && overlapsAny(span, history.storeFaults);
 }
-
-function completedRequests(
-  history: History,
-): readonly (readonly [SentRequest, RequestOutcome])[] {
-  return [...history.sent.values()].flatMap(request => {
-    const outcome = history.outcomes.get(request.id);
-    return outcome ? [[request, outcome] as const] : [];
-  });
-}
-
-function finding(
-  guarantee: string,
-  {id, kind, host}: SentRequest,
-  detail: string,
-): Finding {
-  return {
-    guarantee,
-    detail: `${kind} ${id} at host ${host}: ${detail}`,
-  };
-}
-
-function describe({id, upstream, method, target, at}: ObservedRun): string {
-  return `${upstream} ran ${id} (${method} ${target}) at ${Math.round(at)} ms`;
-}
