Play customers, their keys and load beyond quotas and capacity in the soak

Cause: the soak's configuration had no customers, so nothing tested keys, quotas and priorities under faults.

Upstreams then report their load, refuse requests when full and take 200 ms, so that 180 requests a second fill six upstreams.

--- a/src/soak/history.ts
+++ b/src/soak/history.ts
@@ -1,6 +1,7 @@
 /** Requests, outcomes, executions by upstreams and faults of one run. */
 
 import type {Clock, Milliseconds} from '../time/index.js';
+import {CustomerHistory} from './customer_history.js';
 import type {
   ObservedRun,
   RateLimitSpan,
@@ -38,6 +39,8 @@
   /** Planned stops of each host. */
   readonly plannedStops = new Map<number, Span[]>();
 
+  readonly customers = new CustomerHistory();
+
   /** Log of faults, signals and process exits, for tracing a finding. */
   readonly events: string[] = [];
 
@@ -93,6 +96,15 @@
     ];
   }
 
+  /** All faults during which some host may miss changes. */
+  get allPropagationFaults(): readonly Span[] {
+    return [
+      ...this.storeFaults,
+      ...[...this.hostFaults.values()].flat(),
+      ...[...this.storeLinkFaults.values()].flat(),
+    ];
+  }
+
   notePlannedStop(host: number, span: Span): void {
     this.plannedStops.set(host, [...(this.plannedStops.get(host) ?? []), span]);
   }
--- a/src/soak/main.ts
+++ b/src/soak/main.ts
@@ -45,6 +45,10 @@
     description:
       'number of rate limits, refusals with Retry-After and departures that upstreams announce',
   });
+  readonly customers = Option.String('--customers', '0', {
+    description:
+      'number of drills with customers: keys replaced, quotas lowered, load beyond quotas and capacity; 0 leaves customers out',
+  });
   readonly seconds = Option.String('--seconds', '8', {
     description: 'time within which faults and drills begin',
   });
@@ -85,6 +89,7 @@
         drills: 0,
         lostReads: 0,
         announcements: 0,
+        customers: 0,
         ...plan,
       })),
       ...Array.from({length: count}, (_, index) =>
@@ -105,6 +110,7 @@
       drills: Number(this.drills),
       lostReads: Number(this.lostReads),
       announcements: Number(this.announcements),
+      customers: Number(this.customers),
       faultPhaseMs: Number(this.seconds) * SECOND_MS,
     };
   }
--- a/src/soak/run.ts
+++ b/src/soak/run.ts
@@ -7,7 +7,8 @@
 import {ANNOUNCEMENTS} from './announcements.js';
 import {Callers} from './callers.js';
 import {CHECKS} from './checks.js';
-import {TIMING_SLACK_MS} from './constants.js';
+import {FAULT_RECOVERY_MS, TIMING_SLACK_MS} from './constants.js';
+import {customerDrills} from './customer_drills.js';
 import type {Drill} from './drills.js';
 import {DRILLS} from './drills.js';
 import {FAULTS, FAULT_KINDS, stopHost} from './faults.js';
@@ -15,6 +16,7 @@
 import {History} from './history.js';
 import {GRACE_MS} from './host_process.js';
 import {LOST_READS} from './lost_reads.js';
+import {monitorStalls} from './stall_monitor.js';
 import {ConfigurationWatch} from './configuration_watch.js';
 import type {Finding, RunReport} from './types.js';
 import type {TestbedSize} from './testbed.js';
@@ -47,6 +49,7 @@
 const DRILL_SEED_OFFSET = 200_000;
 const LOST_READS_SEED_OFFSET = 300_000;
 const ANNOUNCEMENTS_SEED_OFFSET = 400_000;
+const CUSTOMERS_SEED_OFFSET = 500_000;
 /** Time in which to detect that a refused request is executed after all. */
 const SETTLE_MS: Milliseconds = 500;
 
@@ -65,6 +68,7 @@
   );
   const counts = new Map<string, number>();
   const findings: Finding[] = [];
+  const stopMonitor = monitorStalls(history);
   try {
     await testbed.build(plan);
     await waitUntilServing(testbed, callers);
@@ -75,21 +79,9 @@
     }
     const played = await Promise.all([
       injectFaults(testbed, plan, counts),
-      runDrills(testbed, plan, counts, {
-        drills: DRILLS,
-        count: plan.drills,
-        seed: plan.seed + DRILL_SEED_OFFSET,
-      }),
-      runDrills(testbed, plan, counts, {
-        drills: LOST_READS,
-        count: plan.lostReads,
-        seed: plan.seed + LOST_READS_SEED_OFFSET,
-      }),
-      runDrills(testbed, plan, counts, {
-        drills: ANNOUNCEMENTS,
-        count: plan.announcements,
-        seed: plan.seed + ANNOUNCEMENTS_SEED_OFFSET,
-      }),
+      ...planDrills(plan, callers).map(drillPlan =>
+        runDrills(testbed, plan, counts, drillPlan),
+      ),
     ]);
     findings.push(...played.flat());
     await harmful.stop();
@@ -103,6 +95,7 @@
     await harmful.stop();
     await callers.stop();
     await watch.stop();
+    stopMonitor();
     await testbed.close();
     const events = history.events.join('\n');
     writeFileSync(join(logFolder, 'deeds.log'), `${events}\n`);
@@ -154,6 +147,35 @@
   readonly drills: Readonly<Record<string, Drill>>;
   readonly count: number;
   readonly seed: number;
+  /** Whether upstreams accept fewer requests meanwhile than they have capacity for. */
+  readonly limitsCapacity?: boolean;
+}
+
+function planDrills(plan: RunPlan, callers: Callers): readonly DrillPlan[] {
+  return [
+    {
+      drills: DRILLS,
+      count: plan.drills,
+      seed: plan.seed + DRILL_SEED_OFFSET,
+      limitsCapacity: true,
+    },
+    {
+      drills: LOST_READS,
+      count: plan.lostReads,
+      seed: plan.seed + LOST_READS_SEED_OFFSET,
+    },
+    {
+      drills: ANNOUNCEMENTS,
+      count: plan.announcements,
+      seed: plan.seed + ANNOUNCEMENTS_SEED_OFFSET,
+      limitsCapacity: true,
+    },
+    {
+      drills: customerDrills(callers),
+      count: plan.customers,
+      seed: plan.seed + CUSTOMERS_SEED_OFFSET,
+    },
+  ];
 }
 
 /** Runs drills at random times, concurrently with the faults. */
@@ -161,8 +183,9 @@
   testbed: Testbed,
   {faultPhaseMs}: RunPlan,
   counts: Map<string, number>,
-  {drills, count, seed}: DrillPlan,
+  {drills, count, seed, limitsCapacity = false}: DrillPlan,
 ): Promise<readonly Finding[]> {
+  const {history} = testbed;
   const draws = seededRandom(seed);
   const findings: Finding[] = [];
   const kinds = Object.keys(drills);
@@ -175,10 +198,15 @@
     const drill = kind === undefined ? undefined : drills[kind];
     if (kind !== undefined && drill) {
       counts.set(kind, (counts.get(kind) ?? 0) + 1);
-      testbed.history.noteEvent(kind);
+      history.noteEvent(kind);
+      const from = history.clock.now();
       await drill(testbed, random).catch((error: unknown) => {
         findings.push({guarantee: 'drill', detail: String(error)});
       });
+      if (limitsCapacity) {
+        const to = history.clock.now() + FAULT_RECOVERY_MS;
+        history.customers.capacityFaults.push({from, to});
+      }
     }
   });
   await Promise.all(pending);
--- a/src/soak/testbed.ts
+++ b/src/soak/testbed.ts
@@ -1,7 +1,7 @@
 /** A fleet of real host processes with a simulated store and upstreams. */
 
 import {OPERATOR_TOPIC, UPSTREAM_TOPIC} from '../platform/index.js';
-import type {StoreEndpoint} from '../standins/index.js';
+import type {CustomerSpec, StoreEndpoint} from '../standins/index.js';
 import {
   ReportingUpstream,
   StoreServer,
@@ -12,6 +12,7 @@
 import type {Milliseconds, Random} from '../time/index.js';
 import {seededRandom, sleep} from '../time/index.js';
 import {ROUTE_HOSTNAME} from './callers.js';
+import {CUSTOMERS} from './customers.js';
 import {
   COLD_PER_SECOND,
   HARMFUL_TARGET,
@@ -24,6 +25,11 @@
 const SERVICE = 'listings';
 export const DATA_CENTRES = ['east', 'west', 'north'];
 const WORK_MS: Milliseconds = 25;
+/**
+ * Work where the configuration has customers. One process runs callers and upstreams of
+ * all jobs: bursts of more requests a second than this makes necessary would stall it.
+ */
+const CUSTOMER_WORK_MS: Milliseconds = 200;
 /** Time from an upstream's crash until its replacement starts. */
 const RESTART_DELAY_MS: Milliseconds = 1_500;
 const LOOPBACK_IP = '127.0.0.1';
@@ -31,6 +37,8 @@
 export interface TestbedSize {
   readonly hosts: number;
   readonly upstreams: number;
+  /** Number of drills with customers; without any, there are no customers. */
+  readonly customers: number;
 }
 
 /** One host's connection to the store: a store endpoint behind a fault proxy. */
@@ -75,8 +83,12 @@
     return this.currentVersion;
   }
 
-  async build({hosts, upstreams}: TestbedSize): Promise<void> {
-    this.configure();
+  get hasCustomers(): boolean {
+    return this.history.customers.specs.length > 0;
+  }
+
+  async build({hosts, upstreams, customers}: TestbedSize): Promise<void> {
+    this.configure(customers > 0 ? CUSTOMERS : []);
     for (let i = 0; i < upstreams; i += 1) {
       await this.addUpstream();
     }
@@ -87,7 +99,7 @@
   }
 
   /** Writes the next configuration version, with a route that only this version has. */
-  configure(): void {
+  configure(customers = this.history.customers.specs): void {
     this.currentVersion += 1;
     const routes = routesOf(ROUTE_HOSTNAME, SERVICE, {
       '/lookup/': 'idempotent',
@@ -100,8 +112,25 @@
       [SERVICE],
       {},
       {coldPerSecond: COLD_PER_SECOND},
+      customers,
     );
     this.write(OPERATOR_TOPIC, 'config', record);
+    this.history.customers.noteConfiguration(
+      customers,
+      this.history.clock.now(),
+    );
+  }
+
+  /** Writes a configuration in which one customer differs. */
+  changeCustomer(
+    name: string,
+    change: (customer: CustomerSpec) => CustomerSpec,
+  ): void {
+    this.configure(
+      this.history.customers.specs.map(one =>
+        one.name === name ? change(one) : one,
+      ),
+    );
   }
 
   async addUpstream(): Promise<void> {
@@ -113,7 +142,9 @@
         void this.crash(upstream);
       }
     });
-    server.workMs = WORK_MS;
+    server.workMs = this.workMs;
+    server.refusesWhenFull = this.hasCustomers;
+    server.reportsActiveRequests = this.hasCustomers;
     server.onColdOverload = () => this.history.overloadedWhileCold.push(id);
     const [ip = LOOPBACK_IP, port] = (await server.listen()).split(':');
     const proxy = new FaultProxy({ip, port: Number(port)});
@@ -122,7 +153,7 @@
     const upstream = {server, proxy, address, dataCentre};
     this.allUpstreams.push(upstream);
     this.history.dataCentres.set(id, dataCentre);
-    this.upstreams = [...this.upstreams, upstream];
+    this.setUpstreams([...this.upstreams, upstream]);
     this.register(upstream, 'ready');
   }
 
@@ -138,7 +169,7 @@
 
   /** Excludes an upstream from further faults, drills and announcements. */
   excludeFromFaults(upstream: SoakUpstream): void {
-    this.upstreams = this.upstreams.filter(one => one !== upstream);
+    this.setUpstreams(this.upstreams.filter(one => one !== upstream));
   }
 
   remove({server}: SoakUpstream): void {
@@ -170,7 +201,7 @@
     const at = this.history.clock.now();
     this.history.upstreamFaults.push({from: at, to: at + FAULT_RECOVERY_MS});
     this.history.noteEvent(`${upstream.server.id} crashes`);
-    this.upstreams = this.upstreams.filter(one => one !== upstream);
+    this.excludeFromFaults(upstream);
     await Promise.all([upstream.proxy.close(), upstream.server.close()]);
     await sleep(RESTART_DELAY_MS);
     if (!this.closed) {
@@ -219,6 +250,21 @@
     await this.store.close();
   }
 
+  private get workMs(): Milliseconds {
+    return this.hasCustomers ? CUSTOMER_WORK_MS : WORK_MS;
+  }
+
+  private setUpstreams(upstreams: readonly SoakUpstream[]): void {
+    this.upstreams = upstreams;
+    const slots = upstreams.reduce(
+      (sum, one) => sum + one.server.load.slots,
+      0,
+    );
+    const perSecond = (slots * 1_000) / this.workMs;
+    const at = this.history.clock.now();
+    this.history.customers.capacities.push({at, perSecond});
+  }
+
   private async addHost(index: number): Promise<void> {
     const endpoint = await this.store.addEndpoint();
     const proxy = new FaultProxy({ip: LOOPBACK_IP, port: endpoint.port});
--- a/src/soak/types.ts
+++ b/src/soak/types.ts
@@ -8,6 +8,8 @@
   readonly method: string;
   readonly target: string;
   readonly body: string;
+  /** Undefined if the configuration has no customers. */
+  readonly key?: string;
   readonly at: Milliseconds;
 }
 
@@ -31,6 +33,8 @@
   readonly method: string;
   readonly target: string;
   readonly body: string;
+  /** Headers with names in lower case. */
+  readonly headers: ReadonlyMap<string, string>;
   readonly at: Milliseconds;
 }
 
--- a/src/standins/reporting_upstream.ts
+++ b/src/standins/reporting_upstream.ts
@@ -88,6 +88,8 @@
   reportsLoad = true;
   /** Whether the reported load includes the requests being executed. */
   reportsActiveRequests = false;
+  /** Whether it refuses requests while all its slots are in use. */
+  refusesWhenFull = false;
   /** Value of the rate limit header in responses to requests, not to probes. */
   rateLimit: string | undefined;
   /** Whether responses announce that it is leaving, regardless of its record. */
@@ -214,7 +216,7 @@
       return;
     }
     this.onArrival(run);
-    if (this.fault === 'shed') {
+    if (this.fault === 'shed' || this.isFull) {
       socket.write(this.formatResponse(run, 503, '', this.refusalHeaders));
       return;
     }
@@ -245,6 +247,10 @@
     }, this.workMs);
   }
 
+  private get isFull(): boolean {
+    return this.refusesWhenFull && this.activeCount >= this.load.slots;
+  }
+
   private get refusalHeaders(): readonly string[] {
     return this.retryAfter === undefined
       ? [NOT_EXECUTED_HEADER]
--- a/tests/soak.test.ts
+++ b/tests/soak.test.ts
@@ -24,6 +24,7 @@
     drills: 0,
     lostReads: 0,
     announcements: 0,
+    customers: 0,
     logFolder,
   });
   expect(report.findings).toEqual([]);
@@ -42,6 +43,7 @@
     drills: 0,
     lostReads: 0,
     announcements: 0,
+    customers: 0,
     logFolder,
   });
   expect(report.findings).toEqual([]);
@@ -60,6 +62,7 @@
     drills: 6,
     lostReads: 0,
     announcements: 0,
+    customers: 0,
     logFolder,
   });
   expect(report.findings).toEqual([]);
@@ -78,6 +81,7 @@
     drills: 0,
     lostReads: 3,
     announcements: 0,
+    customers: 0,
     logFolder,
   });
   expect(report.findings).toEqual([]);
@@ -96,6 +100,7 @@
     drills: 0,
     lostReads: 0,
     announcements: 5,
+    customers: 0,
     logFolder,
   });
   expect(report.findings).toEqual([]);
