Check keys, quotas and priorities in the soak

Cause: the soak sent keys and load beyond quotas and capacity, but checked none of what hosts guarantee about them.

Change: checks of revoked, unknown and refused valid keys, of names and keys sent to upstreams, of quota windows, of priorities in bursts and of sheds while capacity is free. Each has a hand-made history in tests/soak.test.ts that breaks it.

Bounds: a change of keys or quotas holds 2 s after the store's acknowledgement, as configurations do, plus 1.5 s for the machine. A window holds (rate x 5 s + burst) x 1.1 + 20 requests. Priority 0 is served at least as often as the least urgent, within sqrt(ln(1e6) / 2 x (1/n + 1/m)) by Hoeffding's inequality: a fleet that treats both alike exceeds it once in a million bursts. That check alone can't tell such a fleet from one with priorities, so a second one holds priority 0, when it asks for less than half of the capacity, to being served in 0.95 of the cases, less the same margin: the requirement admits levels in order and lets 0.05 of the capacity stay unused.

--- a/src/soak/checks.ts
+++ b/src/soak/checks.ts
@@ -7,6 +7,7 @@
   FAULT_RECOVERY_MS,
   TIMING_SLACK_MS,
 } from './constants.js';
+import {CUSTOMER_CHECKS} from './customer_checks.js';
 import type {Check} from './findings.js';
 import {
   completedRequests,
@@ -16,6 +17,7 @@
 } from './findings.js';
 import type {History} from './history.js';
 import {overlapsAny} from './history.js';
+import {OVERLOAD_CHECKS} from './overload_checks.js';
 import type {Finding, Span} from './types.js';
 
 /** Statuses that guarantee that a request wasn't executed and won't be. */
@@ -54,6 +56,8 @@
   findRunsAfterAnnouncedLeaving,
   findAbortedRequests,
   findHarmfulRuns,
+  ...CUSTOMER_CHECKS,
+  ...OVERLOAD_CHECKS,
 ];
 
 function findWrongResponses(history: History): readonly Finding[] {
