Name the hosts that may grant quotas in heartbeats

Cause: permits for customers' quotas are to be granted by the root of the distribution tree and its followers, in proportion to the hosts that they reach.

Change: heartbeats carry reachable, the hosts heard of within 2.5 s along the tree; successors and reported subtrees count only followers heard within that time.

--- a/src/decisions/fleet/constants.ts
+++ b/src/decisions/fleet/constants.ts
@@ -170,6 +170,12 @@
  * second. Its connection stays open if its host loses power.
  */
 export const FOLLOWER_TIMEOUT_MS: Milliseconds = 5_000;
+/**
+ * A follower from which nothing was heard for this time, in which it sends two
+ * or three greetings, counts neither as reachable nor as a grantor. A part of
+ * the fleet that is cut off must know it before the other part grants permits.
+ */
+export const REACHABLE_TIMEOUT_MS: Milliseconds = 2_500;
 /**
  * A largest count holds for one to two of these periods, across partitions and
  * restarts.
--- a/src/decisions/fleet/fleet_node.ts
+++ b/src/decisions/fleet/fleet_node.ts
@@ -17,6 +17,7 @@
 import type {FleetSize} from './fleet_size.js';
 import {FollowerSlots} from './follower_slots.js';
 import type {Freshness} from './freshness.js';
+import {GrantorList} from './grantor_list.js';
 import {IntroducerListSchedule} from './introducer_list_schedule.js';
 import {yieldsTo, isBetterParent, isUsableParent} from './parent_rules.js';
 import {ParentSearch} from './parent_search.js';
@@ -59,6 +60,7 @@
   readonly followers: FollowerSlots;
   readonly peerExchange: PeerExchange;
   readonly position: TreePosition;
+  readonly grantors: GrantorList;
   readonly readerRole: ReaderRole;
   readonly peerBackoffs: PeerBackoffs;
   readonly introducerList: IntroducerListSchedule;
@@ -88,7 +90,14 @@
       random,
     });
     const {followers} = this;
-    this.messages = new StatusMessages({...parts, followers, position});
+    this.grantors = new GrantorList({...parts, followers, position});
+    const {grantors} = this;
+    this.messages = new StatusMessages({
+      ...parts,
+      followers,
+      position,
+      grantors,
+    });
     const hasIntroducers = introducers.length > 0;
     this.introducerList = new IntroducerListSchedule(
       clock,
@@ -137,8 +146,8 @@
     this.actions.push(...this.peerExchange.exchange());
     const {parent} = this.position;
     if (parent) {
-      const {subtreeSize} = this.followers;
-      this.actions.push(...this.peerExchange.reportSize(parent, subtreeSize));
+      const {reachableSize} = this.followers;
+      this.actions.push(...this.peerExchange.reportSize(parent, reachableSize));
     }
     return this.takeActions();
   }
@@ -176,6 +185,7 @@
       return this.takeActions();
     }
     this.position.applyHeartbeat(heartbeat);
+    this.grantors.applyHeartbeat(heartbeat);
     this.parts.size.applyHeartbeat(heartbeat);
     if (isFresh) {
       this.acceptFreshHeartbeat(parent, ageMs, reader);
--- a/src/decisions/fleet/follower_slots.ts
+++ b/src/decisions/fleet/follower_slots.ts
@@ -12,6 +12,7 @@
   FOLLOWER_TIMEOUT_MS,
   MAX_FAR_FOLLOWERS,
   MAX_PATH_LENGTH,
+  REACHABLE_TIMEOUT_MS,
   REDIRECT_TARGETS,
 } from './constants.js';
 import {pick} from './pick.js';
@@ -43,6 +44,11 @@
     return [...this.followers.keys()];
   }
 
+  /** Followers that were heard recently, in the order of admission. */
+  get reachableAddresses(): readonly string[] {
+    return this.reachable.map(({address}) => address);
+  }
+
   get peers(): readonly Peer[] {
     return [...this.followers.values()].map(({address, dataCentre}) => ({
       address,
@@ -57,6 +63,11 @@
     return sum;
   }
 
+  /** The same, through followers that were heard recently. */
+  get reachableSize(): number {
+    return this.reachable.reduce((sum, one) => sum + one.subtreeSize, 1);
+  }
+
   /** Followers that have timed out and are to be disconnected. */
   get silent(): readonly string[] {
     const since = this.clock.now() - FOLLOWER_TIMEOUT_MS;
@@ -103,6 +114,11 @@
     }
   }
 
+  private get reachable(): readonly Follower[] {
+    const since = this.clock.now() - REACHABLE_TIMEOUT_MS;
+    return [...this.followers.values()].filter(one => one.heardAt >= since);
+  }
+
   private get farCount(): number {
     const {dataCentre} = this.self;
     return this.peers.filter(one => one.dataCentre !== dataCentre).length;
--- a/src/decisions/fleet/status_messages.ts
+++ b/src/decisions/fleet/status_messages.ts
@@ -8,6 +8,7 @@
 import type {FollowerSlots} from './follower_slots.js';
 import type {Freshness} from './freshness.js';
 import type {TreePosition} from './tree_position.js';
+import type {GrantorList} from './grantor_list.js';
 import type {Heartbeat, Peer, PeerStatus} from './types.js';
 
 export interface StatusMessagesParts {
@@ -16,6 +17,7 @@
   readonly size: FleetSize;
   readonly followers: FollowerSlots;
   readonly position: TreePosition;
+  readonly grantors: GrantorList;
 }
 
 export class StatusMessages {
@@ -30,7 +32,7 @@
       newsAgeMs: this.ageMs,
       path: position.path,
       head: position.head,
-      subtreeSize: followers.subtreeSize,
+      subtreeSize: followers.reachableSize,
     };
   }
 
@@ -39,7 +41,7 @@
    * @param isStoreFailing as far as this host knows
    */
   heartbeat(end: LogPosition, isStoreFailing: boolean): Heartbeat {
-    const {self, freshness, size, followers, position} = this.parts;
+    const {self, freshness, size, followers, position, grantors} = this.parts;
     const {path, head, heirs, depth} = position;
     return {
       kind: 'alive',
@@ -48,8 +50,9 @@
       path: [...path, self.address],
       head,
       isStoreFailing,
-      heirs: depth === 0 ? followers.addresses : heirs,
+      heirs: depth === 0 ? followers.reachableAddresses : heirs,
       hosts: size.estimate,
+      reachable: depth === 0 ? followers.reachableSize : grantors.reachable,
       isCounted: size.isSettled,
       end,
     };
--- a/src/decisions/fleet/tree_position.ts
+++ b/src/decisions/fleet/tree_position.ts
@@ -22,6 +22,7 @@
   private successors: readonly string[] = [];
   private parentHead = NO_HEAD;
   private isStoreFailing = false;
+  private hasBecomeRoot = false;
 
   constructor(private readonly self: Peer) {}
 
@@ -57,6 +58,11 @@
     return rank < 0 ? this.heirs.length : rank;
   }
 
+  /** Whether this host has read the store and follows no other since. */
+  get isTreeRoot(): boolean {
+    return this.hasBecomeRoot && this.source === undefined;
+  }
+
   /** Whether the parent reports that the store fails. */
   get parentReportsStoreFailing(): boolean {
     return this.source !== undefined && this.isStoreFailing;
@@ -79,6 +85,7 @@
   follow({address, dataCentre}: Peer): void {
     this.source = {address, dataCentre, isConfirmed: false};
     this.isStoreFailing = false;
+    this.hasBecomeRoot = false;
   }
 
   unfollow(): void {
@@ -99,6 +106,7 @@
 
   /** This host reads the store itself. */
   becomeRoot(): void {
+    this.hasBecomeRoot = true;
     this.relayPath = [];
     this.successors = [];
   }
--- a/src/decisions/fleet/types.ts
+++ b/src/decisions/fleet/types.ts
@@ -72,12 +72,26 @@
   readonly heirs: readonly string[];
   /** Hosts in the fleet, as the reader counts them. */
   readonly hosts: number;
+  /** Hosts that the reader's distribution tree reaches now. */
+  readonly reachable: number;
   /** Whether the fleet has run for long enough to be counted. */
   readonly isCounted: boolean;
   /** Log position up to which the sender has relayed changes of upstreams. */
   readonly end: LogPosition;
 }
 
+/** The hosts that may grant permits for customers' quotas, as heartbeats name them. */
+export interface GrantorTerm {
+  /** The root of the distribution tree, then its followers. */
+  readonly grantors: readonly string[];
+  /** Hosts in that tree now. */
+  readonly reachable: number;
+  /** The largest recent number of hosts in the fleet. */
+  readonly hosts: number;
+  /** When the term was last confirmed. */
+  readonly heardAt: Milliseconds;
+}
+
 /** A message of a host to its followers, one line of JSON. */
 export type Update =
   | {readonly kind: 'table'; readonly table: RouteTable}
--- a/src/fleet/fleet_member.ts
+++ b/src/fleet/fleet_member.ts
@@ -5,6 +5,7 @@
 import type {
   Admission,
   FollowRequest,
+  GrantorTerm,
   PropagationBudget,
   NodeAction,
   Peer,
@@ -111,6 +112,11 @@
     return peers.map(({address}) => address);
   }
 
+  /** The hosts that may grant permits for quotas; undefined before the first. */
+  get grantorTerm(): GrantorTerm | undefined {
+    return this.node?.grantors.term;
+  }
+
   /** The heartbeat for followers; undefined until this host has started. */
   heartbeat(): Heartbeat | undefined {
     return this.node?.heartbeat(this.parts.state.registry.cursor);
--- a/tests/fleet_node.test.ts
+++ b/tests/fleet_node.test.ts
@@ -60,6 +60,7 @@
     isStoreFailing: false,
     heirs: [],
     hosts: 9,
+    reachable: 9,
     isCounted: true,
     end: 0,
     ...overrides,
