Grant customers' quotas over all hosts

Cause: quotas of customers were read and not kept.

Change: hosts request permits by datagram from the customer's grantor, which is the root of the distribution tree or one of its followers, chosen by rendezvous hashing. One host has a customer's bucket: a new grantor claims it from the former one, or starts with an empty one once the former one can no longer act. Grantors without a bucket grant from a small reserve that the bound allows for. Refusals are logged.

--- a/src/decisions/customers/customer_directory.ts
+++ b/src/decisions/customers/customer_directory.ts
@@ -20,6 +20,10 @@
     return this.byKey.get(key);
   }
 
+  findByName(name: string): Customer | undefined {
+    return this.byName.get(name);
+  }
+
   /**
    * Replaces the customers. Only the keys of those that changed are indexed again: a
    * configuration with thousands of customers would otherwise block the event loop with
--- /dev/null
+++ b/src/decisions/quotas/claims.ts
@@ -0,0 +1,122 @@
+/** Claims of buckets from former grantors, and the requests that wait for them. */
+
+import type {Clock, Milliseconds, Random} from '../../time/index.js';
+import {
+  CLAIM_INTERVAL_MS,
+  CLAIM_TIMEOUT_MS,
+  MAX_REFERRALS,
+  NEW_ROOT_DELAY_MS,
+} from './constants.js';
+import type {QuotaClaim, QuotaHandover} from './types.js';
+
+const MAX_ID = 2 ** 31;
+
+interface Claim {
+  readonly id: number;
+  readonly startedAt: Milliseconds;
+  to: string;
+  referrals: number;
+  isPending: boolean;
+  waiting: (() => void)[];
+}
+
+export class Claims {
+  private readonly claims = new Map<string, Claim>();
+
+  constructor(
+    private readonly self: () => string,
+    private readonly send: (to: string, claim: QuotaClaim) => void,
+    private readonly clock: Clock,
+    private readonly random: Random,
+  ) {}
+
+  /** Whether requests are waiting, so that `tick` must be called soon. */
+  get isWaiting(): boolean {
+    return [...this.claims.values()].some(({isPending}) => isPending);
+  }
+
+  /**
+   * Claims a bucket, unless that has just been tried in vain.
+   *
+   * @param resume called once the bucket has arrived or won't
+   * @returns whether it will be called
+   */
+  claim(
+    customer: string,
+    from: string | undefined,
+    resume: () => void,
+  ): boolean {
+    const now = this.clock.now();
+    const last = this.claims.get(customer);
+    if (last?.isPending) {
+      last.waiting.push(resume);
+      return true;
+    }
+    const isOpen = !last || now - last.startedAt >= CLAIM_INTERVAL_MS;
+    if (from === undefined || from === this.self() || !isOpen) {
+      return false;
+    }
+    // The same id lets the other repeat an answer that was lost.
+    const id = last?.id ?? Math.floor(this.random() * MAX_ID);
+    this.claims.set(customer, {
+      id,
+      startedAt: now,
+      to: from,
+      referrals: 0,
+      isPending: true,
+      waiting: [resume],
+    });
+    this.send(from, {kind: 'claim', id, customer});
+    return true;
+  }
+
+  /**
+   * A former grantor has answered.
+   *
+   * @param accept opens the bucket
+   */
+  settle(
+    from: string,
+    {id, customer, level, referral}: QuotaHandover,
+    accept: (level: number) => void,
+  ): void {
+    const claim = this.claims.get(customer);
+    if (!claim?.isPending || claim.id !== id || claim.to !== from) {
+      return;
+    }
+    const isReferred = referral !== undefined && referral !== this.self();
+    if (level === undefined && isReferred && claim.referrals < MAX_REFERRALS) {
+      claim.to = referral;
+      claim.referrals += 1;
+      this.send(referral, {kind: 'claim', id, customer});
+      return;
+    }
+    this.end(claim, () => {
+      if (level !== undefined) {
+        this.claims.delete(customer);
+        accept(level);
+      }
+    });
+  }
+
+  tick(): void {
+    const now = this.clock.now();
+    for (const [customer, claim] of this.claims) {
+      const ageMs = now - claim.startedAt;
+      if (claim.isPending && ageMs >= CLAIM_TIMEOUT_MS) {
+        this.end(claim, () => undefined);
+      }
+      if (ageMs > NEW_ROOT_DELAY_MS) {
+        this.claims.delete(customer);
+      }
+    }
+  }
+
+  private end(claim: Claim, prepare: () => void): void {
+    const {waiting} = claim;
+    claim.isPending = false;
+    claim.waiting = [];
+    prepare();
+    waiting.forEach(resume => resume());
+  }
+}
--- /dev/null
+++ b/src/decisions/quotas/customer_permits.ts
@@ -0,0 +1,315 @@
+/** Obtains permits for one customer at one host. */
+
+import type {Clock, Milliseconds, Random} from '../../time/index.js';
+import type {Customer} from '../customers/index.js';
+import {ArrivalRate} from './arrival_rate.js';
+import {
+  ANSWER_TIMEOUT_MS,
+  DECISION_TIMEOUT_MS,
+  MAX_REFERRALS,
+  MAX_REQUESTED_PERMITS,
+  REFUSAL_REUSE_MS,
+  RESERVE_PARTS,
+} from './constants.js';
+import type {GrantorTerms} from './grantor_terms.js';
+import {PermitStock} from './permit_stock.js';
+import {permitLifetimeMs, reserveOf} from './quota_budget.js';
+import type {SilentGrantors} from './silent_grantors.js';
+import type {
+  QuotaAsk,
+  QuotaGrant,
+  QuotaTolerance,
+  QuotaVerdict,
+} from './types.js';
+import {WindowCount} from './window_count.js';
+
+/** Retry-After of a host that reaches no grantor; others are probably reachable. */
+const OWN_SHARE_RETRY_MS: Milliseconds = 300;
+/** Age of an answer that can't be an answer to a request. */
+const MAX_ID = 2 ** 31;
+
+export interface CustomerPermitsParts {
+  readonly terms: GrantorTerms;
+  readonly silent: SilentGrantors;
+  readonly tolerance: QuotaTolerance;
+  /** Sends a request; a grantor at this host may answer at once. */
+  readonly ask: (to: string, ask: QuotaAsk) => void;
+  readonly clock: Clock;
+  readonly random: Random;
+}
+
+interface Waiting {
+  readonly resolve: (verdict: QuotaVerdict) => void;
+}
+
+/** A request for permits that is under way. */
+interface Request {
+  readonly startedAt: Milliseconds;
+  readonly wanted: number;
+  to: string;
+  id: number;
+  askedAt: Milliseconds;
+  referrals: number;
+  hasAskedBackup: boolean;
+}
+
+interface Refusal {
+  readonly until: Milliseconds;
+  readonly intervalMs: Milliseconds;
+  nextAt: Milliseconds;
+  readonly source: string;
+  readonly decidedAt: Milliseconds;
+}
+
+export class CustomerPermits {
+  private readonly stock: PermitStock;
+  private readonly arrivals: ArrivalRate;
+  private readonly ownShare: WindowCount;
+  private waiting: Waiting[] = [];
+  private request: Request | undefined;
+  private refusal: Refusal | undefined;
+  private usedAt: Milliseconds;
+  /** Requests that were given up, whose permits are still welcome. */
+  private readonly late = new Map<number, Milliseconds>();
+
+  constructor(
+    private customer: Customer,
+    private readonly parts: CustomerPermitsParts,
+  ) {
+    const {clock, tolerance} = parts;
+    this.stock = new PermitStock(clock);
+    this.arrivals = new ArrivalRate(clock);
+    this.ownShare = new WindowCount(tolerance.windowMs);
+    this.usedAt = clock.now();
+  }
+
+  get isWaiting(): boolean {
+    return this.request !== undefined;
+  }
+
+  /** Whether nothing would be lost with this object. */
+  get isIdle(): boolean {
+    const {tolerance, clock} = this.parts;
+    return !this.request && clock.now() - this.usedAt > 2 * tolerance.windowMs;
+  }
+
+  acquire(customer: Customer): Promise<QuotaVerdict> {
+    const {clock} = this.parts;
+    this.customer = customer;
+    this.usedAt = clock.now();
+    this.arrivals.note();
+    if (this.stock.tryTake()) {
+      return Promise.resolve({kind: 'admitted'});
+    }
+    if (this.refusal && this.usedAt < this.refusal.until) {
+      return Promise.resolve(this.refuse(this.refusal));
+    }
+    return new Promise(resolve => {
+      this.waiting.push({resolve});
+      if (!this.request) {
+        this.startRequest();
+      }
+    });
+  }
+
+  release(): void {
+    this.stock.putBack();
+  }
+
+  /** After a suspension nobody knows how old permits are. */
+  dropPermits(): void {
+    this.stock.clear();
+    this.late.clear();
+  }
+
+  handleGrant(from: string, grant: QuotaGrant): void {
+    const {request} = this;
+    if (request?.id !== grant.id || request.to !== from) {
+      this.acceptLate(grant);
+      return;
+    }
+    this.parts.silent.noteAnswer(from);
+    const isDecided = grant.source === 'grantor' || grant.source === 'backup';
+    if (isDecided || grant.granted >= request.wanted) {
+      this.finish(request, grant.granted, this.refusalBy(grant));
+      return;
+    }
+    if (grant.source === 'new-grantor') {
+      this.stockUp(grant.granted, request.askedAt);
+      this.askBackup(request, grant);
+      return;
+    }
+    const {referral} = grant;
+    if (referral !== undefined && request.referrals < MAX_REFERRALS) {
+      request.referrals += 1;
+      this.send(request, referral);
+      return;
+    }
+    this.askBackup(request, undefined);
+  }
+
+  /** Call it every 10 ms while `isWaiting`. */
+  tick(): void {
+    const {request} = this;
+    const now = this.parts.clock.now();
+    for (const [id, askedAt] of this.late) {
+      if (now - askedAt >= permitLifetimeMs(this.parts.tolerance)) {
+        this.late.delete(id);
+      }
+    }
+    if (!request) {
+      return;
+    }
+    if (now - request.startedAt >= DECISION_TIMEOUT_MS) {
+      this.late.set(request.id, request.askedAt);
+      this.useOwnShare(request);
+    } else if (now - request.askedAt >= ANSWER_TIMEOUT_MS) {
+      this.parts.silent.noteSilence(request.to);
+      this.late.set(request.id, request.askedAt);
+      this.askBackup(request, undefined);
+    }
+  }
+
+  private startRequest(): void {
+    const now = this.parts.clock.now();
+    const wanted = this.waiting.length + this.arrivals.prefetch;
+    const request: Request = {
+      startedAt: now,
+      wanted: Math.min(MAX_REQUESTED_PERMITS, wanted),
+      to: '',
+      id: 0,
+      askedAt: now,
+      referrals: 0,
+      hasAskedBackup: false,
+    };
+    this.request = request;
+    const {main} = this.parts.terms.choicesFor(this.customer.name);
+    if (main !== undefined && !this.parts.silent.has(main)) {
+      this.send(request, main);
+    } else {
+      this.askBackup(request, undefined);
+    }
+  }
+
+  /** @param refused what the grantor in charge said, if it did */
+  private askBackup(request: Request, refused: QuotaGrant | undefined): void {
+    const {terms, silent} = this.parts;
+    const {backup} = terms.choicesFor(this.customer.name);
+    const isOpen = backup !== undefined && !silent.has(backup);
+    if (!request.hasAskedBackup && isOpen && backup !== request.to) {
+      request.hasAskedBackup = true;
+      this.send(request, backup);
+    } else if (refused) {
+      this.finish(request, 0, this.refusalBy(refused));
+    } else {
+      this.useOwnShare(request);
+    }
+  }
+
+  private send(request: Request, to: string): void {
+    request.to = to;
+    request.id = Math.floor(this.parts.random() * MAX_ID);
+    request.askedAt = this.parts.clock.now();
+    const stocked = this.stock.count;
+    this.parts.ask(to, {
+      kind: 'ask',
+      id: request.id,
+      customer: this.customer.name,
+      wanted: Math.max(1, request.wanted - stocked),
+    });
+  }
+
+  /** No grantor answers: this host grants its part of the reserve to itself. */
+  private useOwnShare(request: Request): void {
+    const {terms, tolerance, clock, random} = this.parts;
+    const {quota} = this.customer;
+    const hosts = Math.max(terms.hosts, 1);
+    const reserve = quota ? reserveOf(quota, tolerance) : 0;
+    const now = clock.now();
+    const limit = terms.hosts > 0 ? reserve / hosts : 0;
+    const granted = this.ownShare.take(this.waiting.length, limit, now);
+    this.finish(request, granted, {
+      source: 'own-share',
+      until: now,
+      decidedAt: now - Math.min(terms.ageMs, now),
+      nextAt: now + OWN_SHARE_RETRY_MS * (0.5 + random()),
+      intervalMs: OWN_SHARE_RETRY_MS / RESERVE_PARTS,
+    });
+  }
+
+  /** Admits as many of the requests that asked as there are permits. */
+  private finish(request: Request, granted: number, refusal: Refusal): void {
+    this.request = undefined;
+    this.stockUp(granted, request.askedAt);
+    const asking = this.waiting.splice(0, request.wanted);
+    for (const {resolve} of asking) {
+      if (this.stock.tryTake()) {
+        resolve({kind: 'admitted'});
+      } else {
+        this.refusal = refusal;
+        resolve(this.refuse(refusal));
+      }
+    }
+    this.serveLater();
+  }
+
+  /** Requests that arrived after the datagram was sent. */
+  private serveLater(): void {
+    while (this.waiting.length > 0 && this.stock.tryTake()) {
+      this.waiting.shift()?.resolve({kind: 'admitted'});
+    }
+    const {refusal} = this;
+    if (refusal && this.parts.clock.now() < refusal.until) {
+      const refused = this.waiting.splice(0);
+      refused.forEach(({resolve}) => resolve(this.refuse(refusal)));
+    }
+    if (this.waiting.length > 0) {
+      this.startRequest();
+    }
+  }
+
+  private stockUp(granted: number, askedAt: Milliseconds): void {
+    const {clock, tolerance} = this.parts;
+    const expiresAt = askedAt + permitLifetimeMs(tolerance);
+    if (expiresAt > clock.now()) {
+      this.stock.add(granted, expiresAt);
+    }
+  }
+
+  private acceptLate({id, granted}: QuotaGrant): void {
+    const askedAt = this.late.get(id);
+    if (askedAt !== undefined) {
+      this.late.delete(id);
+      this.stockUp(granted, askedAt);
+    }
+  }
+
+  private refusalBy(grant: QuotaGrant): Refusal {
+    const now = this.parts.clock.now();
+    const {retryAfterMs, intervalMs, source, ageMs} = grant;
+    return {
+      source,
+      until: now + Math.min(retryAfterMs, REFUSAL_REUSE_MS),
+      intervalMs,
+      nextAt: now + retryAfterMs,
+      decidedAt: now - ageMs,
+    };
+  }
+
+  private refuse(refusal: Refusal): QuotaVerdict {
+    const now = this.parts.clock.now();
+    const {windowMs} = this.parts.tolerance;
+    const retryAfterMs = Math.max(1, refusal.nextAt - now);
+    // Beyond the longest time that is told, times spread at random.
+    const isFar = retryAfterMs > windowMs;
+    refusal.nextAt += isFar
+      ? -windowMs * (0.5 * this.parts.random())
+      : refusal.intervalMs;
+    return {
+      kind: 'over-quota',
+      retryAfterMs,
+      source: refusal.source,
+      ageMs: now - refusal.decidedAt,
+    };
+  }
+}
--- a/src/host/gateway_host.ts
+++ b/src/host/gateway_host.ts
@@ -5,7 +5,6 @@
 import {ByteBudget} from '../decisions/limits/index.js';
 import {DEFAULT_OPTIONS} from '../decisions/options/index.js';
 import {OPEN_ADMISSION} from '../decisions/overload/index.js';
-import {UNLIMITED_QUOTAS} from '../decisions/quotas/index.js';
 import {HostRetryBudgets} from '../decisions/retries/index.js';
 import {StallDetector} from '../decisions/stalls/index.js';
 import {planShutdown} from '../decisions/stopping/index.js';
@@ -23,6 +22,7 @@
 import {ResourceStack} from '../lifecycle/index.js';
 import {DatagramPort} from '../datagrams/index.js';
 import {CrashHistory} from '../quarantine/index.js';
+import {QuotaExchange} from '../quotas/index.js';
 import type {HostSettings, Store} from '../platform/index.js';
 import type {Clock, Milliseconds, Random} from '../time/index.js';
 import {sleep} from '../time/index.js';
@@ -66,6 +66,7 @@
   private readonly datagrams: DatagramPort;
   private readonly crashHistory: CrashHistory;
   private readonly upstreamSelection: UpstreamSelection;
+  private readonly quotas: QuotaExchange;
   private readonly bodies = new ByteBudget(BODY_MEMORY_BYTES);
   private stopping = false;
   private wasReady = false;
@@ -102,6 +103,7 @@
       logger,
       metrics,
     });
+    this.quotas = this.createQuotas();
     this.relay = this.lifeCycle.adopt(
       'relay',
       new RelayServer(this.state, {
@@ -169,6 +171,7 @@
     const ports = {callers, readiness, peers, metrics};
     logger.info({event: 'start', host: settings.host, ports}, 'listening');
     this.upstreamSelection.start(address);
+    this.quotas.start(address);
     this.member.start(address);
     this.crashHistory.start();
     return ports;
@@ -281,6 +284,26 @@
     );
   }
 
+  private createQuotas(): QuotaExchange {
+    const {settings, clock, random, logger} = this.parts;
+    const {state, datagrams} = this;
+    return this.lifeCycle.adopt(
+      'quotas',
+      new QuotaExchange({
+        datagrams,
+        state,
+        term: () => this.member.grantorTerm,
+        tolerance: settings.quotaTolerance,
+        firstStart: settings.firstStart,
+        clock,
+        wallClock: {now: () => Date.now()},
+        random,
+        logger,
+      }),
+      one => one.close(),
+    );
+  }
+
   private createGateway(): GatewayServer {
     const {clock, random, logger, metrics} = this.parts;
     const split = new TrafficSplit(random);
@@ -309,7 +332,7 @@
       options: DEFAULT_OPTIONS,
       schedulerOf: service => this.upstreamSelection.schedulerOf(service),
       split,
-      quotas: UNLIMITED_QUOTAS,
+      quotas: this.quotas,
       admission: OPEN_ADMISSION,
       retries: this.createRetries(),
       unknownHeaders: new UnknownHeaders(logger),
--- a/tests/support/fleet_simulation.ts
+++ b/tests/support/fleet_simulation.ts
@@ -129,6 +129,18 @@
     return this.network.cut(matches);
   }
 
+  /** Delivers a datagram, unless it is lost. */
+  send(
+    from: SimulatedHost,
+    address: string,
+    run: (to: SimulatedHost) => void,
+  ): void {
+    const to = this.byAddress.get(address);
+    if (to && this.random() >= (this.options.loss ?? 0)) {
+      this.network.deliver(from, to, () => run(to));
+    }
+  }
+
   /** Delays messages on the matching links; all of them arrive afterwards. */
   stall(matches: LinkMatcher, forMs: Milliseconds): void {
     this.network.stall(matches, forMs);
