Test quotas in simulated fleets; count hosts without moves

Cause: while a fleet of 312 starts, hosts that move in the tree are counted twice and the largest count is 390, so that grantors used 0.82 of each quota for a minute.

Change: a count is the size of the fleet once it has held for 3.5 s; a follower that drops out of the list hands over for longer to the host that is known to follow it; permits are requested in advance only for steady arrivals.

--- a/src/decisions/fleet/constants.ts
+++ b/src/decisions/fleet/constants.ts
@@ -176,6 +176,11 @@
  * the fleet that is cut off must know it before the other part grants permits.
  */
 export const REACHABLE_TIMEOUT_MS: Milliseconds = 2_500;
+/**
+ * A count of hosts that held for this time is the size of the fleet: moves in
+ * the tree are counted twice for a second or two.
+ */
+export const LASTING_COUNT_MS: Milliseconds = 3_500;
 /**
  * A largest count holds for one to two of these periods, across partitions and
  * restarts.
--- a/src/decisions/fleet/fleet_node.ts
+++ b/src/decisions/fleet/fleet_node.ts
@@ -138,6 +138,7 @@
   /** Call it every few tens of milliseconds. */
   tick(): readonly NodeAction[] {
     this.source.loseIfStale();
+    this.grantors.tick();
     if (this.source.isLossConfirmed) {
       this.announceSourceLoss();
     }
--- a/src/decisions/fleet/grantor_list.ts
+++ b/src/decisions/fleet/grantor_list.ts
@@ -4,8 +4,9 @@
  * although it knows only some of the other hosts.
  */
 
-import type {Clock} from '../../time/index.js';
-import type {FleetSize} from './fleet_size.js';
+import type {Clock, Milliseconds} from '../../time/index.js';
+import {FleetSize} from './fleet_size.js';
+import {LASTING_COUNT_MS} from './constants.js';
 import type {FollowerSlots} from './follower_slots.js';
 import type {TreePosition} from './tree_position.js';
 import type {GrantorTerm, Heartbeat, Peer} from './types.js';
@@ -20,38 +21,80 @@
 
 export class GrantorList {
   private last: GrantorTerm | undefined;
+  private counts: readonly {at: Milliseconds; count: number}[] = [];
+  private readonly lasting: FleetSize;
 
-  constructor(private readonly parts: GrantorListParts) {}
+  constructor(private readonly parts: GrantorListParts) {
+    this.lasting = new FleetSize(parts.clock);
+  }
 
   /** Hosts that the tree reaches, as the parent reports. */
   get reachable(): number {
     return this.last?.reachable ?? 0;
   }
 
+  /**
+   * Most hosts that the tree has lately reached for some seconds. A host that moves in
+   * the tree is counted twice for a moment; when a whole fleet starts, the largest count
+   * is a quarter too high.
+   */
+  get lastingCount(): number {
+    return this.lasting.estimate;
+  }
+
   /**
    * The term in force; undefined before the first. The root keeps its term
    * while the store fails: grantors don't need the store.
    */
   get term(): GrantorTerm | undefined {
     const {self, size, followers, position, clock} = this.parts;
+    const hosts = this.lastingCount;
     if (!position.isTreeRoot) {
-      return this.last;
+      return this.last && {...this.last, hosts};
     }
-    const reachable = followers.reachableSize;
     return {
       grantors: [self.address, ...followers.reachableAddresses],
-      reachable,
-      hosts: Math.max(size.estimate, reachable),
+      reachable: followers.reachableSize,
+      hosts,
+      isCounted: size.isSettled,
       heardAt: clock.now(),
     };
   }
 
-  applyHeartbeat({path, heirs, reachable, hosts}: Heartbeat): void {
+  /** Call it every few tens of milliseconds. */
+  tick(): void {
+    const {position, followers} = this.parts;
+    if (position.isTreeRoot) {
+      this.observe(followers.reachableSize);
+    }
+  }
+
+  applyHeartbeat(heartbeat: Heartbeat): void {
+    const {path, heirs, reachable, lastingCount, isCounted} = heartbeat;
     const [root] = path;
-    if (root !== undefined) {
-      const grantors = [...new Set([root, ...heirs])];
-      const heardAt = this.parts.clock.now();
-      this.last = {grantors, reachable, hosts, heardAt};
+    if (root === undefined) {
+      return;
+    }
+    this.observe(reachable);
+    this.lasting.observe(lastingCount);
+    const grantors = [...new Set([root, ...heirs])];
+    const heardAt = this.parts.clock.now();
+    const hosts = this.lastingCount;
+    this.last = {grantors, reachable, hosts, isCounted, heardAt};
+  }
+
+  private observe(count: number): void {
+    const at = this.parts.clock.now();
+    const last = this.counts.at(-1);
+    if (last?.count !== count) {
+      this.counts = [...this.counts, {at, count}];
+    }
+    const since = at - LASTING_COUNT_MS;
+    // The count at the start of the time was set before it.
+    const first = this.counts.findLastIndex(one => one.at <= since);
+    if (first >= 0) {
+      this.counts = this.counts.slice(first);
+      this.lasting.observe(Math.min(...this.counts.map(one => one.count)));
     }
   }
 }
--- a/src/decisions/fleet/status_messages.ts
+++ b/src/decisions/fleet/status_messages.ts
@@ -53,6 +53,7 @@
       heirs: depth === 0 ? followers.reachableAddresses : heirs,
       hosts: size.estimate,
       reachable: depth === 0 ? followers.reachableSize : grantors.reachable,
+      lastingCount: grantors.lastingCount,
       isCounted: size.isSettled,
       end,
     };
--- a/src/decisions/fleet/types.ts
+++ b/src/decisions/fleet/types.ts
@@ -74,6 +74,8 @@
   readonly hosts: number;
   /** Hosts that the reader's distribution tree reaches now. */
   readonly reachable: number;
+  /** Most hosts that it has lately reached for some seconds. */
+  readonly lastingCount: number;
   /** Whether the fleet has run for long enough to be counted. */
   readonly isCounted: boolean;
   /** Log position up to which the sender has relayed changes of upstreams. */
@@ -86,8 +88,10 @@
   readonly grantors: readonly string[];
   /** Hosts in that tree now. */
   readonly reachable: number;
-  /** The largest recent number of hosts in the fleet. */
+  /** Most hosts that the tree has lately reached for some seconds; 0 at first. */
   readonly hosts: number;
+  /** Whether the fleet has run for long enough to be counted. */
+  readonly isCounted: boolean;
   /** When the term was last confirmed. */
   readonly heardAt: Milliseconds;
 }
--- a/src/decisions/quotas/constants.ts
+++ b/src/decisions/quotas/constants.ts
@@ -14,12 +14,14 @@
 /** Most permits that one datagram requests. */
 export const MAX_REQUESTED_PERMITS = 1_000;
 /** Time constant of the estimated arrival rate of a customer at a host. */
-export const ARRIVAL_RATE_TIME_CONSTANT_MS: Milliseconds = 300;
+export const ARRIVAL_RATE_TIME_CONSTANT_MS: Milliseconds = 1_000;
+/** After permits have expired unused, a host requests this share of them in advance. */
+export const PREFETCH_CUT = 0.25;
 
 /** A grantor that doesn't answer within this time is passed over. */
 export const ANSWER_TIMEOUT_MS: Milliseconds = 40;
 /** The grantors together have this time; then the host's own share decides. */
-export const DECISION_TIMEOUT_MS: Milliseconds = 90;
+export const DECISION_TIMEOUT_MS: Milliseconds = 80;
 /** A grantor that didn't answer is not asked again for this time. */
 export const SILENT_GRANTOR_PAUSE_MS: Milliseconds = 200;
 /** Hosts that refer a request to another grantor; more would be a loop. */
@@ -48,6 +50,21 @@
  * fleet, and takes some 3 s to learn that the other part is gone.
  */
 export const NEW_ROOT_DELAY_MS: Milliseconds = 4_000;
+/**
+ * The same in a fleet that has just started, where no host has been in charge for long:
+ * two roots that start together hear of each other within a second.
+ */
+export const NEW_FLEET_DELAY_MS: Milliseconds = 1_200;
+/**
+ * The largest part of the fleet reached within this time counts: the tree of a new root
+ * grows from nothing while hosts move to it. Replacements start later than that.
+ */
+export const SHARE_MEMORY_MS: Milliseconds = 1_500;
+/**
+ * The fleet counts as whole if this share of its hosts is missing: a host that moves in
+ * the tree is counted twice for a moment, and the largest count holds for a minute.
+ */
+export const MISCOUNT = 0.02;
 /**
  * A grantor that has lost its role hands over its bucket for this time after it was
  * last confirmed: its replacement starts `REPLACEMENT_DELAY_MS` after the change.
@@ -58,7 +75,7 @@
 /** Interval at which it claims the bucket again. */
 export const CLAIM_INTERVAL_MS: Milliseconds = 200;
 /** A grantor that is still in charge claims a bucket back after this time. */
-export const RECLAIM_DELAY_MS: Milliseconds = 500;
+export const RECLAIM_DELAY_MS: Milliseconds = 60;
 /** Lists of grantors that a host remembers. */
 export const MAX_TERMS = 16;
 
@@ -75,9 +92,8 @@
 export const MAX_CLOCK_DRIFT_MS: Milliseconds = 200;
 
 /**
- * Parts of the tolerance: grantors that may answer for a customer in one window from
- * their reserve (the main and the backup grantor, and those that they replaced or that
- * serve another part of the fleet), and the hosts' own shares.
+ * Hosts that may use a reserve for a customer in one window: the main and the backup
+ * grantor, those that they replaced, and those of another part of the fleet. In a fleet
+ * that is no larger every host may, so that one that is cut off can go on.
  */
-export const GRANTOR_RESERVES = 5;
-export const RESERVE_PARTS = GRANTOR_RESERVES + 1;
+export const RESERVE_PARTS = 6;
--- a/src/decisions/quotas/customer_permits.ts
+++ b/src/decisions/quotas/customer_permits.ts
@@ -9,11 +9,10 @@
   MAX_REFERRALS,
   MAX_REQUESTED_PERMITS,
   REFUSAL_REUSE_MS,
-  RESERVE_PARTS,
 } from './constants.js';
 import type {GrantorTerms} from './grantor_terms.js';
 import {PermitStock} from './permit_stock.js';
-import {permitLifetimeMs, reserveOf} from './quota_budget.js';
+import {permitLifetimeMs} from './quota_budget.js';
 import type {SilentGrantors} from './silent_grantors.js';
 import type {
   QuotaAsk,
@@ -21,24 +20,31 @@
   QuotaTolerance,
   QuotaVerdict,
 } from './types.js';
-import {WindowCount} from './window_count.js';
 
 /** Retry-After of a host that reaches no grantor; others are probably reachable. */
 const OWN_SHARE_RETRY_MS: Milliseconds = 300;
-/** Age of an answer that can't be an answer to a request. */
+/** Between the times that it tells. */
+const OWN_SHARE_RETRY_INTERVAL_MS: Milliseconds = 50;
+/** Requests that arrive over a longer time than this aren't one burst. */
+const MIN_SPREAD_MS: Milliseconds = 1;
 const MAX_ID = 2 ** 31;
 
 export interface CustomerPermitsParts {
+  /** Address of this host. */
+  readonly self: () => string;
   readonly terms: GrantorTerms;
   readonly silent: SilentGrantors;
   readonly tolerance: QuotaTolerance;
   /** Sends a request; a grantor at this host may answer at once. */
   readonly ask: (to: string, ask: QuotaAsk) => void;
+  /** Permits that this host grants to itself while it reaches no grantor. */
+  readonly takeOwnShare: (customer: Customer, wanted: number) => number;
   readonly clock: Clock;
   readonly random: Random;
 }
 
 interface Waiting {
+  readonly since: Milliseconds;
   readonly resolve: (verdict: QuotaVerdict) => void;
 }
 
@@ -64,7 +70,6 @@
 export class CustomerPermits {
   private readonly stock: PermitStock;
   private readonly arrivals: ArrivalRate;
-  private readonly ownShare: WindowCount;
   private waiting: Waiting[] = [];
   private request: Request | undefined;
   private refusal: Refusal | undefined;
@@ -76,10 +81,9 @@
     private customer: Customer,
     private readonly parts: CustomerPermitsParts,
   ) {
-    const {clock, tolerance} = parts;
-    this.stock = new PermitStock(clock);
+    const {clock} = parts;
     this.arrivals = new ArrivalRate(clock);
-    this.ownShare = new WindowCount(tolerance.windowMs);
+    this.stock = new PermitStock(clock, () => this.arrivals.noteExpired());
     this.usedAt = clock.now();
   }
 
@@ -105,9 +109,9 @@
       return Promise.resolve(this.refuse(this.refusal));
     }
     return new Promise(resolve => {
-      this.waiting.push({resolve});
+      this.waiting.push({since: clock.now(), resolve});
       if (!this.request) {
-        this.startRequest();
+        this.startRequest(true);
       }
     });
   }
@@ -170,11 +174,16 @@
     }
   }
 
-  private startRequest(): void {
+  /** @param isSteady whether the requests didn't all arrive together */
+  private startRequest(isSteady: boolean): void {
     const now = this.parts.clock.now();
-    const wanted = this.waiting.length + this.arrivals.prefetch;
+    const {main} = this.parts.terms.choicesFor(this.customer.name);
+    // This host's own answers arrive at once.
+    const isOwn = main === this.parts.self();
+    const prefetch = isOwn ? 0 : this.arrivals.takePrefetch(isSteady);
+    const wanted = this.waiting.length + prefetch;
     const request: Request = {
-      startedAt: now,
+      startedAt: this.waiting[0]?.since ?? now,
       wanted: Math.min(MAX_REQUESTED_PERMITS, wanted),
       to: '',
       id: 0,
@@ -183,7 +192,6 @@
       hasAskedBackup: false,
     };
     this.request = request;
-    const {main} = this.parts.terms.choicesFor(this.customer.name);
     if (main !== undefined && !this.parts.silent.has(main)) {
       this.send(request, main);
     } else {
@@ -219,21 +227,17 @@
     });
   }
 
-  /** No grantor answers: this host grants its part of the reserve to itself. */
+  /** No grantor answers: this host uses its own reserve, if it has one. */
   private useOwnShare(request: Request): void {
-    const {terms, tolerance, clock, random} = this.parts;
-    const {quota} = this.customer;
-    const hosts = Math.max(terms.hosts, 1);
-    const reserve = quota ? reserveOf(quota, tolerance) : 0;
+    const {terms, clock, random} = this.parts;
     const now = clock.now();
-    const limit = terms.hosts > 0 ? reserve / hosts : 0;
-    const granted = this.ownShare.take(this.waiting.length, limit, now);
-    this.finish(request, granted, {
+    const wanted = Math.min(request.wanted, this.waiting.length);
+    this.finish(request, this.parts.takeOwnShare(this.customer, wanted), {
       source: 'own-share',
       until: now,
       decidedAt: now - Math.min(terms.ageMs, now),
       nextAt: now + OWN_SHARE_RETRY_MS * (0.5 + random()),
-      intervalMs: OWN_SHARE_RETRY_MS / RESERVE_PARTS,
+      intervalMs: OWN_SHARE_RETRY_INTERVAL_MS,
     });
   }
 
@@ -250,11 +254,11 @@
         resolve(this.refuse(refusal));
       }
     }
-    this.serveLater();
+    this.serveLater(request.askedAt);
   }
 
   /** Requests that arrived after the datagram was sent. */
-  private serveLater(): void {
+  private serveLater(askedAt: Milliseconds): void {
     while (this.waiting.length > 0 && this.stock.tryTake()) {
       this.waiting.shift()?.resolve({kind: 'admitted'});
     }
@@ -263,8 +267,9 @@
       const refused = this.waiting.splice(0);
       refused.forEach(({resolve}) => resolve(this.refuse(refusal)));
     }
-    if (this.waiting.length > 0) {
-      this.startRequest();
+    const last = this.waiting.at(-1);
+    if (last) {
+      this.startRequest(last.since - askedAt >= MIN_SPREAD_MS);
     }
   }
 
--- a/src/decisions/quotas/distributed_quotas.ts
+++ b/src/decisions/quotas/distributed_quotas.ts
@@ -45,7 +45,7 @@
 
   constructor(private readonly parts: DistributedQuotasParts) {
     const {clock, wallClock, firstStart} = parts;
-    this.terms = new GrantorTerms(clock, firstStart);
+    this.terms = new GrantorTerms(parts.self, clock, firstStart);
     this.grantor = new QuotaGrantor({...parts, terms: this.terms});
     this.silent = new SilentGrantors(clock);
     this.pauses = new PauseDetector(clock, wallClock);
@@ -117,7 +117,8 @@
   private update(): void {
     const term = this.parts.term();
     const pause = this.pauses.check();
-    const isAlone = (term?.hosts ?? 0) <= 1;
+    const isAlone =
+      term !== undefined && term.hosts <= 1 && term.reachable <= 1;
     if (pause !== 'none' && !isAlone) {
       const isRoot = term?.grantors[0] === this.parts.self();
       this.terms.distrustFor(isRoot ? ROOT_DISTRUST_MS : FOLLOWER_DISTRUST_MS);
@@ -141,6 +142,8 @@
       terms,
       silent,
       ask: (to, ask) => this.ask(to, ask),
+      takeOwnShare: ({name, quota}, wanted) =>
+        quota ? this.grantor.takeOwnShare(name, quota, wanted) : 0,
     });
     this.permits.set(customer.name, permits);
     return permits;
--- a/src/decisions/quotas/grantor_terms.ts
+++ b/src/decisions/quotas/grantor_terms.ts
@@ -13,8 +13,11 @@
   LEASE_MS,
   MAX_TERMS,
   MAX_TERM_GAP_MS,
+  MISCOUNT,
+  NEW_FLEET_DELAY_MS,
   NEW_ROOT_DELAY_MS,
   REPLACEMENT_DELAY_MS,
+  SHARE_MEMORY_MS,
 } from './constants.js';
 
 /** The first and the second choice for a customer. */
@@ -26,6 +29,8 @@
 interface KnownTerm {
   readonly list: string;
   readonly grantors: readonly string[];
+  /** Whether the fleet had run for some seconds. */
+  readonly isCounted: boolean;
   readonly since: Milliseconds;
   confirmedAt: Milliseconds;
   readonly choices: Map<string, Choices>;
@@ -37,9 +42,14 @@
   private confirmedAt: Milliseconds = -Infinity;
   private distrustUntil: Milliseconds = -Infinity;
   private resets = 0;
+  private shares: readonly {at: Milliseconds; share: number}[] = [];
 
-  /** @param firstStart whether no host of the fleet has granted anything before */
+  /**
+   * @param self address of this host
+   * @param firstStart whether no host of the fleet has granted anything before
+   */
   constructor(
+    private readonly self: () => string,
     private readonly clock: Clock,
     private readonly firstStart: boolean,
   ) {}
@@ -51,12 +61,19 @@
 
   /** The part of each quota that this part of the fleet may grant. */
   get share(): number {
-    const {reachable = 0, hosts = 1} = this.latest ?? {};
-    return Math.min(1, reachable / Math.max(1, hosts));
+    const since = this.confirmedAt - SHARE_MEMORY_MS;
+    const recent = this.shares.filter(({at}) => at >= since);
+    return Math.max(0, ...recent.map(({share}) => share));
+  }
+
+  /** The root of the tree, by the latest list. */
+  get root(): string | undefined {
+    return this.known.at(-1)?.grantors[0];
   }
 
   get hosts(): number {
-    return this.latest?.hosts ?? 0;
+    const {hosts = 0, reachable = 0} = this.latest ?? {};
+    return Math.max(hosts, reachable);
   }
 
   get ageMs(): Milliseconds {
@@ -90,17 +107,12 @@
     }
     this.latest = term;
     this.confirmedAt = heardAt;
-    const [root, ...followers] = grantors;
-    const list = [root, ...followers.sort()].join();
-    const current = this.known.at(-1);
-    if (current?.list === list) {
-      current.confirmedAt = heardAt;
-      return;
+    this.noteShare(term);
+    if (this.known.length === 0 && grantors[0] === this.self()) {
+      // A new root was in charge of all customers before it had followers.
+      this.enter([this.self()], term);
     }
-    const confirmedAt = heardAt;
-    const choices = new Map<string, Choices>();
-    this.known.push({list, grantors, since: heardAt, confirmedAt, choices});
-    this.known = this.known.slice(-MAX_TERMS);
+    this.enter(grantors, term);
   }
 
   /**
@@ -150,19 +162,69 @@
    * Since when a host that is or recently was in charge could use the quota; undefined
    * if it could not.
    */
-  handoverStartAt(customer: string, self: string): Milliseconds | undefined {
-    const since = this.clock.now() - HANDOVER_MS;
-    for (let i = this.known.length - 1; i >= 0; i -= 1) {
-      const term = this.known[i];
-      if (!term || term.confirmedAt < since) {
-        return undefined;
-      }
-      if (choose(term, customer).main === self) {
-        const startAt = this.startAtOf(i, customer);
-        return startAt <= term.confirmedAt ? startAt : undefined;
-      }
+  handoverStartAt(
+    customer: string,
+    self: string,
+    to: string,
+  ): Milliseconds | undefined {
+    const maxMs = this.handoverMs(customer, self, to);
+    const index = this.lastTermInCharge(customer, self);
+    const term = this.known[index];
+    if (!term || this.clock.now() - term.confirmedAt > maxMs) {
+      return undefined;
+    }
+    const startAt = this.startAtOf(index, customer);
+    return startAt <= term.confirmedAt ? startAt : undefined;
+  }
+
+  /**
+   * For how long this host may hand over a bucket after it was last in charge: for
+   * longer to the host that is known to have followed it, since no other has started.
+   */
+  handoverMs(customer: string, self: string, to: string): Milliseconds {
+    const last = this.lastTermInCharge(customer, self);
+    const later = this.known.slice(last + 1);
+    const isSuccessor =
+      last >= 0 && later.every(term => choose(term, customer).main === to);
+    return isSuccessor && this.isInForce ? NEW_ROOT_DELAY_MS : HANDOVER_MS;
+  }
+
+  private lastTermInCharge(customer: string, self: string): number {
+    return this.known.findLastIndex(
+      term => choose(term, customer).main === self,
+    );
+  }
+
+  private enter(grantors: readonly string[], term: GrantorTerm): void {
+    const {heardAt, isCounted} = term;
+    const [root, ...followers] = grantors;
+    const list = [root, ...followers.sort()].join();
+    const current = this.known.at(-1);
+    if (current?.list === list) {
+      current.confirmedAt = heardAt;
+      return;
     }
-    return undefined;
+    this.known.push({
+      list,
+      grantors,
+      isCounted,
+      since: heardAt,
+      confirmedAt: heardAt,
+      choices: new Map(),
+    });
+    this.known = this.known.slice(-MAX_TERMS);
+  }
+
+  private noteShare({reachable, hosts, heardAt: at}: GrantorTerm): void {
+    const counted = reachable / Math.max(1, hosts);
+    const share = Math.min(1, counted * (1 + MISCOUNT));
+    const last = this.shares.at(-1);
+    if (last?.share === share && at - last.at < SHARE_MEMORY_MS / 2) {
+      return;
+    }
+    const since = at - 2 * SHARE_MEMORY_MS;
+    const recent = this.shares.filter(one => one.at >= since);
+    this.shares = [...recent, {at, share}];
   }
 
   private startAtOf(index: number, customer: string): Milliseconds {
@@ -182,7 +244,12 @@
       return term.since + NEW_ROOT_DELAY_MS;
     }
     const isFirst = this.firstStart && term.grantors.length === 1;
-    return isFirst ? -Infinity : term.since + REPLACEMENT_DELAY_MS;
+    if (isFirst) {
+      return -Infinity;
+    }
+    return (
+      term.since + (term.isCounted ? REPLACEMENT_DELAY_MS : NEW_FLEET_DELAY_MS)
+    );
   }
 
   /** Index of the earliest of the terms up to one with the same host in charge. */
--- a/src/decisions/quotas/permit_stock.ts
+++ b/src/decisions/quotas/permit_stock.ts
@@ -14,7 +14,11 @@
   private batches: Batch[] = [];
   private lastExpiry: Milliseconds = -Infinity;
 
-  constructor(private readonly clock: Clock) {}
+  /** @param onExpired called when permits have expired unused */
+  constructor(
+    private readonly clock: Clock,
+    private readonly onExpired: () => void,
+  ) {}
 
   get count(): number {
     this.dropExpired();
@@ -51,8 +55,10 @@
 
   private dropExpired(): void {
     const now = this.clock.now();
-    this.batches = this.batches.filter(
-      ({count, expiresAt}) => count > 0 && expiresAt > now,
-    );
+    const left = this.batches.filter(({count}) => count > 0);
+    this.batches = left.filter(({expiresAt}) => expiresAt > now);
+    if (this.batches.length < left.length) {
+      this.onExpired();
+    }
   }
 }
--- a/src/decisions/quotas/quota_budget.ts
+++ b/src/decisions/quotas/quota_budget.ts
@@ -2,7 +2,7 @@
 
 import type {Milliseconds} from '../../time/index.js';
 import type {Quota} from '../customers/index.js';
-import {PERMIT_LIFETIME_MS, RESERVE_PARTS} from './constants.js';
+import {MISCOUNT, PERMIT_LIFETIME_MS, RESERVE_PARTS} from './constants.js';
 import type {BucketLimits} from './token_bucket.js';
 import {MS_PER_SECOND} from './token_bucket.js';
 import type {QuotaTolerance} from './types.js';
@@ -26,15 +26,19 @@
 }
 
 /**
- * What each of `RESERVE_PARTS` parties may grant in a window beyond the bucket. Permits
- * that were granted before a window and are used within it are set aside first, and so
- * are the tokens that buckets hold at least, in either half of a fleet.
+ * What each of `RESERVE_PARTS` parties may grant in a window beyond the bucket. Set
+ * aside first: permits that were granted before a window and are used within it, what
+ * the shares of parts of the fleet may add up to beyond one, and the tokens that
+ * buckets hold at least, in either half of a fleet.
  */
 export function reserveOf(quota: Quota, tolerance: QuotaTolerance): number {
-  const inStock =
-    (quota.ratePerSecond * permitLifetimeMs(tolerance)) / MS_PER_SECOND;
-  const missingBurst = Math.max(0, 2 - quota.burst);
-  const free = toleranceOf(quota, tolerance) - inStock - missingBurst;
+  const {ratePerSecond, burst} = quota;
+  const perWindow = (ratePerSecond * tolerance.windowMs) / MS_PER_SECOND;
+  const inStock = (ratePerSecond * permitLifetimeMs(tolerance)) / MS_PER_SECOND;
+  const miscounted = MISCOUNT * (perWindow + burst);
+  const missingBurst = Math.max(0, 2 - burst);
+  const used = inStock + miscounted + missingBurst;
+  const free = toleranceOf(quota, tolerance) - used;
   return Math.max(0, free / RESERVE_PARTS);
 }
 
--- a/src/decisions/quotas/quota_grantor.ts
+++ b/src/decisions/quotas/quota_grantor.ts
@@ -11,10 +11,10 @@
 import {BucketTable} from './bucket_table.js';
 import {Claims} from './claims.js';
 import {
-  HANDOVER_MS,
   MAX_TERM_GAP_MS,
   NEW_ROOT_DELAY_MS,
   RECLAIM_DELAY_MS,
+  RESERVE_PARTS,
 } from './constants.js';
 import type {GrantorTerms} from './grantor_terms.js';
 import {bucketLimits, permitLifetimeMs, reserveOf} from './quota_budget.js';
@@ -69,6 +69,13 @@
     this.decide(ask, reply, true);
   }
 
+  /** Grants to this host itself because it reaches no grantor. */
+  takeOwnShare(customer: string, quota: Quota, wanted: number): number {
+    const {hosts} = this.parts.terms;
+    const isShared = hosts < 1 || hosts > RESERVE_PARTS;
+    return isShared ? 0 : this.takeReserve(customer, quota, wanted);
+  }
+
   handleClaim(from: string, {id, customer}: QuotaClaim): void {
     this.dropVoidBuckets();
     const {send, terms, self} = this.parts;
@@ -82,13 +89,15 @@
       send(from, {...answer, level, referral});
       return;
     }
-    const level = this.levelToHandOver(customer);
+    const level = this.levelToHandOver(customer, from);
     if (level !== undefined) {
       this.buckets.handOver(customer, from, id, level);
       send(from, {...answer, level, referral: undefined});
       return;
     }
-    const predecessor = terms.predecessor(customer);
+    // In a fleet that has just started, the root was in charge of all customers.
+    const known = terms.predecessor(customer);
+    const predecessor = known === self() ? terms.root : known;
     const isOther = predecessor !== from && predecessor !== self();
     const referral = isOther ? predecessor : undefined;
     send(from, {...answer, level: undefined, referral});
@@ -140,12 +149,13 @@
     const quota = this.parts.quotaOf(customer);
     const {main, backup} = terms.choicesFor(customer);
     const isMain = main === self();
-    if (!quota || !terms.isInForce || (!isMain && backup !== self())) {
+    if (!quota || (!isMain && backup !== self())) {
       reply(this.referralOf(ask, main));
       return;
     }
-    if (!isMain) {
-      reply(this.grantFromReserve(ask, quota, 'backup'));
+    if (!isMain || !terms.isInForce) {
+      const source = isMain ? 'new-grantor' : 'backup';
+      reply(this.grantFromReserve(ask, quota, source));
       return;
     }
     const bucket = this.bucketInCharge(customer, quota);
@@ -200,7 +210,7 @@
     const gapMs = known
       ? terms.sinceInChargeMs(customer, self(), known.at)
       : Infinity;
-    if (gapMs > MAX_TERM_GAP_MS) {
+    if (gapMs > NEW_ROOT_DELAY_MS) {
       this.buckets.drop(customer);
     }
     return gapMs <= maxGapMs ? known?.bucket : undefined;
@@ -227,11 +237,14 @@
     return Math.min(capacity, (perSecond * (now - startAt)) / MS_PER_SECOND);
   }
 
-  private levelToHandOver(customer: string): number | undefined {
+  private levelToHandOver(customer: string, to: string): number | undefined {
     const {terms, self, clock} = this.parts;
     const quota = this.parts.quotaOf(customer);
-    const startAt = terms.handoverStartAt(customer, self());
-    const bucket = this.heldBucket(customer, HANDOVER_MS);
+    const startAt = terms.handoverStartAt(customer, self(), to);
+    const bucket = this.heldBucket(
+      customer,
+      terms.handoverMs(customer, self(), to),
+    );
     const isSpent = !bucket && this.buckets.find(customer) !== undefined;
     if (!quota || isSpent || (!bucket && startAt === undefined)) {
       return undefined;
@@ -250,7 +263,8 @@
     const now = this.parts.clock.now();
     const limits = bucketLimits(quota, this.parts.terms.share);
     const taken = bucket.take(ask.wanted, limits, now);
-    const granted = taken + this.takeReserve(ask, quota, ask.wanted - taken);
+    const granted =
+      taken + this.takeReserve(ask.customer, quota, ask.wanted - taken);
     return this.answer(ask, granted, 'grantor', {
       waitMs: bucket.waitMs(limits, now),
       intervalMs: MS_PER_SECOND / limits.perSecond,
@@ -263,7 +277,7 @@
     source: GrantSource,
   ): QuotaGrant {
     const {terms, clock} = this.parts;
-    const granted = this.takeReserve(ask, quota, ask.wanted);
+    const granted = this.takeReserve(ask.customer, quota, ask.wanted);
     const now = clock.now();
     const reserveMs = this.reserves.get(ask.customer)?.waitMs(now) ?? 0;
     const startMs = this.startAt(ask.customer) - now;
@@ -274,11 +288,7 @@
   }
 
   /** Small parts of a fleet, of which there may be many, have small reserves. */
-  private takeReserve(
-    {customer}: QuotaAsk,
-    quota: Quota,
-    wanted: number,
-  ): number {
+  private takeReserve(customer: string, quota: Quota, wanted: number): number {
     if (wanted <= 0) {
       return 0;
     }
--- a/tests/fleet_node.test.ts
+++ b/tests/fleet_node.test.ts
@@ -61,6 +61,7 @@
     heirs: [],
     hosts: 9,
     reachable: 9,
+    lastingCount: 9,
     isCounted: true,
     end: 0,
     ...overrides,
--- a/tests/support/fleet_simulation.ts
+++ b/tests/support/fleet_simulation.ts
@@ -18,7 +18,7 @@
 } from '../../src/decisions/fleet/index.js';
 import type {Milliseconds, Random} from '../../src/time/index.js';
 import {ManualClock, seededRandom} from '../../src/time/index.js';
-import type {SimulationOptions} from './simulated_host.js';
+import type {SimulationOptions, Stream} from './simulated_host.js';
 import {SimulatedHost, sumOf} from './simulated_host.js';
 import type {LinkMatcher} from './simulated_network.js';
 import {SimulatedNetwork} from './simulated_network.js';
@@ -146,6 +146,11 @@
     this.network.stall(matches, forMs);
   }
 
+  /** Breaks a connection, at both of its ends. */
+  disconnect(stream: Stream): void {
+    this.streams.close(stream, true, 'parent');
+  }
+
   /** Suspends a host, its own clock included. */
   suspend(host: SimulatedHost, ms: Milliseconds): void {
     const from = Math.max(host.frozenUntil, this.clock.now());
