--- a/tests/support/fleet_simulation.ts
+++ b/tests/support/fleet_simulation.ts
@@ -18,7 +18,7 @@
 } from '../../src/decisions/fleet/index.js';
 import type {Milliseconds, Random} from '../../src/time/index.js';
 import {ManualClock, seededRandom} from '../../src/time/index.js';
-import type {SimulationOptions} from './simulated_host.js';
+import type {SimulationOptions, Stream} from './simulated_host.js';
 import {SimulatedHost, sumOf} from './simulated_host.js';
 import type {LinkMatcher} from './simulated_network.js';
 import {SimulatedNetwork} from './simulated_network.js';
@@ -129,11 +129,28 @@
     return this.network.cut(matches);
   }
 
+  /** Delivers a datagram, unless it is lost. */
+  send(
+    from: SimulatedHost,
+    address: string,
+    run: (to: SimulatedHost) => void,
+  ): void {
+    const to = this.byAddress.get(address);
+    if (to && this.random() >= (this.options.loss ?? 0)) {
+      this.network.deliver(from, to, () => run(to));
+    }
+  }
+
   /** Delays messages on the matching links; all of them arrive afterwards. */
   stall(matches: LinkMatcher, forMs: Milliseconds): void {
     this.network.stall(matches, forMs);
   }
 
+  /** Breaks a connection, at both of its ends. */
+  disconnect(stream: Stream): void {
+    this.streams.close(stream, true, 'parent');
+  }
+
   /** Suspends a host, its own clock included. */
   suspend(host: SimulatedHost, ms: Milliseconds): void {
     const from = Math.max(host.frozenUntil, this.clock.now());
