Add overload control: demand up the tree, admission plans down

Under overload each host decided alone, so that urgent and less urgent requests were refused alike. Hosts now measure demand by level and customer; the root of the distribution tree computes a plan per service that all hosts admit requests by. Nothing is sent while no request is refused for lack of capacity, and nothing changes where the configuration has no customers.

--- a/src/decisions/fleet/types.ts
+++ b/src/decisions/fleet/types.ts
@@ -2,6 +2,7 @@
 
 import type {Milliseconds} from '../../time/index.js';
 import type {Evacuations} from '../evacuation/index.js';
+import type {AdmissionPlan} from '../overload/index.js';
 import type {LogPosition, RegistryEntry} from '../registry/index.js';
 import type {RouteTable} from '../routes/index.js';
 
@@ -92,6 +93,7 @@
       readonly entries: readonly RegistryEntry[];
       readonly end: LogPosition;
     }
+  | {readonly kind: 'admission'; readonly plan: AdmissionPlan}
   | Heartbeat
   /** The sender takes no more followers, or stops: follow one of these. */
   | {readonly kind: 'elsewhere'; readonly peers: readonly Peer[]};
--- a/src/decisions/overload/types.ts
+++ b/src/decisions/overload/types.ts
@@ -9,6 +9,8 @@
   readonly priority: number;
   /** Rank of the route. */
   readonly rank: number;
+  /** Whether it is a download: these are less urgent than all others. */
+  readonly isDownload: boolean;
   /** Run time that is expected at an idle upstream. */
   readonly workMs: Milliseconds;
   readonly targetAt: Milliseconds;
@@ -32,10 +34,30 @@
   notePlaced(request: AdmissionRequest): void;
   /** No upstream had capacity for the request. */
   noteNoRoom(request: AdmissionRequest): void;
+  /** The request was sent, but upstreams refused to run it. */
+  noteNotRun(request: AdmissionRequest): void;
+  /** Whether a retry or hedge may use capacity that first attempts may need. */
+  mayRepeat(request: AdmissionRequest): boolean;
+  /**
+   * Time after which an admitted request that found no capacity looks again; undefined
+   * if it is to be refused.
+   *
+   * @param waitedMs time since its first search
+   */
+  nextSearchMs(
+    request: AdmissionRequest,
+    waitedMs: Milliseconds,
+  ): Milliseconds | undefined;
+  /** Retry-After of an admitted request without capacity; undefined without a plan. */
+  noRoomRetryAfterMs(request: AdmissionRequest): Milliseconds | undefined;
 }
 
 export const OPEN_ADMISSION: AdmissionControl = {
   admit: () => ({kind: 'admitted'}),
   notePlaced: () => undefined,
   noteNoRoom: () => undefined,
+  noteNotRun: () => undefined,
+  mayRepeat: () => true,
+  nextSearchMs: () => undefined,
+  noRoomRetryAfterMs: () => undefined,
 };
--- a/src/fleet/fleet_member.ts
+++ b/src/fleet/fleet_member.ts
@@ -14,6 +14,7 @@
   Update,
 } from '../decisions/fleet/index.js';
 import {FleetNode} from '../decisions/fleet/index.js';
+import type {TreeNeighbours} from '../decisions/overload/index.js';
 import type {Store} from '../platform/index.js';
 import type {Clock, Milliseconds, Random} from '../time/index.js';
 import type {FleetState} from './fleet_state.js';
@@ -111,6 +112,12 @@
     return peers.map(({address}) => address);
   }
 
+  /** The host that is followed, and those that follow this one. */
+  get neighbours(): TreeNeighbours {
+    const parent = this.node?.position.parent?.address;
+    return {parent, followers: this.node?.followers.addresses ?? []};
+  }
+
   /** The heartbeat for followers; undefined until this host has started. */
   heartbeat(): Heartbeat | undefined {
     return this.node?.heartbeat(this.parts.state.registry.cursor);
--- a/src/fleet/fleet_state.ts
+++ b/src/fleet/fleet_state.ts
@@ -6,6 +6,8 @@
 import {EvacuationState} from '../decisions/evacuation/index.js';
 import type {Update} from '../decisions/fleet/index.js';
 import {FleetSize, Freshness} from '../decisions/fleet/index.js';
+import type {AdmissionPlan} from '../decisions/overload/index.js';
+import {PlanTable} from '../decisions/overload/index.js';
 import type {
   RegistryEntry,
   RegistrySnapshot,
@@ -44,6 +46,8 @@
   readonly evacuations: EvacuationState;
   readonly freshness: Freshness;
   readonly size: FleetSize;
+  /** Which requests are admitted while services are overloaded. */
+  readonly plans: PlanTable;
   /** When this host first knew all upstreams. */
   private upstreamsKnownAt: Milliseconds | undefined;
   private readonly listeners = new Set<UpdateListener>();
@@ -60,6 +64,7 @@
     this.evacuations = new EvacuationState(clock);
     this.freshness = new Freshness(clock);
     this.size = new FleetSize(clock);
+    this.plans = new PlanTable(clock);
     this.timer = setInterval(() => this.tick(), TICK_MS);
     this.timer.unref();
   }
@@ -153,6 +158,8 @@
         return this.applyEntries(update.entries, update.end);
       case 'snapshot':
         return this.applySnapshot(update);
+      case 'admission':
+        return this.applyAdmission(update.plan);
       case 'alive':
         // The parent has sent all updates up to this position, and they are applied.
         return this.registry.advance(update.end);
@@ -197,6 +204,12 @@
     }
   }
 
+  applyAdmission(plan: AdmissionPlan): void {
+    if (this.plans.applyIfNewer(plan)) {
+      this.publish({kind: 'admission', plan});
+    }
+  }
+
   applyEntries(entries: readonly RegistryEntry[], end: LogPosition): void {
     const changes = entries.filter(entry => this.registry.isChange(entry));
     this.registry.apply(entries, end);
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -161,15 +161,17 @@
       if (await this.refuseIfQuarantined(ready)) {
         return;
       }
-      const placing = await context
-        .schedulerOf(this.service.name)
-        .place(this.placementRequest(), this.service, this.controller.signal);
+      const {signal} = this.controller;
+      const scheduler = context.schedulerOf(service.name);
+      const placing = await this.admission.place(
+        () => scheduler.place(this.placementRequest(), service, signal),
+        signal,
+      );
       if (this.done) {
         return;
       }
       if (placing.kind === 'refused') {
         this.refusal = placing;
-        this.admission.noteNoRoom();
         this.deliverErrorOrRefuse(placing.reason, placing.retryAfterMs);
         return;
       }
@@ -253,7 +255,8 @@
     pending: UpstreamAttempt,
   ): Promise<void> {
     const {schedulerOf, metrics, retries, options} = this.context;
-    const mayRetry = retries.allows(this.service.name);
+    const mayRetry =
+      this.admission.mayRepeat && retries.allows(this.service.name);
     const mayHedge = options.hedges && this.record.mayHedge;
     if (!ready.isBodyBuffered || !mayHedge || !mayRetry) {
       return;
@@ -352,7 +355,8 @@
 
   private trySpendRetry(): boolean {
     const {retries, metrics} = this.context;
-    const granted = retries.trySpend(this.service.name);
+    const granted =
+      this.admission.mayRepeat && retries.trySpend(this.service.name);
     if (!granted) {
       metrics.countRefusedRetry();
     }
--- a/src/gateway/request_admission.ts
+++ b/src/gateway/request_admission.ts
@@ -7,7 +7,9 @@
 } from '../decisions/overload/index.js';
 import type {QuotaVerdict} from '../decisions/quotas/index.js';
 import type {Route, ServiceProfile} from '../decisions/routes/index.js';
+import type {SchedulingResult} from '../decisions/scheduling/index.js';
 import type {Milliseconds} from '../time/index.js';
+import {sleep} from '../time/index.js';
 import type {LogFields} from './request_log.js';
 import type {GatewayContext} from './types.js';
 
@@ -25,6 +27,7 @@
 export class RequestAdmission {
   private readonly request: AdmissionRequest;
   private hasPermit = false;
+  private isPlaced = false;
   private refusal: Refusal | undefined;
 
   constructor(private readonly parts: RequestAdmissionParts) {
@@ -34,6 +37,7 @@
       customer: customer?.name ?? '',
       priority: customer?.priority ?? route.rank,
       rank: route.rank,
+      isDownload: route.hasLargeResponses,
       workMs: context.work.ofRoute(route.name, route.targetMs),
       targetAt: arrivedAt + route.targetMs,
       giveUpAt,
@@ -57,17 +61,56 @@
     return this.refusal;
   }
 
-  notePlaced(): void {
-    this.parts.context.admission.notePlaced(this.request);
+  /** Whether a retry or hedge may be sent. */
+  get mayRepeat(): boolean {
+    return this.parts.context.admission.mayRepeat(this.request);
   }
 
-  noteNoRoom(): void {
-    this.parts.context.admission.noteNoRoom(this.request);
+  /**
+   * Searches for an upstream, in an overload several times.
+   *
+   * @param signal aborted when the request has ended
+   */
+  async place(
+    search: () => Promise<SchedulingResult>,
+    signal: AbortSignal,
+  ): Promise<SchedulingResult> {
+    const {admission, clock} = this.parts.context;
+    const startedAt = clock.now();
+    for (;;) {
+      const result = await search();
+      if (result.kind !== 'refused' || result.reason !== 'no-room') {
+        return result;
+      }
+      const waitedMs = clock.now() - startedAt;
+      const waitMs = admission.nextSearchMs(this.request, waitedMs);
+      if (waitMs === undefined || signal.aborted) {
+        this.noteNoRoom();
+        const retryAfterMs = admission.noRoomRetryAfterMs(this.request);
+        return {...result, retryAfterMs: retryAfterMs ?? result.retryAfterMs};
+      }
+      await sleep(waitMs, signal);
+      if (signal.aborted) {
+        return result;
+      }
+    }
   }
 
-  /** Returns the permit of a request that certainly did not run. */
+  /** Retries and hedges of a request count once: the plan shares out first attempts. */
+  notePlaced(): void {
+    if (!this.isPlaced) {
+      this.isPlaced = true;
+      this.parts.context.admission.notePlaced(this.request);
+    }
+  }
+
+  /** Returns the permit and the capacity of a request that certainly did not run. */
   release(): void {
     const {context, customer} = this.parts;
+    if (this.isPlaced) {
+      this.isPlaced = false;
+      context.admission.noteNotRun(this.request);
+    }
     if (this.hasPermit && customer) {
       this.hasPermit = false;
       context.quotas.release(customer);
@@ -77,4 +120,10 @@
   get logFields(): LogFields {
     return {customer: this.parts.customer?.name, admission: this.refusal};
   }
+
+  private noteNoRoom(): void {
+    if (!this.isPlaced) {
+      this.parts.context.admission.noteNoRoom(this.request);
+    }
+  }
 }
--- a/src/host/gateway_host.ts
+++ b/src/host/gateway_host.ts
@@ -4,7 +4,6 @@
 import {propagationBudget} from '../decisions/fleet/index.js';
 import {ByteBudget} from '../decisions/limits/index.js';
 import {DEFAULT_OPTIONS} from '../decisions/options/index.js';
-import {OPEN_ADMISSION} from '../decisions/overload/index.js';
 import {UNLIMITED_QUOTAS} from '../decisions/quotas/index.js';
 import {HostRetryBudgets} from '../decisions/retries/index.js';
 import {StallDetector} from '../decisions/stalls/index.js';
@@ -22,6 +21,7 @@
 } from '../gateway/index.js';
 import {ResourceStack} from '../lifecycle/index.js';
 import {DatagramPort} from '../datagrams/index.js';
+import {OverloadExchange} from '../overload/index.js';
 import {CrashHistory} from '../quarantine/index.js';
 import type {HostSettings, Store} from '../platform/index.js';
 import type {Clock, Milliseconds, Random} from '../time/index.js';
@@ -66,6 +66,7 @@
   private readonly datagrams: DatagramPort;
   private readonly crashHistory: CrashHistory;
   private readonly upstreamSelection: UpstreamSelection;
+  private readonly overload: OverloadExchange;
   private readonly bodies = new ByteBudget(BODY_MEMORY_BYTES);
   private stopping = false;
   private wasReady = false;
@@ -102,6 +103,7 @@
       logger,
       metrics,
     });
+    this.overload = this.createOverloadExchange();
     this.relay = this.lifeCycle.adopt(
       'relay',
       new RelayServer(this.state, {
@@ -171,6 +173,7 @@
     this.upstreamSelection.start(address);
     this.member.start(address);
     this.crashHistory.start();
+    this.overload.start(address);
     return ports;
   }
 
@@ -281,6 +284,20 @@
     );
   }
 
+  private createOverloadExchange(): OverloadExchange {
+    const {state, datagrams} = this;
+    return this.lifeCycle.adopt(
+      'overload exchange',
+      new OverloadExchange({
+        ...this.parts,
+        state,
+        datagrams,
+        neighbours: () => this.member.neighbours,
+      }),
+      one => one.close(),
+    );
+  }
+
   private createGateway(): GatewayServer {
     const {clock, random, logger, metrics} = this.parts;
     const split = new TrafficSplit(random);
@@ -310,7 +327,7 @@
       schedulerOf: service => this.upstreamSelection.schedulerOf(service),
       split,
       quotas: UNLIMITED_QUOTAS,
-      admission: OPEN_ADMISSION,
+      admission: this.overload.control,
       retries: this.createRetries(),
       unknownHeaders: new UnknownHeaders(logger),
       metrics,
