--- a/src/decisions/overload/capacity_estimate.ts
+++ b/src/decisions/overload/capacity_estimate.ts
@@ -5,39 +5,80 @@
 import {noRoomShareOf, offeredOf} from './demand.js';
 
 /** Admitted beyond what was placed, so that growing capacity is discovered. */
-const HEADROOM = 1.05;
+const MAX_HEADROOM = 1.05;
+/**
+ * Less is admitted while requests that are admitted in full find no capacity, by this
+ * multiple of their share: less urgent ones with a longer target also fit where those
+ * would be late, so that they would take their place.
+ */
+const URGENT_WEIGHT = 1;
+const MIN_HEADROOM = 0.85;
 /** Below this share of refusals for lack of capacity, upstreams have free slots. */
 const FULL_NO_ROOM_SHARE = 0.02;
+const STEP_MS: Milliseconds = 100;
 /**
- * Growth in 100 ms while upstreams have free slots: an estimate that is a third too low
+ * Growth in a step while upstreams have free slots: an estimate that is a third too low
  * is corrected in 300 ms. Refusals show some 250 ms after their cause, so that faster
  * growth would overshoot by more than it gains.
  */
 const GROWTH = 1.1;
-const GROWTH_INTERVAL_MS: Milliseconds = 100;
-/** Share of the way to a new measurement in 100 ms: one of 300 ms is off by a tenth. */
-const APPROACH = 0.5;
+/**
+ * Share of the previous estimate that is kept in a step. Refusals show up to 500 ms after
+ * their cause; with less, the estimate swings between half and twice the capacity.
+ */
+const KEPT_SHARE = 0.8;
+/** Windows with fewer requests vary by chance, and change the estimate more slowly. */
+const RELIABLE_REQUESTS = 60;
+/**
+ * An estimate further above what is placed would take long to come down: work that runs
+ * at slow upstreams holds their slots for a second.
+ */
+const MAX_PLACED_MULTIPLE = 1.15;
 /** Beyond this multiple of the demand, further growth would only delay a new plan. */
 const MAX_DEMAND_MULTIPLE = 1.2;
 
 export class CapacityEstimate {
   private estimate = 0;
+  private noRoomShare = 0;
   private updatedAt: Milliseconds | undefined;
 
+  /** @returns work that may be admitted, in ms of work per second */
   update(demand: ServiceDemand, now: Milliseconds): number {
-    const measured = demand.placed * HEADROOM;
+    const measured = demand.placed * headroomFor(demand);
     if (this.updatedAt === undefined) {
       this.estimate = measured;
+      this.noRoomShare = noRoomShareOf(demand);
     } else {
-      const steps = (now - this.updatedAt) / GROWTH_INTERVAL_MS;
-      this.estimate =
-        noRoomShareOf(demand) < FULL_NO_ROOM_SHARE
-          ? Math.max(measured, this.estimate * GROWTH ** steps)
-          : measured + (this.estimate - measured) * APPROACH ** steps;
+      this.follow(demand, measured, (now - this.updatedAt) / STEP_MS);
     }
     this.updatedAt = now;
-    const most = offeredOf(demand) * MAX_DEMAND_MULTIPLE;
+    const most = Math.min(
+      offeredOf(demand) * MAX_DEMAND_MULTIPLE,
+      demand.placed * MAX_PLACED_MULTIPLE,
+    );
     this.estimate = Math.min(this.estimate, Math.max(most, measured));
     return this.estimate;
   }
+
+  private follow(demand: ServiceDemand, measured: number, steps: number): void {
+    const {placements, refusals} = demand;
+    const reliability = Math.min(
+      1,
+      (placements + refusals) / RELIABLE_REQUESTS,
+    );
+    const kept = KEPT_SHARE ** (steps * reliability);
+    const mix = (before: number, now: number): number =>
+      now + (before - now) * kept;
+    this.noRoomShare = mix(this.noRoomShare, noRoomShareOf(demand));
+    const followed = mix(this.estimate, measured);
+    this.estimate =
+      this.noRoomShare < FULL_NO_ROOM_SHARE
+        ? Math.max(followed, this.estimate * GROWTH ** steps)
+        : followed;
+  }
+}
+
+function headroomFor({placed, noRoom, urgentNoRoom}: ServiceDemand): number {
+  const share = urgentNoRoom > 0 ? urgentNoRoom / (placed + noRoom) : 0;
+  return Math.max(MIN_HEADROOM, MAX_HEADROOM - URGENT_WEIGHT * share);
 }
--- a/src/decisions/overload/demand.ts
+++ b/src/decisions/overload/demand.ts
@@ -18,13 +18,19 @@
   readonly service: string;
   /** Work sent to upstreams, in ms of work per second. */
   readonly placed: number;
+  /** Requests sent to upstreams within the measuring window. */
+  readonly placements: number;
   /** Work refused for lack of capacity, in ms of work per second. */
   readonly noRoom: number;
+  /** The part of it that the plan in force admits in full. */
+  readonly urgentNoRoom: number;
   /** Requests refused for lack of capacity within the measuring window. */
   readonly refusals: number;
   readonly customers: readonly CustomerDemand[];
 }
 
+type Total = 'placed' | 'placements' | 'noRoom' | 'urgentNoRoom' | 'refusals';
+
 /** Customers listed on their own; the others are aggregated. */
 export const MAX_CUSTOMERS = 16;
 /** Less urgent levels are merged into the last one. */
@@ -51,12 +57,14 @@
   service: string,
   demands: readonly ServiceDemand[],
 ): ServiceDemand {
-  const sum = (field: 'placed' | 'noRoom' | 'refusals'): number =>
+  const sum = (field: Total): number =>
     demands.reduce((total, one) => total + one[field], 0);
   return {
     service,
     placed: sum('placed'),
+    placements: sum('placements'),
     noRoom: sum('noRoom'),
+    urgentNoRoom: sum('urgentNoRoom'),
     refusals: sum('refusals'),
     customers: boundCustomers(demands.flatMap(({customers}) => customers)),
   };
--- a/src/decisions/overload/demand_meter.ts
+++ b/src/decisions/overload/demand_meter.ts
@@ -24,7 +24,9 @@
 interface Bucket {
   readonly index: number;
   placedMs: Milliseconds;
+  placements: number;
   noRoomMs: Milliseconds;
+  urgentNoRoomMs: Milliseconds;
   refusals: number;
   readonly offered: Map<string, Offered>;
 }
@@ -60,16 +62,20 @@
 
   notePlaced({workMs}: AdmissionRequest): void {
     this.currentBucket.placedMs += workMs;
+    this.currentBucket.placements += 1;
   }
 
-  noteNoRoom({workMs}: AdmissionRequest): void {
+  /** @param isUrgent whether the plan in force admits such requests in full */
+  noteNoRoom({workMs}: AdmissionRequest, isUrgent: boolean): void {
     this.currentBucket.noRoomMs += workMs;
+    this.currentBucket.urgentNoRoomMs += isUrgent ? workMs : 0;
     this.currentBucket.refusals += 1;
   }
 
-  noteNotRun(request: AdmissionRequest): void {
+  noteNotRun(request: AdmissionRequest, isUrgent: boolean): void {
     this.currentBucket.placedMs -= request.workMs;
-    this.noteNoRoom(request);
+    this.currentBucket.placements -= 1;
+    this.noteNoRoom(request, isUrgent);
   }
 
   measure(): ServiceDemand {
@@ -77,7 +83,7 @@
     const elapsedMs =
       WINDOW_BUCKETS * BUCKET_MS + (this.clock.now() % BUCKET_MS);
     const perSecond = MS_PER_SECOND / elapsedMs;
-    const sum = (field: 'placedMs' | 'noRoomMs' | 'refusals'): number =>
+    const sum = (field: Exclude<keyof Bucket, 'index' | 'offered'>): number =>
       buckets.reduce((total, one) => total + one[field], 0);
     const customers = buckets.flatMap(({offered}) =>
       [...offered.values()].map(row => demandOf(row, perSecond)),
@@ -86,7 +92,9 @@
       service: this.service,
       // What upstreams refuse may have been placed before the window.
       placed: Math.max(0, sum('placedMs')) * perSecond,
+      placements: Math.max(0, sum('placements')),
       noRoom: sum('noRoomMs') * perSecond,
+      urgentNoRoom: sum('urgentNoRoomMs') * perSecond,
       refusals: sum('refusals'),
       customers,
     };
@@ -112,7 +120,9 @@
     const bucket: Bucket = {
       index,
       placedMs: 0,
+      placements: 0,
       noRoomMs: 0,
+      urgentNoRoomMs: 0,
       refusals: 0,
       offered: new Map(),
     };
--- a/src/decisions/overload/fair_shares.ts
+++ b/src/decisions/overload/fair_shares.ts
@@ -19,8 +19,8 @@
 ): readonly CustomerShare[] {
   const equal = equalShare(demands, capacity);
   return demands.map(demand => {
-    const granted = Math.min(totalOf(demand), equal * weightOf(demand));
     const {customer, inTime, late} = demand;
+    const granted = equal * weightOf(demand);
     return {
       customer,
       inTime: portion(granted, inTime),
@@ -56,5 +56,8 @@
 }
 
 function portion(granted: number, wanted: number): number {
-  return wanted > 0 ? Math.min(1, Math.max(0, granted / wanted)) : 1;
+  if (granted <= 0) {
+    return 0;
+  }
+  return wanted > granted ? granted / wanted : 1;
 }
--- a/src/decisions/overload/overload_control.ts
+++ b/src/decisions/overload/overload_control.ts
@@ -3,6 +3,7 @@
 import type {Clock, Milliseconds, Random} from '../../time/index.js';
 import {DemandMeter} from './demand_meter.js';
 import type {ServiceDemand} from './demand.js';
+import {ElapsedEstimate} from './elapsed_estimate.js';
 import {levelOf} from './levels.js';
 import {shareOf} from './plan.js';
 import type {PlanTable, TimedPlan} from './plan_table.js';
@@ -14,20 +15,36 @@
 } from './types.js';
 
 /**
- * Searches of an admitted request without capacity, by urgency. The plan admits about as
+ * Searches of an admitted request without capacity. The plan admits about as
  * much as is served, so that slots are free again within some tens of milliseconds.
  */
 const SEARCH_POLICIES = {
-  urgent: {intervalMs: 20, longestMs: 300},
-  cutOff: {intervalMs: 40, longestMs: 120},
+  fullyAdmitted: {intervalMs: 20, longestMs: 300},
+  partlyAdmitted: {intervalMs: 40, longestMs: 120},
 } as const;
 
+/**
+ * Demand may fall, and capacity return, some 400 ms before the plan shows it. Meanwhile
+ * hosts admit more where they see free upstreams: none up to the first share, which a
+ * full service has as well, and all from the second on.
+ */
+const FULL_FREE_SHARE = 0.15;
+const SPARE_FREE_SHARE = 0.35;
+
+/** Factor on run times at upstreams that are nearly full, as they are in an overload. */
+const BUSY_SLOWNESS = 1.5;
+
 const ADMITTED: AdmissionVerdict = {kind: 'admitted'};
 
 export interface OverloadControlParts {
   readonly plans: PlanTable;
   /** Whether the configuration has customers. */
   readonly isEnabled: () => boolean;
+  /**
+   * Share of the upstreams with recent reports that have a free slot and aren't slow;
+   * undefined if too few reports are known.
+   */
+  readonly freeShare: (service: string) => number | undefined;
   /** Called when a request is refused for lack of capacity. */
   readonly onNoRoom: () => void;
   readonly clock: Clock;
@@ -37,13 +54,19 @@
 export class OverloadControl implements AdmissionControl {
   private readonly meters = new Map<string, DemandMeter>();
 
-  constructor(private readonly parts: OverloadControlParts) {}
+  private readonly elapsed: ElapsedEstimate;
+
+  constructor(private readonly parts: OverloadControlParts) {
+    this.elapsed = new ElapsedEstimate(parts.clock);
+  }
 
   admit(request: AdmissionRequest): AdmissionVerdict {
     const {plans, isEnabled, clock, random} = this.parts;
     if (!isEnabled()) {
       return ADMITTED;
     }
+    const {route, giveUpAt, arrivedAt} = request;
+    this.elapsed.note(route, giveUpAt - arrivedAt);
     const isInTime = this.isInTime(request);
     this.meterOf(request.service).noteOffered(request, isInTime);
     const timed = plans.findShedding(request.service);
@@ -51,7 +74,8 @@
       return ADMITTED;
     }
     const share = this.shareUnder(timed, request);
-    if (random() < share) {
+    const chance = random();
+    if (chance < share || chance < this.spareShare(request)) {
       return ADMITTED;
     }
     return {
@@ -70,22 +94,22 @@
 
   noteNoRoom(request: AdmissionRequest): void {
     if (this.parts.isEnabled()) {
-      this.meterOf(request.service).noteNoRoom(request);
+      this.meterOf(request.service).noteNoRoom(request, this.isUrgent(request));
       this.parts.onNoRoom();
     }
   }
 
   noteNotRun(request: AdmissionRequest): void {
     if (this.parts.isEnabled()) {
-      this.meterOf(request.service).noteNotRun(request);
+      this.meterOf(request.service).noteNotRun(request, this.isUrgent(request));
       this.parts.onNoRoom();
     }
   }
 
-  /** Levels that are admitted in full have capacity for their retries and hedges. */
+  /** Requests that are admitted in full have capacity for their retries and hedges. */
   mayRepeat(request: AdmissionRequest): boolean {
     const timed = this.planFor(request);
-    return !timed || this.isAboveCutOff(timed, request);
+    return !timed || this.isFullyAdmitted(timed, request);
   }
 
   nextSearchMs(
@@ -96,9 +120,9 @@
     if (!timed) {
       return undefined;
     }
-    const isUrgent = this.isAboveCutOff(timed, request);
+    const isFull = this.isFullyAdmitted(timed, request);
     const {intervalMs, longestMs} =
-      SEARCH_POLICIES[isUrgent ? 'urgent' : 'cutOff'];
+      SEARCH_POLICIES[isFull ? 'fullyAdmitted' : 'partlyAdmitted'];
     const endsAt = this.parts.clock.now() + intervalMs + request.workMs;
     const isOver =
       waitedMs + intervalMs > longestMs || endsAt > request.giveUpAt;
@@ -130,29 +154,51 @@
       : undefined;
   }
 
+  /** Share of requests admitted beyond the plan, because upstreams are free. */
+  private spareShare({service}: AdmissionRequest): number {
+    const free = this.parts.freeShare(service) ?? 0;
+    return (free - FULL_FREE_SHARE) / (SPARE_FREE_SHARE - FULL_FREE_SHARE);
+  }
+
   private shareUnder({plan}: TimedPlan, request: AdmissionRequest): number {
     const {customer} = request;
     const isInTime = this.isInTime(request);
     return shareOf(plan, levelOf(request), customer, isInTime);
   }
 
-  private isAboveCutOff({plan}: TimedPlan, request: AdmissionRequest): boolean {
-    const {cutOffLevel} = plan;
-    return cutOffLevel === null || levelOf(request) < cutOffLevel;
+  private isUrgent(request: AdmissionRequest): boolean {
+    const timed = this.planFor(request);
+    return timed !== undefined && this.isFullyAdmitted(timed, request);
+  }
+
+  private isFullyAdmitted(
+    timed: TimedPlan,
+    request: AdmissionRequest,
+  ): boolean {
+    return this.shareUnder(timed, request) >= 1;
   }
 
-  private isInTime({workMs, targetAt}: AdmissionRequest): boolean {
-    return this.parts.clock.now() + workMs <= targetAt;
+  private isInTime(request: AdmissionRequest): boolean {
+    return this.slackMs(request) >= 0;
+  }
+
+  /** Time within which the request must be sent to be answered in time. */
+  private slackMs(request: AdmissionRequest): Milliseconds {
+    const {route, workMs, targetMs, arrivedAt, giveUpAt} = request;
+    const elapsedMs = this.elapsed.elapsedMs(route, giveUpAt - arrivedAt);
+    const targetAt = arrivedAt - elapsedMs + targetMs;
+    return targetAt - workMs * BUSY_SLOWNESS - this.parts.clock.now();
   }
 
   private retryAfterMs(
-    {plan}: TimedPlan,
+    {plan: {overloadMs}}: TimedPlan,
     share: number,
-    {giveUpAt}: AdmissionRequest,
+    request: AdmissionRequest,
   ): Milliseconds {
     const {clock, random} = this.parts;
-    const leftMs = giveUpAt - clock.now();
-    return overloadRetryAfter(share, plan.overloadMs, leftMs, random);
+    const leftMs = request.giveUpAt - clock.now();
+    const slackMs = this.slackMs(request);
+    return overloadRetryAfter({share, overloadMs, slackMs, leftMs}, random);
   }
 
   private meterOf(service: string): DemandMeter {
--- a/src/decisions/overload/overload_node.ts
+++ b/src/decisions/overload/overload_node.ts
@@ -8,7 +8,7 @@
 import type {Clock, Milliseconds} from '../../time/index.js';
 import type {ServiceDemand} from './demand.js';
 import {sumDemands} from './demand.js';
-import type {AdmissionPlan} from './plan.js';
+import type {AdmissionPlan, PlanPhase} from './plan.js';
 import type {PlanTable} from './plan_table.js';
 import {ServicePlanner} from './planner.js';
 
@@ -17,7 +17,7 @@
 /** Refusals that occur together are reported together. */
 const BATCH_MS: Milliseconds = 10;
 /** A host forwards the reports of its followers sooner than its own, but not each. */
-const MIN_FORWARD_INTERVAL_MS: Milliseconds = 50;
+const MIN_FORWARD_INTERVAL_MS: Milliseconds = 30;
 /** Several reports are lost in a row only if a follower is gone or frozen. */
 const REPORT_LIFETIME_MS: Milliseconds = 500;
 
@@ -61,6 +61,8 @@
   private readonly reports = new Map<string, ReportsByFollower>();
   private readonly planners = new Map<string, ServicePlanner>();
   private readonly sentAt = new Map<string, Milliseconds>();
+  /** Phases of the newest plans. */
+  private readonly phases = new Map<string, PlanPhase>();
   private sequence = 0;
   private nextAt: Milliseconds = Infinity;
 
@@ -80,9 +82,17 @@
     this.scheduleWithin(BATCH_MS);
   }
 
-  /** A plan has arrived: hosts report at once, since the planner needs all demand. */
-  notePlan(): void {
-    this.scheduleWithin(0);
+  /**
+   * A plan has arrived. If it is the first one, hosts report at once, and those with
+   * followers when these have reported.
+   */
+  notePlan({service, phase}: AdmissionPlan): void {
+    if (this.phases.get(service) !== phase) {
+      this.phases.set(service, phase);
+      this.sentAt.delete(service);
+    }
+    const {followers} = this.parts.neighbours();
+    this.scheduleWithin(followers.length > 0 ? BATCH_MS : 0);
   }
 
   noteReport(follower: string, demand: ServiceDemand): void {
--- a/src/decisions/overload/planner.ts
+++ b/src/decisions/overload/planner.ts
@@ -7,15 +7,24 @@
 import type {AdmissionPlan, PlanPhase} from './plan.js';
 import {NOTHING_SHED, planShares} from './plan.js';
 
-/** Refusals of the fleet after which all hosts are to report their demand. */
+/**
+ * Refusals of the fleet after which all hosts are to report their demand, and their share
+ * of the requests where these were counted by an earlier watch. Large fleets have several
+ * refusals at a time in calm.
+ */
 const WATCH_REFUSALS = 3;
+const WATCH_SHARE = 0.04;
+/** Load may have changed since a watch that is longer ago. */
+const WATCH_VALIDITY_MS: Milliseconds = 30_000;
 /** Time for which they report before the refusals are taken for chance. */
 const WATCH_MS: Milliseconds = 500;
 /** All reports are in after this time. */
 const MIN_WATCH_MS: Milliseconds = 60;
-/** Refusals from which a service is overloaded, and their share. Upstreams that are slow
- * for 300 ms at a time cause single refusals in calm as well. */
-const OVERLOAD_REFUSALS = 5;
+/**
+ * Refusals from which a service is overloaded, and their share. Upstreams that are slow
+ * for 300 ms at a time cause single refusals in calm as well.
+ */
+const OVERLOAD_REFUSALS = 8;
 const OVERLOAD_SHARE = 0.08;
 /** A plan that sheds nothing ends after this time. */
 const END_AFTER_MS: Milliseconds = 200;
@@ -29,6 +38,8 @@
   private overloadedSince: Milliseconds = -Infinity;
   private neededAt: Milliseconds = -Infinity;
   private capacity = new CapacityEstimate();
+  /** Requests within the window, as the last watch counted them. */
+  private counted = {placements: 0, at: -Infinity};
 
   constructor(private readonly service: string) {}
 
@@ -59,7 +70,7 @@
   private nextPhase(demand: ServiceDemand, now: Milliseconds): PlanPhase {
     switch (this.phase) {
       case 'ended':
-        return demand.refusals >= WATCH_REFUSALS ? 'watching' : 'ended';
+        return this.isSuspicious(demand, now) ? 'watching' : 'ended';
       case 'watching':
         return this.afterWatching(demand, now);
       case 'shedding':
@@ -77,10 +88,20 @@
     if (isOverloaded && watchedMs >= MIN_WATCH_MS) {
       return 'shedding';
     }
-    const isOver = watchedMs >= WATCH_MS && demand.refusals < WATCH_REFUSALS;
+    if (watchedMs >= MIN_WATCH_MS) {
+      this.counted = {placements: demand.placements, at: now};
+    }
+    const isOver = watchedMs >= WATCH_MS && !this.isSuspicious(demand, now);
     return isOver ? 'ended' : 'watching';
   }
 
+  /** Whether so many requests are refused that all hosts are to report. */
+  private isSuspicious({refusals}: ServiceDemand, now: Milliseconds): boolean {
+    const {placements, at} = this.counted;
+    const usual = now - at <= WATCH_VALIDITY_MS ? placements * WATCH_SHARE : 0;
+    return refusals >= Math.max(WATCH_REFUSALS, usual);
+  }
+
   private shed(demand: ServiceDemand, now: Milliseconds): PlanOutline {
     const capacity = this.capacity.update(demand, now);
     const shares = planShares(demand, capacity);
--- a/src/decisions/overload/types.ts
+++ b/src/decisions/overload/types.ts
@@ -3,6 +3,8 @@
 /** A request that competes with others for the capacity of a service. */
 export interface AdmissionRequest {
   readonly service: string;
+  /** Groups requests whose callers allow the same time. */
+  readonly route: string;
   /** Name of the customer; empty if there is none. */
   readonly customer: string;
   /** Priority of the customer, or rank of the route if it has none; 0 is the most urgent. */
@@ -13,7 +15,9 @@
   readonly isDownload: boolean;
   /** Run time that is expected at an idle upstream. */
   readonly workMs: Milliseconds;
-  readonly targetAt: Milliseconds;
+  /** Time within which an answer has its full value, from the first attempt on. */
+  readonly targetMs: Milliseconds;
+  readonly arrivedAt: Milliseconds;
   readonly giveUpAt: Milliseconds;
 }
 
--- a/src/gateway/request_admission.ts
+++ b/src/gateway/request_admission.ts
@@ -34,12 +34,14 @@
     const {context, route, service, customer, arrivedAt, giveUpAt} = parts;
     this.request = {
       service: service.name,
+      route: route.name,
       customer: customer?.name ?? '',
       priority: customer?.priority ?? route.rank,
       rank: route.rank,
       isDownload: route.hasLargeResponses,
       workMs: context.work.ofRoute(route.name, route.targetMs),
-      targetAt: arrivedAt + route.targetMs,
+      targetMs: route.targetMs,
+      arrivedAt,
       giveUpAt,
     };
   }
--- a/src/host/gateway_host.ts
+++ b/src/host/gateway_host.ts
@@ -293,6 +293,7 @@
         state,
         datagrams,
         neighbours: () => this.member.neighbours,
+        freeShare: service => this.upstreamSelection.freeShare(service),
       }),
       one => one.close(),
     );
--- a/src/host/upstream_selection.ts
+++ b/src/host/upstream_selection.ts
@@ -11,6 +11,7 @@
   LoadView,
   PlacementPolicy,
   WorkEstimates,
+  freeShareOf,
 } from '../decisions/placement/index.js';
 import {ProbeBudget} from '../decisions/probing/index.js';
 import type {NearHosts} from '../decisions/rate_limits/index.js';
@@ -131,6 +132,12 @@
     return scheduler;
   }
 
+  /** @see OverloadControlParts */
+  freeShare(service: string): number | undefined {
+    const {registry} = this.parts.state;
+    return freeShareOf(this.upstreamClient.view, registry.inService(service));
+  }
+
   /** Drops the data of upstreams that are no longer in service. */
   prune(): void {
     const {registry} = this.parts.state;
--- a/src/overload/codec.ts
+++ b/src/overload/codec.ts
@@ -12,6 +12,15 @@
 /** Index of the aggregate in place of a customer's. */
 const AGGREGATE = -1;
 
+/** Order of the sums in a message. */
+const TOTALS = [
+  'placed',
+  'placements',
+  'noRoom',
+  'urgentNoRoom',
+  'refusals',
+] as const;
+
 type Row = readonly [
   level: number,
   customer: number,
@@ -22,7 +31,7 @@
 
 /** Names are sent once, since a customer has a row for each of its levels. */
 export function encodeDemand(demand: ServiceDemand): unknown {
-  const {service, placed, noRoom, refusals, customers} = demand;
+  const {service, customers} = demand;
   const listed = customers.flatMap(({customer}) => customer ?? []);
   const names = [...new Set(listed)];
   const rows = customers.map((one): Row => [
@@ -32,18 +41,20 @@
     Math.round(one.late),
     one.sketch,
   ]);
-  const totals = [Math.round(placed), Math.round(noRoom), refusals];
+  const totals = TOTALS.map(field => Math.round(demand[field]));
   return [service, totals, names, rows];
 }
 
 /** Undefined for a body that no host of this version sends. */
 export function decodeDemand(body: unknown): ServiceDemand | undefined {
   const [service, totals, names, rows] = listOf(body);
-  const [placed, noRoom, refusals] = listOf(totals);
+  const [placed, placements, noRoom, urgentNoRoom, refusals] = listOf(totals);
   const isValid =
     isName(service) &&
     isTime(placed) &&
+    isTime(placements) &&
     isTime(noRoom) &&
+    isTime(urgentNoRoom) &&
     isTime(refusals) &&
     Array.isArray(names) &&
     names.length <= MAX_CUSTOMERS &&
@@ -61,7 +72,15 @@
     }
     customers.push(customer);
   }
-  return {service, placed, noRoom, refusals, customers};
+  return {
+    service,
+    placed,
+    placements,
+    noRoom,
+    urgentNoRoom,
+    refusals,
+    customers,
+  };
 }
 
 function decodeRow(
--- a/src/overload/overload_exchange.ts
+++ b/src/overload/overload_exchange.ts
@@ -23,6 +23,8 @@
   readonly state: FleetState;
   readonly datagrams: DatagramPort;
   readonly neighbours: () => TreeNeighbours;
+  /** @see OverloadControlParts */
+  readonly freeShare: (service: string) => number | undefined;
   readonly clock: Clock;
   readonly random: Random;
   readonly logger: Logger;
@@ -40,6 +42,7 @@
     this.overloadControl = new OverloadControl({
       plans: state.plans,
       isEnabled: () => !state.customers.isEmpty,
+      freeShare: parts.freeShare,
       onNoRoom: () => {
         this.node?.noteNoRoom();
         this.scheduleTick();
@@ -51,7 +54,7 @@
     this.stopListening = state.subscribe(update => {
       if (update.kind === 'admission') {
         this.planLog.update();
-        this.node?.notePlan();
+        this.node?.notePlan(update.plan);
         this.scheduleTick();
       }
     });
