--- a/src/gateway/scheduler.ts
+++ b/src/gateway/scheduler.ts
@@ -79,8 +79,13 @@
     this.nextId += 1;
     this.profile = service;
     return new Promise(resolve => {
-      this.pendingRequests.set(id, resolve);
-      signal.addEventListener('abort', () => this.cancel(id), {once: true});
+      const cancel = (): void => this.cancel(id);
+      this.pendingRequests.set(id, result => {
+        // One request may search several times: listeners would add up.
+        signal.removeEventListener('abort', cancel);
+        resolve(result);
+      });
+      signal.addEventListener('abort', cancel, {once: true});
       this.execute(this.decisions.schedule({...request, id}));
     });
   }
--- a/src/time/sleep.ts
+++ b/src/time/sleep.ts
@@ -7,11 +7,13 @@
  */
 export function sleep(ms: Milliseconds, signal?: AbortSignal): Promise<void> {
   return new Promise(resolve => {
-    const timer = setTimeout(resolve, Math.max(0, ms));
-    timer.unref();
-    signal?.addEventListener('abort', () => {
+    const end = (): void => {
       clearTimeout(timer);
+      signal?.removeEventListener('abort', end);
       resolve();
-    });
+    };
+    const timer = setTimeout(end, Math.max(0, ms));
+    timer.unref();
+    signal?.addEventListener('abort', end);
   });
 }
