--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -256,7 +256,8 @@
   ): Promise<void> {
     const {schedulerOf, metrics, retries, options} = this.context;
     const mayRetry =
-      this.admission.mayRepeat && retries.allows(this.service.name);
+      this.admission.mayRepeat(this.record.outcome) &&
+      retries.allows(this.service.name);
     const mayHedge = options.hedges && this.record.mayHedge;
     if (!ready.isBodyBuffered || !mayHedge || !mayRetry) {
       return;
@@ -356,7 +357,8 @@
   private trySpendRetry(): boolean {
     const {retries, metrics} = this.context;
     const granted =
-      this.admission.mayRepeat && retries.trySpend(this.service.name);
+      this.admission.mayRepeat(this.record.outcome) &&
+      retries.trySpend(this.service.name);
     if (!granted) {
       metrics.countRefusedRetry();
     }
--- a/src/gateway/request_admission.ts
+++ b/src/gateway/request_admission.ts
@@ -63,9 +63,13 @@
     return this.refusal;
   }
 
-  /** Whether a retry or hedge may be sent. */
-  get mayRepeat(): boolean {
-    return this.parts.context.admission.mayRepeat(this.request);
+  /**
+   * Whether a retry or hedge may be sent. One of a request that certainly has not run adds
+   * no work to what was admitted.
+   */
+  mayRepeat(outcome: 'not-run' | 'unknown'): boolean {
+    const {admission} = this.parts.context;
+    return outcome === 'not-run' || admission.mayRepeat(this.request);
   }
 
   /**
