--- a/src/host/gateway_host.ts
+++ b/src/host/gateway_host.ts
@@ -4,7 +4,6 @@
 import {propagationBudget} from '../decisions/fleet/index.js';
 import {ByteBudget} from '../decisions/limits/index.js';
 import {DEFAULT_OPTIONS} from '../decisions/options/index.js';
-import {OPEN_ADMISSION} from '../decisions/overload/index.js';
 import {HostRetryBudgets} from '../decisions/retries/index.js';
 import {StallDetector} from '../decisions/stalls/index.js';
 import {planShutdown} from '../decisions/stopping/index.js';
@@ -21,6 +20,7 @@
 } from '../gateway/index.js';
 import {ResourceStack} from '../lifecycle/index.js';
 import {DatagramPort} from '../datagrams/index.js';
+import {OverloadExchange} from '../overload/index.js';
 import {CrashHistory} from '../quarantine/index.js';
 import {QuotaExchange} from '../quotas/index.js';
 import type {HostSettings, Store} from '../platform/index.js';
@@ -67,6 +67,7 @@
   private readonly crashHistory: CrashHistory;
   private readonly upstreamSelection: UpstreamSelection;
   private readonly quotas: QuotaExchange;
+  private readonly overload: OverloadExchange;
   private readonly bodies = new ByteBudget(BODY_MEMORY_BYTES);
   private stopping = false;
   private wasReady = false;
@@ -104,6 +105,7 @@
       metrics,
     });
     this.quotas = this.createQuotas();
+    this.overload = this.createOverloadExchange();
     this.relay = this.lifeCycle.adopt(
       'relay',
       new RelayServer(this.state, {
@@ -174,6 +176,7 @@
     this.quotas.start(address);
     this.member.start(address);
     this.crashHistory.start();
+    this.overload.start(address);
     return ports;
   }
 
@@ -304,6 +307,21 @@
     );
   }
 
+  private createOverloadExchange(): OverloadExchange {
+    const {state, datagrams} = this;
+    return this.lifeCycle.adopt(
+      'overload exchange',
+      new OverloadExchange({
+        ...this.parts,
+        state,
+        datagrams,
+        neighbours: () => this.member.neighbours,
+        freeShare: service => this.upstreamSelection.freeShare(service),
+      }),
+      one => one.close(),
+    );
+  }
+
   private createGateway(): GatewayServer {
     const {clock, random, logger, metrics} = this.parts;
     const split = new TrafficSplit(random);
@@ -333,7 +351,7 @@
       schedulerOf: service => this.upstreamSelection.schedulerOf(service),
       split,
       quotas: this.quotas,
-      admission: OPEN_ADMISSION,
+      admission: this.overload.control,
       retries: this.createRetries(),
       unknownHeaders: new UnknownHeaders(logger),
       metrics,
