Keep the bound of quotas when whole fleets restart or are split

Change: a new reader announces itself to introducers, and an introducer's first three exchanges go to the others. Grantors replace others 0.5 s later, and a share that shrinks is remembered for 1 s rather than 1.5 s.

--- a/src/decisions/fleet/peer_exchange.ts
+++ b/src/decisions/fleet/peer_exchange.ts
@@ -14,8 +14,15 @@
 import type {TreePosition} from './tree_position.js';
 import type {Greeting, NodeAction, Peer, PeerStatus} from './types.js';
 
-/** Peers of its view to which a new reader announces itself. */
+/** Peers of its view to which a new reader announces itself, ... */
 const READER_ANNOUNCEMENT_FANOUT = 4;
+/**
+ * ... and introducers: those of a fleet that restarts read the store at the same time,
+ * and would hear of each other only some seconds later.
+ */
+const INTRODUCER_ANNOUNCEMENT_FANOUT = 8;
+/** An introducer's first exchanges go to the others, in case that datagram is lost. */
+const START_EXCHANGES = 3;
 
 export class PeerExchange {
   readonly view: PartialView;
@@ -63,7 +70,16 @@
       READER_ANNOUNCEMENT_FANOUT,
       this.random,
     );
-    const recipients = [...formerPath, ...known.map(({address}) => address)];
+    const introducers = pick(
+      this.introducers,
+      INTRODUCER_ANNOUNCEMENT_FANOUT,
+      this.random,
+    );
+    const recipients = [
+      ...formerPath,
+      ...known.map(({address}) => address),
+      ...introducers,
+    ];
     return [...this.greet(recipients, false), ...this.notifyWaitingPeers()];
   }
 
@@ -165,7 +181,13 @@
   }
 
   private nextPartner(): string | undefined {
-    if (this.exchangeCount % EXCHANGES_PER_INTRODUCER_EXCHANGE === 0) {
+    const isStarting =
+      this.exchangeCount <= START_EXCHANGES &&
+      this.introducers.includes(this.self.address);
+    if (
+      isStarting ||
+      this.exchangeCount % EXCHANGES_PER_INTRODUCER_EXCHANGE === 0
+    ) {
       const {address: own} = this.self;
       const others = this.introducers.filter(address => address !== own);
       const [introducer] = pick(others, 1, this.random);
--- a/src/decisions/quotas/constants.ts
+++ b/src/decisions/quotas/constants.ts
@@ -44,12 +44,12 @@
  * other's lease, 0.7 s by which its last heartbeat may be late, and 0.8 s in which the
  * root learns that other hosts are gone too.
  */
-export const REPLACEMENT_DELAY_MS: Milliseconds = 2_500;
+export const REPLACEMENT_DELAY_MS: Milliseconds = 3_000;
 /**
  * The same when the root has changed: the former root may still serve a part of the
  * fleet, and takes some 3 s to learn that the other part is gone.
  */
-export const NEW_ROOT_DELAY_MS: Milliseconds = 4_000;
+export const NEW_ROOT_DELAY_MS: Milliseconds = 4_500;
 /**
  * The same in a fleet that has just started, where no host has been in charge for long:
  * two roots that start together hear of each other within a second.
@@ -59,7 +59,7 @@
  * The largest part of the fleet reached within this time counts: the tree of a new root
  * grows from nothing while hosts move to it. Replacements start later than that.
  */
-export const SHARE_MEMORY_MS: Milliseconds = 1_500;
+export const SHARE_MEMORY_MS: Milliseconds = 1_000;
 /**
  * The fleet counts as whole if this share of its hosts is missing: a host that moves in
  * the tree is counted twice for a moment, and the largest count holds for a minute.
--- a/src/decisions/quotas/grantor_terms.ts
+++ b/src/decisions/quotas/grantor_terms.ts
@@ -247,8 +247,9 @@
     if (isFirst) {
       return -Infinity;
     }
+    const isNewFleet = !term.isCounted || term.grantors.length === 1;
     return (
-      term.since + (term.isCounted ? REPLACEMENT_DELAY_MS : NEW_FLEET_DELAY_MS)
+      term.since + (isNewFleet ? NEW_FLEET_DELAY_MS : REPLACEMENT_DELAY_MS)
     );
   }
 
--- a/src/decisions/quotas/quota_grantor.ts
+++ b/src/decisions/quotas/quota_grantor.ts
@@ -78,7 +78,10 @@
 
   handleClaim(from: string, {id, customer}: QuotaClaim): void {
     this.dropVoidBuckets();
-    const {send, terms, self} = this.parts;
+    const {send, terms, self, quotaOf} = this.parts;
+    if (!quotaOf(customer)) {
+      return;
+    }
     const answer = {kind: 'handover', id, customer} as const;
     const before = this.buckets.handoverOf(customer);
     if (before && !this.buckets.find(customer)) {
@@ -147,9 +150,13 @@
     const {customer} = ask;
     const {terms, self} = this.parts;
     const quota = this.parts.quotaOf(customer);
+    if (!quota) {
+      reply(this.referralOf(ask, undefined));
+      return;
+    }
     const {main, backup} = terms.choicesFor(customer);
     const isMain = main === self();
-    if (!quota || (!isMain && backup !== self())) {
+    if (!isMain && backup !== self()) {
       reply(this.referralOf(ask, main));
       return;
     }
--- a/tests/fleet_node.test.ts
+++ b/tests/fleet_node.test.ts
@@ -419,3 +419,55 @@
   });
   expect(decodeGreeting(row)).toBeUndefined();
 });
+
+// Guards against a part of a fleet that goes on with the quotas of the whole.
+test('a follower that is silent for some seconds is neither reachable nor a grantor', () => {
+  const node = createNode();
+  node.readerRole.begin();
+  node.storeAnswered(clock.now());
+  node.admit(followRequest(1));
+  node.admit(followRequest(2));
+  const greet = (number: number): unknown =>
+    node.greetingReceived({
+      from: peerStatus(number, {subtreeSize: 4}),
+      wantsReply: false,
+      sample: [],
+    });
+  greet(1);
+  greet(2);
+  expect(node.heartbeat(0)).toMatchObject({reachable: 9});
+  clock.advance(2_000);
+  greet(1);
+  clock.advance(1_000);
+  expect(node.heartbeat(0)).toMatchObject({
+    reachable: 5,
+    heirs: [peer(1).address],
+  });
+  expect(node.grantors.term?.grantors).toEqual([SELF.address, peer(1).address]);
+});
+
+// Guards against quotas that shrink because hosts were counted twice while they moved.
+test('a count of hosts that holds for a moment only is not the size of the fleet', () => {
+  const node = createNode();
+  node.readerRole.begin();
+  const hear = (reachable: number, forMs: number): void => {
+    for (let ms = 0; ms < forMs; ms += 200) {
+      node.heartbeatReceived(heartbeat({reachable, lastingCount: 0}));
+      clock.advance(200);
+    }
+  };
+  node.greetingReceived({
+    from: peerStatus(2),
+    wantsReply: false,
+    sample: [],
+  });
+  node.tick();
+  clock.advance(100);
+  node.tick();
+  hear(9, 4_000);
+  hear(14, 2_000);
+  hear(10, 5_000);
+  expect(node.grantors.term).toMatchObject({reachable: 10, hosts: 10});
+  hear(5, 5_000);
+  expect(node.grantors.term).toMatchObject({reachable: 5, hosts: 10});
+});
--- a/tests/quotas.test.ts
+++ b/tests/quotas.test.ts
@@ -1,9 +1,15 @@
 import fc from 'fast-check';
+import {pino} from 'pino';
 import {afterEach, expect, test} from 'vitest';
 import type {Quota} from '../src/decisions/customers/index.js';
 import type {QuotaMessage} from '../src/decisions/quotas/index.js';
-import {decodeQuotaMessage, encodeQuotaMessage} from '../src/quotas/index.js';
+import {
+  RefusalLog,
+  decodeQuotaMessage,
+  encodeQuotaMessage,
+} from '../src/quotas/index.js';
 import type {Milliseconds} from '../src/time/index.js';
+import {ManualClock} from '../src/time/index.js';
 import type {RouteSpec} from '../src/standins/index.js';
 import {GatewaySystem, until} from './support/gateway.js';
 import type {QuotaSimulationOptions} from './support/quota_simulation.js';
@@ -340,6 +346,56 @@
   }
 });
 
+// Guards against a log line for each refused request, and against keys in it.
+test('a customer that is refused causes one line at the begin and one at the end', () => {
+  const clock = new ManualClock(0);
+  const lines: Record<string, unknown>[] = [];
+  const write = (line: string): number =>
+    lines.push(JSON.parse(line) as Record<string, unknown>);
+  const log = new RefusalLog(clock, pino({}, {write}));
+  const verdict = {kind: 'over-quota', retryAfterMs: 40, ageMs: 9} as const;
+  for (let i = 0; i < 100; i += 1) {
+    log.note('maps', {...verdict, source: 'grantor'});
+    clock.advance(10);
+  }
+  log.sweep();
+  clock.advance(3_000);
+  log.sweep();
+  expect(lines).toMatchObject([
+    {event: 'quota', customer: 'maps', refused: true, source: 'grantor'},
+    {event: 'quota', customer: 'maps', refused: false, count: 100},
+  ]);
+  expect(lines[0]).toMatchObject({ageMs: 9, retryAfterMs: 40});
+});
+
+// Guards against customers without a quota that wait for grantors.
+test('a customer without a quota is admitted without datagrams', async () => {
+  const simulation = await startFleet({hosts: 3, dataCentres: 1});
+  simulation.customers.set('free', {name: 'free', keys: []});
+  const before = simulation.datagrams;
+  simulation.load('free', 100, 1_000);
+  await simulation.run(1_500);
+  expect(simulation.tally('free').admittedAt.length).toBeGreaterThan(50);
+  expect(simulation.tally('free').refusedAt).toEqual([]);
+  expect(simulation.datagrams).toBe(before);
+});
+
+// Guards against a host that is alone and refuses all after its restart.
+test('a host that is alone grants to itself, also after a restart', async () => {
+  const simulation = new QuotaSimulation({
+    hosts: 1,
+    dataCentres: 1,
+    introducers: 0,
+  });
+  await simulation.run(4_000);
+  const from = simulation.now;
+  setQuotas(simulation, 2);
+  loadAllAtShareOfRate(simulation, 0.9, 5_000);
+  await simulation.run(5_000);
+  expect(refusedShare(simulation, from)).toBeLessThan(MAX_REFUSED);
+  expect(simulation.datagrams).toBe(0);
+});
+
 let system: GatewaySystem | undefined;
 
 afterEach(() => system?.close());
