--- a/tests/fleet_node.test.ts
+++ b/tests/fleet_node.test.ts
@@ -429,7 +429,11 @@
   node.admit(followRequest(2));
   const greet = (number: number): unknown =>
     node.greetingReceived({
-      from: peerStatus(number, {subtreeSize: 4}),
+      from: peerStatus(number, {
+        subtreeSize: 4,
+        reader: SELF.address,
+        path: [SELF.address],
+      }),
       wantsReply: false,
       sample: [],
     });
