--- a/src/decisions/overload/capacity_estimate.ts
+++ b/src/decisions/overload/capacity_estimate.ts
@@ -39,6 +39,8 @@
 
 export class CapacityEstimate {
   private estimate = 0;
+  /** Smoothed: by single windows, the estimate would follow the lowest of them. */
+  private placed = 0;
   private noRoomShare = 0;
   private updatedAt: Milliseconds | undefined;
 
@@ -47,6 +49,7 @@
     const measured = demand.placed * headroomFor(demand);
     if (this.updatedAt === undefined) {
       this.estimate = measured;
+      this.placed = demand.placed;
       this.noRoomShare = noRoomShareOf(demand);
     } else {
       this.follow(demand, measured, (now - this.updatedAt) / STEP_MS);
@@ -54,7 +57,7 @@
     this.updatedAt = now;
     const most = Math.min(
       offeredOf(demand) * MAX_DEMAND_MULTIPLE,
-      demand.placed * MAX_PLACED_MULTIPLE,
+      this.placed * MAX_PLACED_MULTIPLE,
     );
     this.estimate = Math.min(this.estimate, Math.max(most, measured));
     return this.estimate;
@@ -69,6 +72,7 @@
     const kept = KEPT_SHARE ** (steps * reliability);
     const mix = (before: number, now: number): number =>
       now + (before - now) * kept;
+    this.placed = mix(this.placed, demand.placed);
     this.noRoomShare = mix(this.noRoomShare, noRoomShareOf(demand));
     const followed = mix(this.estimate, measured);
     this.estimate =
