--- a/src/decisions/quotas/claims.ts
+++ b/src/decisions/quotas/claims.ts
@@ -22,6 +22,7 @@
 
 export class Claims {
   private readonly claims = new Map<string, Claim>();
+  private pendingCount = 0;
 
   constructor(
     private readonly self: () => string,
@@ -32,7 +33,7 @@
 
   /** Whether requests are waiting, so that `tick` must be called soon. */
   get isWaiting(): boolean {
-    return [...this.claims.values()].some(({isPending}) => isPending);
+    return this.pendingCount > 0;
   }
 
   /**
@@ -58,6 +59,7 @@
     }
     // The same id lets the other repeat an answer that was lost.
     const id = last?.id ?? Math.floor(this.random() * MAX_ID);
+    this.pendingCount += 1;
     this.claims.set(customer, {
       id,
       startedAt: now,
@@ -115,6 +117,7 @@
   private end(claim: Claim, prepare: () => void): void {
     const {waiting} = claim;
     claim.isPending = false;
+    this.pendingCount -= 1;
     claim.waiting = [];
     prepare();
     waiting.forEach(resume => resume());
--- a/src/decisions/quotas/customer_permits.ts
+++ b/src/decisions/quotas/customer_permits.ts
@@ -25,6 +25,8 @@
 const OWN_SHARE_RETRY_MS: Milliseconds = 300;
 /** Between the times that it tells. */
 const OWN_SHARE_RETRY_INTERVAL_MS: Milliseconds = 50;
+/** Retry-After has hundredths of a second, and less would be told as 0. */
+const MIN_RETRY_AFTER_MS: Milliseconds = 10;
 /** Requests that arrive over a longer time than this aren't one burst. */
 const MIN_SPREAD_MS: Milliseconds = 1;
 const MAX_ID = 2 ** 31;
@@ -304,7 +306,7 @@
   private refuse(refusal: Refusal): QuotaVerdict {
     const now = this.parts.clock.now();
     const {windowMs} = this.parts.tolerance;
-    const retryAfterMs = Math.max(1, refusal.nextAt - now);
+    const retryAfterMs = Math.max(MIN_RETRY_AFTER_MS, refusal.nextAt - now);
     // Beyond the longest time that is told, times spread at random.
     const isFar = retryAfterMs > windowMs;
     refusal.nextAt += isFar
