--- a/src/decisions/overload/capacity_estimate.ts
+++ b/src/decisions/overload/capacity_estimate.ts
@@ -35,6 +35,11 @@
  * at slow upstreams holds their slots for a second.
  */
 const MAX_PLACED_MULTIPLE = 1.15;
+/**
+ * Without refusals for this time, nothing shows how much more upstreams could serve, and
+ * what is placed is only what the plan admits.
+ */
+const RECOVERY_DELAY_MS: Milliseconds = 500;
 /** Beyond this multiple of the demand, further growth would only delay a new plan. */
 const MAX_DEMAND_MULTIPLE = 1.2;
 
@@ -43,12 +48,16 @@
   /** Smoothed: by single windows, the estimate would follow the lowest of them. */
   private placed = 0;
   private noRoomShare = 0;
+  private refusedAt: Milliseconds = -Infinity;
+  /** Whether nothing has been refused for a while. */
+  private isRecovering = false;
   private updatedAt: Milliseconds | undefined;
 
   /** @returns work that may be admitted, in ms of work per second */
   update(demand: ServiceDemand, now: Milliseconds): number {
     const measured = demand.placed * headroomFor(demand);
     if (this.updatedAt === undefined) {
+      this.refusedAt = now;
       this.estimate = measured;
       this.placed = demand.placed;
       this.noRoomShare = noRoomShareOf(demand);
@@ -56,10 +65,12 @@
       this.follow(demand, measured, (now - this.updatedAt) / STEP_MS);
     }
     this.updatedAt = now;
-    const most = Math.min(
-      offeredOf(demand) * MAX_DEMAND_MULTIPLE,
-      this.placed * MAX_PLACED_MULTIPLE,
-    );
+    this.refusedAt = demand.refusals > 0 ? now : this.refusedAt;
+    this.isRecovering = now - this.refusedAt >= RECOVERY_DELAY_MS;
+    const mostOffered = offeredOf(demand) * MAX_DEMAND_MULTIPLE;
+    const most = this.isRecovering
+      ? mostOffered
+      : Math.min(mostOffered, this.placed * MAX_PLACED_MULTIPLE);
     this.estimate = Math.min(this.estimate, Math.max(most, measured));
     return this.estimate;
   }
@@ -77,7 +88,7 @@
     this.noRoomShare = mix(this.noRoomShare, noRoomShareOf(demand));
     const followed = mix(this.estimate, measured);
     this.estimate =
-      this.noRoomShare < FULL_NO_ROOM_SHARE
+      this.noRoomShare < FULL_NO_ROOM_SHARE || this.isRecovering
         ? Math.max(followed, this.estimate * GROWTH ** steps)
         : followed;
   }
--- a/src/decisions/overload/demand_meter.ts
+++ b/src/decisions/overload/demand_meter.ts
@@ -72,12 +72,6 @@
     this.currentBucket.refusals += 1;
   }
 
-  noteNotRun(request: AdmissionRequest, isUrgent: boolean): void {
-    this.currentBucket.placedMs -= request.workMs;
-    this.currentBucket.placements -= 1;
-    this.noteNoRoom(request, isUrgent);
-  }
-
   measure(): ServiceDemand {
     const buckets = this.recentBuckets;
     const elapsedMs =
@@ -90,9 +84,8 @@
     );
     const demand: ServiceDemand = {
       service: this.service,
-      // What upstreams refuse may have been placed before the window.
-      placed: Math.max(0, sum('placedMs')) * perSecond,
-      placements: Math.max(0, sum('placements')),
+      placed: sum('placedMs') * perSecond,
+      placements: sum('placements'),
       noRoom: sum('noRoomMs') * perSecond,
       urgentNoRoom: sum('urgentNoRoomMs') * perSecond,
       refusals: sum('refusals'),
--- a/src/decisions/overload/index.ts
+++ b/src/decisions/overload/index.ts
@@ -1,4 +1,5 @@
 export * from './types.js';
+export {CapacityEstimate} from './capacity_estimate.js';
 export type {CustomerDemand, ServiceDemand} from './demand.js';
 export {MAX_CUSTOMERS, MAX_LEVELS, sumDemands} from './demand.js';
 export {DemandMeter} from './demand_meter.js';
--- a/src/decisions/overload/overload_control.ts
+++ b/src/decisions/overload/overload_control.ts
@@ -99,13 +99,6 @@
     }
   }
 
-  noteNotRun(request: AdmissionRequest): void {
-    if (this.parts.isEnabled()) {
-      this.meterOf(request.service).noteNotRun(request, this.isUrgent(request));
-      this.parts.onNoRoom();
-    }
-  }
-
   /** Requests that are admitted in full have capacity for their retries and hedges. */
   mayRepeat(request: AdmissionRequest): boolean {
     const timed = this.planFor(request);
--- a/src/decisions/overload/types.ts
+++ b/src/decisions/overload/types.ts
@@ -38,8 +38,6 @@
   notePlaced(request: AdmissionRequest): void;
   /** No upstream had capacity for the request. */
   noteNoRoom(request: AdmissionRequest): void;
-  /** The request was sent, but upstreams refused to run it. */
-  noteNotRun(request: AdmissionRequest): void;
   /** Whether a retry or hedge may use capacity that first attempts may need. */
   mayRepeat(request: AdmissionRequest): boolean;
   /**
@@ -60,7 +58,6 @@
   admit: () => ({kind: 'admitted'}),
   notePlaced: () => undefined,
   noteNoRoom: () => undefined,
-  noteNotRun: () => undefined,
   mayRepeat: () => true,
   nextSearchMs: () => undefined,
   noRoomRetryAfterMs: () => undefined,
--- a/src/gateway/request_admission.ts
+++ b/src/gateway/request_admission.ts
@@ -117,13 +117,13 @@
     }
   }
 
-  /** Returns the permit and the capacity of a request that certainly did not run. */
+  /**
+   * Returns the permit of a request that certainly did not run. Upstreams that refused it
+   * are no sign of an overload: faulty ones refuse with free slots, and a plan that took
+   * that for a lack of capacity admitted less and less.
+   */
   release(): void {
     const {context, customer} = this.parts;
-    if (this.isPlaced) {
-      this.isPlaced = false;
-      context.admission.noteNotRun(this.request);
-    }
     if (this.hasPermit && customer) {
       this.hasPermit = false;
       context.quotas.release(customer);
