Limit downloads to what the network link and memory carry

A response of 540 kB occupies a link of 7 Mbit/s for 600 ms, and small responses that are ready meanwhile wait behind it. The downloads in flight are now limited so that the link sends them within a quarter of the shortest target of small responses, and by a tenth of the smallest hosts' memory. Sizes are learnt from complete responses. An idle link takes any download; others are refused at once as host-busy, with a Retry-After of 30 to 45 ms. At targets of 550 ms and 100 kB a link of 7 Mbit/s carries one download, one of 140 Mbit/s 24.

Metrics: downloads and download_link_seconds; a refusal's log line says how many downloads the link carries.

--- a/src/decisions/limits/index.ts
+++ b/src/decisions/limits/index.ts
@@ -1,4 +1,6 @@
 export type {QueuedRequest} from './fair_queue.js';
+export type {Download, DownloadLoad} from './download_limit.js';
+export {DownloadLimit} from './download_limit.js';
 export {ByteBudget} from './byte_budget.js';
 export {LogRateLimiter} from './log_rate_limiter.js';
 export {FairQueue} from './fair_queue.js';
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -80,6 +80,7 @@
     this.admission = new RequestAdmission({
       context,
       route,
+      response,
       service,
       customer,
       arrivedAt,
@@ -127,7 +128,7 @@
     }
   }
 
-  /** Refuses a request that is over quota or shed. */
+  /** Refuses a request that is over quota or shed, or a download for which the host is too busy. */
   private async isAdmitted(): Promise<boolean> {
     if (this.done) {
       return false;
--- a/src/gateway/gateway_metrics.ts
+++ b/src/gateway/gateway_metrics.ts
@@ -19,6 +19,9 @@
   readonly upstreams: number;
   readonly hosts: number;
   readonly inFlight: number;
+  readonly downloads: number;
+  /** Time that the network link needs to send the downloads in flight. */
+  readonly downloadLinkMs: Milliseconds;
   readonly looking: number;
   /** Upstreams that currently announce a rate limit. */
   readonly rateLimited: number;
@@ -112,7 +115,7 @@
   });
   private readonly host = new Gauge({
     name: 'cyclamenlever_host',
-    help: 'State of this host: ready, reader, version, age_seconds, upstreams, evacuated, hosts, in_flight, looking, rate_limited, backoffs, suspects, quarantined, ended_lives',
+    help: 'State of this host: ready, reader, version, age_seconds, upstreams, evacuated, hosts, in_flight, downloads, download_link_seconds, looking, rate_limited, backoffs, suspects, quarantined, ended_lives',
     labelNames: ['figure'] as const,
     registers: this.registers,
   });
@@ -189,6 +192,8 @@
       upstreams: gauges.upstreams,
       hosts: gauges.hosts,
       in_flight: gauges.inFlight,
+      downloads: gauges.downloads,
+      download_link_seconds: gauges.downloadLinkMs / MS_PER_SECOND,
       looking: gauges.looking,
       rate_limited: gauges.rateLimited,
       backoffs: gauges.backoffs,
--- a/src/gateway/index.ts
+++ b/src/gateway/index.ts
@@ -1,6 +1,7 @@
 export type {GatewayContext} from './types.js';
 export type {HostGauges} from './gateway_metrics.js';
 export {GatewayMetrics} from './gateway_metrics.js';
+export {DownloadAdmission} from './download_admission.js';
 export {GatewayServer} from './gateway_server.js';
 export {fingerprintsOf} from './fingerprint.js';
 export {CrashDetector} from './crash_detector.js';
--- a/src/gateway/request_admission.ts
+++ b/src/gateway/request_admission.ts
@@ -1,5 +1,6 @@
-/** Applies the customer's quota and overload control to one request. */
+/** Applies the limit for downloads, the customer's quota and overload control to one request. */
 
+import type {ServerResponse} from 'node:http';
 import type {Customer} from '../decisions/customers/index.js';
 import type {
   AdmissionRequest,
@@ -8,14 +9,17 @@
 import type {QuotaVerdict} from '../decisions/quotas/index.js';
 import type {Route, ServiceProfile} from '../decisions/routes/index.js';
 import type {Milliseconds} from '../time/index.js';
+import type {HostBusy} from './download_admission.js';
 import type {LogFields} from './request_log.js';
 import type {GatewayContext} from './types.js';
 
-type Refusal = Exclude<QuotaVerdict | AdmissionVerdict, {kind: 'admitted'}>;
+type Refusal =
+  Exclude<QuotaVerdict | AdmissionVerdict, {kind: 'admitted'}> | HostBusy;
 
 export interface RequestAdmissionParts {
   readonly context: GatewayContext;
   readonly route: Route;
+  readonly response: ServerResponse;
   readonly service: ServiceProfile;
   readonly customer: Customer | undefined;
   readonly arrivedAt: Milliseconds;
@@ -42,7 +46,11 @@
 
   /** Undefined if the request may be placed. */
   async admit(): Promise<Refusal | undefined> {
-    const {context, customer, giveUpAt} = this.parts;
+    const {context, route, response, customer, giveUpAt} = this.parts;
+    this.refusal = context.downloads.admit(route, response, giveUpAt);
+    if (this.refusal) {
+      return this.refusal;
+    }
     if (customer?.quota) {
       const leftMs = giveUpAt - context.clock.now();
       const verdict = await context.quotas.acquire(customer, leftMs);
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -10,6 +10,7 @@
 import type {FleetState} from '../fleet/index.js';
 import type {Clock} from '../time/index.js';
 import type {CrashDetector} from './crash_detector.js';
+import type {DownloadAdmission} from './download_admission.js';
 import type {GatewayMetrics} from './gateway_metrics.js';
 import type {RequestLog} from './request_log.js';
 import type {Scheduler} from './scheduler.js';
@@ -26,6 +27,8 @@
   readonly options: DecisionOptions;
   /** Memory budget for request bodies. */
   readonly bodies: ByteBudget;
+  /** Limits downloads to what the network link carries. */
+  readonly downloads: DownloadAdmission;
   /** Detects crashes behind broken attempts. */
   readonly crashes: CrashDetector;
   readonly schedulerOf: (service: string) => Scheduler;
--- a/src/host/gateway_host.ts
+++ b/src/host/gateway_host.ts
@@ -14,6 +14,7 @@
 import type {GatewayMetrics, HostGauges} from '../gateway/index.js';
 import {
   CrashDetector,
+  DownloadAdmission,
   GatewayServer,
   MetricsServer,
   ReadinessServer,
@@ -67,6 +68,7 @@
   private readonly crashHistory: CrashHistory;
   private readonly upstreamSelection: UpstreamSelection;
   private readonly bodies = new ByteBudget(BODY_MEMORY_BYTES);
+  private readonly downloads: DownloadAdmission;
   private stopping = false;
   private wasReady = false;
 
@@ -78,6 +80,13 @@
       new FleetState(clock, logger, settings.changeBoundMs),
       one => one.close(),
     );
+    this.downloads = new DownloadAdmission({
+      linkMbps: settings.linkMbps,
+      table: () => this.state.routes.current,
+      retryMs: DEFAULT_OPTIONS.shortestRetryMs,
+      clock,
+      random,
+    });
     const {metrics} = parts;
     this.metricsServer = this.lifeCycle.adopt(
       'metrics',
@@ -218,6 +227,8 @@
       evacuated: state.evacuations.dataCentres.size,
       hosts: state.size.estimate,
       inFlight: this.gateway.inFlightCount,
+      downloads: this.downloads.load.inFlight,
+      downloadLinkMs: this.downloads.load.linkMs,
       looking: this.upstreamSelection.searchCount,
       rateLimited: this.upstreamSelection.rateLimitedCount,
       backoffs: this.upstreamSelection.backoffCount,
@@ -306,6 +317,7 @@
       work,
       stalls: new StallDetector(),
       bodies: this.bodies,
+      downloads: this.downloads,
       options: DEFAULT_OPTIONS,
       schedulerOf: service => this.upstreamSelection.schedulerOf(service),
       split,
--- a/tests/request_log.test.ts
+++ b/tests/request_log.test.ts
@@ -52,6 +52,8 @@
     evacuated: 0,
     upstreams: 2,
     hosts: 1,
+    downloads: 2,
+    downloadLinkMs: 250,
     inFlight: 0,
     looking: 0,
     rateLimited: 0,
@@ -62,4 +64,5 @@
   });
   expect(text).toContain('cyclamenlever_log_lines_dropped_total 60');
   expect(text).toContain('cyclamenlever_host{figure="version"} 3');
+  expect(text).toContain('cyclamenlever_host{figure="downloads"} 2');
 });
--- a/tests/support/gateway.ts
+++ b/tests/support/gateway.ts
@@ -43,6 +43,8 @@
   /** Port for peers; any by default. */
   readonly peers?: number;
   readonly firstStart?: boolean;
+  /** Capacity of the host's network link, in Mbit/s. */
+  readonly linkMbps?: number;
   /** Hosts that it contacts first; by default the one that started first. */
   readonly introducers?: readonly string[];
 }
@@ -123,7 +125,12 @@
 
   async startHost(
     dataCentre = 'east',
-    {peers = 0, firstStart = true, introducers}: StartOptions = {},
+    {
+      peers = 0,
+      firstStart = true,
+      introducers,
+      linkMbps = 100,
+    }: StartOptions = {},
   ): Promise<RunningHost> {
     const [first] = this.hosts;
     const usual = first ? [`127.0.0.1:${first.ports.peers}`] : [];
@@ -139,7 +146,7 @@
       readiness: ANY_PORT,
       peers: {...ANY_PORT, port: peers},
       introducers: introducers ?? usual,
-      linkMbps: 100,
+      linkMbps,
       metrics: ANY_PORT,
       store: {ip: '127.0.0.1', port: storeEndpoint.port},
       changeBoundMs: 2_000,
@@ -165,8 +172,11 @@
     return running;
   }
 
-  async startReadyHost(dataCentre?: string): Promise<RunningHost> {
-    const running = await this.startHost(dataCentre);
+  async startReadyHost(
+    dataCentre?: string,
+    options?: StartOptions,
+  ): Promise<RunningHost> {
+    const running = await this.startHost(dataCentre, options);
     await until(async () => {
       const reply = await get(running.ports.readiness, '/api/readiness');
       return reply.status === 200;
--- /dev/null
+++ b/tests/uneven_load.test.ts
@@ -0,0 +1,145 @@
+import {afterEach, beforeEach, expect, test} from 'vitest';
+import type {Download} from '../src/decisions/limits/index.js';
+import {DownloadLimit} from '../src/decisions/limits/index.js';
+import type {RouteSpec} from '../src/standins/index.js';
+import {ManualClock} from '../src/time/index.js';
+import {GatewaySystem, until} from './support/gateway.js';
+
+/** A link of 8 Mbit/s. */
+const THIN_LINK_BYTES_PER_MS = 1_000;
+const ROUTES: readonly RouteSpec[] = [
+  {path_prefix: '/lookup/', kind: 'idempotent', target_latency: '400ms'},
+  {path_prefix: '/report/', kind: 'download', target_latency: '4s'},
+];
+
+let clock: ManualClock;
+let system: GatewaySystem;
+
+beforeEach(() => {
+  clock = new ManualClock(1_000);
+  system = new GatewaySystem();
+});
+
+afterEach(() => system.close());
+
+function limitOf(
+  linkBytesPerMs: number,
+  memoryBytes = 24 * 1024 * 1024,
+): DownloadLimit {
+  const toleratedDelayMs = (): number => 150;
+  return new DownloadLimit({
+    clock,
+    linkBytesPerMs,
+    memoryBytes,
+    toleratedDelayMs,
+  });
+}
+
+/** Begins a download that must not be refused. */
+function begin(limit: DownloadLimit, route = 'r'): Download {
+  const download = limit.tryBegin(route);
+  if (!download) {
+    throw new Error('refused');
+  }
+  return download;
+}
+
+function learnSize(limit: DownloadLimit, bytes: number): void {
+  for (let i = 0; i < 100; i += 1) {
+    limit.end(begin(limit), bytes, true);
+    clock.advance(10_000);
+  }
+}
+
+function countBegun(limit: DownloadLimit, wanted: number): number {
+  const all = Array.from({length: wanted}, () => limit.tryBegin('r'));
+  return all.filter(one => one !== undefined).length;
+}
+
+// Guards against downloads behind which small responses wait on a thin link.
+test('the link bounds the downloads in flight', () => {
+  expect(countBegun(limitOf(THIN_LINK_BYTES_PER_MS), 40)).toBe(1);
+  expect(countBegun(limitOf(10 * THIN_LINK_BYTES_PER_MS), 40)).toBe(15);
+});
+
+// Guards against a limit that doesn't follow the sizes of the responses.
+test('the limit follows the sizes of complete responses', () => {
+  const small = limitOf(THIN_LINK_BYTES_PER_MS);
+  learnSize(small, 10_000);
+  expect(countBegun(small, 40)).toBeGreaterThan(10);
+  const large = limitOf(10 * THIN_LINK_BYTES_PER_MS);
+  learnSize(large, 700_000);
+  expect(countBegun(large, 40)).toBe(2);
+});
+
+// Guards against sizes learnt from refusals and from responses cut short.
+test('incomplete responses teach no size', () => {
+  const limit = limitOf(THIN_LINK_BYTES_PER_MS);
+  for (let i = 0; i < 100; i += 1) {
+    limit.end(begin(limit), 200, false);
+    clock.advance(10_000);
+  }
+  expect(countBegun(limit, 40)).toBe(1);
+});
+
+// Guards against hosts that never serve a download larger than the limit.
+test('an idle link takes a download of any size', () => {
+  const limit = limitOf(THIN_LINK_BYTES_PER_MS);
+  learnSize(limit, 5_000_000);
+  expect(countBegun(limit, 2)).toBe(1);
+});
+
+// Guards against counting bytes as sent that the operating system has only accepted.
+test('a link is busy until it has sent what was written', () => {
+  const limit = limitOf(THIN_LINK_BYTES_PER_MS);
+  limit.end(begin(limit), 540_000, false);
+  clock.advance(480);
+  expect(limit.tryBegin('r')).toBeUndefined();
+  clock.advance(20);
+  expect(limit.tryBegin('r')).toBeDefined();
+});
+
+// Guards against memory that runs out behind a fast link.
+test('memory bounds the downloads in flight', () => {
+  const limit = limitOf(1_000 * THIN_LINK_BYTES_PER_MS, 1_000_000);
+  expect(countBegun(limit, 40)).toBe(5);
+});
+
+// Guards against a download that is counted twice at its end.
+test('a download ends once', () => {
+  const limit = limitOf(THIN_LINK_BYTES_PER_MS);
+  const download = begin(limit);
+  limit.end(download, 100_000, true);
+  limit.end(download, 100_000, true);
+  expect(limit.load.linkMs).toBe(100);
+});
+
+// Guards against downloads that wait at a busy host, and against lookups refused for it.
+test('a download beyond the limit is refused at once, a lookup is served', async () => {
+  system.configure(3, ROUTES);
+  const upstream = await system.addUpstream('i-1');
+  upstream.workMs = 300;
+  upstream.extraBytes = 90_000;
+  const host = await system.startReadyHost('east', {linkMbps: 7});
+  const first = system.call(host, {path: '/report/1'});
+  await until(() => upstream.runs.length === 1);
+  const refused = await system.call(host, {path: '/report/2'});
+  expect(refused.status).toBe(503);
+  expect(refused.headers['cyclamenlever-reason']).toBe('host-busy');
+  expect(Number(refused.headers['retry-after'])).toBeLessThan(0.1);
+  expect(JSON.parse(refused.body)).toMatchObject({outcome: 'not-run'});
+  expect((await system.call(host, {path: '/lookup/1'})).status).toBe(200);
+  expect((await first).status).toBe(200);
+  expect(upstream.runs).toHaveLength(2);
+});
+
+// Guards against downloads that stay counted after their callers have left.
+test('a download whose caller has left makes room', async () => {
+  system.configure(3, ROUTES);
+  const upstream = await system.addUpstream('i-1');
+  const host = await system.startReadyHost('east', {linkMbps: 7});
+  upstream.fault = 'hang';
+  await system.call(host, {path: '/report/1', timeLeftMs: 100});
+  upstream.fault = 'none';
+  expect((await system.call(host, {path: '/report/2'})).status).toBe(200);
+});
