Send orders only where they won't be reset

Cause: the upstreams of some services reset the connection of a request when they are full. An order that was reset may have run and can't be repeated.

Change: hosts learn from sends that break early which services do so: sends to nearly full upstreams are reset four times as often as others, and more often than they are shed. Hosts tell those they know what they have seen, at most twice a second and only after a reset. From then on an order goes only where a report of at most 30 ms shows two free slots after unreported sends; lookups and services that state refusals are placed as before.

--- a/src/decisions/options/defaults.ts
+++ b/src/decisions/options/defaults.ts
@@ -17,6 +17,7 @@
   hedges: true,
   remembersFailures: true,
   servesLate: true,
+  avoidsResets: true,
   // Callers that retry sooner are more often still in time.
   shortestRetryMs: 30,
 };
--- a/src/decisions/options/types.ts
+++ b/src/decisions/options/types.ts
@@ -22,6 +22,8 @@
   readonly remembersFailures: boolean;
   /** Whether requests that can't be answered in time take any free slot. */
   readonly servesLate: boolean;
+  /** Whether orders avoid nearly full upstreams of services that reset when full. */
+  readonly avoidsResets: boolean;
   /** Minimum retry delay that is sent to refused callers. */
   readonly shortestRetryMs: Milliseconds;
 }
--- a/src/decisions/placement/index.ts
+++ b/src/decisions/placement/index.ts
@@ -7,5 +7,7 @@
 export {OutcomeHistory} from './outcome_history.js';
 export type {HostCounts, PlacementPolicyParts} from './placement_policy.js';
 export {MAX_PROBE_ROUNDS, PlacementPolicy} from './placement_policy.js';
+export type {ResetCounts, ResetEvidence, SendEnd} from './reset_history.js';
+export {ResetHistory, freeSlots} from './reset_history.js';
 export {WorkEstimates} from './work_estimates.js';
 export {Subset} from './subset.js';
--- a/src/decisions/placement/placement_policy.ts
+++ b/src/decisions/placement/placement_policy.ts
@@ -12,9 +12,14 @@
 import type {ColdLimits} from '../warmup/index.js';
 import type {Admission, SendBlockers} from './admission.js';
 import {estimateCompletion, hasFreeSlot} from './estimate.js';
+import {HealthShares} from './health_shares.js';
 import type {LoadView} from './load_view.js';
 import type {OutcomeHistory} from './outcome_history.js';
 import {Subset} from './subset.js';
+import type {ResetHistory} from './reset_history.js';
+import {hasSpareSlot} from './reset_history.js';
+import type {EvaluatedUpstream, Tier} from './tiers.js';
+import {IN_TIME_TIERS, LATE_TIERS, NEAR_TIERS, bestOf} from './tiers.js';
 import type {
   LoadReport,
   PlacementRequest,
@@ -25,12 +30,6 @@
 
 /** Probe rounds for one request: nearby first, in other data centres last. */
 export const MAX_PROBE_ROUNDS = 3;
-/** Factor on the estimate of an upstream that reports itself unhealthy. */
-const UNHEALTHY_FACTOR = 8;
-/** Below this share of healthy answers in a service, unhealthy reports are ignored. */
-const MIN_HEALTHY_SHARE = 0.5;
-/** Weight of an answer in that moving average: half a second of a busy host. */
-const HEALTH_SAMPLE_WEIGHT = 0.02;
 /** Factor on the estimate of a cold upstream. */
 const COLD_FACTOR = 2;
 /**
@@ -50,6 +49,11 @@
  * chance.
  */
 const SERVE_LATE_AFTER_MS: Milliseconds = 300;
+/**
+ * Longest age of a report by which a request is sent that must not be reset. At 3
+ * requests a second and upstream, 2 arrive within this time once in 250 times.
+ */
+const FRESH_REPORT_MS: Milliseconds = 30;
 /** Load assumed for services whose upstreams report none. */
 const ASSUMED_LOAD: LoadReport = {
   running: 0,
@@ -73,6 +77,7 @@
   readonly clock: Clock;
   readonly random: Random;
   readonly outcomes: OutcomeHistory;
+  readonly resets: ResetHistory;
   readonly work: WorkEstimates;
   readonly view: LoadView;
   readonly cold: ColdLimits;
@@ -86,46 +91,9 @@
   readonly at: Milliseconds;
 }
 
-interface EvaluatedUpstream {
-  readonly id: string;
-  /** Expected response time with all penalties applied. */
-  readonly cost: Milliseconds;
-  /** Whether it would answer within the target even if the run takes long. */
-  readonly safelyInTime: boolean;
-  /** Whether it is expected to answer within the target. */
-  readonly inTime: boolean;
-  /** Whether it is expected to answer before the caller gives up. */
-  readonly beforeGiveUp: boolean;
-  /** Whether it would answer within the target if it were idle. */
-  readonly inTimeIfIdle: boolean;
-  /** Whether the request would start at once. */
-  readonly hasFreeSlot: boolean;
-  readonly isNear: boolean;
-}
-
-type Tier = (evaluated: EvaluatedUpstream) => boolean;
-
-/** Tiers of acceptable upstreams while more can be probed. */
-const NEAR_TIERS: readonly Tier[] = [
-  ({safelyInTime, hasFreeSlot, isNear}) =>
-    safelyInTime && hasFreeSlot && isNear,
-];
-/** Tiers once no more can be probed, the best first. */
-const IN_TIME_TIERS: readonly Tier[] = [
-  ...NEAR_TIERS,
-  ({safelyInTime, hasFreeSlot}) => safelyInTime && hasFreeSlot,
-  ({inTime, hasFreeSlot}) => inTime && hasFreeSlot,
-];
-/** The same for requests that may be answered late. */
-const LATE_TIERS: readonly Tier[] = [
-  ...IN_TIME_TIERS,
-  ({beforeGiveUp, hasFreeSlot}) => beforeGiveUp && hasFreeSlot,
-];
-
 export class PlacementPolicy {
   private readonly medianByService = new Map<string, CachedMedian>();
-  /** Share of recent answers that were healthy, by service. */
-  private readonly healthyShares = new Map<string, number>();
+  private readonly health = new HealthShares();
   /** When an upstream last could have answered in time if idle, by route. */
   private readonly inTimePossibleAt = new Map<string, Milliseconds>();
 
@@ -181,15 +149,13 @@
     isFinal: boolean,
   ): PlacementDecision {
     this.refreshMedian(request.service, upstreams);
-    this.noteHealth(request.service, answers);
+    this.health.note(request.service, answers);
     this.noteCold(answers);
     const evaluated = this.evaluateAll(upstreams, request, answers);
     const tiers = isFinal ? this.finalTiers(request, evaluated) : NEAR_TIERS;
-    for (const tier of tiers) {
-      const best = cheapest(evaluated.filter(tier));
-      if (best) {
-        return {kind: 'send', id: best.id};
-      }
+    const best = bestOf(tiers, evaluated);
+    if (best) {
+      return {kind: 'send', id: best.id};
     }
     return isFinal ? {kind: 'no-room'} : {kind: 'ask-more'};
   }
@@ -297,7 +263,7 @@
     const load = answer.report ?? ASSUMED_LOAD;
     const report = {...load, running: load.running + view.unreportedSends(id)};
     const expectedMs = this.expectedMs(upstream, request, {...answer, report});
-    const health = this.healthFactor(request.service, answer);
+    const health = this.health.factor(request.service, answer);
     const penalty = outcomes.costFactor(id) * health;
     const risk = this.relativeFailureFactor(request.service, id) * health;
     const riskyMs = expectedMs * risk;
@@ -310,28 +276,29 @@
       inTime: now + riskyMs <= request.targetAt,
       beforeGiveUp: now + expectedMs <= request.giveUpAt,
       inTimeIfIdle: now + idleMs <= request.targetAt,
-      hasFreeSlot: hasFreeSlot(report),
+      hasFreeSlot: hasFreeSlot(report) && !this.mayBeReset(request, id),
       isNear,
     };
   }
 
-  private noteHealth(service: string, answers: readonly ProbeAnswer[]): void {
-    const share = answers.reduce(
-      (before, {healthy}) =>
-        before + HEALTH_SAMPLE_WEIGHT * (Number(healthy) - before),
-      this.healthyShares.get(service) ?? 1,
-    );
-    this.healthyShares.set(service, share);
-  }
-
   /**
-   * Health endpoints may report a failure although the upstream works. While most of a
-   * service's do, the reports are ignored: otherwise these upstreams' slots would stay
-   * free, and the few healthy ones couldn't take all requests.
+   * Whether a request that can't be repeated may find the upstream full, which would
+   * reset it: other hosts send there too, and may take the only free slot meanwhile.
    */
-  private healthFactor(service: string, {healthy}: ProbeAnswer): number {
-    const share = this.healthyShares.get(service) ?? 1;
-    return healthy || share < MIN_HEALTHY_SHARE ? 1 : UNHEALTHY_FACTOR;
+  private mayBeReset(
+    {service, repeatable = true}: PlacementRequest,
+    id: string,
+  ): boolean {
+    const {resets, view, options} = this.parts;
+    if (
+      repeatable ||
+      !options.avoidsResets ||
+      !resets.resetsWhenFull(service)
+    ) {
+      return false;
+    }
+    const report = view.recentAnswer(id, FRESH_REPORT_MS)?.report;
+    return !report || !hasSpareSlot(report, view.unreportedSends(id));
   }
 
   /** Expected response time if nothing else ran there. */
@@ -405,15 +372,3 @@
       .map(({upstream}) => upstream);
   }
 }
-
-function cheapest(
-  evaluated: readonly EvaluatedUpstream[],
-): EvaluatedUpstream | undefined {
-  let best: EvaluatedUpstream | undefined;
-  for (const one of evaluated) {
-    if (!best || one.cost < best.cost) {
-      best = one;
-    }
-  }
-  return best;
-}
--- a/src/decisions/placement/types.ts
+++ b/src/decisions/placement/types.ts
@@ -25,6 +25,8 @@
 /** A request to be placed. */
 export interface PlacementRequest {
   readonly service: string;
+  /** Whether it may run more than once; undefined counts as true. */
+  readonly repeatable?: boolean;
   /** Groups requests whose run times are similar. */
   readonly route: string;
   /** Ids of upstreams to which the request has been sent before. */
--- a/src/emulator/caller_model.ts
+++ b/src/emulator/caller_model.ts
@@ -9,9 +9,6 @@
 
 /** Callers honour a retry delay up to this share of their remaining time. */
 const MAX_REMAINING_TIME_SHARE = 1 / 3;
-/** The request rate is a sine wave with this relative amplitude and period. */
-const RATE_AMPLITUDE = 0.15;
-const RATE_PERIOD_MS: Milliseconds = 11_000;
 /** Delay until a caller whose host doesn't respond tries another one. */
 const FAILOVER_DELAY_MS: Milliseconds = 100;
 /** Hosts get up to this share more or less than the mean, as with hashing. */
@@ -30,7 +27,7 @@
     );
     for (const kind of fleet.scenario.kinds) {
       for (const dataCentre of fleet.scenario.hosts.keys()) {
-        this.scheduleArrival(kind, dataCentre, fleet.random() * 2 * Math.PI);
+        this.scheduleArrival(kind, dataCentre, this.phaseOf(dataCentre));
       }
     }
   }
@@ -42,7 +39,8 @@
   ): void {
     const {loop, random, scenario} = this.fleet;
     const base = kind.per_second / scenario.hosts.length / MS_PER_SECOND;
-    const maxRate = base * (1 + RATE_AMPLITUDE) * this.maxBurstFactor();
+    const {amplitude, period_s: period} = scenario.wave;
+    const maxRate = base * (1 + amplitude) * this.maxBurstFactor();
     loop.after(-Math.log(1 - random()) / maxRate, () => {
       const now = loop.now();
       if (now >= this.endMs) {
@@ -50,7 +48,8 @@
       }
       const waveFactor =
         1 +
-        RATE_AMPLITUDE * Math.sin((2 * Math.PI * now) / RATE_PERIOD_MS + phase);
+        amplitude *
+          Math.sin((2 * Math.PI * now) / (period * MS_PER_SECOND) + phase);
       if (random() < (base * waveFactor * this.burstFactorAt(now)) / maxRate) {
         this.startRequest(kind, dataCentre);
       }
@@ -58,6 +57,13 @@
     });
   }
 
+  private phaseOf(dataCentre: number): number {
+    const {random, scenario} = this.fleet;
+    return scenario.wave.staggered
+      ? (2 * Math.PI * dataCentre) / scenario.hosts.length
+      : random() * 2 * Math.PI;
+  }
+
   private maxBurstFactor(): number {
     return this.fleet.scenario.troubles
       .filter(({kind}) => kind === 'burst')
@@ -85,10 +91,19 @@
     };
     callerRequests.push(request);
     const workMs =
-      kind.work_ms * Math.exp(kind.work_spread * standardNormal(random));
+      kind.work_ms *
+      this.longFactor(kind) *
+      Math.exp(kind.work_spread * standardNormal(random));
     this.attempt(request, workMs, dataCentre, kind.returns);
   }
 
+  private longFactor({
+    long_share: share,
+    long_factor: factor,
+  }: RequestKind): number {
+    return share > 0 && this.fleet.random() < share ? factor : 1;
+  }
+
   private attempt(
     request: CallerRequest,
     workMs: Milliseconds,
--- a/src/emulator/emulate.ts
+++ b/src/emulator/emulate.ts
@@ -15,6 +15,9 @@
 /** Time after the last request for outstanding responses. */
 const LAST_RESPONSES_MS = 3_000;
 
+/** Hosts that each host knows in a large fleet. */
+const KNOWN_PEERS = 24;
+
 export interface Outcome extends Score {
   readonly seed: number;
   readonly creditBySecond: readonly number[];
@@ -44,6 +47,12 @@
       ? near.filter(({address}) => recipients.includes(address))
       : [];
   });
+  hosts.forEach((host, index) => {
+    const others = [...hosts.slice(index + 1), ...hosts.slice(0, index)];
+    host.resetGossip.recipients = others
+      .slice(0, KNOWN_PEERS)
+      .map(({resetGossip}) => resetGossip);
+  });
   const endMs = scenario.seconds * MS_PER_SECOND;
   new CallerModel(fleet, hosts, endMs);
   loop.runUntil(endMs + LAST_RESPONSES_MS);
--- a/src/emulator/fleet_model.ts
+++ b/src/emulator/fleet_model.ts
@@ -13,7 +13,12 @@
 
 export class FleetModel {
   readonly upstreams: readonly UpstreamModel[];
-  readonly costs: Costs = {probes: 0, farKilobytes: 0};
+  readonly costs: Costs = {
+    probes: 0,
+    farKilobytes: 0,
+    farSends: 0,
+    unknownOutcomes: 0,
+  };
   readonly callerRequests: CallerRequest[] = [];
   private readonly upstreamsById: ReadonlyMap<string, UpstreamModel>;
   private registeredByService: ReadonlyMap<
--- a/src/emulator/host_model.ts
+++ b/src/emulator/host_model.ts
@@ -7,6 +7,7 @@
   LoadView,
   OutcomeHistory,
   PlacementPolicy,
+  ResetHistory,
   WorkEstimates,
 } from '../decisions/placement/index.js';
 import {Backoffs} from '../decisions/backoff/index.js';
@@ -23,6 +24,7 @@
 import {HOST_STEP_MS} from './constants.js';
 import type {FleetModel} from './fleet_model.js';
 import {LoadGossip} from './load_gossip.js';
+import {ResetGossip} from './reset_gossip.js';
 import type {RequestKind} from './scenario.js';
 import {SchedulerModel} from './scheduler_model.js';
 import type {Run, RunEnd} from './upstream_model.js';
@@ -67,6 +69,8 @@
 
 export class HostModel {
   private readonly outcomes: OutcomeHistory;
+  private readonly resets = new ResetHistory();
+  readonly resetGossip = new ResetGossip(this.resets);
   readonly view: LoadView;
   readonly gossip: LoadGossip;
   readonly gain: SharingGain;
@@ -116,6 +120,7 @@
       clock: loop,
       random,
       outcomes: this.outcomes,
+      resets: this.resets,
       work: this.workEstimates,
       view: this.view,
       cold,
@@ -164,6 +169,7 @@
     const {kind} = pending.request;
     const wanted = {
       service: kind.service,
+      repeatable: kind.idempotent,
       route: kind.name,
       tried: pending.attempts.tried,
       targetMs: kind.target_ms,
@@ -204,10 +210,13 @@
     const upstream = this.fleet.upstream(id);
     const delay = this.fleet.oneWayDelayMs(this.dataCentre, Number(dataCentre));
     pending.attempts.noteSend(id);
-    if (Number(dataCentre) !== this.dataCentre) {
-      this.fleet.costs.farKilobytes += FAR_EXCHANGE_KILOBYTES;
-    }
+    this.countSend(Number(dataCentre));
     const startedAt = loop.now();
+    const noteEnd = this.resetGossip.observe(
+      kind.service,
+      loadAnswer.report,
+      this.view.unreportedSends(id) - 1,
+    );
     const pendingAttempt = {
       service: kind.service,
       route: kind.name,
@@ -233,6 +242,7 @@
             );
             this.stalls.answered(pendingAttempt, elapsedMs);
           }
+          noteEnd(end);
           pending.runs.delete(id);
           if (report) {
             this.view.note({id, report, healthy: true});
@@ -260,6 +270,14 @@
     });
   }
 
+  private countSend(dataCentre: number): void {
+    if (dataCentre !== this.dataCentre) {
+      const {costs} = this.fleet;
+      costs.farKilobytes += FAR_EXCHANGE_KILOBYTES;
+      costs.farSends += 1;
+    }
+  }
+
   /**
    * Hedges an idempotent request when its attempt is more likely lost than
    * still running.
@@ -290,11 +308,12 @@
       answered: 'answered',
       refused: 'not-run',
       silent: 'broken',
+      reset: 'broken',
       gone: 'broken',
     };
     if (end === 'refused') {
       this.outcomes.failed(id, 'shed');
-    } else if (end === 'gone') {
+    } else if (end === 'gone' || end === 'reset') {
       this.outcomes.failed(id, 'broken');
     }
     const step = pending.attempts.handleEnd(ends[end], {
@@ -319,6 +338,9 @@
   /** Refuses only a request that certainly hasn't run; others fail. */
   private refuse(pending: PendingRequest, retryAfterMs: Milliseconds): void {
     const hasNotRun = pending.attempts.outcome === 'not-run';
+    if (!hasNotRun && !pending.done) {
+      this.fleet.costs.unknownOutcomes += 1;
+    }
     this.finish(
       pending,
       hasNotRun ? {kind: 'refused', retryAfterMs} : {kind: 'failed'},
--- a/src/emulator/scenario.ts
+++ b/src/emulator/scenario.ts
@@ -19,6 +19,9 @@
     work_ms: positive,
     /** Standard deviation of the logarithm of the work, which is log-normal. */
     work_spread: z.number().min(0),
+    /** Share of requests that take `long_factor` times as long. */
+    long_share: share.default(0),
+    long_factor: positive.default(1),
     target_ms: positive,
     deadline_ms: positive,
     timeout_ms: positive,
@@ -37,7 +40,7 @@
     upstreams: z.array(z.number().int().min(0)),
     slots: z.number().int().positive(),
     queue: z.number().int().min(0),
-    when_full: z.enum(['refuse', 'silent']),
+    when_full: z.enum(['refuse', 'silent', 'reset']),
     tells_load: z.boolean().default(true),
     /** Work that starts above this share of busy slots is slower */
     knee: share,
@@ -78,6 +81,14 @@
     probes_per_upstream_second: positive,
     retry_ratio: z.number().min(0),
     retry_slack: z.number().min(0),
+    /**
+     * The demand of each data centre is a sine wave around its mean. With `staggered`
+     * the waves of data centres are evenly out of phase, else the phases are random.
+     */
+    wave: z
+      .object({amplitude: share, period_s: positive, staggered: z.boolean()})
+      .strict()
+      .default({amplitude: 0.15, period_s: 11, staggered: false}),
     prices: z
       .object({probe: z.number().min(0), far_kilobyte: z.number().min(0)})
       .strict(),
--- a/src/emulator/score.ts
+++ b/src/emulator/score.ts
@@ -28,6 +28,10 @@
 export interface Costs {
   probes: number;
   farKilobytes: number;
+  /** Sends to other data centres. */
+  farSends: number;
+  /** Responses that left open whether the request had run. */
+  unknownOutcomes: number;
 }
 
 export interface Score {
@@ -40,6 +44,9 @@
   readonly worstKind: number;
   readonly prices: number;
   readonly probesPerRequest: number;
+  readonly farSendsPerRequest: number;
+  /** Share of requests whose outcome was left open. */
+  readonly unknown: number;
   readonly inTime: number;
   readonly late: number;
 }
@@ -75,6 +82,8 @@
     worstKind,
     prices,
     probesPerRequest: costs.probes / requests.length,
+    farSendsPerRequest: costs.farSends / requests.length,
+    unknown: costs.unknownOutcomes / requests.length,
     inTime: mean(requests, one => Number(isInTime(one))) ?? 0,
     late: mean(requests, one => Number(isServed(one) && !isInTime(one))) ?? 0,
   };
--- a/src/emulator/upstream_model.ts
+++ b/src/emulator/upstream_model.ts
@@ -6,7 +6,14 @@
 import type {EventLoop} from './event_loop.js';
 import type {ServiceModel} from './scenario.js';
 
-export type RunEnd = 'answered' | 'refused' | 'silent' | 'gone';
+export type RunEnd = 'answered' | 'refused' | 'silent' | 'reset' | 'gone';
+
+/** What becomes of a request that a full upstream doesn't take. */
+const ENDS_WHEN_FULL: Readonly<Record<ServiceModel['when_full'], RunEnd>> = {
+  refuse: 'refused',
+  silent: 'silent',
+  reset: 'reset',
+};
 
 export interface Run {
   readonly workMs: Milliseconds;
@@ -77,7 +84,7 @@
     } else if (this.queue.length < service.queue) {
       this.queue.push(run);
     } else {
-      run.onEnd(service.when_full === 'refuse' ? 'refused' : 'silent');
+      run.onEnd(ENDS_WHEN_FULL[service.when_full]);
     }
   }
 
--- a/src/experiment/compare.ts
+++ b/src/experiment/compare.ts
@@ -56,6 +56,8 @@
     served: meanOf(one => one.served),
     worstWindows: meanOf(one => one.worstWindows),
     probesPerRequest: meanOf(one => one.probesPerRequest),
+    farSendsPerRequest: meanOf(one => one.farSendsPerRequest),
+    unknown: meanOf(one => one.unknown),
     gain: median(gains) ?? 0,
     interval: intervalOf(gains),
   };
--- a/src/experiment/main.ts
+++ b/src/experiment/main.ts
@@ -13,6 +13,8 @@
 const EXIT_OK = 0;
 const EXIT_USAGE = 2;
 const DIGITS = 3;
+/** Unknown outcomes are rare. */
+const UNKNOWN_DIGITS = 5;
 
 class ExperimentCommand extends Command {
   static override paths = [Command.Default];
@@ -125,6 +127,8 @@
     formatFigure(one.served),
     formatFigure(one.worstWindows),
     formatFigure(one.probesPerRequest),
+    formatFigure(one.farSendsPerRequest),
+    one.unknown.toFixed(UNKNOWN_DIGITS),
     formatFigure(one.gain),
     one.interval.map(formatFigure).join(' to '),
   ]);
@@ -137,6 +141,8 @@
     'served',
     'worst windows',
     'probes a request',
+    'far sends a request',
+    'unknown',
     'gain',
     '95% of medians',
   ];
--- a/src/experiment/policies.ts
+++ b/src/experiment/policies.ts
@@ -21,6 +21,7 @@
   hedges: false,
   remembersFailures: false,
   servesLate: false,
+  avoidsResets: false,
   knownNeeded: Infinity,
   reuseMs: 0,
 };
--- a/src/experiment/types.ts
+++ b/src/experiment/types.ts
@@ -29,6 +29,8 @@
   readonly served: number;
   readonly worstWindows: number;
   readonly probesPerRequest: number;
+  readonly farSendsPerRequest: number;
+  readonly unknown: number;
   /** Median of the per-seed differences in worth. */
   readonly gain: number;
   /** Bootstrap interval that holds 95% of the medians. */
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -195,6 +195,7 @@
     const {route, service, giveUpAt} = this;
     return {
       service: service.name,
+      repeatable: route.repeatable,
       route: route.name,
       tried: this.record.tried,
       targetMs: route.targetMs,
--- a/src/gateway/upstream_attempt.ts
+++ b/src/gateway/upstream_attempt.ts
@@ -13,6 +13,7 @@
 } from '../upstreams/index.js';
 import {sendAttempt} from '../upstreams/index.js';
 import {isServerError} from './attempt_end.js';
+import {ResetObserver} from './reset_observer.js';
 import type {GatewayContext} from './types.js';
 import type {InFlightRequest} from './upstream_client.js';
 
@@ -52,6 +53,7 @@
   private readonly startedAt: Milliseconds;
   private readonly handle: AttemptHandle;
   private readonly pendingAttempt: PendingAttempt;
+  private readonly resetObserver: ResetObserver;
   private outcome: AttemptResult['kind'] | 'pending' = 'pending';
   private elapsedMs: Milliseconds = 0;
 
@@ -60,6 +62,14 @@
     const {upstreamClient, clock} = context;
     this.startedAt = clock.now();
     this.pendingAttempt = {service, route: route.name, expectedMs};
+    this.resetObserver = new ResetObserver({
+      service,
+      upstream: upstream.id,
+      report: parts.probeAnswer.report,
+      expectedMs,
+      view: upstreamClient.view,
+      resets: upstreamClient.resets,
+    });
     this.inFlightRequest = upstreamClient.acquire(upstream);
     this.handle = sendAttempt(
       this.inFlightRequest.connection,
@@ -146,6 +156,7 @@
     const {context, service, route, upstream, probeAnswer} = this.parts;
     const {upstreamClient, work, stalls} = context;
     const {id} = upstream;
+    this.resetObserver.noteEnd(result, this.elapsedMs);
     switch (result.kind) {
       case 'answered':
         if (!isServerError(result.status)) {
--- a/src/gateway/upstream_client.ts
+++ b/src/gateway/upstream_client.ts
@@ -14,6 +14,7 @@
 import {parseAddress} from '../platform/index.js';
 import type {LeavingExchange} from '../leaving/index.js';
 import type {RateLimitExchange} from '../rate_limits/index.js';
+import type {ResetExchange} from '../resets/index.js';
 import type {Clock, Milliseconds} from '../time/index.js';
 import type {ProbeResult, UpstreamConnection} from '../upstreams/index.js';
 import {ConnectionPool, probe} from '../upstreams/index.js';
@@ -58,6 +59,7 @@
   readonly rateLimits: RateLimitExchange;
   readonly backoffs: Backoffs;
   readonly leaving: LeavingExchange;
+  readonly resets: ResetExchange;
   readonly clock: Clock;
   readonly logger: Logger;
   readonly metrics: GatewayMetrics;
@@ -81,6 +83,10 @@
     return this.parts.leaving;
   }
 
+  get resets(): ResetExchange {
+    return this.parts.resets;
+  }
+
   get rateLimits(): RateLimitExchange {
     return this.parts.rateLimits;
   }
--- a/src/host/upstream_selection.ts
+++ b/src/host/upstream_selection.ts
@@ -10,6 +10,7 @@
   Admission,
   LoadView,
   PlacementPolicy,
+  ResetHistory,
   WorkEstimates,
 } from '../decisions/placement/index.js';
 import {ProbeBudget} from '../decisions/probing/index.js';
@@ -26,6 +27,7 @@
 import type {HostSettings} from '../platform/index.js';
 import {RateLimitExchange} from '../rate_limits/index.js';
 import {LoadExchange} from '../sharing/index.js';
+import {ResetExchange} from '../resets/index.js';
 import type {Clock, Milliseconds, Random} from '../time/index.js';
 
 /** A peer from which nothing was received for this time counts as down. */
@@ -50,6 +52,7 @@
 export class UpstreamSelection {
   readonly upstreamClient: UpstreamClient;
   readonly work = new WorkEstimates();
+  private readonly resets = new ResetHistory();
   private readonly gain: SharingGain;
   private readonly exchange: LoadExchange;
   private readonly rateLimits: RateLimitExchange;
@@ -152,6 +155,7 @@
         rateLimits,
         backoffs,
         leaving,
+        resets: this.createResets(),
         clock,
         logger,
         metrics,
@@ -214,6 +218,15 @@
     );
   }
 
+  private createResets(): ResetExchange {
+    const {state} = this.parts;
+    return new ResetExchange({
+      ...this.parts,
+      history: this.resets,
+      hasService: name => state.routes.service(name) !== undefined,
+    });
+  }
+
   private createPolicy(view: LoadView): PlacementPolicy {
     const {settings, clock, random, state} = this.parts;
     const cold = new ColdLimits({
@@ -236,6 +249,7 @@
       clock,
       random,
       outcomes: this.upstreamClient.outcomes,
+      resets: this.resets,
       work: this.work,
       view,
       cold,
--- /dev/null
+++ b/src/resets/index.ts
@@ -0,0 +1,2 @@
+export {decodeEvidence, encodeEvidence} from './codec.js';
+export {ResetExchange} from './reset_exchange.js';
--- a/tests/experiment.test.ts
+++ b/tests/experiment.test.ts
@@ -18,6 +18,8 @@
     worstKind: worth,
     prices: 0,
     probesPerRequest: 2,
+    farSendsPerRequest: 0,
+    unknown: 0,
     inTime: worth,
     late: 0,
     creditBySecond: [worth],
--- a/tests/placement.test.ts
+++ b/tests/placement.test.ts
@@ -8,6 +8,7 @@
   LoadView,
   OutcomeHistory,
   PlacementPolicy,
+  ResetHistory,
   WorkEstimates,
   estimateCompletion,
 } from '../src/decisions/placement/index.js';
@@ -27,12 +28,14 @@
 let work: WorkEstimates;
 let policy: PlacementPolicy;
 let view: LoadView;
+let resets: ResetHistory;
 
 beforeEach(() => {
   clock = new ManualClock();
   outcomes = new OutcomeHistory(clock, DEFAULT_OPTIONS);
   work = new WorkEstimates();
   view = new LoadView(clock);
+  resets = new ResetHistory();
   const cold = noColdLimits(clock);
   policy = new PlacementPolicy({
     host: 'entry-1',
@@ -41,6 +44,7 @@
     clock,
     random: seededRandom(1),
     outcomes,
+    resets,
     work,
     view,
     cold,
@@ -311,3 +315,53 @@
     });
   }
 });
+
+/** Teaches that a service resets the connection when it is full. */
+function learnResets(): void {
+  for (let i = 0; i < 3; i += 1) {
+    resets.noteEnd('s', IDLE, 1, 'reset');
+  }
+}
+
+// Guards against an order that takes a slot which another host's request just took.
+test('an order is not sent to the last slot of a service that resets', () => {
+  const answers = [probeAnswer('a', {running: 5})];
+  view.note(probeAnswer('a', {running: 5}));
+  const order = request({repeatable: false});
+  expect(policy.decide(NEAR, order, answers, true).kind).toBe('send');
+  learnResets();
+  expect(policy.decide(NEAR, order, answers, true).kind).toBe('no-room');
+  expect(policy.decide(NEAR, request(), answers, true).kind).toBe('send');
+});
+
+// Guards against an order that takes a slot which this host's requests will take.
+test('unreported sends count where a service resets', () => {
+  learnResets();
+  const order = request({repeatable: false});
+  const answers = [probeAnswer('a', {running: 3})];
+  view.note(probeAnswer('a', {running: 3}));
+  policy.noteSend(upstream('a'));
+  expect(policy.decide(NEAR, order, answers, true).kind).toBe('send');
+  policy.noteSend(upstream('a'));
+  expect(policy.decide(NEAR, order, answers, true).kind).toBe('no-room');
+});
+
+// Guards against an order that is sent by a report which is out of date.
+test('an order is not sent by an old report where a service resets', () => {
+  learnResets();
+  const order = request({repeatable: false});
+  const answers = [probeAnswer('a', {running: 1})];
+  view.note(probeAnswer('a', {running: 1}));
+  expect(policy.decide(NEAR, order, answers, true).kind).toBe('send');
+  clock.advance(31);
+  expect(policy.decide(NEAR, order, answers, true).kind).toBe('no-room');
+});
+
+// Guards against a service of single slots that gets no orders at all.
+test('an idle upstream of a single slot gets orders', () => {
+  learnResets();
+  const answers = [probeAnswer('a', {slots: 1})];
+  view.note(probeAnswer('a', {slots: 1}));
+  const order = request({repeatable: false});
+  expect(policy.decide(NEAR, order, answers, true).kind).toBe('send');
+});
--- a/tests/scheduling.test.ts
+++ b/tests/scheduling.test.ts
@@ -5,6 +5,7 @@
   LoadView,
   OutcomeHistory,
   PlacementPolicy,
+  ResetHistory,
   WorkEstimates,
 } from '../src/decisions/placement/index.js';
 import {ProbeBudget} from '../src/decisions/probing/index.js';
@@ -52,6 +53,7 @@
     clock,
     random,
     outcomes: new OutcomeHistory(clock, DEFAULT_OPTIONS),
+    resets: new ResetHistory(),
     work,
     view,
     cold,
--- a/tests/uneven_load.test.ts
+++ b/tests/uneven_load.test.ts
@@ -1,8 +1,11 @@
 import {afterEach, beforeEach, expect, test} from 'vitest';
 import type {Download} from '../src/decisions/limits/index.js';
 import {DownloadLimit} from '../src/decisions/limits/index.js';
+import type {LoadReport, SendEnd} from '../src/decisions/placement/index.js';
+import {ResetHistory} from '../src/decisions/placement/index.js';
+import {decodeEvidence, encodeEvidence} from '../src/resets/index.js';
 import type {RouteSpec} from '../src/standins/index.js';
-import {ManualClock} from '../src/time/index.js';
+import {ManualClock, sleep} from '../src/time/index.js';
 import {GatewaySystem, until} from './support/gateway.js';
 
 /** A link of 8 Mbit/s. */
@@ -143,3 +146,119 @@
   upstream.fault = 'none';
   expect((await system.call(host, {path: '/report/2'})).status).toBe(200);
 });
+
+const FOUR_SLOTS: LoadReport = {running: 0, waiting: 0, slots: 4, slowness: 1};
+
+function noteEnds(
+  history: ResetHistory,
+  free: number,
+  end: SendEnd,
+  count: number,
+): void {
+  for (let i = 0; i < count; i += 1) {
+    history.noteEnd('s', FOUR_SLOTS, free, end);
+  }
+}
+
+// Guards against orders that are lost because nobody learns what full upstreams do.
+test('resets at nearly full upstreams show that a service resets when full', () => {
+  const history = new ResetHistory();
+  noteEnds(history, 3, 'other', 100);
+  noteEnds(history, 1, 'other', 20);
+  noteEnds(history, 1, 'reset', 2);
+  expect(history.resetsWhenFull('s')).toBe(false);
+  noteEnds(history, 1, 'reset', 1);
+  expect(history.resetsWhenFull('s')).toBe(true);
+  expect(history.resetsWhenFull('other')).toBe(false);
+});
+
+// Guards against slots left free because crashes or the network reset connections.
+test('resets as frequent elsewhere say nothing about full upstreams', () => {
+  const history = new ResetHistory();
+  noteEnds(history, 3, 'other', 90);
+  noteEnds(history, 3, 'reset', 10);
+  noteEnds(history, 1, 'other', 90);
+  noteEnds(history, 1, 'reset', 10);
+  expect(history.resetsWhenFull('s')).toBe(false);
+});
+
+// Guards against slots left free at services that state their refusals.
+test('a service that sheds more often than it resets is not avoided', () => {
+  const history = new ResetHistory();
+  noteEnds(history, 3, 'other', 100);
+  noteEnds(history, 1, 'reset', 3);
+  noteEnds(history, 1, 'shed', 4);
+  expect(history.resetsWhenFull('s')).toBe(false);
+});
+
+// Guards against learning the same again each time, at the cost of orders.
+test('what is learnt stays while no more resets are seen', () => {
+  const history = new ResetHistory();
+  noteEnds(history, 1, 'other', 10);
+  noteEnds(history, 1, 'reset', 3);
+  noteEnds(history, 3, 'other', 10_000);
+  expect(history.resetsWhenFull('s')).toBe(true);
+});
+
+// Guards against hosts with little traffic that never see enough resets.
+test('hosts learn from what others have seen, each reset once', () => {
+  const listener = new ResetHistory();
+  for (let host = 0; host < 3; host += 1) {
+    const history = new ResetHistory();
+    noteEnds(history, 3, 'other', 20);
+    noteEnds(history, 1, 'reset', 1);
+    const evidence = history.takeUntold('s');
+    expect(history.takeUntold('s')).toBeUndefined();
+    const received = decodeEvidence(evidence && encodeEvidence(evidence));
+    expect(received).toEqual(evidence);
+    expect(listener.resetsWhenFull('s')).toBe(false);
+    if (received) {
+      listener.merge(received);
+    }
+  }
+  expect(listener.resetsWhenFull('s')).toBe(true);
+});
+
+// Guards against datagrams that set the counts of a host to anything.
+test.each([
+  [undefined],
+  [['s', 1, 1, 1, 1]],
+  [['', 1, 1, 1, 1, 1]],
+  [['s', 1, -1, 1, 1, 1]],
+  [['s', 1, NaN, 1, 1, 1]],
+  [['s', 1, 1e9, 1, 1, 1]],
+])('%j is no evidence', body => {
+  expect(decodeEvidence(body)).toBeUndefined();
+});
+
+// Guards against a second loss of an order at an upstream that may be full.
+test('an order avoids the last slot of a service that resets, a lookup takes it', async () => {
+  system.configure(3);
+  const upstream = await system.addUpstream('i-1');
+  const host = await system.startReadyHost();
+  const order = {method: 'POST', path: '/order/1', body: 'x'};
+  upstream.load = {running: 1, waiting: 0, slots: 6, percent: 100};
+  for (let i = 0; i < 20; i += 1) {
+    await system.call(host);
+  }
+  upstream.load = {running: 5, waiting: 0, slots: 6, percent: 100};
+  upstream.fault = 'lose-answer';
+  await sleep(50); // Until the last report is out of date.
+  let resets = 0;
+  for (; resets < 10; resets += 1) {
+    const reply = await system.call(host, order);
+    if (reply.headers['cyclamenlever-reason'] === 'no-room') {
+      break;
+    }
+    expect(reply.headers['cyclamenlever-outcome']).toBe('unknown');
+    // Until the break no longer makes the upstream look worse than the median.
+    await sleep(150);
+  }
+  expect(resets).toBe(3);
+  upstream.fault = 'none';
+  expect((await system.call(host, order)).status).toBe(503);
+  expect((await system.call(host)).status).toBe(200);
+  upstream.load = {running: 4, waiting: 0, slots: 6, percent: 100};
+  await sleep(50);
+  expect((await system.call(host, order)).status).toBe(200);
+});
