Probe other data centres first under a lasting local shortage

Cause: each request of a data centre whose upstreams are full cost two rounds of probes nearby before a remote upstream was probed, and the nearby upstreams stayed full, where work is slower.

Change: hosts learn the shares of nearby and remote answers by which a request could be placed. Metrics: placements by place, and remote sends in the activity line.

--- a/src/decisions/options/defaults.ts
+++ b/src/decisions/options/defaults.ts
@@ -18,6 +18,7 @@
   remembersFailures: true,
   servesLate: true,
   avoidsResets: true,
+  followsShortage: true,
   // Callers that retry sooner are more often still in time.
   shortestRetryMs: 30,
 };
--- a/src/decisions/options/types.ts
+++ b/src/decisions/options/types.ts
@@ -24,6 +24,8 @@
   readonly servesLate: boolean;
   /** Whether orders avoid nearly full upstreams of services that reset when full. */
   readonly avoidsResets: boolean;
+  /** Whether other data centres are probed first under a lasting local shortage. */
+  readonly followsShortage: boolean;
   /** Minimum retry delay that is sent to refused callers. */
   readonly shortestRetryMs: Milliseconds;
 }
--- a/src/decisions/placement/index.ts
+++ b/src/decisions/placement/index.ts
@@ -2,6 +2,7 @@
 export {Admission} from './admission.js';
 export * from './types.js';
 export {estimateCompletion} from './estimate.js';
+export {LocalShortage} from './local_shortage.js';
 export {LoadView} from './load_view.js';
 export type {UpstreamFailure} from './outcome_history.js';
 export {OutcomeHistory} from './outcome_history.js';
--- a/src/decisions/placement/placement_policy.ts
+++ b/src/decisions/placement/placement_policy.ts
@@ -13,13 +13,23 @@
 import type {Admission, SendBlockers} from './admission.js';
 import {estimateCompletion, hasFreeSlot} from './estimate.js';
 import {HealthShares} from './health_shares.js';
+import type {UsableAnswers} from './local_shortage.js';
+import {LocalShortage} from './local_shortage.js';
 import type {LoadView} from './load_view.js';
 import type {OutcomeHistory} from './outcome_history.js';
+import {RelativeFailures} from './relative_failures.js';
 import {Subset} from './subset.js';
 import type {ResetHistory} from './reset_history.js';
 import {hasSpareSlot} from './reset_history.js';
 import type {EvaluatedUpstream, Tier} from './tiers.js';
-import {IN_TIME_TIERS, LATE_TIERS, NEAR_TIERS, bestOf} from './tiers.js';
+import {
+  IN_TIME_TIERS,
+  LATE_TIERS,
+  NEAR_TIERS,
+  SAFE_TIERS,
+  bestOf,
+  isSafe,
+} from './tiers.js';
 import type {
   LoadReport,
   PlacementRequest,
@@ -37,12 +47,17 @@
  * upstream is preferred unless a remote one is clearly faster.
  */
 const REMOTE_FACTOR = 1.5;
+/**
+ * The same for searches that probe other data centres first. A remote upstream with
+ * several free slots then wins over the last slot of a nearby one, which is slower.
+ */
+const REMOTE_SEARCH_FACTOR = 1.1;
+/** They go on probing nearby upstreams, so that the end of a shortage is seen. */
+const NEAR_PROBES_OF_REMOTE_SEARCH = 1;
 /** An upstream is safely in time if a run this much longer still meets the target. */
 const LONG_RUN_FACTOR = 1.5;
 /** Random share added to costs: with equal costs, all hosts would choose the same one. */
 const COST_JITTER = 0.05;
-/** How long a service's median failure factor is cached. */
-const MEDIAN_TTL_MS: Milliseconds = 100;
 /**
  * If no upstream could have answered in time for this long, late answers are accepted.
  * Speeds change within this time, so shorter slow phases of all upstreams at once are
@@ -85,23 +100,20 @@
   readonly options: DecisionOptions;
 }
 
-/** Median over a service's upstreams. */
-interface CachedMedian {
-  readonly failureFactor: number;
-  readonly at: Milliseconds;
-}
-
 export class PlacementPolicy {
-  private readonly medianByService = new Map<string, CachedMedian>();
+  private readonly failures: RelativeFailures;
   private readonly health = new HealthShares();
   /** When an upstream last could have answered in time if idle, by route. */
   private readonly inTimePossibleAt = new Map<string, Milliseconds>();
 
   private readonly subset: Subset;
+  private readonly shortage: LocalShortage;
 
   constructor(private readonly parts: PlacementPolicyParts) {
-    const {host, options} = parts;
+    const {host, options, clock} = parts;
     this.subset = new Subset(host, options.subset);
+    this.failures = new RelativeFailures(clock, parts.outcomes);
+    this.shortage = new LocalShortage(clock, options.asked);
   }
 
   /**
@@ -111,12 +123,14 @@
    * probed, however slow or full the near ones are.
    *
    * @param isLast whether this is the last round
+   * @param isRemote whether other data centres are probed in the first round too
    */
   probeTargets(
     upstreams: readonly UpstreamInService[],
     request: PlacementRequest,
     asked: ReadonlySet<string>,
     isLast: boolean,
+    isRemote = false,
   ): readonly UpstreamInService[] {
     const {dataCentre, hosts, admission} = this.parts;
     const open = upstreams.filter(
@@ -132,27 +146,38 @@
       return this.sampleForProbing(this.subset.of(far, hosts().all));
     }
     const isFirst = asked.size === 0;
-    return this.sampleForProbing(
+    const targets = this.sampleForProbing(
       isFirst ? this.subset.of(near, hosts().near) : near,
     );
+    return isFirst && isRemote
+      ? [
+          ...targets.slice(0, NEAR_PROBES_OF_REMOTE_SEARCH),
+          ...this.sampleForProbing(this.subset.of(far, hosts().all)),
+        ].slice(0, this.parts.options.asked)
+      : targets;
   }
 
   /**
    * Chooses an upstream by the answers so far, or requests more probes.
    *
    * @param isFinal whether no more can be probed
+   * @param isRemote whether remote upstreams are considered before the last round
    */
   decide(
     upstreams: readonly UpstreamInService[],
     request: PlacementRequest,
     answers: readonly ProbeAnswer[],
     isFinal: boolean,
+    isRemote = false,
   ): PlacementDecision {
-    this.refreshMedian(request.service, upstreams);
+    this.failures.refreshMedian(request.service, upstreams);
     this.health.note(request.service, answers);
     this.noteCold(answers);
-    const evaluated = this.evaluateAll(upstreams, request, answers);
-    const tiers = isFinal ? this.finalTiers(request, evaluated) : NEAR_TIERS;
+    const evaluated = this.evaluateAll(upstreams, request, answers, isRemote);
+    const openTiers = isRemote ? SAFE_TIERS : NEAR_TIERS;
+    const tiers = isFinal
+      ? [...openTiers, ...this.finalTiers(request, evaluated)]
+      : openTiers;
     const best = bestOf(tiers, evaluated);
     if (best) {
       return {kind: 'send', id: best.id};
@@ -169,6 +194,36 @@
     return coldMs !== undefined || !this.parts.cold.isLimited(service);
   }
 
+  /** Whether a new search probes other data centres in its first round. */
+  drawRemote(service: string): boolean {
+    const {random, options} = this.parts;
+    const share = options.followsShortage ? this.farShare(service) : 0;
+    return share > 0 && random() < share;
+  }
+
+  /** Share of a service's searches that probe other data centres first. */
+  farShare(service: string): number {
+    return this.shortage.farShare(service);
+  }
+
+  /** Learns from all answers of a search how much room there is nearby and elsewhere. */
+  noteSearch(
+    upstreams: readonly UpstreamInService[],
+    request: PlacementRequest,
+    answers: readonly ProbeAnswer[],
+  ): void {
+    const {dataCentre} = this.parts;
+    const nearIds = new Set(
+      upstreams.filter(one => one.dataCentre === dataCentre).map(({id}) => id),
+    );
+    const evaluated = this.evaluateAll(upstreams, request, answers, true, 0);
+    const count = (isNear: boolean): UsableAnswers => {
+      const side = evaluated.filter(({id}) => nearIds.has(id) === isNear);
+      return {usable: side.filter(isSafe).length, all: side.length};
+    };
+    this.shortage.note(request.service, count(true), count(false));
+  }
+
   /** Counts a request that is sent to the chosen upstream. */
   noteSend(upstream: UpstreamInService): void {
     this.parts.admission.noteSend(upstream);
@@ -234,8 +289,10 @@
     upstreams: readonly UpstreamInService[],
     request: PlacementRequest,
     answers: readonly ProbeAnswer[],
+    isRemote: boolean,
+    jitter = COST_JITTER,
   ): readonly EvaluatedUpstream[] {
-    const {dataCentre, options, admission} = this.parts;
+    const {dataCentre, options, admission, random} = this.parts;
     const byId = new Map(upstreams.map(one => [one.id, one]));
     // Without upstreams nearby, remote ones get no penalty.
     const prefersNear =
@@ -247,7 +304,11 @@
         return [];
       }
       const isNear = upstream.dataCentre === dataCentre || !prefersNear;
-      return [this.evaluate(upstream, request, answer, isNear)];
+      const remoteFactor = isRemote ? REMOTE_SEARCH_FACTOR : REMOTE_FACTOR;
+      const distance = isNear ? 1 : remoteFactor;
+      const one = this.evaluate(upstream, request, answer);
+      const jitterFactor = jitter > 0 ? 1 + jitter * random() : 1;
+      return [{...one, cost: one.cost * distance * jitterFactor, isNear}];
     });
   }
 
@@ -255,9 +316,8 @@
     upstream: UpstreamInService,
     request: PlacementRequest,
     answer: ProbeAnswer,
-    isNear: boolean,
-  ): EvaluatedUpstream {
-    const {clock, random, outcomes, view} = this.parts;
+  ): Omit<EvaluatedUpstream, 'isNear'> {
+    const {clock, outcomes, view} = this.parts;
     const {id} = upstream;
     const now = clock.now();
     const load = answer.report ?? ASSUMED_LOAD;
@@ -265,19 +325,17 @@
     const expectedMs = this.expectedMs(upstream, request, {...answer, report});
     const health = this.health.factor(request.service, answer);
     const penalty = outcomes.costFactor(id) * health;
-    const risk = this.relativeFailureFactor(request.service, id) * health;
+    const risk = this.failures.factor(request.service, id) * health;
     const riskyMs = expectedMs * risk;
     const idleMs = risk * this.idleMs(upstream, request, report);
-    const distance = isNear ? 1 : REMOTE_FACTOR;
     return {
       id,
-      cost: expectedMs * penalty * distance * (1 + COST_JITTER * random()),
+      cost: expectedMs * penalty,
       safelyInTime: now + riskyMs * LONG_RUN_FACTOR <= request.targetAt,
       inTime: now + riskyMs <= request.targetAt,
       beforeGiveUp: now + expectedMs <= request.giveUpAt,
       inTimeIfIdle: now + idleMs <= request.targetAt,
       hasFreeSlot: hasFreeSlot(report) && !this.mayBeReset(request, id),
-      isNear,
     };
   }
 
@@ -322,33 +380,6 @@
     return this.parts.cold.isCold(upstream) ? COLD_FACTOR : 1;
   }
 
-  /**
-   * Failure factor relative to the service's median, at least 1. When all upstreams fail
-   * alike, there is no better one to wait for: by absolute factors, all slots of the
-   * service would stay free while its requests wait until they are refused.
-   */
-  private relativeFailureFactor(service: string, id: string): number {
-    const median = this.medianByService.get(service)?.failureFactor ?? 1;
-    return Math.max(1, this.parts.outcomes.failureFactor(id) / median);
-  }
-
-  private refreshMedian(
-    service: string,
-    upstreams: readonly UpstreamInService[],
-  ): void {
-    const {clock, outcomes} = this.parts;
-    const at = clock.now();
-    const known = this.medianByService.get(service);
-    if (known && at - known.at < MEDIAN_TTL_MS) {
-      return;
-    }
-    const factors = upstreams
-      .map(({id}) => outcomes.failureFactor(id))
-      .sort((a, b) => a - b);
-    const failureFactor = factors[Math.floor(factors.length / 2)] ?? 1;
-    this.medianByService.set(service, {failureFactor, at});
-  }
-
   private workMsOf(request: PlacementRequest): Milliseconds {
     return this.parts.work.ofRoute(request.route, request.targetMs);
   }
--- a/src/decisions/placement/tiers.ts
+++ b/src/decisions/placement/tiers.ts
@@ -23,8 +23,10 @@
 
 /** Tiers of acceptable upstreams while more can be probed. */
 export const NEAR_TIERS: readonly Tier[] = [isSafeAndNear];
-/** Tiers once no more can be probed, the best first. */
-export const IN_TIME_TIERS: readonly Tier[] = [...NEAR_TIERS, isSafe, isInTime];
+/** The same for searches that probe other data centres first. */
+export const SAFE_TIERS: readonly Tier[] = [isSafe];
+/** Further tiers once no more can be probed, the best first. */
+export const IN_TIME_TIERS: readonly Tier[] = [isSafe, isInTime];
 /** The same for requests that may be answered late. */
 export const LATE_TIERS: readonly Tier[] = [...IN_TIME_TIERS, isBeforeGiveUp];
 
@@ -58,7 +60,11 @@
   return isSafe(one) && one.isNear;
 }
 
-function isSafe({safelyInTime, hasFreeSlot}: EvaluatedUpstream): boolean {
+/** Whether a request would start at once and be answered within its target. */
+export function isSafe({
+  safelyInTime,
+  hasFreeSlot,
+}: EvaluatedUpstream): boolean {
   return safelyInTime && hasFreeSlot;
 }
 
--- a/src/decisions/scheduling/service_scheduler.ts
+++ b/src/decisions/scheduling/service_scheduler.ts
@@ -91,7 +91,8 @@
       this.refuse('no-upstream', request, []);
       return this.takeActions();
     }
-    const search = new UpstreamSearch(request);
+    const isRemote = this.parts.policy.drawRemote(request.service);
+    const search = new UpstreamSearch(request, isRemote);
     this.searches.add(search);
     if (this.tryCachedAnswers(search)) {
       this.conclude(search);
@@ -134,7 +135,7 @@
   /** Adds recent answers to the search; returns whether they suffice without probes. */
   private tryCachedAnswers(search: UpstreamSearch): boolean {
     const {policy, view, options} = this.parts;
-    const {request, answers} = search;
+    const {request, answers, isRemote} = search;
     const upstreams = this.upstreamsFor(request);
     for (const {id} of upstreams) {
       const known = view.recentAnswer(id, options.reuseMs);
@@ -147,7 +148,8 @@
     const needed = Math.min(options.knownNeeded, upstreams.length);
     return (
       answers.length >= needed &&
-      policy.decide(upstreams, request, answers, false).kind === 'send'
+      policy.decide(upstreams, request, answers, false, isRemote).kind ===
+        'send'
     );
   }
 
@@ -172,6 +174,7 @@
         search.request,
         search.asked,
         isLast,
+        search.isRemote,
       ),
     );
     const pending: string[] = [];
@@ -193,11 +196,17 @@
   private advance(search: UpstreamSearch): void {
     const {policy, clock} = this.parts;
     while (this.searches.has(search) && clock.now() >= search.dueAt) {
-      const {request, answers, asked} = search;
+      const {request, answers, asked, isRemote} = search;
       const before = asked.size;
       const exhausted = search.roundCount >= MAX_PROBE_ROUNDS;
       const upstreams = this.upstreamsFor(request);
-      const verdict = policy.decide(upstreams, request, answers, exhausted);
+      const verdict = policy.decide(
+        upstreams,
+        request,
+        answers,
+        exhausted,
+        isRemote,
+      );
       if (verdict.kind === 'ask-more') {
         this.beginRound(search);
         if (asked.size > before) {
@@ -210,10 +219,11 @@
 
   private conclude(search: UpstreamSearch): void {
     const {policy} = this.parts;
-    const {request, answers} = search;
+    const {request, answers, isRemote} = search;
     const upstreams = this.upstreamsFor(request);
     this.searches.delete(search);
-    const verdict = policy.decide(upstreams, request, answers, true);
+    policy.noteSearch(upstreams, request, answers);
+    const verdict = policy.decide(upstreams, request, answers, true, isRemote);
     if (verdict.kind !== 'send') {
       this.parts.gain.noteRefusal();
       this.refuse('no-room', request, answers);
--- a/src/decisions/scheduling/upstream_search.ts
+++ b/src/decisions/scheduling/upstream_search.ts
@@ -16,7 +16,11 @@
   private rounds = 0;
   private roundEndsAt: Milliseconds = Infinity;
 
-  constructor(readonly request: ScheduledRequest) {}
+  /** @param isRemote whether other data centres are probed in the first round too */
+  constructor(
+    readonly request: ScheduledRequest,
+    readonly isRemote: boolean,
+  ) {}
 
   get roundCount(): number {
     return this.rounds;
--- a/src/experiment/policies.ts
+++ b/src/experiment/policies.ts
@@ -22,6 +22,7 @@
   remembersFailures: false,
   servesLate: false,
   avoidsResets: false,
+  followsShortage: false,
   knownNeeded: Infinity,
   reuseMs: 0,
 };
--- a/src/gateway/gateway_metrics.ts
+++ b/src/gateway/gateway_metrics.ts
@@ -41,9 +41,11 @@
   readonly requests: number;
   readonly probes: number;
   readonly hedges: number;
+  /** Sends to other data centres. */
+  readonly remote: number;
 }
 
-const NO_ACTIVITY: Activity = {requests: 0, probes: 0, hedges: 0};
+const NO_ACTIVITY: Activity = {requests: 0, probes: 0, hedges: 0, remote: 0};
 
 export class GatewayMetrics {
   private readonly registry = new Registry();
@@ -69,6 +71,12 @@
     labelNames: ['result'] as const,
     registers: this.registers,
   });
+  private readonly placements = new Counter({
+    name: 'cyclamenlever_placements_total',
+    help: 'Sends to upstreams by data centre: near or remote',
+    labelNames: ['place'] as const,
+    registers: this.registers,
+  });
   private readonly refusedRetries = new Counter({
     name: 'cyclamenlever_repeats_refused_total',
     help: 'Repeats that the budget of retries did not allow',
@@ -141,6 +149,13 @@
     this.attempts.inc({result});
   }
 
+  countPlacement(isNear: boolean): void {
+    this.placements.inc({place: isNear ? 'near' : 'remote'});
+    if (!isNear) {
+      this.countActivity('remote');
+    }
+  }
+
   countRefusedRetry(): void {
     this.refusedRetries.inc();
   }
--- a/src/gateway/upstream_attempt.ts
+++ b/src/gateway/upstream_attempt.ts
@@ -62,6 +62,7 @@
     const {upstreamClient, clock} = context;
     this.startedAt = clock.now();
     this.pendingAttempt = {service, route: route.name, expectedMs};
+    context.metrics.countPlacement(this.isNear);
     this.resetObserver = new ResetObserver({
       service,
       upstream: upstream.id,
@@ -92,16 +93,21 @@
     return this.outcome === 'pending';
   }
 
+  private get isNear(): boolean {
+    const {context, upstream} = this.parts;
+    return upstream.dataCentre === context.dataCentre;
+  }
+
   /** Time after which the request is more likely lost than running. */
   get stallTimeoutMs(): Milliseconds {
     return this.parts.context.stalls.stallTimeoutMs(this.pendingAttempt);
   }
 
   get logEntry(): AttemptLogEntry {
-    const {context, upstream, probeAnswer, arrivedAt} = this.parts;
+    const {upstream, probeAnswer, arrivedAt} = this.parts;
     return {
       upstream: upstream.id,
-      near: upstream.dataCentre === context.dataCentre,
+      near: this.isNear,
       load: probeAnswer.report,
       loadAgeMs: Math.round(this.parts.probeAnswerAgeMs),
       healthy: probeAnswer.healthy,
--- a/tests/scheduling.test.ts
+++ b/tests/scheduling.test.ts
@@ -250,3 +250,37 @@
     result: {kind: 'refused', reason: 'no-upstream'},
   });
 });
+
+/**
+ * Searches while all nearby upstreams are full and all remote ones are idle.
+ *
+ * @returns the upstreams that the first round probed
+ */
+function searchInShortage(): readonly string[] {
+  clock.advance(250);
+  const first = scheduler.schedule(request());
+  let open = [...first];
+  for (let next = open.shift(); next !== undefined; next = open.shift()) {
+    if (next.kind === 'probe') {
+      const {id, dataCentre} = next.upstream;
+      const answer = probeAnswer(id, dataCentre === 'west' ? 0 : 6);
+      open = [...open, ...scheduler.noteProbeResult(id, answer)];
+    }
+  }
+  return probedIds(first);
+}
+
+// Guards against two rounds of probes at full upstreams before each remote one.
+test('under a lasting local shortage the first round probes other data centres', () => {
+  const remote = ['x', 'y', 'z'].map(id => inService(id, {dataCentre: 'west'}));
+  upstreams = [...upstreams, ...remote];
+  const isRemote = (id: string): boolean => 'xyz'.includes(id);
+  expect(searchInShortage().some(isRemote)).toBe(false);
+  Array.from({length: 40}, searchInShortage);
+  const rounds = Array.from({length: 10}, searchInShortage);
+  const mixed = rounds.filter(ids => ids.some(isRemote));
+  expect(mixed.length).toBeGreaterThan(5);
+  // The end of a shortage is only seen by probes of nearby upstreams.
+  expect(mixed.some(ids => ids.every(isRemote))).toBe(false);
+  expect(rounds.every(ids => ids.length <= DEFAULT_OPTIONS.asked)).toBe(true);
+});
--- a/tests/uneven_load.test.ts
+++ b/tests/uneven_load.test.ts
@@ -2,7 +2,7 @@
 import type {Download} from '../src/decisions/limits/index.js';
 import {DownloadLimit} from '../src/decisions/limits/index.js';
 import type {LoadReport, SendEnd} from '../src/decisions/placement/index.js';
-import {ResetHistory} from '../src/decisions/placement/index.js';
+import {LocalShortage, ResetHistory} from '../src/decisions/placement/index.js';
 import {decodeEvidence, encodeEvidence} from '../src/resets/index.js';
 import type {RouteSpec} from '../src/standins/index.js';
 import {ManualClock, sleep} from '../src/time/index.js';
@@ -262,3 +262,78 @@
   await sleep(50);
   expect((await system.call(host, order)).status).toBe(200);
 });
+
+const NOTHING = {usable: 0, all: 0};
+const FULL = {usable: 0, all: 3};
+const HALF_FULL = {usable: 3, all: 6};
+const FREE = {usable: 3, all: 3};
+const SEARCH_INTERVAL_MS = 250;
+
+/** Records searches with such answers. */
+function noteSearches(
+  shortage: LocalShortage,
+  near: typeof FULL,
+  far: typeof FULL,
+  count = 40,
+): void {
+  for (let i = 0; i < count; i += 1) {
+    clock.advance(SEARCH_INTERVAL_MS);
+    shortage.note('s', near, far);
+  }
+}
+
+// Guards against two rounds of probes for each request while nearby upstreams are full.
+test('the share for other data centres follows a lasting local shortage', () => {
+  const shortage = new LocalShortage(clock, 3);
+  noteSearches(shortage, FULL, FREE, 1);
+  expect(shortage.farShare('s')).toBe(0);
+  noteSearches(shortage, FULL, FREE);
+  expect(shortage.farShare('s')).toBeGreaterThan(0.9);
+  expect(shortage.farShare('other')).toBe(0);
+});
+
+// Guards against traffic between data centres for which callers gain nothing.
+test.each([
+  ['nearby upstreams have room', FREE, FREE],
+  ['half of the nearby upstreams have room', HALF_FULL, FREE],
+  ['other data centres are as full', FULL, FULL],
+  ['nothing is known of other data centres', FULL, NOTHING],
+])('no data centre is tried first while %s', (_name, near, far) => {
+  const shortage = new LocalShortage(clock, 3);
+  noteSearches(shortage, near, far);
+  expect(shortage.farShare('s')).toBe(0);
+});
+
+// Guards against requests that all cross, fill the other side, and all return.
+test('the share changes in steps and returns to 0', () => {
+  const shortage = new LocalShortage(clock, 3);
+  noteSearches(shortage, FULL, FREE);
+  let before = shortage.farShare('s');
+  for (let i = 0; i < 40; i += 1) {
+    noteSearches(shortage, FREE, FREE, 1);
+    const share = shortage.farShare('s');
+    expect(share).toBeLessThanOrEqual(before);
+    expect(before - share).toBeLessThan(0.5);
+    before = share;
+  }
+  expect(before).toBe(0);
+});
+
+// Guards against a choice by what was known of other data centres long ago.
+test('old knowledge of other data centres is not used', () => {
+  const shortage = new LocalShortage(clock, 3);
+  noteSearches(shortage, FULL, FREE);
+  noteSearches(shortage, FULL, NOTHING, 41);
+  expect(shortage.farShare('s')).toBe(0);
+});
+
+// Guards against hosts that take one slow phase of a few upstreams for a shortage.
+test('many searches within a moment are no shortage', () => {
+  const shortage = new LocalShortage(clock, 3);
+  noteSearches(shortage, FREE, FREE);
+  for (let i = 0; i < 300; i += 1) {
+    clock.advance(1);
+    shortage.note('s', FULL, FREE);
+  }
+  expect(shortage.farShare('s')).toBe(0);
+});
