--- a/src/gateway/download_admission.ts
+++ b/src/gateway/download_admission.ts
@@ -8,8 +8,8 @@
 import type {Clock, Milliseconds, Random} from '../time/index.js';
 
 /**
- * Share of the shortest target of small responses by which downloads may delay them: as
- * much as the difference between two upstreams that are both safely in time.
+ * Share of the shortest target of small responses by which downloads may delay them. A
+ * target of 550 ms leaves 174 ms after work of 221 ms on a busy upstream; this is 138 ms.
  */
 const TOLERATED_TARGET_SHARE = 0.25;
 /** Memory budget for downloads: a tenth of the smallest hosts' memory. */
