--- a/src/decisions/placement/placement_policy.ts
+++ b/src/decisions/placement/placement_policy.ts
@@ -132,7 +132,7 @@
     isLast: boolean,
     isRemote = false,
   ): readonly UpstreamInService[] {
-    const {dataCentre, hosts, admission} = this.parts;
+    const {dataCentre, hosts, admission, options} = this.parts;
     const open = upstreams.filter(
       one =>
         !asked.has(one.id) &&
@@ -149,12 +149,14 @@
     const targets = this.sampleForProbing(
       isFirst ? this.subset.of(near, hosts().near) : near,
     );
-    return isFirst && isRemote
-      ? [
-          ...targets.slice(0, NEAR_PROBES_OF_REMOTE_SEARCH),
-          ...this.sampleForProbing(this.subset.of(far, hosts().all)),
-        ].slice(0, this.parts.options.asked)
-      : targets;
+    if (!isFirst || !isRemote) {
+      return targets;
+    }
+    const maxFar = options.asked - NEAR_PROBES_OF_REMOTE_SEARCH;
+    const remote = this.sampleForProbing(
+      this.subset.of(far, hosts().all),
+    ).slice(0, maxFar);
+    return [...targets.slice(0, options.asked - remote.length), ...remote];
   }
 
   /**
--- a/tests/placement.test.ts
+++ b/tests/placement.test.ts
@@ -365,3 +365,21 @@
   const order = request({repeatable: false});
   expect(policy.decide(NEAR, order, answers, true).kind).toBe('send');
 });
+
+// Guards against a round of one probe where a request may not leave the data centre.
+test.each([
+  [0, 3],
+  [1, 2],
+  [4, 1],
+])(
+  'with %i remote upstreams a remote search probes %i nearby',
+  (remote, near) => {
+    const ids = ['a', 'b', 'c', 'd'];
+    const far = ids.slice(0, remote).map(id => upstream(`far-${id}`, 'west'));
+    const all = [...ids.map(id => upstream(id)), ...far];
+    const targets = policy.probeTargets(all, request(), new Set(), false, true);
+    expect(targets).toHaveLength(DEFAULT_OPTIONS.asked);
+    const inside = targets.filter(({dataCentre}) => dataCentre === 'east');
+    expect(inside).toHaveLength(near);
+  },
+);
