--- a/src/decisions/placement/placement_policy.ts
+++ b/src/decisions/placement/placement_policy.ts
@@ -12,9 +12,24 @@
 import type {ColdLimits} from '../warmup/index.js';
 import type {Admission, SendBlockers} from './admission.js';
 import {estimateCompletion, hasFreeSlot} from './estimate.js';
+import {HealthShares} from './health_shares.js';
+import type {UsableAnswers} from './local_shortage.js';
+import {LocalShortage} from './local_shortage.js';
 import type {LoadView} from './load_view.js';
 import type {OutcomeHistory} from './outcome_history.js';
+import {RelativeFailures} from './relative_failures.js';
 import {Subset} from './subset.js';
+import type {ResetHistory} from './reset_history.js';
+import {hasSpareSlot} from './reset_history.js';
+import type {EvaluatedUpstream, Tier} from './tiers.js';
+import {
+  IN_TIME_TIERS,
+  LATE_TIERS,
+  NEAR_TIERS,
+  SAFE_TIERS,
+  bestOf,
+  isSafe,
+} from './tiers.js';
 import type {
   LoadReport,
   PlacementRequest,
@@ -25,12 +40,6 @@
 
 /** Probe rounds for one request: nearby first, in other data centres last. */
 export const MAX_PROBE_ROUNDS = 3;
-/** Factor on the estimate of an upstream that reports itself unhealthy. */
-const UNHEALTHY_FACTOR = 8;
-/** Below this share of healthy answers in a service, unhealthy reports are ignored. */
-const MIN_HEALTHY_SHARE = 0.5;
-/** Weight of an answer in that moving average: half a second of a busy host. */
-const HEALTH_SAMPLE_WEIGHT = 0.02;
 /** Factor on the estimate of a cold upstream. */
 const COLD_FACTOR = 2;
 /**
@@ -38,18 +47,28 @@
  * upstream is preferred unless a remote one is clearly faster.
  */
 const REMOTE_FACTOR = 1.5;
+/**
+ * The same for searches that probe other data centres first. A remote upstream with
+ * several free slots then wins over the last slot of a nearby one, which is slower.
+ */
+const REMOTE_SEARCH_FACTOR = 1.1;
+/** They go on probing nearby upstreams, so that the end of a shortage is seen. */
+const NEAR_PROBES_OF_REMOTE_SEARCH = 1;
 /** An upstream is safely in time if a run this much longer still meets the target. */
 const LONG_RUN_FACTOR = 1.5;
 /** Random share added to costs: with equal costs, all hosts would choose the same one. */
 const COST_JITTER = 0.05;
-/** How long a service's median failure factor is cached. */
-const MEDIAN_TTL_MS: Milliseconds = 100;
 /**
  * If no upstream could have answered in time for this long, late answers are accepted.
  * Speeds change within this time, so shorter slow phases of all upstreams at once are
  * chance.
  */
 const SERVE_LATE_AFTER_MS: Milliseconds = 300;
+/**
+ * Longest age of a report by which a request is sent that must not be reset. At 3
+ * requests a second and upstream, 2 arrive within this time once in 250 times.
+ */
+const FRESH_REPORT_MS: Milliseconds = 30;
 /** Load assumed for services whose upstreams report none. */
 const ASSUMED_LOAD: LoadReport = {
   running: 0,
@@ -73,6 +92,7 @@
   readonly clock: Clock;
   readonly random: Random;
   readonly outcomes: OutcomeHistory;
+  readonly resets: ResetHistory;
   readonly work: WorkEstimates;
   readonly view: LoadView;
   readonly cold: ColdLimits;
@@ -80,60 +100,20 @@
   readonly options: DecisionOptions;
 }
 
-/** Median over a service's upstreams. */
-interface CachedMedian {
-  readonly failureFactor: number;
-  readonly at: Milliseconds;
-}
-
-interface EvaluatedUpstream {
-  readonly id: string;
-  /** Expected response time with all penalties applied. */
-  readonly cost: Milliseconds;
-  /** Whether it would answer within the target even if the run takes long. */
-  readonly safelyInTime: boolean;
-  /** Whether it is expected to answer within the target. */
-  readonly inTime: boolean;
-  /** Whether it is expected to answer before the caller gives up. */
-  readonly beforeGiveUp: boolean;
-  /** Whether it would answer within the target if it were idle. */
-  readonly inTimeIfIdle: boolean;
-  /** Whether the request would start at once. */
-  readonly hasFreeSlot: boolean;
-  readonly isNear: boolean;
-}
-
-type Tier = (evaluated: EvaluatedUpstream) => boolean;
-
-/** Tiers of acceptable upstreams while more can be probed. */
-const NEAR_TIERS: readonly Tier[] = [
-  ({safelyInTime, hasFreeSlot, isNear}) =>
-    safelyInTime && hasFreeSlot && isNear,
-];
-/** Tiers once no more can be probed, the best first. */
-const IN_TIME_TIERS: readonly Tier[] = [
-  ...NEAR_TIERS,
-  ({safelyInTime, hasFreeSlot}) => safelyInTime && hasFreeSlot,
-  ({inTime, hasFreeSlot}) => inTime && hasFreeSlot,
-];
-/** The same for requests that may be answered late. */
-const LATE_TIERS: readonly Tier[] = [
-  ...IN_TIME_TIERS,
-  ({beforeGiveUp, hasFreeSlot}) => beforeGiveUp && hasFreeSlot,
-];
-
 export class PlacementPolicy {
-  private readonly medianByService = new Map<string, CachedMedian>();
-  /** Share of recent answers that were healthy, by service. */
-  private readonly healthyShares = new Map<string, number>();
+  private readonly failures: RelativeFailures;
+  private readonly health = new HealthShares();
   /** When an upstream last could have answered in time if idle, by route. */
   private readonly inTimePossibleAt = new Map<string, Milliseconds>();
 
   private readonly subset: Subset;
+  private readonly shortage: LocalShortage;
 
   constructor(private readonly parts: PlacementPolicyParts) {
-    const {host, options} = parts;
+    const {host, options, clock} = parts;
     this.subset = new Subset(host, options.subset);
+    this.failures = new RelativeFailures(clock, parts.outcomes);
+    this.shortage = new LocalShortage(clock, options.asked);
   }
 
   /**
@@ -143,14 +123,16 @@
    * probed, however slow or full the near ones are.
    *
    * @param isLast whether this is the last round
+   * @param isRemote whether other data centres are probed in the first round too
    */
   probeTargets(
     upstreams: readonly UpstreamInService[],
     request: PlacementRequest,
     asked: ReadonlySet<string>,
     isLast: boolean,
+    isRemote = false,
   ): readonly UpstreamInService[] {
-    const {dataCentre, hosts, admission} = this.parts;
+    const {dataCentre, hosts, admission, options} = this.parts;
     const open = upstreams.filter(
       one =>
         !asked.has(one.id) &&
@@ -164,32 +146,43 @@
       return this.sampleForProbing(this.subset.of(far, hosts().all));
     }
     const isFirst = asked.size === 0;
-    return this.sampleForProbing(
+    const targets = this.sampleForProbing(
       isFirst ? this.subset.of(near, hosts().near) : near,
     );
+    if (!isFirst || !isRemote) {
+      return targets;
+    }
+    const maxFar = options.asked - NEAR_PROBES_OF_REMOTE_SEARCH;
+    const remote = this.sampleForProbing(
+      this.subset.of(far, hosts().all),
+    ).slice(0, maxFar);
+    return [...targets.slice(0, options.asked - remote.length), ...remote];
   }
 
   /**
    * Chooses an upstream by the answers so far, or requests more probes.
    *
    * @param isFinal whether no more can be probed
+   * @param isRemote whether remote upstreams are considered before the last round
    */
   decide(
     upstreams: readonly UpstreamInService[],
     request: PlacementRequest,
     answers: readonly ProbeAnswer[],
     isFinal: boolean,
+    isRemote = false,
   ): PlacementDecision {
-    this.refreshMedian(request.service, upstreams);
-    this.noteHealth(request.service, answers);
+    this.failures.refreshMedian(request.service, upstreams);
+    this.health.note(request.service, answers);
     this.noteCold(answers);
-    const evaluated = this.evaluateAll(upstreams, request, answers);
-    const tiers = isFinal ? this.finalTiers(request, evaluated) : NEAR_TIERS;
-    for (const tier of tiers) {
-      const best = cheapest(evaluated.filter(tier));
-      if (best) {
-        return {kind: 'send', id: best.id};
-      }
+    const evaluated = this.evaluateAll(upstreams, request, answers, isRemote);
+    const openTiers = isRemote ? SAFE_TIERS : NEAR_TIERS;
+    const tiers = isFinal
+      ? [...openTiers, ...this.finalTiers(request, evaluated)]
+      : openTiers;
+    const best = bestOf(tiers, evaluated);
+    if (best) {
+      return {kind: 'send', id: best.id};
     }
     return isFinal ? {kind: 'no-room'} : {kind: 'ask-more'};
   }
@@ -203,6 +196,36 @@
     return coldMs !== undefined || !this.parts.cold.isLimited(service);
   }
 
+  /** Whether a new search probes other data centres in its first round. */
+  drawRemote(service: string): boolean {
+    const {random, options} = this.parts;
+    const share = options.followsShortage ? this.farShare(service) : 0;
+    return share > 0 && random() < share;
+  }
+
+  /** Share of a service's searches that probe other data centres first. */
+  farShare(service: string): number {
+    return this.shortage.farShare(service);
+  }
+
+  /** Learns from all answers of a search how much room there is nearby and elsewhere. */
+  noteSearch(
+    upstreams: readonly UpstreamInService[],
+    request: PlacementRequest,
+    answers: readonly ProbeAnswer[],
+  ): void {
+    const {dataCentre} = this.parts;
+    const nearIds = new Set(
+      upstreams.filter(one => one.dataCentre === dataCentre).map(({id}) => id),
+    );
+    const evaluated = this.evaluateAll(upstreams, request, answers, true, 0);
+    const count = (isNear: boolean): UsableAnswers => {
+      const side = evaluated.filter(({id}) => nearIds.has(id) === isNear);
+      return {usable: side.filter(isSafe).length, all: side.length};
+    };
+    this.shortage.note(request.service, count(true), count(false));
+  }
+
   /** Counts a request that is sent to the chosen upstream. */
   noteSend(upstream: UpstreamInService): void {
     this.parts.admission.noteSend(upstream);
@@ -268,8 +291,10 @@
     upstreams: readonly UpstreamInService[],
     request: PlacementRequest,
     answers: readonly ProbeAnswer[],
+    isRemote: boolean,
+    jitter = COST_JITTER,
   ): readonly EvaluatedUpstream[] {
-    const {dataCentre, options, admission} = this.parts;
+    const {dataCentre, options, admission, random} = this.parts;
     const byId = new Map(upstreams.map(one => [one.id, one]));
     // Without upstreams nearby, remote ones get no penalty.
     const prefersNear =
@@ -281,7 +306,11 @@
         return [];
       }
       const isNear = upstream.dataCentre === dataCentre || !prefersNear;
-      return [this.evaluate(upstream, request, answer, isNear)];
+      const remoteFactor = isRemote ? REMOTE_SEARCH_FACTOR : REMOTE_FACTOR;
+      const distance = isNear ? 1 : remoteFactor;
+      const one = this.evaluate(upstream, request, answer);
+      const jitterFactor = jitter > 0 ? 1 + jitter * random() : 1;
+      return [{...one, cost: one.cost * distance * jitterFactor, isNear}];
     });
   }
 
@@ -289,49 +318,47 @@
     upstream: UpstreamInService,
     request: PlacementRequest,
     answer: ProbeAnswer,
-    isNear: boolean,
-  ): EvaluatedUpstream {
-    const {clock, random, outcomes, view} = this.parts;
+  ): Omit<EvaluatedUpstream, 'isNear'> {
+    const {clock, outcomes, view} = this.parts;
     const {id} = upstream;
     const now = clock.now();
     const load = answer.report ?? ASSUMED_LOAD;
     const report = {...load, running: load.running + view.unreportedSends(id)};
     const expectedMs = this.expectedMs(upstream, request, {...answer, report});
-    const health = this.healthFactor(request.service, answer);
+    const health = this.health.factor(request.service, answer);
     const penalty = outcomes.costFactor(id) * health;
-    const risk = this.relativeFailureFactor(request.service, id) * health;
+    const risk = this.failures.factor(request.service, id) * health;
     const riskyMs = expectedMs * risk;
     const idleMs = risk * this.idleMs(upstream, request, report);
-    const distance = isNear ? 1 : REMOTE_FACTOR;
     return {
       id,
-      cost: expectedMs * penalty * distance * (1 + COST_JITTER * random()),
+      cost: expectedMs * penalty,
       safelyInTime: now + riskyMs * LONG_RUN_FACTOR <= request.targetAt,
       inTime: now + riskyMs <= request.targetAt,
       beforeGiveUp: now + expectedMs <= request.giveUpAt,
       inTimeIfIdle: now + idleMs <= request.targetAt,
-      hasFreeSlot: hasFreeSlot(report),
-      isNear,
+      hasFreeSlot: hasFreeSlot(report) && !this.mayBeReset(request, id),
     };
   }
 
-  private noteHealth(service: string, answers: readonly ProbeAnswer[]): void {
-    const share = answers.reduce(
-      (before, {healthy}) =>
-        before + HEALTH_SAMPLE_WEIGHT * (Number(healthy) - before),
-      this.healthyShares.get(service) ?? 1,
-    );
-    this.healthyShares.set(service, share);
-  }
-
   /**
-   * Health endpoints may report a failure although the upstream works. While most of a
-   * service's do, the reports are ignored: otherwise these upstreams' slots would stay
-   * free, and the few healthy ones couldn't take all requests.
+   * Whether a request that can't be repeated may find the upstream full, which would
+   * reset it: other hosts send there too, and may take the only free slot meanwhile.
    */
-  private healthFactor(service: string, {healthy}: ProbeAnswer): number {
-    const share = this.healthyShares.get(service) ?? 1;
-    return healthy || share < MIN_HEALTHY_SHARE ? 1 : UNHEALTHY_FACTOR;
+  private mayBeReset(
+    {service, repeatable = true}: PlacementRequest,
+    id: string,
+  ): boolean {
+    const {resets, view, options} = this.parts;
+    if (
+      repeatable ||
+      !options.avoidsResets ||
+      !resets.resetsWhenFull(service)
+    ) {
+      return false;
+    }
+    const report = view.recentAnswer(id, FRESH_REPORT_MS)?.report;
+    return !report || !hasSpareSlot(report, view.unreportedSends(id));
   }
 
   /** Expected response time if nothing else ran there. */
@@ -355,33 +382,6 @@
     return this.parts.cold.isCold(upstream) ? COLD_FACTOR : 1;
   }
 
-  /**
-   * Failure factor relative to the service's median, at least 1. When all upstreams fail
-   * alike, there is no better one to wait for: by absolute factors, all slots of the
-   * service would stay free while its requests wait until they are refused.
-   */
-  private relativeFailureFactor(service: string, id: string): number {
-    const median = this.medianByService.get(service)?.failureFactor ?? 1;
-    return Math.max(1, this.parts.outcomes.failureFactor(id) / median);
-  }
-
-  private refreshMedian(
-    service: string,
-    upstreams: readonly UpstreamInService[],
-  ): void {
-    const {clock, outcomes} = this.parts;
-    const at = clock.now();
-    const known = this.medianByService.get(service);
-    if (known && at - known.at < MEDIAN_TTL_MS) {
-      return;
-    }
-    const factors = upstreams
-      .map(({id}) => outcomes.failureFactor(id))
-      .sort((a, b) => a - b);
-    const failureFactor = factors[Math.floor(factors.length / 2)] ?? 1;
-    this.medianByService.set(service, {failureFactor, at});
-  }
-
   private workMsOf(request: PlacementRequest): Milliseconds {
     return this.parts.work.ofRoute(request.route, request.targetMs);
   }
@@ -405,15 +405,3 @@
       .map(({upstream}) => upstream);
   }
 }
-
-function cheapest(
-  evaluated: readonly EvaluatedUpstream[],
-): EvaluatedUpstream | undefined {
-  let best: EvaluatedUpstream | undefined;
-  for (const one of evaluated) {
-    if (!best || one.cost < best.cost) {
-      best = one;
-    }
-  }
-  return best;
-}
--- a/src/decisions/quotas/grantor_terms.ts
+++ b/src/decisions/quotas/grantor_terms.ts
@@ -42,6 +42,7 @@
   private confirmedAt: Milliseconds = -Infinity;
   private distrustUntil: Milliseconds = -Infinity;
   private resets = 0;
+  private firstTermAt: Milliseconds = Infinity;
   private shares: readonly {at: Milliseconds; share: number}[] = [];
 
   /**
@@ -107,6 +108,7 @@
     }
     this.latest = term;
     this.confirmedAt = heardAt;
+    this.firstTermAt = Math.min(this.firstTermAt, heardAt);
     this.noteShare(term);
     if (this.known.length === 0 && grantors[0] === this.self()) {
       // A new root was in charge of all customers before it had followers.
@@ -234,6 +236,9 @@
       return Infinity;
     }
     const before = this.known[first - 1];
+    if (before && this.isStarting(before, term)) {
+      return term.since + NEW_FLEET_DELAY_MS;
+    }
     if (before) {
       const isSameRoot = before.grantors[0] === term.grantors[0];
       return (
@@ -253,6 +258,18 @@
     );
   }
 
+  /**
+   * Whether a fleet that has just started changed its root before any grantor could
+   * start: several hosts read the store at once until they hear of each other.
+   */
+  private isStarting(before: KnownTerm, term: KnownTerm): boolean {
+    return (
+      this.resets === 0 &&
+      !before.isCounted &&
+      term.since - this.firstTermAt <= NEW_FLEET_DELAY_MS
+    );
+  }
+
   /** Index of the earliest of the terms up to one with the same host in charge. */
   private firstTermInCharge(index: number, customer: string): number {
     const {main} = choose(this.known[index], customer);
--- a/src/experiment/policies.ts
+++ b/src/experiment/policies.ts
@@ -21,6 +21,8 @@
   hedges: false,
   remembersFailures: false,
   servesLate: false,
+  avoidsResets: false,
+  followsShortage: false,
   knownNeeded: Infinity,
   reuseMs: 0,
 };
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -83,6 +83,7 @@
     this.admission = new RequestAdmission({
       context,
       route,
+      response,
       service,
       customer,
       arrivedAt,
@@ -130,7 +131,7 @@
     }
   }
 
-  /** Refuses a request that is over quota or shed. */
+  /** Refuses a request that is over quota or shed, or a download for which the host is too busy. */
   private async isAdmitted(): Promise<boolean> {
     if (this.done) {
       return false;
@@ -199,6 +200,7 @@
     const {route, service, giveUpAt} = this;
     return {
       service: service.name,
+      repeatable: route.repeatable,
       route: route.name,
       tried: this.record.tried,
       targetMs: route.targetMs,
--- a/src/gateway/gateway_metrics.ts
+++ b/src/gateway/gateway_metrics.ts
@@ -35,6 +35,9 @@
   readonly upstreams: number;
   readonly hosts: number;
   readonly inFlight: number;
+  readonly downloads: number;
+  /** Time that the network link needs to send the downloads in flight. */
+  readonly downloadLinkMs: Milliseconds;
   readonly looking: number;
   /** Upstreams that currently announce a rate limit. */
   readonly rateLimited: number;
@@ -54,9 +57,11 @@
   readonly requests: number;
   readonly probes: number;
   readonly hedges: number;
+  /** Sends to other data centres. */
+  readonly remote: number;
 }
 
-const NO_ACTIVITY: Activity = {requests: 0, probes: 0, hedges: 0};
+const NO_ACTIVITY: Activity = {requests: 0, probes: 0, hedges: 0, remote: 0};
 
 /** A request that has ended. */
 export interface EndedRequest {
@@ -99,6 +104,12 @@
     labelNames: ['result'] as const,
     registers: this.registers,
   });
+  private readonly placements = new Counter({
+    name: 'cyclamenlever_placements_total',
+    help: 'Sends to upstreams by data centre: near or remote',
+    labelNames: ['place'] as const,
+    registers: this.registers,
+  });
   private readonly refusedRetries = new Counter({
     name: 'cyclamenlever_repeats_refused_total',
     help: 'Repeats that the budget of retries did not allow',
@@ -145,7 +156,7 @@
   });
   private readonly host = new Gauge({
     name: 'cyclamenlever_host',
-    help: 'State of this host: ready, reader, version, age_seconds, upstreams, evacuated, hosts, in_flight, looking, rate_limited, backoffs, suspects, quarantined, ended_lives',
+    help: 'State of this host: ready, reader, version, age_seconds, upstreams, evacuated, hosts, in_flight, downloads, download_link_seconds, looking, rate_limited, backoffs, suspects, quarantined, ended_lives',
     labelNames: ['figure'] as const,
     registers: this.registers,
   });
@@ -182,6 +193,13 @@
     this.attempts.inc({result});
   }
 
+  countPlacement(isNear: boolean): void {
+    this.placements.inc({place: isNear ? 'near' : 'remote'});
+    if (!isNear) {
+      this.countActivity('remote');
+    }
+  }
+
   countRefusedRetry(): void {
     this.refusedRetries.inc();
   }
@@ -233,6 +251,8 @@
       upstreams: gauges.upstreams,
       hosts: gauges.hosts,
       in_flight: gauges.inFlight,
+      downloads: gauges.downloads,
+      download_link_seconds: gauges.downloadLinkMs / MS_PER_SECOND,
       looking: gauges.looking,
       rate_limited: gauges.rateLimited,
       backoffs: gauges.backoffs,
--- a/src/gateway/request_admission.ts
+++ b/src/gateway/request_admission.ts
@@ -1,5 +1,6 @@
-/** Applies the customer's quota and overload control to one request. */
+/** Applies the limit for downloads, the customer's quota and overload control to one request. */
 
+import type {ServerResponse} from 'node:http';
 import type {Customer} from '../decisions/customers/index.js';
 import type {
   AdmissionRequest,
@@ -10,9 +11,11 @@
 import type {SchedulingResult} from '../decisions/scheduling/index.js';
 import type {Milliseconds} from '../time/index.js';
 import {sleep} from '../time/index.js';
+import type {HostBusy} from './download_admission.js';
 import type {GatewayContext} from './types.js';
 
-type Refusal = Exclude<QuotaVerdict | AdmissionVerdict, {kind: 'admitted'}>;
+type Refusal =
+  Exclude<QuotaVerdict | AdmissionVerdict, {kind: 'admitted'}> | HostBusy;
 
 /** What a log line tells of the customer and of the decisions. */
 export interface AdmissionLogFields {
@@ -25,6 +28,7 @@
 export interface RequestAdmissionParts {
   readonly context: GatewayContext;
   readonly route: Route;
+  readonly response: ServerResponse;
   readonly service: ServiceProfile;
   readonly customer: Customer | undefined;
   readonly arrivedAt: Milliseconds;
@@ -55,7 +59,11 @@
 
   /** Undefined if the request may be placed. */
   async admit(): Promise<Refusal | undefined> {
-    const {context, customer, giveUpAt} = this.parts;
+    const {context, route, response, customer, giveUpAt} = this.parts;
+    this.refusal = context.downloads.admit(route, response, giveUpAt);
+    if (this.refusal) {
+      return this.refusal;
+    }
     if (customer?.quota) {
       const leftMs = giveUpAt - context.clock.now();
       const verdict = await context.quotas.acquire(customer, leftMs);
--- a/src/gateway/upstream_attempt.ts
+++ b/src/gateway/upstream_attempt.ts
@@ -13,6 +13,7 @@
 } from '../upstreams/index.js';
 import {sendAttempt} from '../upstreams/index.js';
 import {isServerError} from './attempt_end.js';
+import {ResetObserver} from './reset_observer.js';
 import type {GatewayContext} from './types.js';
 import type {InFlightRequest} from './upstream_client.js';
 
@@ -52,6 +53,7 @@
   private readonly startedAt: Milliseconds;
   private readonly handle: AttemptHandle;
   private readonly pendingAttempt: PendingAttempt;
+  private readonly resetObserver: ResetObserver;
   private outcome: AttemptResult['kind'] | 'pending' = 'pending';
   private elapsedMs: Milliseconds = 0;
 
@@ -60,6 +62,15 @@
     const {upstreamClient, clock} = context;
     this.startedAt = clock.now();
     this.pendingAttempt = {service, route: route.name, expectedMs};
+    context.metrics.countPlacement(this.isNear);
+    this.resetObserver = new ResetObserver({
+      service,
+      upstream: upstream.id,
+      report: parts.probeAnswer.report,
+      expectedMs,
+      view: upstreamClient.view,
+      resets: upstreamClient.resets,
+    });
     this.inFlightRequest = upstreamClient.acquire(upstream);
     this.handle = sendAttempt(
       this.inFlightRequest.connection,
@@ -82,16 +93,21 @@
     return this.outcome === 'pending';
   }
 
+  private get isNear(): boolean {
+    const {context, upstream} = this.parts;
+    return upstream.dataCentre === context.dataCentre;
+  }
+
   /** Time after which the request is more likely lost than running. */
   get stallTimeoutMs(): Milliseconds {
     return this.parts.context.stalls.stallTimeoutMs(this.pendingAttempt);
   }
 
   get logEntry(): AttemptLogEntry {
-    const {context, upstream, probeAnswer, arrivedAt} = this.parts;
+    const {upstream, probeAnswer, arrivedAt} = this.parts;
     return {
       upstream: upstream.id,
-      near: upstream.dataCentre === context.dataCentre,
+      near: this.isNear,
       load: probeAnswer.report,
       loadAgeMs: Math.round(this.parts.probeAnswerAgeMs),
       healthy: probeAnswer.healthy,
@@ -146,6 +162,7 @@
     const {context, service, route, upstream, probeAnswer} = this.parts;
     const {upstreamClient, work, stalls} = context;
     const {id} = upstream;
+    this.resetObserver.noteEnd(result, this.elapsedMs);
     switch (result.kind) {
       case 'answered':
         if (!isServerError(result.status)) {
--- a/tests/customer_metrics.test.ts
+++ b/tests/customer_metrics.test.ts
@@ -19,6 +19,8 @@
   suspects: 0,
   quarantined: 0,
   endedInstances: 0,
+  downloads: 0,
+  downloadLinkMs: 0,
 };
 const ANSWERED = {rank: 1, outcome: 'answered-200', elapsedMs: 300};
 
--- a/tests/overload_decisions.test.ts
+++ b/tests/overload_decisions.test.ts
@@ -1,3 +1,4 @@
+import type {ServerResponse} from 'node:http';
 import {encode} from '@msgpack/msgpack';
 import fc from 'fast-check';
 import {expect, test} from 'vitest';
@@ -270,6 +271,7 @@
   const admission = new RequestAdmission({
     context: context as unknown as GatewayContext,
     route: {name: 'r', rank: 0, targetMs: 500} as Route,
+    response: {} as ServerResponse,
     service: {name: 's', healthPath: '/', maxConnections: 1},
     customer: undefined,
     arrivedAt: 0,
