--- a/src/decisions/overload/capacity_estimate.ts
+++ b/src/decisions/overload/capacity_estimate.ts
@@ -2,7 +2,7 @@
 
 import type {Milliseconds} from '../../time/index.js';
 import type {ServiceDemand} from './demand.js';
-import {noRoomShareOf, offeredOf} from './demand.js';
+import {noRoomShareOf} from './demand.js';
 
 /** Admitted beyond what was placed, so that growing capacity is discovered. */
 const MAX_HEADROOM = 1.05;
@@ -35,8 +35,6 @@
  * at slow upstreams holds their slots for a second.
  */
 const MAX_PLACED_MULTIPLE = 1.15;
-/** Beyond this multiple of the demand, further growth would only delay a new plan. */
-const MAX_DEMAND_MULTIPLE = 1.2;
 
 export class CapacityEstimate {
   private estimate = 0;
@@ -56,10 +54,7 @@
       this.follow(demand, measured, (now - this.updatedAt) / STEP_MS);
     }
     this.updatedAt = now;
-    const most = Math.min(
-      offeredOf(demand) * MAX_DEMAND_MULTIPLE,
-      this.placed * MAX_PLACED_MULTIPLE,
-    );
+    const most = this.placed * MAX_PLACED_MULTIPLE;
     this.estimate = Math.min(this.estimate, Math.max(most, measured));
     return this.estimate;
   }
--- a/src/decisions/overload/planner.ts
+++ b/src/decisions/overload/planner.ts
@@ -26,8 +26,11 @@
  */
 const OVERLOAD_REFUSALS = 8;
 const OVERLOAD_SHARE = 0.08;
-/** A plan that sheds nothing ends after this time. */
-const END_AFTER_MS: Milliseconds = 200;
+/**
+ * A plan that sheds nothing ends after this time. Demand may pause for a measuring window
+ * within an overload, and a new plan needs some 200 ms to begin.
+ */
+const END_AFTER_MS: Milliseconds = 500;
 
 /** The plan without what identifies it. */
 export type PlanOutline = Omit<AdmissionPlan, 'planner' | 'sequence' | 'ageMs'>;
