--- a/src/decisions/overload/capacity_estimate.ts
+++ b/src/decisions/overload/capacity_estimate.ts
@@ -40,8 +40,6 @@
  * what is placed is only what the plan admits.
  */
 const RECOVERY_DELAY_MS: Milliseconds = 500;
-/** Beyond this multiple of the demand, further growth would only delay a new plan. */
-const MAX_DEMAND_MULTIPLE = 1.2;
 
 export class CapacityEstimate {
   private estimate = 0;
@@ -67,10 +65,10 @@
     this.updatedAt = now;
     this.refusedAt = demand.refusals > 0 ? now : this.refusedAt;
     this.isRecovering = now - this.refusedAt >= RECOVERY_DELAY_MS;
-    const mostOffered = offeredOf(demand) * MAX_DEMAND_MULTIPLE;
+    const mostPlaced = this.placed * MAX_PLACED_MULTIPLE;
     const most = this.isRecovering
-      ? mostOffered
-      : Math.min(mostOffered, this.placed * MAX_PLACED_MULTIPLE);
+      ? Math.max(mostPlaced, offeredOf(demand))
+      : mostPlaced;
     this.estimate = Math.min(this.estimate, Math.max(most, measured));
     return this.estimate;
   }
