Hand over buckets before a planned stop

Cause: when a grantor stopped, its successor waited 3 s (4.5 s after a stop of the root) before it used a customer's quota, and granted from small reserves meanwhile.

Change: a host that stops sends each bucket to the second choice for the customer, which may use it at once; grantors that find their predecessor silent ask the second choice.

--- a/src/decisions/quotas/bucket_table.ts
+++ b/src/decisions/quotas/bucket_table.ts
@@ -9,6 +9,8 @@
 
 export interface Opened {
   readonly bucket: TokenBucket;
+  /** The host that handed it over as it stopped; undefined otherwise. */
+  readonly from: string | undefined;
   readonly at: Milliseconds;
 }
 
@@ -26,6 +28,10 @@
 
   constructor(private readonly clock: Clock) {}
 
+  get customers(): readonly string[] {
+    return [...this.buckets.keys()];
+  }
+
   find(customer: string): Opened | undefined {
     return this.buckets.get(customer);
   }
@@ -34,10 +40,10 @@
     return this.handedOver.get(customer);
   }
 
-  open(customer: string, level: number): TokenBucket {
+  open(customer: string, level: number, from?: string): TokenBucket {
     const at = this.clock.now();
     const bucket = new TokenBucket(level, at);
-    this.buckets.set(customer, {bucket, at});
+    this.buckets.set(customer, {bucket, from, at});
     this.handedOver.delete(customer);
     return bucket;
   }
--- a/src/decisions/quotas/claims.ts
+++ b/src/decisions/quotas/claims.ts
@@ -15,6 +15,9 @@
   readonly id: number;
   readonly startedAt: Milliseconds;
   to: string;
+  /** Asked if the other doesn't answer. */
+  fallback: string | undefined;
+  askedAt: Milliseconds;
   referrals: number;
   isPending: boolean;
   waiting: (() => void)[];
@@ -45,6 +48,7 @@
   claim(
     customer: string,
     from: string | undefined,
+    fallback: string | undefined,
     resume: () => void,
   ): boolean {
     const now = this.clock.now();
@@ -58,12 +62,14 @@
       return false;
     }
     // The same id lets the other repeat an answer that was lost.
-    const id = last?.id ?? Math.floor(this.random() * MAX_ID);
+    const id = last?.id ?? 1 + Math.floor(this.random() * MAX_ID);
     this.pendingCount += 1;
     this.claims.set(customer, {
       id,
       startedAt: now,
       to: from,
+      fallback: fallback === this.self() ? undefined : fallback,
+      askedAt: now,
       referrals: 0,
       isPending: true,
       waiting: [resume],
@@ -105,8 +111,8 @@
     const now = this.clock.now();
     for (const [customer, claim] of this.claims) {
       const ageMs = now - claim.startedAt;
-      if (claim.isPending && ageMs >= CLAIM_TIMEOUT_MS) {
-        this.end(claim, () => undefined);
+      if (claim.isPending && now - claim.askedAt >= CLAIM_TIMEOUT_MS) {
+        this.giveUp(claim, customer);
       }
       if (ageMs > NEW_ROOT_DELAY_MS) {
         this.claims.delete(customer);
@@ -114,6 +120,19 @@
     }
   }
 
+  /** The other doesn't answer: asks the fallback, if there is one. */
+  private giveUp(claim: Claim, customer: string): void {
+    const {fallback, id} = claim;
+    if (fallback === undefined || fallback === claim.to) {
+      this.end(claim, () => undefined);
+      return;
+    }
+    claim.to = fallback;
+    claim.fallback = undefined;
+    claim.askedAt = this.clock.now();
+    this.send(fallback, {kind: 'claim', id, customer});
+  }
+
   private end(claim: Claim, prepare: () => void): void {
     const {waiting} = claim;
     claim.isPending = false;
--- a/src/decisions/quotas/distributed_quotas.ts
+++ b/src/decisions/quotas/distributed_quotas.ts
@@ -102,6 +102,12 @@
     }
   }
 
+  /** Hands over what this host grants, before it stops. */
+  handOverAll(): void {
+    this.update();
+    this.grantor.handOverAll();
+  }
+
   /** Drops what is no longer needed; call it about once a second. */
   prune(): void {
     this.grantor.prune();
--- a/src/decisions/quotas/grantor_terms.ts
+++ b/src/decisions/quotas/grantor_terms.ts
@@ -153,13 +153,17 @@
    * the list before assumes that the one in charge has joined it.
    */
   predecessor(customer: string): string | undefined {
-    const first = this.firstTermInCharge(this.known.length - 1, customer);
-    const before = this.known[first - 1];
+    const before = this.termBefore(customer);
     return before
       ? choose(before, customer).main
       : this.choicesFor(customer).backup;
   }
 
+  /** The host that has the bucket if the predecessor has stopped as planned. */
+  predecessorBackup(customer: string): string | undefined {
+    return choose(this.termBefore(customer), customer).backup;
+  }
+
   /**
    * Since when a host that is or recently was in charge could use the quota; undefined
    * if it could not.
@@ -191,6 +195,12 @@
     return isSuccessor && this.isInForce ? NEW_ROOT_DELAY_MS : HANDOVER_MS;
   }
 
+  /** The last term in which another host was in charge. */
+  private termBefore(customer: string): KnownTerm | undefined {
+    const first = this.firstTermInCharge(this.known.length - 1, customer);
+    return this.known[first - 1];
+  }
+
   private lastTermInCharge(customer: string, self: string): number {
     return this.known.findLastIndex(
       term => choose(term, customer).main === self,
--- a/src/decisions/quotas/quota_grantor.ts
+++ b/src/decisions/quotas/quota_grantor.ts
@@ -43,6 +43,9 @@
   readonly random: Random;
 }
 
+/** Id of a handover that was not claimed; claims have random ids above it. */
+const UNASKED_ID = 0;
+
 export type ReplyToAsk = (grant: QuotaGrant) => void;
 
 export class QuotaGrantor {
@@ -106,8 +109,33 @@
     send(from, {...answer, level: undefined, referral});
   }
 
+  /**
+   * Hands all buckets over before this host stops. The second choice for a customer is in
+   * charge as soon as this host has left the list of grantors, and may not start with a
+   * bucket of its own for some seconds.
+   */
+  handOverAll(): void {
+    const {terms, send} = this.parts;
+    for (const customer of this.buckets.customers) {
+      const {backup} = terms.choicesFor(customer);
+      if (backup === undefined || !this.isInCharge(customer)) {
+        continue;
+      }
+      const level = this.levelToHandOver(customer, backup);
+      if (level !== undefined) {
+        const answer = {kind: 'handover', id: UNASKED_ID, customer} as const;
+        this.buckets.handOver(customer, backup, UNASKED_ID, level);
+        send(backup, {...answer, level, referral: undefined});
+      }
+    }
+  }
+
   handleHandover(from: string, handover: QuotaHandover): void {
-    const {customer} = handover;
+    const {customer, id, level: levelOfStopped} = handover;
+    if (id === UNASKED_ID) {
+      this.acceptFromStopped(from, customer, levelOfStopped);
+      return;
+    }
     this.claims.settle(from, handover, level => {
       if (!this.heldBucket(customer, MAX_TERM_GAP_MS)) {
         this.buckets.open(customer, level);
@@ -155,7 +183,10 @@
       return;
     }
     const {main, backup} = terms.choicesFor(customer);
-    const isMain = main === self();
+    // A main grantor that stops hands over before it leaves the list.
+    const from = this.buckets.find(customer)?.from;
+    const hasStopped = from !== undefined && from === main;
+    const isMain = main === self() || hasStopped;
     if (!isMain && backup !== self()) {
       reply(this.referralOf(ask, main));
       return;
@@ -175,13 +206,30 @@
       reply(this.referralOf(ask, handedOver.to));
       return;
     }
-    const from = handedOver?.to ?? terms.predecessor(customer);
+    const predecessor = handedOver?.to ?? terms.predecessor(customer);
     const retry = (): void => this.decide(ask, reply, false);
-    if (!mayClaim || !this.claims.claim(customer, from, retry)) {
+    const fallback = terms.predecessorBackup(customer);
+    if (
+      !mayClaim ||
+      !this.claims.claim(customer, predecessor, fallback, retry)
+    ) {
       reply(this.grantFromReserve(ask, quota, 'new-grantor'));
     }
   }
 
+  /** Repeated datagrams must not fill the bucket again. */
+  private acceptFromStopped(
+    from: string,
+    customer: string,
+    level: number | undefined,
+  ): void {
+    const {main, backup} = this.parts.terms.choicesFor(customer);
+    const isExpected = main === from && backup === this.parts.self();
+    if (isExpected && level !== undefined && !this.buckets.find(customer)) {
+      this.buckets.open(customer, level, from);
+    }
+  }
+
   private isInCharge(customer: string): boolean {
     return this.parts.terms.choicesFor(customer).main === this.parts.self();
   }
--- a/src/host/gateway_host.ts
+++ b/src/host/gateway_host.ts
@@ -208,6 +208,7 @@
     this.gateway.setPhase('finishing');
     const left = plan.abortInFlightAfterMs - (clock.now() - startedAt);
     await Promise.race([this.gateway.close(), sleep(left)]);
+    this.quotas.handOverAll();
     await this.lifeCycle.close();
     logger.info(
       {event: 'stop', unfinished: this.gateway.inFlightCount},
--- a/src/quotas/quota_exchange.ts
+++ b/src/quotas/quota_exchange.ts
@@ -97,6 +97,13 @@
     this.quotas.release(customer);
   }
 
+  /** Hands over what this host grants, before it stops. */
+  handOverAll(): void {
+    if (this.address !== '') {
+      this.quotas.handOverAll();
+    }
+  }
+
   close(): void {
     clearInterval(this.timer);
     clearTimeout(this.waitingTimer);
--- a/tests/quotas.test.ts
+++ b/tests/quotas.test.ts
@@ -231,6 +231,24 @@
   expectBoundKept(simulation);
 });
 
+// Guards against seconds of refusals each time that a grantor is stopped as planned.
+test.each(['stop-follower', 'stop-root'] as const)(
+  'customers below their quota are served through planned stops (%s)',
+  async fault => {
+    const simulation = await startFleet({hosts: 40, dataCentres: 3});
+    const from = simulation.now;
+    setQuotas(simulation, 24);
+    loadAllAtShareOfRate(simulation, 0.6, 16_000);
+    for (let i = 0; i < 3; i += 1) {
+      await simulation.run(4_000);
+      simulation.strike(fault);
+    }
+    await simulation.run(4_000);
+    expect(refusedShare(simulation, from)).toBeLessThan(MAX_REFUSED);
+    expectBoundKept(simulation);
+  },
+);
+
 // Guards against small customers that pay for a restart of hosts with refusals.
 test('rare requests are admitted after a pause and while grantors are killed', async () => {
   const simulation = await startFleet({hosts: 40, dataCentres: 3});
--- a/tests/support/quota_simulation.ts
+++ b/tests/support/quota_simulation.ts
@@ -104,6 +104,8 @@
 export type Fault =
   | 'kill-root'
   | 'kill-follower'
+  | 'stop-root'
+  | 'stop-follower'
   | 'freeze-root'
   | 'freeze-follower'
   | 'suspend-root'
@@ -118,6 +120,8 @@
 const FAULTS: Readonly<Record<Exclude<Fault, 'kill-all'>, Strike>> = {
   'kill-root': one => one.killAndRestart(one.root),
   'kill-follower': one => one.killAndRestart(one.grantor()),
+  'stop-root': one => one.stopAndRestart(one.root),
+  'stop-follower': one => one.stopAndRestart(one.grantor()),
   'freeze-root': one => one.pause(one.root, false),
   'freeze-follower': one => one.pause(one.grantor(), false),
   'suspend-root': one => one.pause(one.root, true),
@@ -205,9 +209,21 @@
     return streams[index]?.follower;
   }
 
-  killAndRestart(host: SimulatedHost | undefined): void {
+  /** A planned stop: the host hands over what it grants. */
+  stopAndRestart(host: SimulatedHost | undefined): void {
     if (host?.alive) {
-      this.fleet.kill(host, this.fleet.random() < 0.5);
+      this.nodeOf(host).quotas.handOverAll();
+      this.killAndRestart(host, false);
+    }
+  }
+
+  /** @param isSilent whether its connections break without a word */
+  killAndRestart(
+    host: SimulatedHost | undefined,
+    isSilent = this.fleet.random() < 0.5,
+  ): void {
+    if (host?.alive) {
+      this.fleet.kill(host, isSilent);
       this.fleet.schedule(500 + 3_000 * this.fleet.random(), () =>
         this.fleet.start(false, [host]),
       );
