--- a/src/decisions/options/defaults.ts
+++ b/src/decisions/options/defaults.ts
@@ -18,8 +18,8 @@
   remembersFailures: true,
   servesLate: true,
   avoidsResets: true,
-  // Gains 0.002 where demand and upstreams don't match, and costs up to 0.03 where
-  // traffic between data centres is dear and all upstreams are full.
+  // Emulated, it gains 0.002 of the worth on uneven load and loses 0.006 where upstreams are
+  // full everywhere (docs/design/uneven-load.md).
   followsShortage: false,
   // Callers that retry sooner are more often still in time.
   shortestRetryMs: 30,
