Remove the quota gate that admits everything

Cause: it stood in for quotas until they were built; nothing calls it any more. The comment on how long a grantor may take to reply now counts the second host that it may ask. No change of behaviour: tsc, eslint, prettier clean; overload_decisions, customers and quota_exchange: 35 passed.

--- a/src/decisions/quotas/quota_grantor.ts
+++ b/src/decisions/quotas/quota_grantor.ts
@@ -67,7 +67,7 @@
     return this.claims.isWaiting;
   }
 
-  /** @param reply called once, at once or within `CLAIM_TIMEOUT_MS` */
+  /** @param reply called once, at once or within twice `CLAIM_TIMEOUT_MS` */
   handleAsk(ask: QuotaAsk, reply: ReplyToAsk): void {
     this.decide(ask, reply, true);
   }
--- a/src/decisions/quotas/types.ts
+++ b/src/decisions/quotas/types.ts
@@ -85,8 +85,3 @@
 }
 
 export type QuotaMessage = QuotaAsk | QuotaGrant | QuotaClaim | QuotaHandover;
-
-export const UNLIMITED_QUOTAS: QuotaGate = {
-  acquire: () => Promise.resolve({kind: 'admitted'}),
-  release: () => undefined,
-};
