Log why a request has no route and where the configuration came from

A record of refusals with 404 couldn't tell whether the hosts lacked a newer configuration, the request asked for another host name, or the route had been removed again: the line told version and age only. Now it tells the host name, why no route matched, who read the version in force, at which position and how long ago, and the newest record that the fleet knows of with the position up to which the operator's records are known. Heartbeats carry the latter; a table carries its origin. The reader logs records whose version isn't newer and reads that end elsewhere than the store's log. No decision changes.

--- a/src/decisions/fleet/index.ts
+++ b/src/decisions/fleet/index.ts
@@ -1,4 +1,6 @@
 export * from './types.js';
+export type {ConfigurationReport} from './configuration_view.js';
+export {ConfigurationView} from './configuration_view.js';
 export {NEAR_VIEW_SIZE} from './constants.js';
 export type {FleetNodeParts} from './fleet_node.js';
 export {FleetNode} from './fleet_node.js';
--- a/src/decisions/fleet/types.ts
+++ b/src/decisions/fleet/types.ts
@@ -50,6 +50,25 @@
   readonly competingPeer?: PeerStatus;
 }
 
+/** Where the configuration in force was read. */
+export interface ConfigurationOrigin {
+  /** The host that read it from the store. */
+  readonly reader: string | undefined;
+  readonly position: LogPosition;
+  /** Time since the store returned it. */
+  readonly ageMs: Milliseconds;
+}
+
+/** The newest configuration that is known to be in the store. */
+export interface ConfigurationHead {
+  /** Position up to which the operator's records are known. */
+  readonly end: LogPosition;
+  /** Position of its record; undefined if there is none. */
+  readonly position?: LogPosition;
+  /** Undefined if the record can't be decoded. */
+  readonly version?: number;
+}
+
 /**
  * Sent to followers at regular intervals, and when the sender's source changes.
  */
@@ -81,6 +100,8 @@
   readonly isCounted: boolean;
   /** Log position up to which the sender has relayed changes of upstreams. */
   readonly end: LogPosition;
+  /** The newest configuration that the sender knows of. */
+  readonly configuration?: ConfigurationHead;
 }
 
 /** The hosts that may grant permits for customers' quotas, as heartbeats name them. */
@@ -99,7 +120,11 @@
 
 /** A message of a host to its followers, one line of JSON. */
 export type Update =
-  | {readonly kind: 'table'; readonly table: RouteTable}
+  | {
+      readonly kind: 'table';
+      readonly table: RouteTable;
+      readonly origin?: ConfigurationOrigin;
+    }
   | {readonly kind: 'evacuations'; readonly evacuations: Evacuations}
   | {
       readonly kind: 'entries';
--- a/src/decisions/routes/types.ts
+++ b/src/decisions/routes/types.ts
@@ -62,3 +62,10 @@
   readonly customers: readonly Customer[];
   readonly limits: CallerLimits;
 }
+
+/** Why no route matches a request. */
+export type RouteMiss =
+  | {readonly kind: 'no-route-for-host'}
+  | {readonly kind: 'no-matching-prefix'}
+  /** The route was removed by this version. */
+  | {readonly kind: 'route-removed'; readonly version: number};
--- a/src/explain/explain.ts
+++ b/src/explain/explain.ts
@@ -7,6 +7,7 @@
   LocatedLine,
   RequestLine,
   AttemptEntry,
+  RouteMiss,
 } from './types.js';
 
 /** Undefined when no line names the request. */
@@ -34,6 +35,8 @@
     describeArrival(request, origin),
     ...request.sends.map(send => describeAttempt(request.request, send, lines)),
     ...(request.sends.length === 0 ? ['It was sent to no upstream.'] : []),
+    ...describeMiss(request),
+    ...describeConfiguration(request),
     ...describeAdmission(request),
     ...describeReportedLoads(request),
     ...describeRateLimits(request),
@@ -75,6 +78,46 @@
   ].join(' ');
 }
 
+function describeMiss({host = '', miss}: RequestLine): readonly string[] {
+  return miss ? [`Host name ${host}: ${reasonOfMiss(miss)}.`] : [];
+}
+
+function reasonOfMiss(miss: RouteMiss): string {
+  switch (miss.kind) {
+    case 'no-route-for-host':
+      return 'no route has it';
+    case 'no-matching-prefix':
+      return 'it has routes, but none matches the path';
+    case 'route-removed':
+      return `its route was removed by configuration ${miss.version}`;
+    default:
+      return miss satisfies never;
+  }
+}
+
+/** Who read the configuration in force, and whether a newer one was known. */
+function describeConfiguration({
+  configuration,
+}: RequestLine): readonly string[] {
+  if (!configuration) {
+    return [];
+  }
+  const {reader = 'an unknown host', position, readMsAgo} = configuration;
+  const {newest} = configuration;
+  const source = `That configuration was read by ${reader} at position ${position ?? '?'}, ${readMsAgo ?? '?'} ms before`;
+  if (!newest) {
+    return [`${source}.`];
+  }
+  const version =
+    newest.version === undefined
+      ? 'a record that could not be decoded'
+      : `configuration ${newest.version}`;
+  return [
+    `${source}; the newest known was ${version} at position ${newest.position ?? '?'}, ` +
+      `with the operator's records known up to ${newest.end}.`,
+  ];
+}
+
 /** Why the customer's quota or overload control refused the request. */
 function describeAdmission({admission}: RequestLine): readonly string[] {
   return admission
--- a/src/explain/outcomes.ts
+++ b/src/explain/outcomes.ts
@@ -73,7 +73,9 @@
   'unknown-route': {
     meaning: 'No route matched in the version in force (404).',
     advice:
-      'Compare the version with the configuration that the operator wrote.',
+      'Compare the host name and the path with the routes of that version, and the position ' +
+      'with the end of the store’s log: see "A route that is not served" in ' +
+      'docs/operating/on-the-platform.md.',
   },
   'caller-left': {
     meaning: 'The caller closed its connection before there was a response.',
--- a/src/explain/types.ts
+++ b/src/explain/types.ts
@@ -51,6 +51,27 @@
   }),
 ]);
 
+/** Why no route was found. */
+const MISS = z.discriminatedUnion('kind', [
+  z.object({kind: z.literal('no-route-for-host')}),
+  z.object({kind: z.literal('no-matching-prefix')}),
+  z.object({kind: z.literal('route-removed'), version: z.number()}),
+]);
+
+/** What the host knew of the configuration. */
+const CONFIGURATION = z.object({
+  reader: z.string().optional(),
+  position: z.number().optional(),
+  readMsAgo: z.number().optional(),
+  newest: z
+    .object({
+      end: z.number(),
+      position: z.number().optional(),
+      version: z.number().optional(),
+    })
+    .optional(),
+});
+
 /** Logged by an entry host when it has sent the final response to a request. */
 export const REQUEST_LINE = z.object({
   event: z.literal('request'),
@@ -74,6 +95,9 @@
   told: z.array(REPORTED_UPSTREAM).optional(),
   limits: z.array(LIMIT).optional(),
   backoffs: z.array(BACKOFF).optional(),
+  host: z.string().optional(),
+  miss: MISS.optional().catch(undefined),
+  configuration: CONFIGURATION.optional().catch(undefined),
   sends: z.array(ATTEMPT_ENTRY).default([]),
   version: z.number().optional(),
   ageMs: z.number().nullish(),
@@ -134,6 +158,7 @@
 export type BrokenAttemptLine = Readonly<z.infer<typeof BROKEN_ATTEMPT_LINE>>;
 export type ActivityLine = Readonly<z.infer<typeof ACTIVITY_LINE>>;
 export type Admission = Readonly<z.infer<typeof ADMISSION>>;
+export type RouteMiss = Readonly<z.infer<typeof MISS>>;
 export type ReportedUpstream = Readonly<z.infer<typeof REPORTED_UPSTREAM>>;
 export type LogLine = Readonly<z.infer<typeof LOG_LINE>>;
 
--- a/src/fleet/fleet_member.ts
+++ b/src/fleet/fleet_member.ts
@@ -79,7 +79,13 @@
     this.reader = new StoreReader({
       store,
       state,
-      recordApplier: new RecordApplier(state, clock, logger, onBadRecord),
+      recordApplier: new RecordApplier({
+        state,
+        clock,
+        logger,
+        onBadRecord,
+        self: () => this.self?.address,
+      }),
       topics,
       budget,
       clock,
@@ -126,7 +132,9 @@
 
   /** The heartbeat for followers; undefined until this host has started. */
   heartbeat(): Heartbeat | undefined {
-    return this.node?.heartbeat(this.parts.state.registry.cursor);
+    const {registry, configuration} = this.parts.state;
+    const heartbeat = this.node?.heartbeat(registry.cursor);
+    return heartbeat && {...heartbeat, configuration: configuration.newest};
   }
 
   admit(request: FollowRequest): Admission {
--- a/src/fleet/fleet_state.ts
+++ b/src/fleet/fleet_state.ts
@@ -4,8 +4,12 @@
 import {CustomerDirectory} from '../decisions/customers/index.js';
 import type {Evacuations} from '../decisions/evacuation/index.js';
 import {EvacuationState} from '../decisions/evacuation/index.js';
-import type {Update} from '../decisions/fleet/index.js';
-import {FleetSize, Freshness} from '../decisions/fleet/index.js';
+import type {ConfigurationOrigin, Update} from '../decisions/fleet/index.js';
+import {
+  ConfigurationView,
+  FleetSize,
+  Freshness,
+} from '../decisions/fleet/index.js';
 import type {AdmissionPlan} from '../decisions/overload/index.js';
 import {PlanTable} from '../decisions/overload/index.js';
 import type {
@@ -45,6 +49,7 @@
   readonly registry: UpstreamRegistry;
   readonly evacuations: EvacuationState;
   readonly freshness: Freshness;
+  readonly configuration: ConfigurationView;
   readonly size: FleetSize;
   /** Which requests are admitted while services are overloaded. */
   readonly plans: PlanTable;
@@ -63,6 +68,7 @@
     this.registry = new UpstreamRegistry(clock);
     this.evacuations = new EvacuationState(clock);
     this.freshness = new Freshness(clock);
+    this.configuration = new ConfigurationView(clock);
     this.size = new FleetSize(clock);
     this.plans = new PlanTable(clock);
     this.timer = setInterval(() => this.tick(), TICK_MS);
@@ -135,7 +141,7 @@
     }
     const table = this.routes.current;
     if (table && table.version > parseQueryNumber(versions.get('version'))) {
-      updates.push({kind: 'table', table});
+      updates.push(this.tableUpdate(table));
     }
     if (this.registry.isLoaded) {
       updates.push(
@@ -151,7 +157,8 @@
   applyUpdate(update: Update): void {
     switch (update.kind) {
       case 'table':
-        return this.applyTable(update.table);
+        this.applyTable(update.table, update.origin);
+        return;
       case 'evacuations':
         return this.applyEvacuations(update.evacuations);
       case 'entries':
@@ -161,6 +168,9 @@
       case 'admission':
         return this.applyAdmission(update.plan);
       case 'alive':
+        if (update.configuration) {
+          this.configuration.noteNewest(update.configuration);
+        }
         // The parent has sent all updates up to this position, and they are applied.
         return this.registry.advance(update.end);
       case 'elsewhere':
@@ -170,25 +180,30 @@
     }
   }
 
-  applyTable(table: RouteTable): void {
+  /** @returns whether the configuration was newer than the one in force */
+  applyTable(table: RouteTable, origin?: ConfigurationOrigin): boolean {
     const before = this.routes.version;
     if (!this.routes.applyIfNewer(table)) {
-      return;
+      return false;
+    }
+    if (origin) {
+      this.configuration.noteInForce(origin);
     }
     this.customers.replace(table.customers);
-    const {reader} = this.freshness;
-    const newsAgeMs = finiteAge(this.ageMs);
     this.logger.info(
       {
         event: 'configuration',
         version: table.version,
         before,
-        reader,
-        newsAgeMs,
+        reader: origin?.reader ?? this.freshness.reader,
+        ...(origin && locationOf(origin.position)),
+        readMsAgo: origin?.ageMs,
+        newsAgeMs: finiteAge(this.ageMs),
       },
       'configuration in force',
     );
-    this.publish({kind: 'table', table});
+    this.publish(this.tableUpdate(table));
+    return true;
   }
 
   applyEvacuations(evacuations: Evacuations): void {
@@ -264,6 +279,10 @@
     this.restoreListeners.forEach(listener => listener());
   }
 
+  private tableUpdate(table: RouteTable): Update {
+    return {kind: 'table', table, origin: this.configuration.origin};
+  }
+
   /** Only the changes where they are known, otherwise all upstreams. */
   private upstreamUpdatesSince(position: LogPosition): readonly Update[] {
     const {all, cursor: end} = this.registry;
--- a/src/fleet/record_applier.ts
+++ b/src/fleet/record_applier.ts
@@ -7,6 +7,7 @@
   RegistryRecord,
 } from '../decisions/registry/index.js';
 import type {LogPosition} from '../decisions/registry/index.js';
+import type {RouteTable} from '../decisions/routes/index.js';
 import {InstanceResolver} from '../decisions/registry/index.js';
 import type {
   KeyedRecord,
@@ -35,16 +36,21 @@
 /** Called for each invalid record. */
 export type BadRecordObserver = (sort: RecordCategory) => void;
 
+export interface RecordApplierParts {
+  readonly state: FleetState;
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly onBadRecord: BadRecordObserver;
+  /** Address of this host for other hosts; undefined before its start. */
+  readonly self: () => string | undefined;
+}
+
 export class RecordApplier {
   private readonly instances: InstanceResolver;
   private readonly logLimiter = new LogRateLimiter(BAD_RECORD_LOGS_PER_SECOND);
 
-  constructor(
-    private readonly state: FleetState,
-    private readonly clock: Clock,
-    private readonly logger: Logger,
-    private readonly onBadRecord: BadRecordObserver,
-  ) {
+  constructor(private readonly parts: RecordApplierParts) {
+    const {clock, state} = parts;
     this.instances = new InstanceResolver(clock, state.registry);
   }
 
@@ -54,12 +60,12 @@
   }
 
   applyUpstreams(records: readonly KeyedRecord[], next: LogPosition): void {
-    this.state.applyEntries(this.entriesOf(records), next);
+    this.parts.state.applyEntries(this.entriesOf(records), next);
     this.instances.prune();
   }
 
   applyUpstreamSnapshot({records, end}: TopicSnapshot): void {
-    this.state.applySnapshot({entries: this.entriesOf(records), end});
+    this.parts.state.applySnapshot({entries: this.entriesOf(records), end});
   }
 
   /** Invalid records change nothing: the last valid ones stay in force. */
@@ -67,11 +73,11 @@
     // Evacuations first: a host that uses a new configuration must know where nothing
     // may be sent.
     this.applyEvacuations(batch);
-    this.applyConfigurations(batch.records);
+    this.applyConfigurations(batch);
   }
 
   private applyEvacuations({records, end, isSnapshot}: TopicBatch): void {
-    const stored = this.state.evacuations.storedDataCentres;
+    const stored = this.parts.state.evacuations.storedDataCentres;
     const evacuated = new Set(isSnapshot ? [] : stored);
     for (const {key, position, value} of records) {
       const dataCentre = evacuatedDataCentre(key);
@@ -93,19 +99,36 @@
       );
     }
     const places = [...evacuated].map(dataCentre => ({dataCentre}));
-    this.state.applyEvacuations({places, end});
+    this.parts.state.applyEvacuations({places, end});
   }
 
-  private applyConfigurations(records: readonly KeyedRecord[]): void {
+  private applyConfigurations({records, end}: TopicBatch): void {
+    const {configuration} = this.parts.state;
     for (const {key, position, value} of records) {
       if (key !== CONFIGURATION_KEY || value === undefined) {
         continue;
       }
-      decodeConfiguration(value).match(
-        table => this.state.applyTable(table),
+      const table = decodeConfiguration(value);
+      const version = table.isOk() ? table.value.version : undefined;
+      configuration.noteNewest({end, position, version});
+      table.match(
+        newer => this.applyConfiguration(newer, position),
         error => this.reject('configuration', key, position, error),
       );
     }
+    configuration.advance(end);
+  }
+
+  private applyConfiguration(table: RouteTable, position: LogPosition): void {
+    const {state, logger, self} = this.parts;
+    const inForce = state.routes.version;
+    if (!state.applyTable(table, {reader: self(), position, ageMs: 0})) {
+      const {version} = table;
+      logger.info(
+        {event: 'configuration', version, inForce, ...locationOf(position)},
+        'configuration is not newer than the one in force',
+      );
+    }
   }
 
   private entriesOf(records: readonly KeyedRecord[]): readonly RegistryEntry[] {
@@ -131,9 +154,9 @@
     position: LogPosition,
     error: RecordError,
   ): void {
-    this.onBadRecord(sort);
-    if (this.logLimiter.tryTake(this.clock.now())) {
-      this.logger.warn(
+    this.parts.onBadRecord(sort);
+    if (this.logLimiter.tryTake(this.parts.clock.now())) {
+      this.parts.logger.warn(
         {
           event: 'bad-record',
           sort,
--- a/src/fleet/store_reader.ts
+++ b/src/fleet/store_reader.ts
@@ -1,5 +1,6 @@
 /** Reads the store for this host and its followers. */
 
+import type {Result} from 'neverthrow';
 import type {Logger} from 'pino';
 import type {PropagationBudget} from '../decisions/fleet/index.js';
 import {
@@ -8,17 +9,20 @@
   storeRetryDelay,
   watermarkOf,
 } from '../decisions/fleet/index.js';
+import {LogRateLimiter} from '../decisions/limits/index.js';
 import type {LogPosition} from '../decisions/registry/index.js';
 import type {Store, StoreFailure} from '../platform/index.js';
 import {OPERATOR_TOPIC, UPSTREAM_TOPIC} from '../platform/index.js';
 import type {Clock, Milliseconds, Random} from '../time/index.js';
 import {sleep} from '../time/index.js';
 import type {FleetState} from './fleet_state.js';
+import {locationOf} from './fleet_state.js';
 import type {RecordApplier} from './record_applier.js';
 import type {TopicBatch} from './types.js';
 
 /** In an outage other topics are retried after this time, or once the store answers. */
 const OUTAGE_RETRY_DELAY_MS: Milliseconds = 5_000;
+const POSITION_LOGS_PER_SECOND = 2;
 /** The topics whose changes must reach every host in time. */
 const UPSTREAMS = 'upstreams';
 const CONFIGURATION = 'configuration';
@@ -33,6 +37,12 @@
   readonly apply: (batch: TopicBatch) => void;
 }
 
+interface TopicRead {
+  readonly batch: TopicBatch;
+  /** Where the log ended when the store answered. */
+  readonly logEnd: LogPosition;
+}
+
 export interface StoreReaderParts {
   readonly store: Store;
   readonly state: FleetState;
@@ -61,6 +71,7 @@
   private answered = false;
   private readonly watermarks = new TopicWatermarks([UPSTREAMS, CONFIGURATION]);
   private readonly pollTiming: ReadPace;
+  private readonly positionLogs = new LogRateLimiter(POSITION_LOGS_PER_SECOND);
   /** Aborts long polls, on connections that may be dead. */
   private longPolls = new AbortController();
 
@@ -138,21 +149,13 @@
     while (this.isCurrent(run)) {
       const askedAt = this.parts.clock.now();
       const waitMs = cursor === undefined ? 0 : followed.waitMs();
-      const result =
-        cursor === undefined
-          ? await this.parts.store.newest(topic)
-          : await this.parts.store.read(
-              topic,
-              cursor,
-              waitMs,
-              this.longPolls.signal,
-            );
+      const result = await this.readTopic(topic, cursor, waitMs);
       if (result.isOk()) {
         failures = 0;
-        const page = result.value;
-        const isSnapshot = 'end' in page;
-        cursor = isSnapshot ? page.end : page.next;
-        apply({records: page.records, end: cursor, isSnapshot});
+        const {batch, logEnd} = result.value;
+        cursor = batch.end;
+        this.logIfNotAtEnd(name, batch.end, logEnd);
+        apply(batch);
         if (name === CONFIGURATION && this.isCurrent(run)) {
           this.advanceWatermark(name, askedAt, waitMs);
         }
@@ -179,6 +182,27 @@
     }
   }
 
+  /** Reads the newest records if there is no cursor, otherwise the changes since. */
+  private async readTopic(
+    topic: string,
+    cursor: LogPosition | undefined,
+    waitMs: Milliseconds,
+  ): Promise<Result<TopicRead, StoreFailure>> {
+    const {store} = this.parts;
+    if (cursor === undefined) {
+      const snapshot = await store.newest(topic);
+      return snapshot.map(({records, end}) => ({
+        batch: {records, end, isSnapshot: true},
+        logEnd: end,
+      }));
+    }
+    const page = await store.read(topic, cursor, waitMs, this.longPolls.signal);
+    return page.map(({records, next, end}) => ({
+      batch: {records, end: next, isSnapshot: false},
+      logEnd: end,
+    }));
+  }
+
   private async readUpstreams(
     waitMs: Milliseconds,
   ): Promise<StoreFailure | undefined> {
@@ -187,7 +211,8 @@
     if (page.isErr()) {
       return page.error;
     }
-    const {records, next} = page.value;
+    const {records, next, end} = page.value;
+    this.logIfNotAtEnd(UPSTREAMS, next, end);
     this.parts.recordApplier.applyUpstreams(records, next);
     return undefined;
   }
@@ -202,6 +227,20 @@
     return undefined;
   }
 
+  private logIfNotAtEnd(
+    read: string,
+    next: LogPosition,
+    end: LogPosition,
+  ): void {
+    const {clock, logger} = this.parts;
+    if (next !== end && this.positionLogs.tryTake(clock.now())) {
+      logger.info(
+        {event: 'store', read, ...locationOf(next), end: locationOf(end)},
+        'read up to a position other than the end of the log',
+      );
+    }
+  }
+
   private handleSuccess(): void {
     if (this.failures > 0) {
       this.abortLongPolls();
--- a/src/gateway/gateway_server.ts
+++ b/src/gateway/gateway_server.ts
@@ -4,7 +4,8 @@
 import {createServer} from 'node:http';
 import type {Customer} from '../decisions/customers/index.js';
 import {identify} from '../decisions/customers/index.js';
-import type {Route} from '../decisions/routes/index.js';
+import type {ConfigurationReport} from '../decisions/fleet/index.js';
+import type {Route, RouteMiss} from '../decisions/routes/index.js';
 import type {ProblemReason} from '../http/index.js';
 import {findRequestFault, sendProblem} from '../http/index.js';
 import type {SocketAddress} from '../platform/index.js';
@@ -53,6 +54,10 @@
   readonly retryAfterMs?: Milliseconds;
   /** Rank of the request's route, if one was found. */
   readonly rank?: number;
+  /** Why no route was found. */
+  readonly miss?: RouteMiss;
+  /** What is known of the configuration that decided. */
+  readonly configuration?: ConfigurationReport;
 }
 
 export class GatewayServer {
@@ -165,9 +170,11 @@
       return;
     }
     const {host = ''} = request.headers;
-    const route = state.routes.find(host, request.url ?? '/');
+    const target = request.url ?? '/';
+    const route = state.routes.find(host, target);
     if (!route) {
-      this.refuseUnknown(response, 'unknown-route');
+      const miss = state.routes.explainMiss(host, target);
+      this.refuseUnknown(response, 'unknown-route', {miss});
       return;
     }
     const limits = state.routes.current?.limits;
@@ -179,7 +186,7 @@
     const identity = identify(state.customers, route.isPublic, authorization);
     switch (identity.kind) {
       case 'unknown-key':
-        return this.refuseUnknown(response, 'unknown-key', route);
+        return this.refuseUnknown(response, 'unknown-key', {rank: route.rank});
       case 'customer':
         return this.startExchange(request, response, route, identity.customer);
       case 'anonymous':
@@ -247,15 +254,16 @@
   private refuseUnknown(
     response: ServerResponse,
     reason: 'unknown-route' | 'unknown-key',
-    route?: Route,
+    details: RefusalDetails,
   ): void {
-    const rank = route?.rank;
-    if (this.context.state.isFresh) {
-      this.refuse(response, reason, {rank});
+    const {configuration, isFresh} = this.context.state;
+    const explained = {...details, configuration: configuration.report};
+    if (isFresh) {
+      this.refuse(response, reason, explained);
     } else {
       this.refuse(response, 'not-ready', {
+        ...explained,
         retryAfterMs: NOT_READY_RETRY_AFTER_MS,
-        rank,
       });
     }
   }
@@ -263,12 +271,16 @@
   private refuse(
     response: ServerResponse,
     reason: ProblemReason,
-    {rank, ...more}: RefusalDetails,
+    {rank, miss, configuration, ...more}: RefusalDetails,
   ): void {
     const {method, url: target, headers} = response.req;
     const request = headers[HEADERS.requestId];
-    const fields = {event: 'request', request, method, target};
-    this.recordRefusal(reason, fields, rank);
+    const {host} = headers;
+    this.recordRefusal(
+      reason,
+      {event: 'request', request, method, target, host, miss, configuration},
+      rank,
+    );
     if (!response.req.complete) {
       // A body that may follow must not be parsed as the next request.
       response.setHeader('connection', 'close');
--- a/src/platform/keyed_records.ts
+++ b/src/platform/keyed_records.ts
@@ -1,6 +1,7 @@
 /** Binary encoding of the records of keyed topics. */
 
 import type {LogPosition} from '../decisions/registry/index.js';
+import {eraOf, positionOf} from '../decisions/registry/index.js';
 import type {KeyedRecord, RecordPage} from './types.js';
 
 const LENGTH_BYTES = 4;
@@ -36,7 +37,15 @@
     records.push(decodeRecord(bytes.subarray(start, end), at));
     position = end;
   }
-  return {records, next: from + records.length};
+  const next = from + records.length;
+  return {records, next, end: decodeEnd(bytes, from) ?? next};
+}
+
+/** Where the log ends, in the era of a position; undefined if the page lacks it. */
+function decodeEnd(bytes: Buffer, from: LogPosition): LogPosition | undefined {
+  return bytes.length < OFFSET_BYTES
+    ? undefined
+    : positionOf(eraOf(from), Number(bytes.readBigUInt64BE(0)));
 }
 
 /**
--- a/src/platform/types.ts
+++ b/src/platform/types.ts
@@ -16,6 +16,8 @@
   readonly records: readonly KeyedRecord[];
   /** Position of the next read. */
   readonly next: LogPosition;
+  /** Where the log ended when the store answered. */
+  readonly end: LogPosition;
 }
 
 /** The newest record of each key. */
--- /dev/null
+++ b/tests/configuration_view.test.ts
@@ -0,0 +1,48 @@
+import {afterEach, beforeEach, expect, test} from 'vitest';
+import {Writable} from 'node:stream';
+import {pino} from 'pino';
+import {GatewaySystem, until} from './support/gateway.js';
+
+const NEW_ROUTE = {path_prefix: '/new/', kind: 'idempotent'} as const;
+
+let system: GatewaySystem;
+let lines: Record<string, unknown>[];
+
+beforeEach(async () => {
+  lines = [];
+  const sink = new Writable({
+    write(chunk: Buffer, _encoding, done): void {
+      lines.push(JSON.parse(chunk.toString()) as Record<string, unknown>);
+      done();
+    },
+  });
+  system = new GatewaySystem(pino({base: undefined}, sink));
+  system.configure(1);
+  await system.addUpstream('i-1');
+});
+
+afterEach(() => system.close());
+
+// Guards against a 404 of which nobody can tell who read the view that it relies on, and when.
+test('a refusal names the reader of the configuration and what it knows', async () => {
+  await system.startReadyHost('east');
+  const follower = await system.startReadyHost('west');
+  await until(() => system.hosts.filter(one => one.host.isReader).length === 1);
+  system.configure(2, [NEW_ROUTE]);
+  const answers = async (path: string, status: number): Promise<boolean> =>
+    (await system.call(follower, {path, id: path})).status === status;
+  await until(() => answers('/new/1', 200));
+  expect(await answers('/lookup/2', 404)).toBe(true);
+  const reader = system.hosts.find(({host}) => host.isReader);
+  expect(lines.find(({request}) => request === '/lookup/2')).toMatchObject({
+    outcome: 'unknown-route',
+    host: 'shop.example',
+    miss: {kind: 'route-removed', version: 2},
+    version: 2,
+    configuration: {
+      reader: `127.0.0.1:${reader?.ports.peers}`,
+      position: 1,
+      readMsAgo: expect.any(Number) as unknown,
+    },
+  });
+});
--- a/tests/explain.test.ts
+++ b/tests/explain.test.ts
@@ -159,6 +159,25 @@
   expect(text).toContain('after a rotation');
 });
 
+// Guards against a 404 of which nobody can tell whether the host lacked the route.
+test.each([
+  ['{"kind":"no-route-for-host"}', 'shop.example: no route has it'],
+  ['{"kind":"no-matching-prefix"}', 'none matches the path'],
+  ['{"kind":"route-removed","version":12}', 'removed by configuration 12'],
+])('a request without a route is explained by %s', (miss, expected) => {
+  const line =
+    '{"event":"request","request":"r9","method":"GET","target":"/new/1","host":"shop.example",' +
+    `"miss":${miss},"configuration":{"reader":"10.1.0.9:7020","position":12,"readMsAgo":2600,` +
+    '"newest":{"end":15,"position":14}},"outcome":"unknown-route","version":13,"ageMs":355}';
+  const text = explain('r9', parseLogLines(line));
+  expect(text).toContain(expected);
+  expect(text).toContain(
+    'read by 10.1.0.9:7020 at position 12, 2600 ms before',
+  );
+  expect(text).toContain('a record that could not be decoded at position 14');
+  expect(text).toContain('known up to 15');
+});
+
 // Guards against lines of newer hosts that vanish because of one new field.
 test('an admission of an unknown form does not hide the request', () => {
   const line = refused('shed', {admission: {kind: 'newer'}});
--- a/tests/foreign_records.test.ts
+++ b/tests/foreign_records.test.ts
@@ -32,9 +32,13 @@
   });
   const logger = pino({base: undefined}, sink);
   state = new FleetState(clock, logger, 2_000);
-  applier = new RecordApplier(state, clock, logger, sort =>
-    rejected.push(sort),
-  );
+  applier = new RecordApplier({
+    state,
+    clock,
+    logger,
+    onBadRecord: sort => rejected.push(sort),
+    self: () => undefined,
+  });
   state.applyTable({
     version: 1,
     routes: [],
--- a/tests/routes.test.ts
+++ b/tests/routes.test.ts
@@ -44,6 +44,29 @@
   expect(routeIndex.find('shop.example', '/b/1')).toBeUndefined();
 });
 
+// Guards against a 404 of which nobody can tell whether the host lacked the route.
+test('a miss tells apart host names, prefixes and removed routes', () => {
+  const routeIndex = new RouteIndex();
+  routeIndex.applyIfNewer(table(1, '/a/', '/b/'));
+  routeIndex.applyIfNewer(table(4, '/a/'));
+  expect(routeIndex.explainMiss('other.example', '/a/1')).toEqual({
+    kind: 'no-route-for-host',
+  });
+  expect(routeIndex.explainMiss('shop.example', '/c/1')).toEqual({
+    kind: 'no-matching-prefix',
+  });
+  expect(routeIndex.explainMiss('SHOP.example:80', '/b/c/1?d=/e/')).toEqual({
+    kind: 'route-removed',
+    version: 4,
+  });
+  routeIndex.applyIfNewer(table(5, '/b/'));
+  routeIndex.applyIfNewer(table(6, '/c/'));
+  expect(routeIndex.explainMiss('shop.example', '/b/1')).toEqual({
+    kind: 'route-removed',
+    version: 6,
+  });
+});
+
 test('an older configuration never replaces a newer one', () => {
   // A host resumes after a freeze and first gets an update from a lagging peer. With the
   // older configuration it would send requests where the operator has stopped them.
