Reproduce routes that all hosts answer with 404 while their view is fresh

Callers got 404 for a route that had been added, from all hosts at once, for as long as the record lasts, while the view's age was that of calm.

--- a/src/standins/store_server.ts
+++ b/src/standins/store_server.ts
@@ -70,6 +70,8 @@
     systemClock,
     UNLIMITED_PER_SECOND,
   );
+  /** Pages of reads are cut off after this many bytes, also in the middle of a record. */
+  maxPageBytes = Infinity;
   /** Calls refused because of the rate limit. */
   rateLimitedCount = 0;
   /** Longest wait that a read requested, by topic. */
@@ -140,6 +142,11 @@
     return this.topics.put(name, key, value);
   }
 
+  /** Loses the last records of a topic, without a new era. */
+  loseLast(name: string, count: number): void {
+    this.topics.loseLast(name, count);
+  }
+
   trim(name: string): void {
     this.topics.trim(name);
   }
@@ -285,7 +292,10 @@
     this.longestWaits.set(name, Math.max(longest, waitMs));
     const page = await this.topics.read(name, from, waitMs);
     return page
-      ? {status: STATUS.ok, body: encodePage(page)}
+      ? {
+          status: STATUS.ok,
+          body: encodePage(page).subarray(0, this.maxPageBytes),
+        }
       : {status: STATUS.trimmed, body: json({first: this.topics.end(name)})};
   }
 }
--- a/src/standins/store_topics.ts
+++ b/src/standins/store_topics.ts
@@ -1,6 +1,7 @@
 /** In-memory topics of the simulated store. */
 
 import type {Milliseconds} from '../time/index.js';
+import {systemClock} from '../time/index.js';
 
 export interface StoredRecord {
   readonly key: string;
@@ -24,6 +25,7 @@
   records: readonly StoredRecord[];
   /** First offset that can still be read; earlier ones are trimmed. */
   first: number;
+  restoreCount: number;
   readonly waiters: Set<() => void>;
 }
 
@@ -72,6 +74,7 @@
       const kept = copy.get(name) ?? [];
       lost.set(name, topic.records.slice(kept.length));
       topic.records = kept;
+      topic.restoreCount += 1;
       topic.first = Math.min(topic.first, kept.length);
       topic.waiters.forEach(wake => wake());
     }
@@ -82,6 +85,12 @@
     return this.topic(name).records.length;
   }
 
+  /** Loses the last records; their offsets are assigned again. */
+  loseLast(name: string, count: number): void {
+    const topic = this.topic(name);
+    topic.records = topic.records.slice(0, -count);
+  }
+
   /** Makes offsets before the end unreadable; `newest` still lists each key. */
   trim(name: string): void {
     const topic = this.topic(name);
@@ -105,7 +114,10 @@
     };
   }
 
-  /** Returns undefined if the offset has been trimmed or is beyond the end. */
+  /**
+   * Returns undefined if the offset has been trimmed. A read past the end waits like one
+   * at the end, and then returns no records.
+   */
   async read(
     name: string,
     from: number,
@@ -115,13 +127,16 @@
     if (from < topic.first) {
       return undefined;
     }
-    if (from >= topic.records.length && waitMs > 0) {
-      await wait(topic, waitMs);
+    const {restoreCount} = topic;
+    const until = systemClock.now() + waitMs;
+    while (
+      from >= topic.records.length &&
+      restoreCount === topic.restoreCount &&
+      systemClock.now() < until
+    ) {
+      await wait(topic, until - systemClock.now());
     }
     const {first, records} = topic;
-    if (from > records.length) {
-      return undefined;
-    }
     return {first, end: records.length, records: records.slice(from)};
   }
 
@@ -130,7 +145,12 @@
     if (existing) {
       return existing;
     }
-    const topic: Topic = {records: [], first: 0, waiters: new Set()};
+    const topic: Topic = {
+      records: [],
+      first: 0,
+      restoreCount: 0,
+      waiters: new Set(),
+    };
     this.topics.set(name, topic);
     return topic;
   }
