Take a page for the state of now only if it ends where the log ends

Callers got 404 for routes that had been added, at all hosts, while the view looked fresh: a page that ended before the next record was whole, and a page read from a position past the end of the log, renewed the age of the view like one that has everything. The position stayed, so the next read was the same.

The store states the end of its log in each page. The same for upstreams and all other topics.

Left: a store that loses records without a new era keeps evacuations and records of upstreams below the lost positions unheard until its log has grown past them.

--- a/src/decisions/fleet/index.ts
+++ b/src/decisions/fleet/index.ts
@@ -7,6 +7,8 @@
 export {FleetSize} from './fleet_size.js';
 export {FollowerSlots} from './follower_slots.js';
 export {Freshness} from './freshness.js';
+export type {PageProgress} from './page_progress.js';
+export {needsSnapshot, pageProgress} from './page_progress.js';
 export type {PropagationBudget} from './propagation_budget.js';
 export {propagationBudget} from './propagation_budget.js';
 export {PartialView} from './partial_view.js';
--- a/src/fleet/store_reader.ts
+++ b/src/fleet/store_reader.ts
@@ -1,11 +1,17 @@
 /** Reads the store for this host and its followers. */
 
 import type {Result} from 'neverthrow';
+import {err, ok} from 'neverthrow';
 import type {Logger} from 'pino';
-import type {PropagationBudget} from '../decisions/fleet/index.js';
+import type {
+  PageProgress,
+  PropagationBudget,
+} from '../decisions/fleet/index.js';
 import {
   ReadPace,
   TopicWatermarks,
+  needsSnapshot,
+  pageProgress,
   storeRetryDelay,
   watermarkOf,
 } from '../decisions/fleet/index.js';
@@ -22,7 +28,7 @@
 
 /** In an outage other topics are retried after this time, or once the store answers. */
 const OUTAGE_RETRY_DELAY_MS: Milliseconds = 5_000;
-const POSITION_LOGS_PER_SECOND = 2;
+const PROGRESS_LOGS_PER_SECOND = 2;
 /** The topics whose changes must reach every host in time. */
 const UPSTREAMS = 'upstreams';
 const CONFIGURATION = 'configuration';
@@ -38,9 +44,9 @@
 }
 
 interface TopicRead {
-  readonly batch: TopicBatch;
-  /** Where the log ended when the store answered. */
-  readonly logEnd: LogPosition;
+  /** Undefined if there is nothing to apply. */
+  readonly batch?: TopicBatch;
+  readonly progress: PageProgress;
 }
 
 export interface StoreReaderParts {
@@ -71,7 +77,7 @@
   private answered = false;
   private readonly watermarks = new TopicWatermarks([UPSTREAMS, CONFIGURATION]);
   private readonly pollTiming: ReadPace;
-  private readonly positionLogs = new LogRateLimiter(POSITION_LOGS_PER_SECOND);
+  private readonly progressLogs = new LogRateLimiter(PROGRESS_LOGS_PER_SECOND);
   /** Aborts long polls, on connections that may be dead. */
   private longPolls = new AbortController();
 
@@ -111,30 +117,37 @@
 
   private async followUpstreams(run: number): Promise<void> {
     const {clock} = this.parts;
+    let reloads = 0;
     while (this.isCurrent(run)) {
       // A host that takes over has received nothing for a while: if the store
       // doesn't answer it either, its followers must learn that soon.
       const waitMs = this.answered ? this.pollTiming.waitMs : 0;
       const askedAt = clock.now();
-      const failure = this.upstreamsLoaded
+      const result = this.upstreamsLoaded
         ? await this.readUpstreams(waitMs)
         : await this.loadUpstreams();
       if (!this.isCurrent(run)) {
         // This host follows a parent by now, so the outcome of this read is irrelevant.
         return;
       }
-      if (!failure) {
-        this.handleSuccess();
-        this.advanceWatermark(UPSTREAMS, askedAt, waitMs);
-        await sleep(this.pollTiming.pauseMs);
+      if (result.isErr()) {
+        this.handleFailure(result.error);
+        await sleep(this.parts.retryDelayMs());
         continue;
       }
-      if (failure.kind === 'trimmed') {
+      const progress = result.value;
+      if (needsSnapshot(progress)) {
         this.upstreamsLoaded = false;
+        await this.pauseBeforeReload(reloads);
+        reloads += 1;
         continue;
       }
-      this.handleFailure(failure);
-      await sleep(this.parts.retryDelayMs());
+      this.handleSuccess();
+      if (progress === 'caught-up') {
+        reloads = waitMs > 0 ? 0 : reloads;
+        this.advanceWatermark(UPSTREAMS, askedAt, waitMs);
+        await sleep(this.pollTiming.pauseMs);
+      }
     }
   }
 
@@ -143,102 +156,139 @@
     run: number,
     followed: FollowedTopic,
   ): Promise<void> {
-    const {name, topic, apply} = followed;
+    const {name, apply} = followed;
     let cursor: LogPosition | undefined;
     let failures = 0;
+    let reloads = 0;
     while (this.isCurrent(run)) {
       const askedAt = this.parts.clock.now();
-      const waitMs = cursor === undefined ? 0 : followed.waitMs();
-      const result = await this.readTopic(topic, cursor, waitMs);
-      if (result.isOk()) {
-        failures = 0;
-        const {batch, logEnd} = result.value;
-        cursor = batch.end;
-        this.logIfNotAtEnd(name, batch.end, logEnd);
-        apply(batch);
-        if (name === CONFIGURATION && this.isCurrent(run)) {
-          this.advanceWatermark(name, askedAt, waitMs);
-        }
+      const isSnapshot = cursor === undefined;
+      const waitMs = isSnapshot ? 0 : followed.waitMs();
+      const result = await this.readTopic(followed, cursor, waitMs);
+      if (result.isErr()) {
+        failures += 1;
+        await this.pauseAfterFailure(run, name, failures, result.error);
         continue;
       }
-      if (result.error.kind === 'trimmed') {
+      failures = 0;
+      const {batch, progress} = result.value;
+      if (batch) {
+        apply(batch);
+      }
+      if (needsSnapshot(progress)) {
         cursor = undefined;
+        await this.pauseBeforeReload(reloads);
+        reloads += 1;
         continue;
       }
-      failures += 1;
-      this.parts.logger.warn(
-        {event: 'store', read: name, error: result.error.message},
-        'cannot read the store',
-      );
-      if (name === CONFIGURATION && this.isCurrent(run)) {
-        this.handleConfigurationFailure();
+      cursor = batch?.end;
+      if (progress === 'caught-up') {
+        reloads = isSnapshot ? reloads : 0;
+        if (name === CONFIGURATION && this.isCurrent(run)) {
+          this.advanceWatermark(name, askedAt, waitMs);
+        }
       }
-      // In an outage, only reads of upstreams check whether the store answers.
-      const delayMs =
-        this.failures > 0
-          ? OUTAGE_RETRY_DELAY_MS
-          : storeRetryDelay(failures, this.parts.random);
-      await sleep(delayMs, this.longPolls.signal);
+    }
+  }
+
+  private async pauseAfterFailure(
+    run: number,
+    name: string,
+    failures: number,
+    {message: error}: StoreFailure,
+  ): Promise<void> {
+    this.parts.logger.warn(
+      {event: 'store', read: name, error},
+      'cannot read the store',
+    );
+    if (name === CONFIGURATION && this.isCurrent(run)) {
+      this.handleConfigurationFailure();
+    }
+    // In an outage, only reads of upstreams check whether the store answers.
+    const delayMs =
+      this.failures > 0
+        ? OUTAGE_RETRY_DELAY_MS
+        : storeRetryDelay(failures, this.parts.random);
+    await sleep(delayMs, this.longPolls.signal);
+  }
+
+  /**
+   * A store whose log can't be read right after a snapshot would be read in a tight loop.
+   *
+   * @param reloads snapshots since a read that has caught up with the log
+   */
+  private async pauseBeforeReload(reloads: number): Promise<void> {
+    if (reloads > 0) {
+      await sleep(this.parts.budget.batchPauseMs);
     }
   }
 
   /** Reads the newest records if there is no cursor, otherwise the changes since. */
   private async readTopic(
-    topic: string,
+    {name, topic}: FollowedTopic,
     cursor: LogPosition | undefined,
     waitMs: Milliseconds,
   ): Promise<Result<TopicRead, StoreFailure>> {
     const {store} = this.parts;
     if (cursor === undefined) {
       const snapshot = await store.newest(topic);
-      return snapshot.map(({records, end}) => ({
-        batch: {records, end, isSnapshot: true},
-        logEnd: end,
-      }));
+      return snapshot
+        .map<TopicRead>(({records, end}) => ({
+          batch: {records, end, isSnapshot: true},
+          progress: 'caught-up',
+        }))
+        .orElse(recoverTrimmed<TopicRead>({progress: 'trimmed'}));
     }
     const page = await store.read(topic, cursor, waitMs, this.longPolls.signal);
-    return page.map(({records, next, end}) => ({
-      batch: {records, end: next, isSnapshot: false},
-      logEnd: end,
-    }));
+    return page
+      .map<TopicRead>(({records, next, end}) => ({
+        batch: {records, end: next, isSnapshot: false},
+        progress: this.progressOf(name, cursor, next, end),
+      }))
+      .orElse(recoverTrimmed<TopicRead>({progress: 'trimmed'}));
   }
 
   private async readUpstreams(
     waitMs: Milliseconds,
-  ): Promise<StoreFailure | undefined> {
+  ): Promise<Result<PageProgress, StoreFailure>> {
     const {cursor} = this.parts.state.registry;
     const page = await this.parts.store.read(UPSTREAM_TOPIC, cursor, waitMs);
-    if (page.isErr()) {
-      return page.error;
-    }
-    const {records, next, end} = page.value;
-    this.logIfNotAtEnd(UPSTREAMS, next, end);
-    this.parts.recordApplier.applyUpstreams(records, next);
-    return undefined;
+    return page
+      .map<PageProgress>(({records, next, end}) => {
+        this.parts.recordApplier.applyUpstreams(records, next);
+        return this.progressOf(UPSTREAMS, cursor, next, end);
+      })
+      .orElse(recoverTrimmed<PageProgress>('trimmed'));
   }
 
-  private async loadUpstreams(): Promise<StoreFailure | undefined> {
+  private async loadUpstreams(): Promise<Result<PageProgress, StoreFailure>> {
     const snapshot = await this.parts.store.newest(UPSTREAM_TOPIC);
-    if (snapshot.isErr()) {
-      return snapshot.error;
-    }
-    this.parts.recordApplier.applyUpstreamSnapshot(snapshot.value);
-    this.upstreamsLoaded = true;
-    return undefined;
+    return snapshot
+      .map<PageProgress>(upstreams => {
+        this.parts.recordApplier.applyUpstreamSnapshot(upstreams);
+        this.upstreamsLoaded = true;
+        return 'caught-up';
+      })
+      .orElse(recoverTrimmed<PageProgress>('trimmed'));
   }
 
-  private logIfNotAtEnd(
+  private progressOf(
     read: string,
+    from: LogPosition,
     next: LogPosition,
-    end: LogPosition,
-  ): void {
+    end: LogPosition | undefined,
+  ): PageProgress {
     const {clock, logger} = this.parts;
-    if (next !== end && this.positionLogs.tryTake(clock.now())) {
-      logger.info(
-        {event: 'store', read, ...locationOf(next), end: locationOf(end)},
-        'read up to a position other than the end of the log',
+    const progress = pageProgress(from, next, end);
+    const isOdd = progress !== 'caught-up';
+    if (isOdd && this.progressLogs.tryTake(clock.now())) {
+      const storeEnd = end === undefined ? undefined : locationOf(end);
+      logger.warn(
+        {event: 'store', read, progress, ...locationOf(next), end: storeEnd},
+        'a read has not caught up with the log',
       );
     }
+    return progress;
   }
 
   private handleSuccess(): void {
@@ -313,3 +363,10 @@
     );
   }
 }
+
+/** Records that were deleted are no failure: a snapshot is read instead. */
+function recoverTrimmed<T>(
+  value: T,
+): (failure: StoreFailure) => Result<T, StoreFailure> {
+  return failure => (failure.kind === 'trimmed' ? ok(value) : err(failure));
+}
--- a/src/platform/keyed_records.ts
+++ b/src/platform/keyed_records.ts
@@ -30,7 +30,7 @@
     const start = position + LENGTH_BYTES;
     const end = start + bytes.readUInt32BE(position);
     if (end > bytes.length) {
-      // The response's size limit truncated the last record; the next read returns it.
+      // The last record is incomplete; the next read returns it if it fits.
       break;
     }
     const at = from + records.length;
@@ -38,7 +38,7 @@
     position = end;
   }
   const next = from + records.length;
-  return {records, next, end: decodeEnd(bytes, from) ?? next};
+  return {records, next, end: decodeEnd(bytes, from)};
 }
 
 /** Where the log ends, in the era of a position; undefined if the page lacks it. */
--- a/src/platform/types.ts
+++ b/src/platform/types.ts
@@ -16,8 +16,8 @@
   readonly records: readonly KeyedRecord[];
   /** Position of the next read. */
   readonly next: LogPosition;
-  /** Where the log ended when the store answered. */
-  readonly end: LogPosition;
+  /** Where the log ended when the store answered; undefined if the page lacks it. */
+  readonly end: LogPosition | undefined;
 }
 
 /** The newest record of each key. */
--- a/tests/reading_store.test.ts
+++ b/tests/reading_store.test.ts
@@ -2,6 +2,8 @@
 import {
   TopicWatermarks,
   ReadPace,
+  needsSnapshot,
+  pageProgress,
   propagationBudget,
   watermarkOf,
 } from '../src/decisions/fleet/index.js';
@@ -52,3 +54,16 @@
   }
   expect(pace.waitMs).toBe(budget.readWaitMs);
 });
+
+// Guards against a page without the next record that counts as a read of everything.
+test.each([
+  ['with all records', 4, 7, 7, 'caught-up', false],
+  ['without records at the end', 7, 7, 7, 'caught-up', false],
+  ['with some records', 4, 6, 7, 'behind', false],
+  ['without the next record', 4, 4, 7, 'stuck', true],
+  ['without an end', 4, 4, undefined, 'stuck', true],
+  ['of a log that ends before it', 9, 9, 7, 'past-end', true],
+])('a page %s', (_, from, next, end, progress, reload) => {
+  expect(pageProgress(from, next, end)).toBe(progress);
+  expect(needsSnapshot(pageProgress(from, next, end))).toBe(reload);
+});
