Skip entries of unknown kinds whatever their form; take null for a missing field

Callers got 404 for a route that had been added: the configuration also had an entry of a kind that hosts don't know, without a spec or of another form, or a field that was null in place of missing. The whole version was dropped, and all later ones that had the entry.

The store accepts only valid configurations, so an entry of an unknown kind is none of this version's business, and null says what a missing field says. Records of upstreams stay strict: other programs may write those.

--- a/src/platform/configuration_record.ts
+++ b/src/platform/configuration_record.ts
@@ -15,6 +15,8 @@
   nonNegativeNumber,
   decode,
   fields,
+  isObject,
+  list,
   objectList,
   text,
   duration,
@@ -40,43 +42,58 @@
   idleMs: 15_000,
 };
 
+/** An entry of a configuration. */
+interface Resource {
+  readonly kind: unknown;
+  readonly name: string;
+  readonly spec: unknown;
+}
+
 export function decodeConfiguration(
   value: string,
 ): Result<RouteTable, RecordError> {
   return decode(value, record => {
-    const table = {
+    const resources = list(record['resources'], 'resources').flatMap(
+      toResource,
+    );
+    const ofKind = <T>(
+      kind: string,
+      build: (name: string, spec: Fields) => T,
+    ): readonly T[] =>
+      resources
+        .filter(one => one.kind === kind)
+        .map(({name, spec}) => build(name, presentFields(spec, 'spec')));
+    const customers = ofKind('tenants', customer);
+    checkKeysAreUnique(customers);
+    return {
       version: version(record['version']),
-      routes: [] as Route[],
-      services: [] as ServiceProfile[],
-      customers: [] as Customer[],
-      limits: DEFAULT_LIMITS,
+      routes: ofKind('routes', route),
+      services: ofKind('services', service),
+      customers,
+      limits:
+        ofKind('limits', (_, spec) => limits(spec)).at(-1) ?? DEFAULT_LIMITS,
     };
-    for (const resource of objectList(record['resources'], 'resources')) {
-      const spec = fields(resource['spec'], 'spec');
-      const metadata = fields(resource['metadata'] ?? {}, 'metadata');
-      const name = String(metadata['name'] ?? '');
-      switch (resource['resource_kind']) {
-        case 'routes':
-          table.routes.push(route(name, spec));
-          break;
-        case 'services':
-          table.services.push(service(name, spec));
-          break;
-        case 'tenants':
-          table.customers.push(customer(name, spec));
-          break;
-        case 'limits':
-          table.limits = limits(spec);
-          break;
-        default:
-        // Skips resource kinds that this version doesn't know.
-      }
-    }
-    checkKeysAreUnique(table.customers);
-    return table;
   });
 }
 
+/** Entries of kinds that this version doesn't know may have any form: they are skipped. */
+function toResource(entry: unknown): readonly Resource[] {
+  if (!isObject(entry)) {
+    return [];
+  }
+  const {resource_kind: kind, metadata, spec} = entry;
+  const name = isObject(metadata) ? metadata['name'] : undefined;
+  return [{kind, name: String(name ?? ''), spec}];
+}
+
+/** A field that is null counts as missing. */
+function presentFields(value: unknown, field: string): Fields {
+  const present = Object.entries(fields(value, field)).filter(
+    ([, one]) => one !== null,
+  );
+  return Object.fromEntries(present);
+}
+
 function route(name: string, spec: Fields): Route {
   const kind = text(spec['kind'], `${name}.kind`);
   const host = text(spec['hostname'], `${name}.hostname`).toLowerCase();
--- a/src/platform/fields.ts
+++ b/src/platform/fields.ts
@@ -23,17 +23,25 @@
 }
 
 export function fields(value: unknown, field: string): Fields {
-  if (typeof value !== 'object' || value === null || Array.isArray(value)) {
+  if (!isObject(value)) {
     throw new RecordError(field, 'write a JSON object');
   }
-  return value as Fields;
+  return value;
 }
 
-export function objectList(value: unknown, field: string): readonly Fields[] {
+export function isObject(value: unknown): value is Fields {
+  return typeof value === 'object' && value !== null && !Array.isArray(value);
+}
+
+export function list(value: unknown, field: string): readonly unknown[] {
   if (!Array.isArray(value)) {
     throw new RecordError(field, 'write a list');
   }
-  return value.map(entry => fields(entry, field));
+  return value as readonly unknown[];
+}
+
+export function objectList(value: unknown, field: string): readonly Fields[] {
+  return list(value, field).map(entry => fields(entry, field));
 }
 
 export function text(value: unknown, field: string): string {
