Put a configuration in force although one of its routes can't be decoded

Callers got 404 for a route that had been added, and requests ran where the operator no longer wanted them: one route that the decoder didn't understand dropped the version as a whole, and all later ones that had it.

The store accepts only valid configurations, so what can't be decoded is a lack of the hosts. Now such a route alone is refused with 503 (unusable-route), also where a shorter prefix would lead elsewhere; an undecodable service is left out; undecodable limits are the default ones; each is reported as a bad record. A route whose host name or prefix can't be told, a key that two customers hold and customers that can't be decoded still reject the version.

--- a/src/bench/customers/measure.ts
+++ b/src/bench/customers/measure.ts
@@ -110,7 +110,7 @@
 }
 
 function decode(record: string): RouteTable {
-  return decodeConfiguration(record)._unsafeUnwrap();
+  return decodeConfiguration(record)._unsafeUnwrap().table;
 }
 
 /** As hosts pass configurations on (src/fleet): as a whole, in JSON. */
--- a/src/decisions/routes/types.ts
+++ b/src/decisions/routes/types.ts
@@ -25,6 +25,7 @@
   readonly rank: number;
   /** Maximum number of upstreams that one request may be sent to. */
   readonly attempts: number;
+  /** Empty if the route can't be decoded: its requests are refused. */
   readonly destinations: readonly Destination[];
   /** Regions whose upstreams may run its requests; undefined if all may. */
   readonly regions?: readonly string[];
--- a/src/explain/outcomes.ts
+++ b/src/explain/outcomes.ts
@@ -70,6 +70,11 @@
       'Look for the events "store", "reader" and "stop" in its log. A host whose data is ' +
       'old answers an unknown key like this, too.',
   },
+  'unusable-route': {
+    meaning: `${NOT_RUN}: hosts can’t decode the configuration of its route (503).`,
+    advice:
+      'See the "bad-record" lines of the host that reads the store, and write the route anew.',
+  },
   'unknown-route': {
     meaning: 'No route matched in the version in force (404).',
     advice:
--- a/src/fleet/record_applier.ts
+++ b/src/fleet/record_applier.ts
@@ -108,13 +108,15 @@
       if (key !== CONFIGURATION_KEY || value === undefined) {
         continue;
       }
-      const table = decodeConfiguration(value);
-      const version = table.isOk() ? table.value.version : undefined;
+      const decoded = decodeConfiguration(value);
+      const version = decoded.isOk() ? decoded.value.table.version : undefined;
       configuration.noteNewest({end, position, version});
-      table.match(
-        newer => this.applyConfiguration(newer, position),
-        error => this.reject('configuration', key, position, error),
-      );
+      const reject = (error: RecordError): void =>
+        this.reject('configuration', key, position, error);
+      decoded.match(({table, faults}) => {
+        faults.forEach(reject);
+        this.applyConfiguration(table, position);
+      }, reject);
     }
     configuration.advance(end);
   }
--- a/src/gateway/gateway_server.ts
+++ b/src/gateway/gateway_server.ts
@@ -34,6 +34,8 @@
 const BACKLOG = 2_048;
 /** Retry-After while the host's configuration is missing or may be stale. */
 const NOT_READY_RETRY_AFTER_MS: Milliseconds = 300;
+/** Retry-After while the operator's newest configuration can't be used. */
+const UNUSABLE_RETRY_AFTER_MS: Milliseconds = 1_000;
 /** How long requests wait for the configuration after a start. */
 const CONFIGURATION_WAIT_MS: Milliseconds = 150;
 /** Retry-After of a host that shuts down: callers retry at another host. */
@@ -177,6 +179,14 @@
       this.refuseUnknown(response, 'unknown-route', {miss});
       return;
     }
+    if (route.destinations.length === 0) {
+      this.refuse(response, 'unusable-route', {
+        rank: route.rank,
+        configuration: state.configuration.report,
+        retryAfterMs: UNUSABLE_RETRY_AFTER_MS,
+      });
+      return;
+    }
     const limits = state.routes.current?.limits;
     if (limits && headerBytes(request) > limits.headerBytes) {
       this.refuse(response, 'headers-too-large', {});
--- a/src/http/problem.ts
+++ b/src/http/problem.ts
@@ -22,6 +22,7 @@
   | 'request-body-broken'
   | 'request-timeout'
   | 'unknown-route'
+  | 'unusable-route'
   | 'body-too-large'
   | 'headers-too-large'
   | 'no-room'
@@ -77,6 +78,10 @@
   },
   'request-body-broken': {status: 400, title: 'The body did not arrive whole'},
   'unknown-route': {status: 404, title: 'No route leads there'},
+  'unusable-route': {
+    status: 503,
+    title: 'The configuration of this route can’t be used',
+  },
   'body-too-large': {status: 413, title: 'The body is too large'},
   'headers-too-large': {status: 431, title: 'The headers are too large'},
   'no-room': {status: 503, title: 'No upstream has room'},
--- a/src/platform/configuration_record.ts
+++ b/src/platform/configuration_record.ts
@@ -49,9 +49,19 @@
   readonly spec: unknown;
 }
 
+export interface DecodedConfiguration {
+  readonly table: RouteTable;
+  /** Why some of its entries can't be used. */
+  readonly faults: readonly RecordError[];
+}
+
+/**
+ * An entry that can't be decoded must not hold back the others. It is an error only if
+ * nobody can tell what it is about.
+ */
 export function decodeConfiguration(
   value: string,
-): Result<RouteTable, RecordError> {
+): Result<DecodedConfiguration, RecordError> {
   return decode(value, record => {
     const resources = list(record['resources'], 'resources').flatMap(
       toResource,
@@ -63,19 +73,39 @@
       resources
         .filter(one => one.kind === kind)
         .map(({name, spec}) => build(name, presentFields(spec, 'spec')));
+    const faults: RecordError[] = [];
     const customers = ofKind('tenants', customer);
     checkKeysAreUnique(customers);
-    return {
+    const table = {
       version: version(record['version']),
-      routes: ofKind('routes', route),
-      services: ofKind('services', service),
+      routes: ofKind('routes', (name, spec) =>
+        attempt(faults, () => route(name, spec), unusableRoute(name, spec)),
+      ),
+      services: ofKind('services', (name, spec) =>
+        attempt(faults, () => [service(name, spec)], []),
+      ).flat(),
       customers,
       limits:
-        ofKind('limits', (_, spec) => limits(spec)).at(-1) ?? DEFAULT_LIMITS,
+        ofKind('limits', (_, spec) =>
+          attempt(faults, () => limits(spec), DEFAULT_LIMITS),
+        ).at(-1) ?? DEFAULT_LIMITS,
     };
+    return {table, faults};
   });
 }
 
+function attempt<T>(faults: RecordError[], build: () => T, substitute: T): T {
+  try {
+    return build();
+  } catch (error) {
+    if (!(error instanceof RecordError)) {
+      throw error;
+    }
+    faults.push(error);
+    return substitute;
+  }
+}
+
 /** Entries of kinds that this version doesn't know may have any form: they are skipped. */
 function toResource(entry: unknown): readonly Resource[] {
   if (!isObject(entry)) {
@@ -116,6 +146,26 @@
   };
 }
 
+/**
+ * Takes the place of a route that can't be decoded. Without it, its requests would be
+ * sent where a shorter prefix leads.
+ */
+function unusableRoute(name: string, spec: Fields): Route {
+  return {
+    name,
+    host: text(spec['hostname'], `${name}.hostname`).toLowerCase(),
+    prefix: text(spec['path_prefix'], `${name}.path_prefix`),
+    repeatable: false,
+    hasLargeResponses: false,
+    isPublic: spec['public'] === true,
+    timeoutMs: 0,
+    targetMs: 0,
+    rank: 0,
+    attempts: 1,
+    destinations: [],
+  };
+}
+
 function destinations(name: string, spec: Fields): readonly Destination[] {
   if (spec['traffic_split'] === undefined) {
     return [{service: text(spec['service'], `${name}.service`), weight: 1}];
--- a/src/platform/index.ts
+++ b/src/platform/index.ts
@@ -17,6 +17,7 @@
   readRetryAfter,
   readTimeLeft,
 } from './headers.js';
+export type {DecodedConfiguration} from './configuration_record.js';
 export {
   CONFIGURATION_KEY,
   OPERATOR_TOPIC,
