Answer 404 and 401 only if the newest known configuration is in force

Callers got 404, after which nobody retries, from hosts that knew of a newer configuration and couldn't use it: a record that can't be decoded renewed the age of the view, and a fresh view answered 404 for what it lacked.

Gauge: cyclamenlever_host{figure="behind"}.

--- a/src/account/classify_request.ts
+++ b/src/account/classify_request.ts
@@ -21,6 +21,8 @@
   shed: 'refused: shed by overload control',
   'host-busy': 'refused: host busy',
   quarantined: 'refused: quarantined',
+  'newer-configuration': 'refused: newer configuration',
+  'unusable-route': 'refused: unusable route',
 };
 
 const FAILURES: Readonly<Record<string, Cause>> = {
--- a/src/account/types.ts
+++ b/src/account/types.ts
@@ -15,6 +15,8 @@
   | 'refused: shed by overload control'
   | 'refused: host busy'
   | 'refused: quarantined'
+  | 'refused: newer configuration'
+  | 'refused: unusable route'
   | 'late: started late'
   | 'late: ran at a slow upstream'
   | 'late: ran at a nearly full upstream'
--- a/src/decisions/fleet/configuration_view.ts
+++ b/src/decisions/fleet/configuration_view.ts
@@ -51,6 +51,21 @@
     return {reader, position, readMsAgo, newest: this.head};
   }
 
+  /**
+   * Whether a newer configuration is known to be in the store than the one in force.
+   * Such a host can't tell that a route or a key doesn't exist.
+   *
+   * @param version in force
+   */
+  isBehind(version: number): boolean {
+    const {position, version: newest} = this.head ?? {};
+    if (newest !== undefined) {
+      return newest > version;
+    }
+    // A record without a version could not be decoded.
+    return position !== undefined && position !== this.inForce?.position;
+  }
+
   /** A version has been put in force. */
   noteInForce({reader, position, ageMs}: ConfigurationOrigin): void {
     this.inForce = {reader, position, readAt: this.clock.now() - ageMs};
--- a/src/explain/outcomes.ts
+++ b/src/explain/outcomes.ts
@@ -70,6 +70,13 @@
       'Look for the events "store", "reader" and "stop" in its log. A host whose data is ' +
       'old answers an unknown key like this, too.',
   },
+  'newer-configuration': {
+    meaning:
+      `${NOT_RUN}: it had no route or key in the version in force, and a newer one was known ` +
+      'to be in the store (503).',
+    advice:
+      'See the "bad-record" lines of the host that reads the store for why it is not in force.',
+  },
   'unusable-route': {
     meaning: `${NOT_RUN}: hosts can’t decode the configuration of its route (503).`,
     advice:
--- a/src/fleet/fleet_state.ts
+++ b/src/fleet/fleet_state.ts
@@ -84,6 +84,17 @@
     return this.ageMs <= STALE_AGE_FACTOR * this.changeBoundMs;
   }
 
+  /** Whether this host knows the newest configuration, so that others don't exist. */
+  get hasNewestConfiguration(): boolean {
+    return this.isFresh && !this.isBehind;
+  }
+
+  /** Whether a newer configuration is known to be in the store than the one in force. */
+  get isBehind(): boolean {
+    const {version} = this.routes;
+    return version !== undefined && this.configuration.isBehind(version);
+  }
+
   /** Upstreams in use: those of configured services. */
   get upstreamCount(): number {
     const services = this.routes.current?.services ?? [];
--- a/src/gateway/gateway_metrics.ts
+++ b/src/gateway/gateway_metrics.ts
@@ -24,6 +24,8 @@
   'waited-too-long',
   'quarantined',
   'not-ready',
+  'newer-configuration',
+  'unusable-route',
 ]);
 
 /** Gauge values, read when metrics are scraped. */
@@ -31,6 +33,8 @@
   readonly ready: boolean;
   readonly isReader: boolean;
   readonly version: number | undefined;
+  /** Whether a newer configuration is known that can't be used. */
+  readonly isBehind: boolean;
   readonly ageMs: Milliseconds;
   readonly upstreams: number;
   readonly hosts: number;
@@ -156,7 +160,7 @@
   });
   private readonly host = new Gauge({
     name: 'cyclamenlever_host',
-    help: 'State of this host: ready, reader, version, age_seconds, upstreams, evacuated, hosts, in_flight, downloads, download_link_seconds, looking, rate_limited, backoffs, suspects, quarantined, ended_lives',
+    help: 'State of this host: ready, reader, version, behind, age_seconds, upstreams, evacuated, hosts, in_flight, downloads, download_link_seconds, looking, rate_limited, backoffs, suspects, quarantined, ended_lives',
     labelNames: ['figure'] as const,
     registers: this.registers,
   });
@@ -246,6 +250,7 @@
     const values: Readonly<Record<string, number>> = {
       ready: Number(gauges.ready),
       reader: Number(gauges.isReader),
+      behind: Number(gauges.isBehind),
       version: gauges.version ?? 0,
       age_seconds: gauges.ageMs / MS_PER_SECOND,
       upstreams: gauges.upstreams,
--- a/src/gateway/gateway_server.ts
+++ b/src/gateway/gateway_server.ts
@@ -258,24 +258,24 @@
   }
 
   /**
-   * Responds with 404 or 401 only if the configuration is fresh: a host with stale data
-   * may lack a new route or key, and callers don't retry after these.
+   * Responds with 404 or 401 only if the newest configuration is in force: otherwise this
+   * host may lack a new route or key, and callers don't retry after these.
    */
   private refuseUnknown(
     response: ServerResponse,
     reason: 'unknown-route' | 'unknown-key',
     details: RefusalDetails,
   ): void {
-    const {configuration, isFresh} = this.context.state;
-    const explained = {...details, configuration: configuration.report};
-    if (isFresh) {
+    const {state} = this.context;
+    const explained = {...details, configuration: state.configuration.report};
+    if (state.hasNewestConfiguration) {
       this.refuse(response, reason, explained);
-    } else {
-      this.refuse(response, 'not-ready', {
-        ...explained,
-        retryAfterMs: NOT_READY_RETRY_AFTER_MS,
-      });
+      return;
     }
+    const [refusal, retryAfterMs]: [ProblemReason, Milliseconds] = state.isFresh
+      ? ['newer-configuration', UNUSABLE_RETRY_AFTER_MS]
+      : ['not-ready', NOT_READY_RETRY_AFTER_MS];
+    this.refuse(response, refusal, {...explained, retryAfterMs});
   }
 
   private refuse(
--- a/src/host/gateway_host.ts
+++ b/src/host/gateway_host.ts
@@ -229,6 +229,7 @@
       ready: state.isComplete && !this.stopping,
       isReader: this.isReader,
       version: state.routes.version,
+      isBehind: state.isBehind,
       ageMs: state.ageMs,
       upstreams: state.upstreamCount,
       evacuated: state.evacuations.dataCentres.size,
--- a/src/http/problem.ts
+++ b/src/http/problem.ts
@@ -22,6 +22,7 @@
   | 'request-body-broken'
   | 'request-timeout'
   | 'unknown-route'
+  | 'newer-configuration'
   | 'unusable-route'
   | 'body-too-large'
   | 'headers-too-large'
@@ -78,6 +79,10 @@
   },
   'request-body-broken': {status: 400, title: 'The body did not arrive whole'},
   'unknown-route': {status: 404, title: 'No route leads there'},
+  'newer-configuration': {
+    status: 503,
+    title: 'A newer configuration is known and not in force here',
+  },
   'unusable-route': {
     status: 503,
     title: 'The configuration of this route can’t be used',
--- a/tests/configuration_view.test.ts
+++ b/tests/configuration_view.test.ts
@@ -1,6 +1,8 @@
 import {afterEach, beforeEach, expect, test} from 'vitest';
 import {Writable} from 'node:stream';
 import {pino} from 'pino';
+import {ConfigurationView} from '../src/decisions/fleet/index.js';
+import {systemClock} from '../src/time/index.js';
 import {GatewaySystem, until} from './support/gateway.js';
 
 const NEW_ROUTE = {path_prefix: '/new/', kind: 'idempotent'} as const;
@@ -46,3 +48,28 @@
     },
   });
 });
+
+// Guards against a 404 by a host that is told of a newer version and lacks it.
+test.each([
+  ['the same record', {end: 13, position: 12, version: 7}, false],
+  [
+    'an older version that was written later',
+    {end: 15, position: 14, version: 6},
+    false,
+  ],
+  ['a newer version', {end: 15, position: 14, version: 9}, true],
+  ['a later record that can’t be decoded', {end: 15, position: 14}, true],
+  [
+    'the same record, which others can’t decode',
+    {end: 13, position: 12},
+    false,
+  ],
+  ['later records of other keys', {end: 15, position: 12, version: 7}, false],
+])('a host with version 7 that is told of %s', (_, newest, isBehind) => {
+  const view = new ConfigurationView(systemClock);
+  view.noteInForce({reader: undefined, position: 12, ageMs: 0});
+  view.noteNewest(newest);
+  expect(view.isBehind(7)).toBe(isBehind);
+  view.noteNewest({end: 11, position: 10, version: 12});
+  expect(view.newest).toEqual(newest);
+});
--- a/tests/customer_metrics.test.ts
+++ b/tests/customer_metrics.test.ts
@@ -7,6 +7,7 @@
 const GAUGES: HostGauges = {
   ready: true,
   isReader: false,
+  isBehind: false,
   version: 3,
   ageMs: 100,
   evacuated: 0,
--- a/tests/request_log.test.ts
+++ b/tests/request_log.test.ts
@@ -47,6 +47,7 @@
   const text = await metrics.render({
     ready: true,
     isReader: false,
+    isBehind: false,
     version: 3,
     ageMs: 100,
     evacuated: 0,
