--- a/src/platform/store_client.ts
+++ b/src/platform/store_client.ts
@@ -11,6 +11,7 @@
   positionOf,
 } from '../decisions/registry/index.js';
 import type {Milliseconds} from '../time/index.js';
+import {isObject} from './fields.js';
 import {decodePage, encodeKeyedRecord, decodeText} from './keyed_records.js';
 import type {SocketAddress} from './settings_file.js';
 import type {
@@ -49,6 +50,11 @@
   readonly era: number;
 }
 
+const INVALID_PAGE: StoreFailure = {
+  kind: 'unknown',
+  message: 'the page of a snapshot is invalid',
+};
+
 interface NewestItem {
   readonly key: string;
   readonly value?: string;
@@ -130,9 +136,12 @@
       }
       records.push(...items.map(item => toKeyedRecord(item, era)));
       const last = items.at(-1);
-      if (!hasMore || !last) {
+      if (!hasMore) {
         return ok({records, end});
       }
+      if (!last) {
+        return err(INVALID_PAGE);
+      }
       after = `&after=${encodeURIComponent(last.key)}`;
     }
   }
@@ -152,7 +161,7 @@
       timeoutMs: RESPONSE_TIMEOUT_MS,
     });
     return response.andThen(({bytes, era}) =>
-      parseJson<NewestPage>(bytes).map(page => ({...page, era})),
+      parseNewestPage(bytes).map(page => ({...page, era})),
     );
   }
 
@@ -241,6 +250,31 @@
   )();
 }
 
+/** An incomplete page must not pass for a topic with fewer records. */
+function parseNewestPage(bytes: Buffer): Result<NewestPage, StoreFailure> {
+  return parseJson<unknown>(bytes).andThen(page =>
+    isNewestPage(page) ? ok(page) : err(INVALID_PAGE),
+  );
+}
+
+function isNewestPage(page: unknown): page is NewestPage {
+  if (!isObject(page)) {
+    return false;
+  }
+  const {items, end_offset: end} = page;
+  return (
+    Number.isInteger(end) && Array.isArray(items) && items.every(isNewestItem)
+  );
+}
+
+function isNewestItem(item: unknown): item is NewestItem {
+  return (
+    isObject(item) &&
+    typeof item['key'] === 'string' &&
+    Number.isInteger(item['offset'])
+  );
+}
+
 function toKeyedRecord(item: NewestItem, era: number): KeyedRecord {
   const {key, offset, value} = item;
   return {
--- a/tests/platform.test.ts
+++ b/tests/platform.test.ts
@@ -1,3 +1,4 @@
+import {createServer} from 'node:http';
 import {afterEach, beforeEach, expect, test} from 'vitest';
 import {
   StoreClient,
@@ -9,6 +10,7 @@
   readSettingsFile,
 } from '../src/platform/index.js';
 import {positionOf} from '../src/decisions/registry/index.js';
+import {closeNow, listen} from '../src/servers/index.js';
 import {StoreServer} from '../src/standins/index.js';
 
 const SETTINGS = `self.node=edge-1
@@ -366,6 +368,26 @@
   },
 );
 
+// Guards against a host that ends, or takes half of the records for all, on a page of
+// another form.
+test.each([
+  ['no JSON', 'oops'],
+  ['no object', '7'],
+  ['no items', '{}'],
+  ['items that are no list', '{"items":{},"end_offset":3,"has_more":false}'],
+  ['an item without an offset', '{"items":[{"key":"a"}],"end_offset":3}'],
+  ['no end', '{"items":[],"has_more":false}'],
+  ['more to come and no items', '{"items":[],"has_more":true,"end_offset":3}'],
+])('a snapshot with %s is a failed read', async (_, body) => {
+  const server = createServer((request, response) => response.end(body));
+  const port = await listen(server, '127.0.0.1', 0);
+  const client = new StoreClient({ip: '127.0.0.1', port});
+  const snapshot = await client.newest('keyed.op');
+  client.close();
+  await closeNow(server);
+  expect(snapshot.isErr()).toBe(true);
+});
+
 // The store accepts only whole milliseconds: with a fraction it responds at once, and
 // the host polls without a pause.
 test('the wait of a read is rounded up to whole milliseconds', async () => {
