Match host names that end with a dot

Callers that send the absolute form of a host name (shop.example.) got 404. Found by looking for what makes a fresh view answer 404; not known from the record, which doesn't tell the host name. Evidence: tests/routes.test.ts, three forms, failed before (no route).

--- a/src/decisions/routes/route_index.ts
+++ b/src/decisions/routes/route_index.ts
@@ -116,7 +116,7 @@
   return byHost;
 }
 
-/** Host header without its port. */
+/** Host header without its port and without the dot of an absolute name. */
 function hostName(host: string): string {
-  return host.replace(/:\d+$/, '').toLowerCase();
+  return host.replace(/\.?(?::\d+)?$/, '').toLowerCase();
 }
--- a/tests/routes.test.ts
+++ b/tests/routes.test.ts
@@ -37,6 +37,16 @@
   expect(routeIndex.find('shop.example', '/a')?.prefix).toBe('/');
 });
 
+// Guards against a 404 for the absolute form of a host name (RFC 3986, 3.2.2).
+test.each(['shop.example.', 'shop.example.:80', 'SHOP.EXAMPLE.'])(
+  'a route matches the host name %s',
+  host => {
+    const routeIndex = new RouteIndex();
+    routeIndex.applyIfNewer(table(1, '/a/'));
+    expect(routeIndex.find(host, '/a/1')?.prefix).toBe('/a/');
+  },
+);
+
 test('a route does not match other host names', () => {
   const routeIndex = new RouteIndex();
   routeIndex.applyIfNewer(table(1, '/a/'));
