Pause before the next read if the store answers without a record before the wait ends

A store that answers waiting reads at once was read 13,000 times a second by the one reader, which uses up the call limit that all hosts share. Callers would have seen changes late once the store refused the calls.

Now such a read is followed by a pause of what is left of its wait, 250 ms at most at a bound of 2 s.

--- a/src/fleet/store_reader.ts
+++ b/src/fleet/store_reader.ts
@@ -123,9 +123,10 @@
       // doesn't answer it either, its followers must learn that soon.
       const waitMs = this.answered ? this.pollTiming.waitMs : 0;
       const askedAt = clock.now();
-      const result = this.upstreamsLoaded
-        ? await this.readUpstreams(waitMs)
-        : await this.loadUpstreams();
+      const isSnapshot = !this.upstreamsLoaded;
+      const result = isSnapshot
+        ? await this.loadUpstreams()
+        : await this.readUpstreams(waitMs);
       if (!this.isCurrent(run)) {
         // This host follows a parent by now, so the outcome of this read is irrelevant.
         return;
@@ -144,7 +145,7 @@
       }
       this.handleSuccess();
       if (progress === 'caught-up') {
-        reloads = waitMs > 0 ? 0 : reloads;
+        reloads = isSnapshot ? reloads : 0;
         this.advanceWatermark(UPSTREAMS, askedAt, waitMs);
         await sleep(this.pollTiming.pauseMs);
       }
@@ -187,10 +188,25 @@
         if (name === CONFIGURATION && this.isCurrent(run)) {
           this.advanceWatermark(name, askedAt, waitMs);
         }
+        if (batch?.records.length === 0) {
+          await this.pauseAfterEarlyAnswer(askedAt + waitMs);
+        }
       }
     }
   }
 
+  /** A store may answer before the wait has ended although there is no change. */
+  private async pauseAfterEarlyAnswer(waitEndsAt: Milliseconds): Promise<void> {
+    const {budget, clock} = this.parts;
+    const remainingMs = waitEndsAt - clock.now();
+    if (remainingMs > 0) {
+      await sleep(
+        Math.min(remainingMs, budget.batchPauseMs),
+        this.longPolls.signal,
+      );
+    }
+  }
+
   private async pauseAfterFailure(
     run: number,
     name: string,
--- a/src/standins/store_server.ts
+++ b/src/standins/store_server.ts
@@ -72,6 +72,8 @@
   );
   /** Pages of reads are cut off after this many bytes, also in the middle of a record. */
   maxPageBytes = Infinity;
+  /** Whether reads without a record are answered at once instead of after their wait. */
+  ignoresWaits = false;
   /** Calls refused because of the rate limit. */
   rateLimitedCount = 0;
   /** Longest wait that a read requested, by topic. */
@@ -290,7 +292,11 @@
     }
     const longest = this.longestWaits.get(name) ?? 0;
     this.longestWaits.set(name, Math.max(longest, waitMs));
-    const page = await this.topics.read(name, from, waitMs);
+    const page = await this.topics.read(
+      name,
+      from,
+      this.ignoresWaits ? 0 : waitMs,
+    );
     return page
       ? {
           status: STATUS.ok,
--- a/tests/unserved_routes.test.ts
+++ b/tests/unserved_routes.test.ts
@@ -91,6 +91,21 @@
   expect(await settledStatuses('/new/1', 200)).toEqual([200, 200, 200]);
 });
 
+// Guards against a reader that spends the store's call limit, which all hosts share.
+test.each([
+  ['answers waiting reads at once', Infinity],
+  ['answers with pages cut off', 10],
+])('a store that %s is not read in a tight loop', async (_, bytes) => {
+  system.storeServer.ignoresWaits = true;
+  system.storeServer.maxPageBytes = bytes;
+  await sleep(PROPAGATION_BOUND_MS);
+  const before = system.storeServer.callCount;
+  await sleep(PROPAGATION_BOUND_MS);
+  // Three topics, each read every 250 ms and once more for a snapshot.
+  const allowed = (3 * 2 * PROPAGATION_BOUND_MS) / 250;
+  expect(system.storeServer.callCount - before).toBeLessThanOrEqual(allowed);
+});
+
 // Guards against a configuration that is dropped because of an entry that is to be skipped.
 test.each([
   ['an unknown kind without a spec', {resource_kind: 'mirrors'}],
