Cut off pages and write unknown entries in the soak

The soak's store either answered whole or didn't answer, and its configurations had only entries that hosts know, so that it couldn't show routes that stay unserved while the view looks fresh. Its check of versions in force also counts the refusal of a host that knows of a newer version and lacks it, which isn't a 404 any more.

--- a/src/soak/configuration_watch.ts
+++ b/src/soak/configuration_watch.ts
@@ -3,6 +3,7 @@
  * that version has.
  */
 
+import type {ProblemReason} from '../http/index.js';
 import type {Milliseconds} from '../time/index.js';
 import {sleep} from '../time/index.js';
 import type {Callers} from './callers.js';
@@ -17,6 +18,9 @@
 import {versionRoutePrefix} from './testbed.js';
 
 const POLL_INTERVAL_MS: Milliseconds = 200;
+const NOT_FOUND = 404;
+/** Names the refusal of a host that knows of a newer version and lacks it. */
+const BEHIND_REASON: ProblemReason = 'newer-configuration';
 
 export class ConfigurationWatch {
   readonly findings: Finding[] = [];
@@ -86,8 +90,10 @@
     }
     const writtenAt = this.writtenAt.get(version) ?? Infinity;
     const isNewest = version === this.testbed.version;
+    const isUnknown =
+      outcome.status === NOT_FOUND || outcome.body.includes(BEHIND_REASON);
     if (
-      outcome.status === 404 &&
+      isUnknown &&
       isNewest &&
       askedAt > writtenAt + MAX_APPLY_DELAY_MS + TIMING_SLACK_MS
     ) {
--- a/src/soak/main.ts
+++ b/src/soak/main.ts
@@ -49,6 +49,10 @@
     description:
       'number of drills with customers: keys replaced, quotas lowered, load beyond quotas and capacity; 0 leaves customers out',
   });
+  readonly storeOddities = Option.String('--store-oddities', '1', {
+    description:
+      'number of periods with pages of the store cut off or unknown entries in configurations; regressions keep their plans',
+  });
   readonly seconds = Option.String('--seconds', '8', {
     description: 'time within which faults and drills begin',
   });
@@ -90,6 +94,7 @@
         lostReads: 0,
         announcements: 0,
         customers: 0,
+        storeOddities: 0,
         ...plan,
       })),
       ...Array.from({length: count}, (_, index) =>
@@ -111,6 +116,7 @@
       lostReads: Number(this.lostReads),
       announcements: Number(this.announcements),
       customers: Number(this.customers),
+      storeOddities: Number(this.storeOddities),
       faultPhaseMs: Number(this.seconds) * SECOND_MS,
     };
   }
--- a/src/soak/run.ts
+++ b/src/soak/run.ts
@@ -18,6 +18,7 @@
 import {LOST_READS} from './lost_reads.js';
 import {monitorStalls} from './stall_monitor.js';
 import {ConfigurationWatch} from './configuration_watch.js';
+import {STORE_ODDITIES} from './store_oddities.js';
 import type {Finding, RunReport} from './types.js';
 import type {TestbedSize} from './testbed.js';
 import {Testbed} from './testbed.js';
@@ -34,6 +35,8 @@
   readonly lostReads: number;
   /** Number of rate limits, refusals with Retry-After and departures to announce. */
   readonly announcements: number;
+  /** Number of periods with pages cut off or unknown entries in configurations. */
+  readonly storeOddities: number;
   /** Whether one caller sends a request that crashes each upstream that executes it. */
   readonly harmful: boolean;
   readonly logFolder: string;
@@ -50,6 +53,7 @@
 const LOST_READS_SEED_OFFSET = 300_000;
 const ANNOUNCEMENTS_SEED_OFFSET = 400_000;
 const CUSTOMERS_SEED_OFFSET = 500_000;
+const STORE_ODDITIES_SEED_OFFSET = 600_000;
 /** Time in which to detect that a refused request is executed after all. */
 const SETTLE_MS: Milliseconds = 500;
 
@@ -175,6 +179,11 @@
       count: plan.customers,
       seed: plan.seed + CUSTOMERS_SEED_OFFSET,
     },
+    {
+      drills: STORE_ODDITIES,
+      count: plan.storeOddities,
+      seed: plan.seed + STORE_ODDITIES_SEED_OFFSET,
+    },
   ];
 }
 
--- a/src/soak/testbed.ts
+++ b/src/soak/testbed.ts
@@ -69,6 +69,8 @@
     string,
     Map<string, string | undefined>
   >();
+  /** Further entries of the configurations that are written. */
+  extraEntries: readonly unknown[] = [];
   private closed = false;
 
   constructor(
@@ -113,6 +115,7 @@
       {},
       {coldPerSecond: COLD_PER_SECOND},
       customers,
+      this.extraEntries,
     );
     this.write(OPERATOR_TOPIC, 'config', record);
     this.history.customers.noteConfiguration(
@@ -228,6 +231,8 @@
       endpoint.lostTopics.clear();
       proxy.fault = 'none';
     }
+    this.store.maxPageBytes = Infinity;
+    this.extraEntries = [];
     for (const {server, proxy} of this.allUpstreams) {
       server.fault = 'none';
       server.healthy = true;
--- a/src/standins/index.ts
+++ b/src/standins/index.ts
@@ -17,6 +17,7 @@
 } from './platform_records.js';
 export {quotaBounds} from './quota_bounds.js';
 export {
+  ODD_ENTRIES,
   configurationRecord,
   routesOf,
   upstreamRecord,
--- a/src/standins/platform_records.ts
+++ b/src/standins/platform_records.ts
@@ -50,6 +50,21 @@
   max_attempts: 2,
 };
 
+/** Entries of a configuration that hosts skip, or refuse without harm to the others. */
+export const ODD_ENTRIES: readonly unknown[] = [
+  null,
+  7,
+  {},
+  {resource_kind: 'mirrors'},
+  {resource_kind: 'mirrors', metadata: 'm', spec: []},
+  {resource_kind: 'services', metadata: {name: 'odd'}, spec: {}},
+  {
+    resource_kind: 'routes',
+    metadata: {name: 'odd'},
+    spec: {hostname: 'odd.example', path_prefix: '/odd/', traffic_split: null},
+  },
+];
+
 /** A configuration record with the given routes and services. */
 export function configurationRecord(
   version: number,
@@ -58,9 +73,11 @@
   limits: LimitsSpec = {},
   {coldPerSecond}: ServiceSpec = {},
   customers: readonly CustomerSpec[] = [],
+  extraEntries: readonly unknown[] = [],
 ): string {
   const [firstService] = services;
   const resources = [
+    ...extraEntries,
     ...routes.map((route, index) => ({
       resource_kind: 'routes',
       metadata: {name: `r${index}`},
--- a/tests/soak.test.ts
+++ b/tests/soak.test.ts
@@ -27,6 +27,7 @@
     lostReads: 0,
     announcements: 0,
     customers: 0,
+    storeOddities: 0,
     logFolder,
   });
   expect(report.findings).toEqual([]);
@@ -46,6 +47,7 @@
     lostReads: 0,
     announcements: 0,
     customers: 0,
+    storeOddities: 0,
     logFolder,
   });
   expect(report.findings).toEqual([]);
@@ -65,6 +67,7 @@
     lostReads: 0,
     announcements: 0,
     customers: 0,
+    storeOddities: 0,
     logFolder,
   });
   expect(report.findings).toEqual([]);
@@ -84,6 +87,7 @@
     lostReads: 3,
     announcements: 0,
     customers: 0,
+    storeOddities: 0,
     logFolder,
   });
   expect(report.findings).toEqual([]);
@@ -103,6 +107,28 @@
     lostReads: 0,
     announcements: 5,
     customers: 0,
+    storeOddities: 0,
+    logFolder,
+  });
+  expect(report.findings).toEqual([]);
+  expect(report.requests).toBeGreaterThan(100);
+});
+
+// Guards against hosts that take a page without the newest record for all there is.
+test('a run with pages cut off and unknown entries violates no guarantee', async () => {
+  const report = await runOnce({
+    seed: 21,
+    hosts: 4,
+    upstreams: 6,
+    callers: 8,
+    faults: 1,
+    faultPhaseMs: 3_000,
+    harmful: false,
+    drills: 0,
+    lostReads: 0,
+    announcements: 0,
+    customers: 0,
+    storeOddities: 4,
     logFolder,
   });
   expect(report.findings).toEqual([]);
@@ -123,6 +149,7 @@
     lostReads: 0,
     announcements: 0,
     customers: 1,
+    storeOddities: 0,
     logFolder,
   });
   expect(report.findings).toEqual([]);
