--- a/src/soak/store_oddities.ts
+++ b/src/soak/store_oddities.ts
@@ -4,35 +4,34 @@
  */
 
 import {ODD_ENTRIES} from '../standins/index.js';
-import type {Milliseconds} from '../time/index.js';
+import type {Milliseconds, Random} from '../time/index.js';
 import {sleep} from '../time/index.js';
 import type {Drill} from './drills.js';
 
+/** Long enough to detect that a change is applied late. */
 const ODDITY_MS: Milliseconds = 6_000;
-const STEP_MS: Milliseconds = 400;
-/** Some records of configurations fit and some don't. */
-const MAX_PAGE_BYTES = 3_000;
-const CHANGE_PROBABILITY = 0.4;
+/** Shorter than the record of any configuration. */
+const MAX_PAGE_BYTES = 600;
 
 export type StoreOddityKind = 'cut-pages' | 'odd-entries';
 
 export const STORE_ODDITIES: Readonly<Record<StoreOddityKind, Drill>> = {
   'cut-pages': async (testbed, random) => {
-    for (let passedMs = 0; passedMs < ODDITY_MS; passedMs += STEP_MS) {
-      testbed.store.maxPageBytes = Math.floor(MAX_PAGE_BYTES * random());
-      if (random() < CHANGE_PROBABILITY) {
-        testbed.configure();
-      }
-      await sleep(STEP_MS);
-    }
+    testbed.store.maxPageBytes = Math.floor(MAX_PAGE_BYTES * random());
+    testbed.configure();
+    await sleep(ODDITY_MS);
     testbed.store.maxPageBytes = Infinity;
   },
   'odd-entries': async (testbed, random) => {
-    for (let passedMs = 0; passedMs < ODDITY_MS; passedMs += ODDITY_MS / 3) {
-      testbed.extraEntries = ODD_ENTRIES.filter(() => random() < 0.5);
-      testbed.configure();
-      await sleep(ODDITY_MS / 3);
-    }
+    const [first, ...others] = shuffle(ODD_ENTRIES, random);
+    testbed.extraEntries = [first, ...others.filter(() => random() < 0.5)];
+    testbed.configure();
+    await sleep(ODDITY_MS);
     testbed.extraEntries = [];
   },
 };
+
+function shuffle<T>(items: readonly T[], random: Random): readonly T[] {
+  const ranked = items.map(item => ({item, rank: random()}));
+  return ranked.sort((a, b) => a.rank - b.rank).map(({item}) => item);
+}
