Read the store by the deadline after a parent without source is lost

Two calm hosts lacked a change for 2.5 to 4.8 s and knew that their data was that old. They had been told that the store fails and left reading to others, which is planned for 3 s later; then the parent that told them was cut off, and the plan stayed, since their source had been lost before.

Now the loss of such a parent brings the read forward to what the loss of a parent allows, and to the deadline that the age of the data sets.

--- a/src/decisions/fleet/fleet_node.ts
+++ b/src/decisions/fleet/fleet_node.ts
@@ -410,7 +410,7 @@
       this.peerExchange.view.remove(parent.address);
     }
     if (!this.isRoot) {
-      this.source.lose(() => this.readerRole.planAfterParentLoss(parent));
+      this.source.loseParent(parent);
     }
   }
 
--- a/src/decisions/fleet/reader_role.ts
+++ b/src/decisions/fleet/reader_role.ts
@@ -126,6 +126,14 @@
     this.plan(this.parentLossDelay(parent));
   }
 
+  /** The parent is lost while it had no source: nobody reports on the store any more. */
+  hastenAfterParentLoss(parent: Parent): void {
+    if (!this.reading) {
+      const plannedAt = this.parts.clock.now() + this.parentLossDelay(parent);
+      this.readAt = Math.min(this.readAt, plannedAt, this.readDeadline);
+    }
+  }
+
   /** The parent has lost its source. */
   planWhileFollowing(): void {
     this.plan(this.followingDelay());
--- a/src/decisions/fleet/source_tracker.ts
+++ b/src/decisions/fleet/source_tracker.ts
@@ -10,7 +10,7 @@
 import type {ParentSearch} from './parent_search.js';
 import type {PropagationBudget} from './propagation_budget.js';
 import type {ReaderRole} from './reader_role.js';
-import type {TreePosition} from './tree_position.js';
+import type {Parent, TreePosition} from './tree_position.js';
 
 export interface SourceTrackerParts {
   readonly freshness: Freshness;
@@ -77,6 +77,16 @@
     }
   }
 
+  /** The source is lost with the parent, or the parent had lost it before. */
+  loseParent(parent: Parent): void {
+    const {readerRole} = this.parts;
+    if (this.isPresent) {
+      this.lose(() => readerRole.planAfterParentLoss(parent));
+    } else if (parent.isConfirmed) {
+      readerRole.hastenAfterParentLoss(parent);
+    }
+  }
+
   /**
    * Stale data counts as a loss of the source, whatever the parent reports: it
    * may be waiting in vain for its own parent.
--- a/tests/fleet_node.test.ts
+++ b/tests/fleet_node.test.ts
@@ -268,6 +268,18 @@
   expect(kindsOf(tickFor(node, 61_000))).toContain('read');
 });
 
+// Guards against a host that leaves the store to others for seconds after it is cut off
+// from the parent that told it of their failures.
+test('a host that loses a parent without source reads by its deadline', () => {
+  const node = createFollowingNode();
+  node.heartbeatReceived(
+    heartbeat({reader: undefined, isStoreFailing: true, hosts: 300}),
+  );
+  tickFor(node, 400);
+  node.ended('unreachable');
+  expect(kindsOf(tickFor(node, 1_300))).toContain('read');
+});
+
 test('a parent with stale data is no source', () => {
   // The reader is frozen, while its followers still send heartbeats.
   const node = createFollowingNode();
