Keep the size of the fleet in the store for quotas

Customers got 1.4 to 1.7 times their quota in a window when all hosts of a split fleet were killed and restarted before it healed: hosts keep nothing, so that each part took itself for the whole fleet and granted whole quotas.

Now the root of the tree reads the fleet's size from the store when it begins, and writes it when its count changes; what is read counts like a count of its own. Only while the configuration has customers, 2 s apart at least.

--- a/src/decisions/fleet/grantor_list.ts
+++ b/src/decisions/fleet/grantor_list.ts
@@ -8,6 +8,8 @@
 import {FleetSize} from './fleet_size.js';
 import {LASTING_COUNT_MS} from './constants.js';
 import type {FollowerSlots} from './follower_slots.js';
+import type {StoredSizeCall} from './stored_size.js';
+import {StoredSize} from './stored_size.js';
 import type {TreePosition} from './tree_position.js';
 import type {GrantorTerm, Heartbeat, Peer} from './types.js';
 
@@ -24,9 +26,11 @@
   private last: GrantorTerm | undefined;
   private counts: readonly {at: Milliseconds; count: number}[] = [];
   private readonly lasting: FleetSize;
+  private readonly storedSize: StoredSize;
 
   constructor(private readonly parts: GrantorListParts) {
     this.lasting = new FleetSize(parts.clock);
+    this.storedSize = new StoredSize(parts.clock);
     // A host that restarts in a part of a split fleet knows of no others yet.
     const known = new Set([parts.self.address, ...parts.introducers]);
     this.lasting.observe(known.size);
@@ -65,6 +69,22 @@
     };
   }
 
+  /**
+   * The call for the fleet's size in the store to make now, if any.
+   *
+   * @param isRoot whether this host reads the store for the fleet
+   */
+  nextSizeCall(isRoot: boolean): StoredSizeCall | undefined {
+    const isTreeRoot = isRoot && this.parts.position.isTreeRoot;
+    return this.storedSize.nextCall(isTreeRoot, this.lastingCount);
+  }
+
+  /** @param hosts size in the store; 0 if there is none */
+  noteStoredSize(hosts: number): void {
+    this.storedSize.note(hosts);
+    this.lasting.observe(hosts);
+  }
+
   /** Call it every few tens of milliseconds. */
   tick(): void {
     const {position, followers} = this.parts;
--- a/src/decisions/fleet/index.ts
+++ b/src/decisions/fleet/index.ts
@@ -1,6 +1,10 @@
 export * from './types.js';
 export type {ConfigurationReport} from './configuration_view.js';
 export {ConfigurationView} from './configuration_view.js';
+export {GrantorList} from './grantor_list.js';
+export type {StoredSizeCall} from './stored_size.js';
+export {StoredSize} from './stored_size.js';
+export {TreePosition} from './tree_position.js';
 export {NEAR_VIEW_SIZE} from './constants.js';
 export type {FleetNodeParts} from './fleet_node.js';
 export {FleetNode} from './fleet_node.js';
--- /dev/null
+++ b/src/decisions/fleet/stored_size.ts
@@ -0,0 +1,51 @@
+/**
+ * Decides when the root of the distribution tree reads the size of the fleet from the
+ * store, and when it writes it there.
+ *
+ * Hosts keep nothing. Without the record, each part of a split fleet that restarts as a
+ * whole would take itself for the whole fleet, and grant whole quotas.
+ */
+
+import type {Clock, Milliseconds} from '../../time/index.js';
+
+/** Shortest interval between calls for the record. */
+const MIN_CALL_INTERVAL_MS: Milliseconds = 2_000;
+
+export type StoredSizeCall = 'read' | 'write';
+
+export class StoredSize {
+  private stored: number | undefined;
+  private calledAt: Milliseconds = -Infinity;
+
+  constructor(private readonly clock: Clock) {}
+
+  /**
+   * The call to make now, if any.
+   *
+   * @param isRoot whether this host is the root, with access to the store
+   * @param hosts size of the fleet, as counted or read lately
+   */
+  nextCall(isRoot: boolean, hosts: number): StoredSizeCall | undefined {
+    if (!isRoot) {
+      this.stored = undefined;
+      return undefined;
+    }
+    const now = this.clock.now();
+    const call =
+      this.stored === undefined
+        ? 'read'
+        : hosts === this.stored
+          ? undefined
+          : 'write';
+    if (!call || now - this.calledAt < MIN_CALL_INTERVAL_MS) {
+      return undefined;
+    }
+    this.calledAt = now;
+    return call;
+  }
+
+  /** The record has been read or written; 0 if there is none. */
+  note(hosts: number): void {
+    this.stored = hosts;
+  }
+}
--- a/src/fleet/fleet_member.ts
+++ b/src/fleet/fleet_member.ts
@@ -4,6 +4,7 @@
 import type {DatagramPort} from '../datagrams/index.js';
 import type {
   Admission,
+  GrantorList,
   FollowRequest,
   GrantorTerm,
   PropagationBudget,
@@ -11,6 +12,7 @@
   Peer,
   PeerFault,
   PeerStatus,
+  StoredSizeCall,
   Heartbeat,
   Update,
 } from '../decisions/fleet/index.js';
@@ -21,6 +23,7 @@
 import type {FleetState} from './fleet_state.js';
 import {finiteAge} from './fleet_state.js';
 import {decodeGreeting, encodeGreeting} from './greeting_codec.js';
+import {readFleetSize, writeFleetSize} from './fleet_size_record.js';
 import {listIntroducers, registerIntroducer} from './introducer_list.js';
 import type {BadRecordObserver} from './record_applier.js';
 import {RecordApplier} from './record_applier.js';
@@ -189,6 +192,7 @@
     }
     node.followers.silent.forEach(this.parts.onFollowerSilent);
     this.performActions(node.tick());
+    this.keepSize(node);
     const inMs = node.hasSource ? TICK_MS : NO_SOURCE_TICK_MS;
     this.timer = setTimeout(() => this.tick(), inMs);
   }
@@ -351,6 +355,38 @@
     );
   }
 
+  /** Only quotas need the size in the store, and each call costs money. */
+  private keepSize({grantors, isRoot}: FleetNode): void {
+    const {customers} = this.parts.state;
+    const call = customers.isEmpty ? undefined : grantors.nextSizeCall(isRoot);
+    if (call) {
+      void this.callForSize(call, grantors);
+    }
+  }
+
+  private async callForSize(
+    call: StoredSizeCall,
+    grantors: GrantorList,
+  ): Promise<void> {
+    const {store, logger} = this.parts;
+    const {lastingCount: hosts} = grantors;
+    const result =
+      call === 'read'
+        ? await readFleetSize(store)
+        : (await writeFleetSize(store, hosts)).map(() => hosts);
+    result.match(
+      stored => {
+        logger.info({event: 'fleet-size', call, hosts: stored}, 'fleet size');
+        grantors.noteStoredSize(stored);
+      },
+      ({message: error}) =>
+        logger.warn(
+          {event: 'fleet-size', call, error},
+          'the fleet size in the store is not known',
+        ),
+    );
+  }
+
   private async register(): Promise<void> {
     const {store, logger, random} = this.parts;
     const {self, node} = this;
--- /dev/null
+++ b/src/fleet/fleet_size_record.ts
@@ -0,0 +1,36 @@
+/** The fleet's size in the store, for hosts that restart while the fleet is split. */
+
+import type {Result} from 'neverthrow';
+import type {LogPosition} from '../decisions/registry/index.js';
+import type {Store, StoreFailure} from '../platform/index.js';
+
+/** A topic of this system; keeps the newest record. */
+const FLEET_TOPIC = 'keyed.fleet';
+const SIZE_KEY = 'size';
+
+export async function writeFleetSize(
+  store: Store,
+  hosts: number,
+): Promise<Result<LogPosition, StoreFailure>> {
+  return store.put(FLEET_TOPIC, SIZE_KEY, JSON.stringify({hosts}));
+}
+
+/** @returns 0 if there is no valid record */
+export async function readFleetSize(
+  store: Store,
+): Promise<Result<number, StoreFailure>> {
+  const snapshot = await store.newest(FLEET_TOPIC);
+  return snapshot.map(({records}) =>
+    Math.max(0, ...records.map(({value}) => decodeHosts(value))),
+  );
+}
+
+function decodeHosts(value = ''): number {
+  try {
+    const {hosts} = JSON.parse(value) as {hosts?: unknown};
+    return Number.isSafeInteger(hosts) ? Math.max(0, Number(hosts)) : 0;
+  } catch {
+    // Written by another program or another version: ignored.
+    return 0;
+  }
+}
--- /dev/null
+++ b/tests/fleet_size_record.test.ts
@@ -0,0 +1,116 @@
+import {afterEach, beforeEach, expect, test} from 'vitest';
+import {Writable} from 'node:stream';
+import {pino} from 'pino';
+import {
+  FleetSize,
+  FollowerSlots,
+  GrantorList,
+  StoredSize,
+  TreePosition,
+} from '../src/decisions/fleet/index.js';
+import {ManualClock, seededRandom} from '../src/time/index.js';
+import {DEFAULT_ROUTES, GatewaySystem, until} from './support/gateway.js';
+import {peer} from './support/peers.js';
+
+const FLEET_TOPIC = 'keyed.fleet';
+const MAPS = {name: 'maps', keys: ['key-of-maps'], ratePerSecond: 10};
+
+let system: GatewaySystem;
+let lines: Record<string, unknown>[];
+
+beforeEach(async () => {
+  lines = [];
+  const sink = new Writable({
+    write(chunk: Buffer, _encoding, done): void {
+      lines.push(JSON.parse(chunk.toString()) as Record<string, unknown>);
+      done();
+    },
+  });
+  system = new GatewaySystem(pino({base: undefined}, sink));
+  await system.addUpstream('i-1');
+});
+
+afterEach(() => system.close());
+
+function storedSize(): unknown {
+  const [record] = system.storeServer.topics.newest(FLEET_TOPIC, '').items;
+  return record && JSON.parse(record.value);
+}
+
+// Guards against parts of a split fleet that restart and take themselves for the whole.
+test('the reader keeps the size of the fleet in the store', async () => {
+  system.configure(1, DEFAULT_ROUTES, {}, {}, [MAPS]);
+  await system.startReadyHost('east');
+  await system.startReadyHost('west');
+  await system.startReadyHost('west');
+  await until(() => JSON.stringify(storedSize()) === '{"hosts":3}');
+});
+
+test('a reader that starts knows the size in the store', async () => {
+  system.configure(1, DEFAULT_ROUTES, {}, {}, [MAPS]);
+  system.storeServer.put(FLEET_TOPIC, 'size', '{"hosts":40}');
+  await system.startReadyHost();
+  await until(() => lines.some(({event}) => event === 'fleet-size'));
+  expect(lines.find(({event}) => event === 'fleet-size')).toMatchObject({
+    call: 'read',
+    hosts: 40,
+  });
+});
+
+test.each(['', '{', '[]', '{"hosts":-3}', '{"hosts":"40"}', '{"hosts":1e300}'])(
+  'the invalid size %j counts as none',
+  async value => {
+    system.configure(1, DEFAULT_ROUTES, {}, {}, [MAPS]);
+    system.storeServer.put(FLEET_TOPIC, 'size', value);
+    await system.startReadyHost();
+    await until(() => lines.some(({event}) => event === 'fleet-size'));
+    expect(lines.find(({event}) => event === 'fleet-size')).toMatchObject({
+      call: 'read',
+      hosts: 0,
+    });
+  },
+);
+
+test('without customers the size is neither read nor written', async () => {
+  system.configure(1);
+  await system.startReadyHost();
+  system.configure(2, [{path_prefix: '/new/', kind: 'idempotent'}]);
+  await until(() => system.hosts[0]?.host.version === 2);
+  expect(lines.some(({event}) => event === 'fleet-size')).toBe(false);
+});
+
+test('the size is read once by each root, and written when it has changed', () => {
+  const clock = new ManualClock(0);
+  const size = new StoredSize(clock);
+  expect(size.nextCall(false, 3)).toBeUndefined();
+  expect(size.nextCall(true, 3)).toBe('read');
+  expect(size.nextCall(true, 3)).toBeUndefined();
+  clock.advance(2_000);
+  expect(size.nextCall(true, 3)).toBe('read');
+  size.note(13);
+  expect(size.nextCall(true, 13)).toBeUndefined();
+  expect(size.nextCall(true, 14)).toBeUndefined();
+  clock.advance(2_000);
+  expect(size.nextCall(true, 14)).toBe('write');
+  size.note(14);
+  expect(size.nextCall(false, 14)).toBeUndefined();
+  clock.advance(2_000);
+  expect(size.nextCall(true, 14)).toBe('read');
+});
+
+test('a root that has read the size takes its part of the fleet for a part', () => {
+  const clock = new ManualClock(0);
+  const position = new TreePosition(peer(1));
+  position.becomeRoot();
+  const grantors = new GrantorList({
+    self: peer(1),
+    introducers: [],
+    size: new FleetSize(clock),
+    followers: new FollowerSlots(peer(1), 8, clock, seededRandom(1)),
+    position,
+    clock,
+  });
+  expect(grantors.nextSizeCall(true)).toBe('read');
+  grantors.noteStoredSize(13);
+  expect(grantors.term).toMatchObject({reachable: 1, hosts: 13});
+});
--- a/tests/support/fleet_simulation.ts
+++ b/tests/support/fleet_simulation.ts
@@ -217,6 +217,9 @@
         .filter(({follower}) => silent.includes(follower.address))
         .forEach(stream => this.streams.close(stream, true, 'parent'));
       this.performActions(host, host.node.tick());
+      if (this.options.storesSize) {
+        this.keepSize(host);
+      }
     });
     this.scheduleEvery(host, life, HEARTBEAT_INTERVAL_MS, () =>
       this.streams.sendHeartbeats(host),
@@ -363,6 +366,28 @@
     });
   }
 
+  private keepSize(host: SimulatedHost): void {
+    const {grantors, isRoot} = host.node;
+    const call = grantors.nextSizeCall(isRoot);
+    if (!call) {
+      return;
+    }
+    const {life} = host;
+    const hosts = grantors.lastingCount;
+    host.calls += 1;
+    this.network.after(this.store.latencyMs, () => {
+      if (!this.store.isServing(host)) {
+        return;
+      }
+      if (call === 'write') {
+        this.store.fleetSize = hosts;
+      }
+      if (host.alive && host.life === life) {
+        grantors.noteStoredSize(this.store.fleetSize);
+      }
+    });
+  }
+
   private list(host: SimulatedHost): void {
     const {life} = host;
     this.store.list(host, peers => {
--- a/tests/support/simulated_store.ts
+++ b/tests/support/simulated_store.ts
@@ -12,6 +12,8 @@
   isDown = false;
   latencyMs: Milliseconds = 5;
   readonly introducers = new Map<string, Peer>();
+  /** Size of the fleet, as the last root wrote it. */
+  fleetSize = 0;
   private readonly waiting = new Set<() => void>();
 
   constructor(private readonly network: SimulatedNetwork) {}
