Move checks of record fields out of the platform's folder; capture logs in one place

Two tests collected log lines by the same code, which is tests/support/log_capture.ts now. A configuration that comes without its origin, from a host of the version before, no longer keeps the origin of the one before it in refusals.

--- a/src/decisions/fleet/configuration_view.ts
+++ b/src/decisions/fleet/configuration_view.ts
@@ -66,9 +66,13 @@
     return position !== undefined && position !== this.inForce?.position;
   }
 
-  /** A version has been put in force. */
-  noteInForce({reader, position, ageMs}: ConfigurationOrigin): void {
-    this.inForce = {reader, position, readAt: this.clock.now() - ageMs};
+  /** @param origin of the version that has been put in force, if it is known */
+  noteInForce(origin: ConfigurationOrigin | undefined): void {
+    this.inForce = origin && {
+      reader: origin.reader,
+      position: origin.position,
+      readAt: this.clock.now() - origin.ageMs,
+    };
   }
 
   /** Another host or the store has told of the newest record. */
--- a/src/fleet/fleet_state.ts
+++ b/src/fleet/fleet_state.ts
@@ -199,9 +199,7 @@
     if (!this.routes.applyIfNewer(table)) {
       return false;
     }
-    if (origin) {
-      this.configuration.noteInForce(origin);
-    }
+    this.configuration.noteInForce(origin);
     this.customers.replace(table.customers);
     this.logger.info(
       {
--- a/src/platform/configuration_record.ts
+++ b/src/platform/configuration_record.ts
@@ -9,19 +9,19 @@
   RouteTable,
   ServiceProfile,
 } from '../decisions/routes/index.js';
-import {RecordError} from './errors.js';
-import type {Fields} from './fields.js';
+import type {Fields} from '../records/index.js';
 import {
-  nonNegativeNumber,
+  RecordError,
   decode,
   fields,
   isObject,
   list,
+  nonNegativeNumber,
   objectList,
   text,
-  duration,
   wholeNumber,
-} from './fields.js';
+} from '../records/index.js';
+import {duration} from './duration.js';
 
 /** Topic of the operator's records, and the key of the configuration. */
 export const OPERATOR_TOPIC = 'keyed.op';
--- a/src/platform/duration.ts
+++ b/src/platform/duration.ts
@@ -1,5 +1,6 @@
 /** The platform's notation of durations: `1500ms`, `2.5s`. */
 
+import {RecordError} from '../records/index.js';
 import type {Milliseconds} from '../time/index.js';
 
 const DURATION_PATTERN = /^(\d+(?:\.\d+)?)(ms|s)$/;
@@ -14,3 +15,11 @@
   const value = Number(match[1]);
   return match[2] === 's' ? value * MS_PER_SECOND : value;
 }
+
+export function duration(value: unknown, field: string): Milliseconds {
+  const parsed = parseDuration(value);
+  if (parsed === undefined) {
+    throw new RecordError(field, 'write a duration like 1500ms');
+  }
+  return parsed;
+}
--- a/src/platform/errors.ts
+++ b/src/platform/errors.ts
@@ -1,4 +1,4 @@
-/** Errors in the settings file and in records of the store. */
+/** Errors in the settings file. */
 
 /** A field of the settings file is missing or invalid. */
 export class SettingsFileError extends Error {
@@ -9,13 +9,3 @@
     super(`settings field ${field}: ${remedy}`);
   }
 }
-
-/** A record of the store is invalid; the last valid one stays in force. */
-export class RecordError extends Error {
-  constructor(
-    readonly field: string,
-    remedy: string,
-  ) {
-    super(`record field ${field}: ${remedy}`);
-  }
-}
--- a/src/platform/evacuation_record.ts
+++ b/src/platform/evacuation_record.ts
@@ -1,8 +1,8 @@
 /** Decodes evacuations: an evacuated data centre's upstreams get no new requests. */
 
 import type {Result} from 'neverthrow';
-import type {RecordError} from './errors.js';
-import {decode} from './fields.js';
+import type {RecordError} from '../records/index.js';
+import {decode} from '../records/index.js';
 
 /** Followed by the data centre's name; the record exists until the evacuation ends. */
 const EVACUATION_KEY_PREFIX = 'evacuate/';
--- a/src/platform/index.ts
+++ b/src/platform/index.ts
@@ -1,5 +1,6 @@
 export * from './types.js';
 export * from './errors.js';
+export {RecordError} from '../records/index.js';
 export type {
   LeavingHeader,
   RateLimitHeader,
--- a/src/platform/store_client.ts
+++ b/src/platform/store_client.ts
@@ -10,8 +10,8 @@
   offsetOf,
   positionOf,
 } from '../decisions/registry/index.js';
+import {isObject} from '../records/index.js';
 import type {Milliseconds} from '../time/index.js';
-import {isObject} from './fields.js';
 import {decodePage, encodeKeyedRecord, decodeText} from './keyed_records.js';
 import type {SocketAddress} from './settings_file.js';
 import type {
--- a/src/platform/upstream_record.ts
+++ b/src/platform/upstream_record.ts
@@ -9,10 +9,16 @@
 import {isIPv4} from 'node:net';
 import type {Result} from 'neverthrow';
 import type {UpstreamReport} from '../decisions/registry/index.js';
+import type {Fields} from '../records/index.js';
+import {
+  RecordError,
+  decode,
+  fields,
+  text,
+  wholeNumber,
+} from '../records/index.js';
 import type {Milliseconds} from '../time/index.js';
-import {RecordError} from './errors.js';
-import type {Fields} from './fields.js';
-import {decode, fields, text, duration, wholeNumber} from './fields.js';
+import {duration} from './duration.js';
 import {parseAddress} from './settings_file.js';
 
 /** Topic of the upstreams' records; the key is the upstream's name. */
--- a/src/platform/fields.ts
+++ b/src/records/fields.ts
@@ -1,8 +1,6 @@
 /** Validates fields of JSON records from untrusted writers. */
 
 import {Result} from 'neverthrow';
-import type {Milliseconds} from '../time/index.js';
-import {parseDuration} from './duration.js';
 import {RecordError} from './errors.js';
 
 export type Fields = Readonly<Record<string, unknown>>;
@@ -64,11 +62,3 @@
   }
   return Number(value);
 }
-
-export function duration(value: unknown, field: string): Milliseconds {
-  const parsed = parseDuration(value);
-  if (parsed === undefined) {
-    throw new RecordError(field, 'write a duration like 1500ms');
-  }
-  return parsed;
-}
--- a/tests/configuration_view.test.ts
+++ b/tests/configuration_view.test.ts
@@ -1,24 +1,17 @@
 import {afterEach, beforeEach, expect, test} from 'vitest';
-import {Writable} from 'node:stream';
-import {pino} from 'pino';
 import {ConfigurationView} from '../src/decisions/fleet/index.js';
 import {systemClock} from '../src/time/index.js';
 import {GatewaySystem, until} from './support/gateway.js';
+import {LogCapture} from './support/log_capture.js';
 
 const NEW_ROUTE = {path_prefix: '/new/', kind: 'idempotent'} as const;
 
 let system: GatewaySystem;
-let lines: Record<string, unknown>[];
+let log: LogCapture;
 
 beforeEach(async () => {
-  lines = [];
-  const sink = new Writable({
-    write(chunk: Buffer, _encoding, done): void {
-      lines.push(JSON.parse(chunk.toString()) as Record<string, unknown>);
-      done();
-    },
-  });
-  system = new GatewaySystem(pino({base: undefined}, sink));
+  log = new LogCapture();
+  system = new GatewaySystem(log.logger);
   system.configure(1);
   await system.addUpstream('i-1');
 });
@@ -36,7 +29,7 @@
   await until(() => answers('/new/1', 200));
   expect(await answers('/lookup/2', 404)).toBe(true);
   const reader = system.hosts.find(({host}) => host.isReader);
-  expect(lines.find(({request}) => request === '/lookup/2')).toMatchObject({
+  expect(log.find('request', '/lookup/2')).toMatchObject({
     outcome: 'unknown-route',
     host: 'shop.example',
     miss: {kind: 'route-removed', version: 2},
--- a/tests/fleet_node.test.ts
+++ b/tests/fleet_node.test.ts
@@ -15,6 +15,7 @@
 import {followRequest, heartbeat, peer, peerStatus} from './support/peers.js';
 
 const SELF: Peer = {address: '10.0.0.50:7', dataCentre: 'east'};
+const STORE_FAILS = {reader: undefined, isStoreFailing: true, hosts: 300};
 
 let clock: ManualClock;
 
@@ -261,20 +262,15 @@
   // away can find out that it serves them, and no host would learn of a change
   // until one of them reads.
   const node = createFollowingNode();
-  node.heartbeatReceived(
-    heartbeat({reader: undefined, isStoreFailing: true, hosts: 300}),
-  );
+  node.heartbeatReceived(heartbeat(STORE_FAILS));
   expect(kindsOf(tickFor(node, 2_900))).not.toContain('read');
   expect(kindsOf(tickFor(node, 61_000))).toContain('read');
 });
 
-// Guards against a host that leaves the store to others for seconds after it is cut off
-// from the parent that told it of their failures.
+// Guards against a host that leaves the store to others after it lost who reported on them.
 test('a host that loses a parent without source reads by its deadline', () => {
   const node = createFollowingNode();
-  node.heartbeatReceived(
-    heartbeat({reader: undefined, isStoreFailing: true, hosts: 300}),
-  );
+  node.heartbeatReceived(heartbeat(STORE_FAILS));
   tickFor(node, 400);
   node.ended('unreachable');
   expect(kindsOf(tickFor(node, 1_300))).toContain('read');
--- a/tests/fleet_size_record.test.ts
+++ b/tests/fleet_size_record.test.ts
@@ -1,6 +1,4 @@
 import {afterEach, beforeEach, expect, test} from 'vitest';
-import {Writable} from 'node:stream';
-import {pino} from 'pino';
 import {
   FleetSize,
   FollowerSlots,
@@ -10,23 +8,18 @@
 } from '../src/decisions/fleet/index.js';
 import {ManualClock, seededRandom} from '../src/time/index.js';
 import {DEFAULT_ROUTES, GatewaySystem, until} from './support/gateway.js';
+import {LogCapture} from './support/log_capture.js';
 import {peer} from './support/peers.js';
 
 const FLEET_TOPIC = 'keyed.fleet';
 const MAPS = {name: 'maps', keys: ['key-of-maps'], ratePerSecond: 10};
 
 let system: GatewaySystem;
-let lines: Record<string, unknown>[];
+let log: LogCapture;
 
 beforeEach(async () => {
-  lines = [];
-  const sink = new Writable({
-    write(chunk: Buffer, _encoding, done): void {
-      lines.push(JSON.parse(chunk.toString()) as Record<string, unknown>);
-      done();
-    },
-  });
-  system = new GatewaySystem(pino({base: undefined}, sink));
+  log = new LogCapture();
+  system = new GatewaySystem(log.logger);
   await system.addUpstream('i-1');
 });
 
@@ -50,8 +43,8 @@
   system.configure(1, DEFAULT_ROUTES, {}, {}, [MAPS]);
   system.storeServer.put(FLEET_TOPIC, 'size', '{"hosts":40}');
   await system.startReadyHost();
-  await until(() => lines.some(({event}) => event === 'fleet-size'));
-  expect(lines.find(({event}) => event === 'fleet-size')).toMatchObject({
+  await until(() => log.find('event', 'fleet-size') !== undefined);
+  expect(log.find('event', 'fleet-size')).toMatchObject({
     call: 'read',
     hosts: 40,
   });
@@ -63,8 +56,8 @@
     system.configure(1, DEFAULT_ROUTES, {}, {}, [MAPS]);
     system.storeServer.put(FLEET_TOPIC, 'size', value);
     await system.startReadyHost();
-    await until(() => lines.some(({event}) => event === 'fleet-size'));
-    expect(lines.find(({event}) => event === 'fleet-size')).toMatchObject({
+    await until(() => log.find('event', 'fleet-size') !== undefined);
+    expect(log.find('event', 'fleet-size')).toMatchObject({
       call: 'read',
       hosts: 0,
     });
@@ -76,7 +69,7 @@
   await system.startReadyHost();
   system.configure(2, [{path_prefix: '/new/', kind: 'idempotent'}]);
   await until(() => system.hosts[0]?.host.version === 2);
-  expect(lines.some(({event}) => event === 'fleet-size')).toBe(false);
+  expect(log.find('event', 'fleet-size')).toBeUndefined();
 });
 
 test('the size is read once by each root, and written when it has changed', () => {
