--- a/src/decisions/fleet/configuration_view.ts
+++ b/src/decisions/fleet/configuration_view.ts
@@ -31,7 +31,7 @@
 
   constructor(private readonly clock: Clock) {}
 
-  /** The newest record that is known to be in the store. */
+  /** The newest record that is known to be in the store; the same object until it changes. */
   get newest(): ConfigurationHead | undefined {
     return this.head;
   }
@@ -77,7 +77,12 @@
 
   /** Another host or the store has told of the newest record. */
   noteNewest(head: ConfigurationHead): void {
-    if (!this.head || head.end >= this.head.end) {
+    const known = this.head;
+    const isSame =
+      head.end === known?.end &&
+      head.position === known.position &&
+      head.version === known.version;
+    if (!known || (head.end >= known.end && !isSame)) {
       this.head = head;
     }
   }
--- a/src/decisions/fleet/types.ts
+++ b/src/decisions/fleet/types.ts
@@ -100,7 +100,7 @@
   readonly isCounted: boolean;
   /** Log position up to which the sender has relayed changes of upstreams. */
   readonly end: LogPosition;
-  /** The newest configuration that the sender knows of. */
+  /** The newest configuration that the sender knows of; often left out while it is the same. */
   readonly configuration?: ConfigurationHead;
 }
 
--- a/src/fleet/relay_server.ts
+++ b/src/fleet/relay_server.ts
@@ -4,6 +4,7 @@
 import {createServer} from 'node:http';
 import type {
   Admission,
+  ConfigurationHead,
   FollowRequest,
   Peer,
   Heartbeat,
@@ -17,6 +18,11 @@
 
 /** Several heartbeats fit into the silence timeout of followers. */
 const HEARTBEAT_INTERVAL_MS: Milliseconds = 200;
+/**
+ * Every this many heartbeats name the newest configuration even if it is the same:
+ * bytes between data centres cost money.
+ */
+const HEARTBEATS_PER_CONFIGURATION = 5;
 /** A follower that doesn't read is disconnected rather than buffered for. */
 const MAX_BUFFERED_BYTES = 4 * 1024 * 1024;
 /**
@@ -43,6 +49,8 @@
   private readonly followers = new Map<string, ServerResponse>();
   private readonly timer: NodeJS.Timeout;
   private isRetired = false;
+  private toldConfiguration: ConfigurationHead | undefined;
+  private heartbeatsSinceTold = 0;
 
   constructor(
     private readonly state: FleetState,
@@ -67,8 +75,20 @@
     const heartbeat =
       this.followers.size > 0 ? this.policy.heartbeat() : undefined;
     if (heartbeat) {
-      this.broadcast(heartbeat);
+      this.broadcast(this.withoutRepetition(heartbeat));
+    }
+  }
+
+  private withoutRepetition(heartbeat: Heartbeat): Heartbeat {
+    const {configuration} = heartbeat;
+    this.heartbeatsSinceTold += 1;
+    const isDue = this.heartbeatsSinceTold >= HEARTBEATS_PER_CONFIGURATION;
+    if (configuration === this.toldConfiguration && !isDue) {
+      return {...heartbeat, configuration: undefined};
     }
+    this.toldConfiguration = configuration;
+    this.heartbeatsSinceTold = 0;
+    return heartbeat;
   }
 
   /** Closes the connection of a silent follower. */
--- a/tests/configuration_view.test.ts
+++ b/tests/configuration_view.test.ts
@@ -1,6 +1,9 @@
 import {afterEach, beforeEach, expect, test} from 'vitest';
+import {request} from 'node:http';
 import {ConfigurationView} from '../src/decisions/fleet/index.js';
-import {systemClock} from '../src/time/index.js';
+import type {Milliseconds} from '../src/time/index.js';
+import {sleep, systemClock} from '../src/time/index.js';
+import type {RunningHost} from './support/gateway.js';
 import {GatewaySystem, until} from './support/gateway.js';
 import {LogCapture} from './support/log_capture.js';
 
@@ -66,3 +69,38 @@
   view.noteNewest({end: 11, position: 10, version: 12});
   expect(view.newest).toEqual(newest);
 });
+
+/** Lines that a host sends to a follower within some time. */
+function linesFrom(
+  {ports}: RunningHost,
+  ms: Milliseconds,
+): Promise<readonly Readonly<Record<string, unknown>>[]> {
+  return new Promise((resolve, reject) => {
+    const path = '/updates?from=127.0.0.1:9&data-centre=east';
+    const stream = request({port: ports.peers, path}, response => {
+      let text = '';
+      response.on('data', (chunk: Buffer) => (text += chunk.toString()));
+      setTimeout(() => {
+        stream.destroy();
+        const lines = text.split('\n').slice(0, -1);
+        resolve(lines.map(line => JSON.parse(line) as Record<string, unknown>));
+      }, ms);
+    });
+    stream.on('error', reject).end();
+  });
+}
+
+// Guards against bytes between data centres that tell nothing new.
+test('heartbeats name the newest configuration at first, at a change and each second', async () => {
+  const host = await system.startReadyHost();
+  await until(() => host.host.isReader);
+  const received = linesFrom(host, 1_900);
+  await sleep(1_500);
+  system.configure(2, [NEW_ROUTE]);
+  const heartbeats = (await received).filter(({kind}) => kind === 'alive');
+  const telling = heartbeats.filter(({configuration}) => configuration);
+  expect(heartbeats.length).toBeGreaterThan(7);
+  expect(telling.length).toBeLessThanOrEqual(4);
+  expect(telling[0]).toBe(heartbeats[0]);
+  expect(telling.at(-1)).toMatchObject({configuration: {version: 2}});
+});
