--- a/src/decisions/fleet/index.ts
+++ b/src/decisions/fleet/index.ts
@@ -19,6 +19,7 @@
 export {pick} from './pick.js';
 export {storeRetryDelay} from './retry_pause.js';
 export {ReadPace} from './read_pace.js';
+export {ReloadPace} from './reload_pace.js';
 export type {TopicAnswer} from './topic_watermarks.js';
 export {TopicWatermarks, watermarkOf} from './topic_watermarks.js';
 export {ParentSearch} from './parent_search.js';
--- a/src/fleet/record_applier.ts
+++ b/src/fleet/record_applier.ts
@@ -9,11 +9,7 @@
 import type {LogPosition} from '../decisions/registry/index.js';
 import type {RouteTable} from '../decisions/routes/index.js';
 import {InstanceResolver} from '../decisions/registry/index.js';
-import type {
-  KeyedRecord,
-  RecordError,
-  TopicSnapshot,
-} from '../platform/index.js';
+import type {KeyedRecord, RecordError} from '../platform/index.js';
 import {
   CONFIGURATION_KEY,
   decodeConfiguration,
@@ -59,15 +55,17 @@
     this.instances.clear();
   }
 
-  applyUpstreams(records: readonly KeyedRecord[], next: LogPosition): void {
-    this.parts.state.applyEntries(this.entriesOf(records), next);
+  applyUpstreams({records, end, isSnapshot}: TopicBatch): void {
+    const {state} = this.parts;
+    const entries = this.entriesOf(records);
+    if (isSnapshot) {
+      state.applySnapshot({entries, end});
+      return;
+    }
+    state.applyEntries(entries, end);
     this.instances.prune();
   }
 
-  applyUpstreamSnapshot({records, end}: TopicSnapshot): void {
-    this.parts.state.applySnapshot({entries: this.entriesOf(records), end});
-  }
-
   /** Invalid records change nothing: the last valid ones stay in force. */
   applyOperatorRecords(batch: TopicBatch): void {
     // Evacuations first: a host that uses a new configuration must know where nothing
--- a/src/fleet/store_reader.ts
+++ b/src/fleet/store_reader.ts
@@ -10,6 +10,7 @@
 } from '../decisions/fleet/index.js';
 import {
   ReadPace,
+  ReloadPace,
   TopicWatermarks,
   needsSnapshot,
   pageProgress,
@@ -117,19 +118,17 @@
   }
 
   private async followUpstreams(run: number): Promise<void> {
-    let reloads = 0;
+    const reloadPace = new ReloadPace(this.parts.budget.batchPauseMs);
     while (this.isCurrent(run)) {
+      const isSnapshot = !this.upstreamsLoaded;
       // A host that takes over has received nothing for a while: if the store
       // doesn't answer it either, its followers must learn that soon.
-      const isSnapshot = !this.upstreamsLoaded;
       const canWait = this.answered && !isSnapshot;
       const waitMs = canWait
         ? this.remainingWaitMs(UPSTREAMS, this.pollTiming.waitMs)
         : 0;
       const askedAt = this.now();
-      const result = isSnapshot
-        ? await this.loadUpstreams()
-        : await this.readUpstreams(waitMs);
+      const result = await this.readUpstreams(waitMs);
       if (!this.isCurrent(run)) {
         // This host follows a parent by now, so the outcome of this read is irrelevant.
         return;
@@ -142,13 +141,12 @@
       const {progress, hasChanges} = result.value;
       if (needsSnapshot(progress)) {
         this.upstreamsLoaded = false;
-        await this.pauseBeforeReload(reloads);
-        reloads += 1;
+        await sleep(reloadPace.noteReload());
         continue;
       }
       this.handleSuccess();
       if (progress === 'caught-up') {
-        reloads = isSnapshot ? reloads : 0;
+        reloadPace.noteCaughtUp(isSnapshot);
         const answeredAt = this.now();
         const answer = {askedAt, waitMs, answeredAt, hasChanges};
         this.advanceWatermark(UPSTREAMS, answer);
@@ -165,14 +163,15 @@
     const {name, apply} = followed;
     let cursor: LogPosition | undefined;
     let failures = 0;
-    let reloads = 0;
+    const reloadPace = new ReloadPace(this.parts.budget.batchPauseMs);
     while (this.isCurrent(run)) {
       const askedAt = this.now();
       const isSnapshot = cursor === undefined;
       const waitMs = isSnapshot
         ? 0
         : this.remainingWaitMs(name, followed.waitMs());
-      const result = await this.readTopic(followed, cursor, waitMs);
+      const {signal} = this.longPolls;
+      const result = await this.readTopic(followed, cursor, waitMs, signal);
       if (result.isErr()) {
         failures += 1;
         await this.pauseAfterFailure(run, name, failures, result.error);
@@ -185,13 +184,12 @@
       }
       if (needsSnapshot(progress)) {
         cursor = undefined;
-        await this.pauseBeforeReload(reloads);
-        reloads += 1;
+        await sleep(reloadPace.noteReload());
         continue;
       }
       cursor = batch?.end;
       if (progress === 'caught-up') {
-        reloads = isSnapshot ? reloads : 0;
+        reloadPace.noteCaughtUp(isSnapshot);
         if (name === CONFIGURATION && this.isCurrent(run)) {
           const answeredAt = this.now();
           const answer = {askedAt, waitMs, answeredAt, hasChanges};
@@ -236,22 +234,12 @@
     await sleep(delayMs, this.longPolls.signal);
   }
 
-  /**
-   * A store whose log can't be read right after a snapshot would be read in a tight loop.
-   *
-   * @param reloads snapshots since a read that has caught up with the log
-   */
-  private async pauseBeforeReload(reloads: number): Promise<void> {
-    if (reloads > 0) {
-      await sleep(this.parts.budget.batchPauseMs);
-    }
-  }
-
   /** Reads the newest records if there is no cursor, otherwise the changes since. */
   private async readTopic(
-    {name, topic}: FollowedTopic,
+    {name, topic}: Pick<FollowedTopic, 'name' | 'topic'>,
     cursor: LogPosition | undefined,
     waitMs: Milliseconds,
+    signal?: AbortSignal,
   ): Promise<Result<TopicRead, StoreFailure>> {
     const {store} = this.parts;
     if (cursor === undefined) {
@@ -264,7 +252,7 @@
         }))
         .orElse(recoverTrimmed);
     }
-    const page = await store.read(topic, cursor, waitMs, this.longPolls.signal);
+    const page = await store.read(topic, cursor, waitMs, signal);
     return page
       .map<TopicRead>(({records, next, end}) => ({
         batch: {records, end: next, isSnapshot: false},
@@ -277,26 +265,17 @@
   private async readUpstreams(
     waitMs: Milliseconds,
   ): Promise<Result<TopicRead, StoreFailure>> {
-    const {cursor} = this.parts.state.registry;
-    const page = await this.parts.store.read(UPSTREAM_TOPIC, cursor, waitMs);
-    return page
-      .map<TopicRead>(({records, next, end}) => {
-        this.parts.recordApplier.applyUpstreams(records, next);
-        const progress = this.progressOf(UPSTREAMS, cursor, next, end);
-        return {progress, hasChanges: records.length > 0};
-      })
-      .orElse(recoverTrimmed);
-  }
-
-  private async loadUpstreams(): Promise<Result<TopicRead, StoreFailure>> {
-    const snapshot = await this.parts.store.newest(UPSTREAM_TOPIC);
-    return snapshot
-      .map<TopicRead>(upstreams => {
-        this.parts.recordApplier.applyUpstreamSnapshot(upstreams);
+    const {state, recordApplier} = this.parts;
+    const cursor = this.upstreamsLoaded ? state.registry.cursor : undefined;
+    const upstreams = {name: UPSTREAMS, topic: UPSTREAM_TOPIC};
+    const result = await this.readTopic(upstreams, cursor, waitMs);
+    return result.map(read => {
+      if (read.batch) {
+        recordApplier.applyUpstreams(read.batch);
         this.upstreamsLoaded = true;
-        return {progress: 'caught-up', hasChanges: true};
-      })
-      .orElse(recoverTrimmed);
+      }
+      return read;
+    });
   }
 
   private progressOf(
--- a/tests/foreign_records.test.ts
+++ b/tests/foreign_records.test.ts
@@ -56,7 +56,8 @@
 }
 
 function applyUpstream(key: string, value: string | undefined): void {
-  applier.applyUpstreams([record(key, value)], position);
+  const records = [record(key, value)];
+  applier.applyUpstreams({records, end: position, isSnapshot: false});
 }
 
 function names(): readonly string[] {
@@ -167,7 +168,7 @@
     record('i-2', '{'),
     record('', VALID_RECORD),
   ];
-  applier.applyUpstreamSnapshot({records, end: position});
+  applier.applyUpstreams({records, end: position, isSnapshot: true});
   expect(names()).toEqual(['i-1']);
 });
 
--- a/tests/reading_store.test.ts
+++ b/tests/reading_store.test.ts
@@ -3,6 +3,7 @@
 import {
   TopicWatermarks,
   ReadPace,
+  ReloadPace,
   needsSnapshot,
   pageProgress,
   propagationBudget,
@@ -80,3 +81,15 @@
   expect(pageProgress(from, next, end)).toBe(progress);
   expect(needsSnapshot(pageProgress(from, next, end))).toBe(reload);
 });
+
+// Guards against a tight loop on a store whose log can't be read after any snapshot.
+test('snapshots of one topic are apart until its log is read to the end', () => {
+  const pace = new ReloadPace(250);
+  expect(pace.noteReload()).toBe(0);
+  pace.noteCaughtUp(true);
+  expect(pace.noteReload()).toBe(250);
+  pace.noteCaughtUp(true);
+  expect(pace.noteReload()).toBe(250);
+  pace.noteCaughtUp(false);
+  expect(pace.noteReload()).toBe(0);
+});
