Name what replaces an entry that can't be built; flatten a nested choice

'attempt' is a send to an upstream everywhere else in this project; in the decoder of configurations it was a try to build an entry. The choice of the call for the stored fleet size was a condition in a condition.

--- a/src/decisions/fleet/stored_size.ts
+++ b/src/decisions/fleet/stored_size.ts
@@ -31,17 +31,12 @@
       return undefined;
     }
     const now = this.clock.now();
-    const call =
-      this.stored === undefined
-        ? 'read'
-        : hosts === this.stored
-          ? undefined
-          : 'write';
-    if (!call || now - this.calledAt < MIN_CALL_INTERVAL_MS) {
+    const isDue = now - this.calledAt >= MIN_CALL_INTERVAL_MS;
+    if (hosts === this.stored || !isDue) {
       return undefined;
     }
     this.calledAt = now;
-    return call;
+    return this.stored === undefined ? 'read' : 'write';
   }
 
   /** The record has been read or written; 0 if there is none. */
--- a/src/platform/configuration_record.ts
+++ b/src/platform/configuration_record.ts
@@ -79,22 +79,31 @@
     const table = {
       version: version(record['version']),
       routes: ofKind('routes', (name, spec) =>
-        attempt(faults, () => route(name, spec), unusableRoute(name, spec)),
+        buildOrSubstitute(
+          faults,
+          () => route(name, spec),
+          unusableRoute(name, spec),
+        ),
       ),
       services: ofKind('services', (name, spec) =>
-        attempt(faults, () => [service(name, spec)], []),
+        buildOrSubstitute(faults, () => [service(name, spec)], []),
       ).flat(),
       customers,
       limits:
         ofKind('limits', (_, spec) =>
-          attempt(faults, () => limits(spec), DEFAULT_LIMITS),
+          buildOrSubstitute(faults, () => limits(spec), DEFAULT_LIMITS),
         ).at(-1) ?? DEFAULT_LIMITS,
     };
     return {table, faults};
   });
 }
 
-function attempt<T>(faults: RecordError[], build: () => T, substitute: T): T {
+/** Collects the fault of an entry that can't be built, and returns its substitute. */
+function buildOrSubstitute<T>(
+  faults: RecordError[],
+  build: () => T,
+  substitute: T,
+): T {
   try {
     return build();
   } catch (error) {
