Capture log lines in tests by one class; name a soak plan of faults alone

Three tests collected log lines by the same sink that tests/support/log_capture.ts had written again; they use it. Assertions and seeds are the same.

--- a/src/soak/index.ts
+++ b/src/soak/index.ts
@@ -1,5 +1,5 @@
 export type {RunPlan} from './run.js';
-export {runOnce} from './run.js';
+export {FAULTS_ONLY, runOnce} from './run.js';
 export {CHECKS} from './checks.js';
 export {History} from './history.js';
 export type {Finding, RunReport} from './types.js';
--- a/src/soak/main.ts
+++ b/src/soak/main.ts
@@ -7,7 +7,7 @@
 import {Builtins, Cli, Command, Option} from 'clipanion';
 import {REGRESSIONS} from './regressions.js';
 import type {RunPlan} from './run.js';
-import {runOnce} from './run.js';
+import {FAULTS_ONLY, runOnce} from './run.js';
 import type {RunReport} from './types.js';
 
 const EXIT = {clean: 0, findings: 1, stopped: 2} as const;
@@ -89,12 +89,7 @@
     return [
       ...known.map(({seed, plan}) => ({
         ...this.buildPlan(seed, logFolder),
-        harmful: false,
-        drills: 0,
-        lostReads: 0,
-        announcements: 0,
-        customers: 0,
-        storeOddities: 0,
+        ...FAULTS_ONLY,
         ...plan,
       })),
       ...Array.from({length: count}, (_, index) =>
--- a/src/soak/run.ts
+++ b/src/soak/run.ts
@@ -42,6 +42,16 @@
   readonly logFolder: string;
 }
 
+/** Parts of a plan that adds nothing to the seed's faults. */
+export const FAULTS_ONLY = {
+  harmful: false,
+  drills: 0,
+  lostReads: 0,
+  announcements: 0,
+  customers: 0,
+  storeOddities: 0,
+} satisfies Partial<RunPlan>;
+
 /** After the last fault, all hosts must serve within this time. */
 const RECOVERY_TIMEOUT_MS: Milliseconds = 15_000;
 const MIN_FAULT_MS: Milliseconds = 300;
--- a/tests/foreign_records.test.ts
+++ b/tests/foreign_records.test.ts
@@ -1,5 +1,4 @@
 import fc from 'fast-check';
-import {Writable} from 'node:stream';
 import {pino} from 'pino';
 import {afterEach, beforeEach, expect, test} from 'vitest';
 import {FleetState, RecordApplier} from '../src/fleet/index.js';
@@ -7,6 +6,7 @@
 import {decodeUpstream} from '../src/platform/index.js';
 import {configurationRecord, upstreamRecord} from '../src/standins/index.js';
 import {ManualClock} from '../src/time/index.js';
+import {LogCapture} from './support/log_capture.js';
 
 const VALID_RECORD = upstreamRecord('10.1.0.9:80', 's', 'east', 'ready', {
   born: 1_764_700_000_000,
@@ -15,22 +15,17 @@
 let clock: ManualClock;
 let state: FleetState;
 let applier: RecordApplier;
-let lines: Record<string, unknown>[];
+let lines: LogCapture['lines'];
 let rejected: string[];
 let position: number;
 
 beforeEach(() => {
   clock = new ManualClock(10_000);
-  lines = [];
   rejected = [];
   position = 0;
-  const sink = new Writable({
-    write(chunk: Buffer, _encoding, done): void {
-      lines.push(JSON.parse(chunk.toString()) as Record<string, unknown>);
-      done();
-    },
-  });
-  const logger = pino({base: undefined}, sink);
+  const capture = new LogCapture();
+  ({lines} = capture);
+  const {logger} = capture;
   state = new FleetState(clock, logger, 2_000);
   applier = new RecordApplier({
     state,
--- a/tests/request_log.test.ts
+++ b/tests/request_log.test.ts
@@ -1,25 +1,19 @@
-import {Writable} from 'node:stream';
-import {pino} from 'pino';
 import {beforeEach, expect, test} from 'vitest';
 import {GatewayMetrics, RequestLog} from '../src/gateway/index.js';
 import {ManualClock} from '../src/time/index.js';
+import {LogCapture} from './support/log_capture.js';
 
 let clock: ManualClock;
-let lines: Record<string, unknown>[];
+let lines: LogCapture['lines'];
 let metrics: GatewayMetrics;
 let log: RequestLog;
 
 beforeEach(() => {
   clock = new ManualClock();
-  lines = [];
   metrics = new GatewayMetrics();
-  const sink = new Writable({
-    write(chunk: Buffer, _encoding, done): void {
-      lines.push(JSON.parse(chunk.toString()) as Record<string, unknown>);
-      done();
-    },
-  });
-  log = new RequestLog(pino({base: undefined}, sink), clock, metrics);
+  const capture = new LogCapture();
+  ({lines} = capture);
+  log = new RequestLog(capture.logger, clock, metrics);
 });
 
 test('limits the lines logged during a flood of requests', () => {
--- a/tests/soak.test.ts
+++ b/tests/soak.test.ts
@@ -2,7 +2,7 @@
 import {tmpdir} from 'node:os';
 import {join} from 'node:path';
 import {afterEach, beforeEach, expect, test} from 'vitest';
-import {CHECKS, History, runOnce} from '../src/soak/index.js';
+import {CHECKS, FAULTS_ONLY, History, runOnce} from '../src/soak/index.js';
 import type {CustomerSpec} from '../src/standins/index.js';
 import {ManualClock} from '../src/time/index.js';
 
@@ -16,18 +16,13 @@
 
 test('a short run of faults violates no guarantee', async () => {
   const report = await runOnce({
+    ...FAULTS_ONLY,
     seed: 5,
     hosts: 3,
     upstreams: 4,
     callers: 8,
     faults: 6,
     faultPhaseMs: 2_000,
-    harmful: false,
-    drills: 0,
-    lostReads: 0,
-    announcements: 0,
-    customers: 0,
-    storeOddities: 0,
     logFolder,
   });
   expect(report.findings).toEqual([]);
@@ -36,6 +31,7 @@
 
 test('a run in which one request crashes upstreams violates no guarantee', async () => {
   const report = await runOnce({
+    ...FAULTS_ONLY,
     seed: 6,
     hosts: 3,
     upstreams: 10,
@@ -43,11 +39,6 @@
     faults: 2,
     faultPhaseMs: 9_000,
     harmful: true,
-    drills: 0,
-    lostReads: 0,
-    announcements: 0,
-    customers: 0,
-    storeOddities: 0,
     logFolder,
   });
   expect(report.findings).toEqual([]);
@@ -56,18 +47,14 @@
 
 test('a run with evacuations, lost records and cold upstreams violates no guarantee', async () => {
   const report = await runOnce({
+    ...FAULTS_ONLY,
     seed: 8,
     hosts: 4,
     upstreams: 9,
     callers: 8,
     faults: 2,
     faultPhaseMs: 3_000,
-    harmful: false,
     drills: 6,
-    lostReads: 0,
-    announcements: 0,
-    customers: 0,
-    storeOddities: 0,
     logFolder,
   });
   expect(report.findings).toEqual([]);
@@ -76,6 +63,7 @@
 
 test('a run in which reads of one topic get no response violates no guarantee', async () => {
   const report = await runOnce({
+    ...FAULTS_ONLY,
     seed: 302,
     hosts: 5,
     upstreams: 6,
@@ -83,11 +71,7 @@
     faults: 2,
     faultPhaseMs: 8_000,
     harmful: true,
-    drills: 0,
     lostReads: 3,
-    announcements: 0,
-    customers: 0,
-    storeOddities: 0,
     logFolder,
   });
   expect(report.findings).toEqual([]);
@@ -96,18 +80,14 @@
 
 test('a run with rate limits, Retry-After and announced leaving violates no guarantee', async () => {
   const report = await runOnce({
+    ...FAULTS_ONLY,
     seed: 12,
     hosts: 4,
     upstreams: 8,
     callers: 10,
     faults: 0,
     faultPhaseMs: 4_000,
-    harmful: false,
-    drills: 0,
-    lostReads: 0,
     announcements: 5,
-    customers: 0,
-    storeOddities: 0,
     logFolder,
   });
   expect(report.findings).toEqual([]);
@@ -117,17 +97,13 @@
 // Guards against hosts that take a page without the newest record for all there is.
 test('a run with pages cut off and unknown entries violates no guarantee', async () => {
   const report = await runOnce({
+    ...FAULTS_ONLY,
     seed: 21,
     hosts: 4,
     upstreams: 6,
     callers: 8,
     faults: 0,
     faultPhaseMs: 2_000,
-    harmful: false,
-    drills: 0,
-    lostReads: 0,
-    announcements: 0,
-    customers: 0,
     storeOddities: 2,
     logFolder,
   });
@@ -138,18 +114,14 @@
 // Guards against hosts that miss a change of keys while faults are injected.
 test('a run in which a key is replaced violates no guarantee', async () => {
   const report = await runOnce({
+    ...FAULTS_ONLY,
     seed: 3,
     hosts: 4,
     upstreams: 6,
     callers: 8,
     faults: 2,
     faultPhaseMs: 2_000,
-    harmful: false,
-    drills: 0,
-    lostReads: 0,
-    announcements: 0,
     customers: 1,
-    storeOddities: 0,
     logFolder,
   });
   expect(report.findings).toEqual([]);
--- a/tests/unknown_headers.test.ts
+++ b/tests/unknown_headers.test.ts
@@ -1,20 +1,14 @@
-import {Writable} from 'node:stream';
-import {pino} from 'pino';
 import {beforeEach, expect, test} from 'vitest';
 import {UnknownHeaders} from '../src/gateway/index.js';
+import {LogCapture} from './support/log_capture.js';
 
-let lines: Record<string, unknown>[];
+let lines: LogCapture['lines'];
 let unknownHeaders: UnknownHeaders;
 
 beforeEach(() => {
-  lines = [];
-  const sink = new Writable({
-    write(chunk: Buffer, _encoding, done): void {
-      lines.push(JSON.parse(chunk.toString()) as Record<string, unknown>);
-      done();
-    },
-  });
-  unknownHeaders = new UnknownHeaders(pino({base: undefined}, sink));
+  const capture = new LogCapture();
+  ({lines} = capture);
+  unknownHeaders = new UnknownHeaders(capture.logger);
 });
 
 test('an unknown header is logged once with its value', () => {
