Decide without a network which heartbeats name the configuration

The choice stood in the server of updates as two fields and a count, so that only a test with a real stream could run it. It is RepeatLimiter now, tested by itself; the test of a real stream stays. No change of behaviour.

--- a/src/decisions/fleet/index.ts
+++ b/src/decisions/fleet/index.ts
@@ -20,6 +20,7 @@
 export {storeRetryDelay} from './retry_pause.js';
 export {ReadPace} from './read_pace.js';
 export {ReloadPace} from './reload_pace.js';
+export {RepeatLimiter} from './repeat_limiter.js';
 export type {TopicAnswer} from './topic_watermarks.js';
 export {TopicWatermarks, watermarkOf} from './topic_watermarks.js';
 export {ParentSearch} from './parent_search.js';
--- a/src/fleet/relay_server.ts
+++ b/src/fleet/relay_server.ts
@@ -10,6 +10,7 @@
   Heartbeat,
   Update,
 } from '../decisions/fleet/index.js';
+import {RepeatLimiter} from '../decisions/fleet/index.js';
 import type {SocketAddress} from '../platform/index.js';
 import {closeNow, listen} from '../servers/index.js';
 import type {Milliseconds} from '../time/index.js';
@@ -49,8 +50,9 @@
   private readonly followers = new Map<string, ServerResponse>();
   private readonly timer: NodeJS.Timeout;
   private isRetired = false;
-  private toldConfiguration: ConfigurationHead | undefined;
-  private heartbeatsSinceTold = 0;
+  private readonly configurations = new RepeatLimiter<
+    ConfigurationHead | undefined
+  >(HEARTBEATS_PER_CONFIGURATION);
 
   constructor(
     private readonly state: FleetState,
@@ -80,15 +82,9 @@
   }
 
   private withoutRepetition(heartbeat: Heartbeat): Heartbeat {
-    const {configuration} = heartbeat;
-    this.heartbeatsSinceTold += 1;
-    const isDue = this.heartbeatsSinceTold >= HEARTBEATS_PER_CONFIGURATION;
-    if (configuration === this.toldConfiguration && !isDue) {
-      return {...heartbeat, configuration: undefined};
-    }
-    this.toldConfiguration = configuration;
-    this.heartbeatsSinceTold = 0;
-    return heartbeat;
+    return this.configurations.shouldSend(heartbeat.configuration)
+      ? heartbeat
+      : {...heartbeat, configuration: undefined};
   }
 
   /** Closes the connection of a silent follower. */
--- a/tests/configuration_view.test.ts
+++ b/tests/configuration_view.test.ts
@@ -1,6 +1,9 @@
 import {afterEach, beforeEach, expect, test} from 'vitest';
 import {request} from 'node:http';
-import {ConfigurationView} from '../src/decisions/fleet/index.js';
+import {
+  ConfigurationView,
+  RepeatLimiter,
+} from '../src/decisions/fleet/index.js';
 import type {Milliseconds} from '../src/time/index.js';
 import {sleep, systemClock} from '../src/time/index.js';
 import type {RunningHost} from './support/gateway.js';
@@ -104,3 +107,10 @@
   expect(telling[0]).toBe(heartbeats[0]);
   expect(telling.at(-1)).toMatchObject({configuration: {version: 2}});
 });
+
+test('a value is repeated once in a few messages and sent at a change', () => {
+  const limiter = new RepeatLimiter<string>(3);
+  const values = ['a', 'a', 'a', 'a', 'b', 'b', 'a', 'a', 'a', 'a'];
+  const sent = values.filter(value => limiter.shouldSend(value));
+  expect(sent).toEqual(['a', 'a', 'b', 'a', 'a']);
+});
