Log what a host spends of its retry budget and what it abandons

Operators who saw more retries at a service than the fleet may send could not tell from the logs how much of it a host had spent, among how many hosts it shares the fixed part, nor how many attempts ended whose requests may still be on their way: the hypotheses of the incident (docs/incidents/retry-budget.md) looked the same. The activity line of each second tells them, and a counter has the retries. No logic changed.

--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -341,7 +341,9 @@
     const granted =
       this.admission.mayRepeat(this.record.outcome) &&
       retries.trySpend(this.service.name);
-    if (!granted) {
+    if (granted) {
+      metrics.countRetry();
+    } else {
       metrics.countRefusedRetry();
     }
     return granted;
--- a/src/gateway/gateway_metrics.ts
+++ b/src/gateway/gateway_metrics.ts
@@ -63,9 +63,20 @@
   readonly hedges: number;
   /** Sends to other data centres. */
   readonly remote: number;
+  /** Retries and hedges that the budget allowed. */
+  readonly retries: number;
+  /** Attempts that ended before the upstream answered or closed the connection. */
+  readonly abandoned: number;
 }
 
-const NO_ACTIVITY: Activity = {requests: 0, probes: 0, hedges: 0, remote: 0};
+const NO_ACTIVITY: Activity = {
+  requests: 0,
+  probes: 0,
+  hedges: 0,
+  remote: 0,
+  retries: 0,
+  abandoned: 0,
+};
 
 /** A request that has ended. */
 export interface EndedRequest {
@@ -114,6 +125,11 @@
     labelNames: ['place'] as const,
     registers: this.registers,
   });
+  private readonly retries = new Counter({
+    name: 'cyclamenlever_repeats_total',
+    help: 'Repeats that the budget of retries allowed, hedges among them',
+    registers: this.registers,
+  });
   private readonly refusedRetries = new Counter({
     name: 'cyclamenlever_repeats_refused_total',
     help: 'Repeats that the budget of retries did not allow',
@@ -204,10 +220,19 @@
     }
   }
 
+  countRetry(): void {
+    this.retries.inc();
+    this.countActivity('retries');
+  }
+
   countRefusedRetry(): void {
     this.refusedRetries.inc();
   }
 
+  countAbandonedAttempt(): void {
+    this.countActivity('abandoned');
+  }
+
   countHedge(): void {
     this.hedges.inc();
     this.countActivity('hedges');
--- a/src/gateway/upstream_attempt.ts
+++ b/src/gateway/upstream_attempt.ts
@@ -134,13 +134,16 @@
     if (this.isPending) {
       this.elapsedMs = this.ageMs;
       this.outcome = 'cancelled';
+      this.parts.context.metrics.countAbandonedAttempt();
       this.handle.cancel();
     }
   }
 
   /** Ends the attempt as broken, because no response will come. */
   giveUp(detail: string): void {
-    this.parts.context.stalls.unanswered(this.pendingAttempt, this.ageMs);
+    const {metrics, stalls} = this.parts.context;
+    stalls.unanswered(this.pendingAttempt, this.ageMs);
+    metrics.countAbandonedAttempt();
     this.handle.giveUp(detail);
   }
 
--- a/src/host/gateway_host.ts
+++ b/src/host/gateway_host.ts
@@ -396,7 +396,12 @@
     if (activity) {
       const looking = this.upstreamSelection.searchCount;
       this.parts.logger.info(
-        {event: 'activity', ...activity, looking},
+        {
+          event: 'activity',
+          ...activity,
+          looking,
+          hosts: this.state.size.settledEstimate,
+        },
         'activity',
       );
     }
