Reproduce retries that arrive beyond the budget of the fleet

The budget hands out permits that the exchange settles at its end; what counts is unchanged so far. The fault proxy of the soak holds back data in a partition, and loses what its sender has reset meanwhile.

--- a/src/decisions/retries/host_retry_budgets.ts
+++ b/src/decisions/retries/host_retry_budgets.ts
@@ -7,6 +7,7 @@
  */
 
 import type {Clock, Milliseconds} from '../../time/index.js';
+import type {RetryPermit} from './sliding_window_budget.js';
 import {SlidingWindowBudget} from './sliding_window_budget.js';
 
 /** Share of the ratio that hosts use; the rest is a margin for window edges. */
@@ -42,8 +43,8 @@
     return this.budgetOf(service).allows(this.hostSlack);
   }
 
-  /** Consumes a retry if one is allowed. */
-  trySpend(service: string): boolean {
+  /** Consumes a retry; undefined if none is allowed. */
+  trySpend(service: string): RetryPermit | undefined {
     return this.budgetOf(service).trySpend(this.hostSlack);
   }
 
--- a/src/decisions/retries/sliding_window_budget.ts
+++ b/src/decisions/retries/sliding_window_budget.ts
@@ -10,6 +10,12 @@
 
 const PARTS_PER_WINDOW = 10;
 
+/** A retry that the budget allowed. */
+export interface RetryPermit {
+  /** Call it once no attempt of the retried request is pending. */
+  settle(): void;
+}
+
 interface Part {
   readonly from: Milliseconds;
   firstAttempts: number;
@@ -35,12 +41,12 @@
    *
    * @param slack retries allowed beyond the ratio
    */
-  trySpend(slack: number): boolean {
+  trySpend(slack: number): RetryPermit | undefined {
     if (!this.allows(slack)) {
-      return false;
+      return undefined;
     }
     this.part().retries += 1;
-    return true;
+    return {settle: () => undefined};
   }
 
   /** Whether a retry is allowed, without consuming it. */
--- a/src/emulator/host_model.ts
+++ b/src/emulator/host_model.ts
@@ -14,6 +14,7 @@
 import {ProbeBudget} from '../decisions/probing/index.js';
 import type {NearHosts} from '../decisions/rate_limits/index.js';
 import {RateLimitTable, RateLimits} from '../decisions/rate_limits/index.js';
+import type {RetryPermit} from '../decisions/retries/index.js';
 import {HostRetryBudgets} from '../decisions/retries/index.js';
 import type {DecisionOptions} from '../decisions/options/index.js';
 import type {Placed, SchedulingResult} from '../decisions/scheduling/index.js';
@@ -56,6 +57,7 @@
   readonly arrivedAt: Milliseconds;
   readonly giveUpAt: Milliseconds;
   readonly runs: Map<string, Run>;
+  readonly retryPermits: RetryPermit[];
   done: boolean;
 }
 
@@ -156,6 +158,7 @@
       arrivedAt: now,
       giveUpAt: now + Math.min(timeLeftMs, kind.timeout_ms),
       runs: new Map(),
+      retryPermits: [],
       done: false,
     };
     this.retries.noteFirstAttempt(kind.service);
@@ -356,13 +359,18 @@
       run.cancelled = true;
       this.fleet.upstream(id)?.cancel(run);
     }
+    pending.retryPermits.forEach(permit => permit.settle());
     this.fleet.loop.after(HOST_STEP_MS + this.fleet.scenario.caller_ms, () =>
       pending.request.reply(reply),
     );
   }
 
   private trySpendRetry(pending: PendingRequest): boolean {
-    return this.retries.trySpend(pending.request.kind.service);
+    const permit = this.retries.trySpend(pending.request.kind.service);
+    if (permit) {
+      pending.retryPermits.push(permit);
+    }
+    return permit !== undefined;
   }
 
   private schedulerOf(service: string): SchedulerModel {
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -3,6 +3,7 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {Customer} from '../decisions/customers/index.js';
 import {RequestAttempts} from '../decisions/attempts/index.js';
+import type {RetryPermit} from '../decisions/retries/index.js';
 import type {Route, ServiceProfile} from '../decisions/routes/index.js';
 import type {Placed, Refused} from '../decisions/scheduling/index.js';
 import type {ProblemReason, RequestBody} from '../http/index.js';
@@ -50,6 +51,7 @@
   private readonly id: string;
   private readonly record: RequestAttempts;
   private readonly attempts: UpstreamAttempt[] = [];
+  private readonly retryPermits: RetryPermit[] = [];
   private readonly bodyReader: BodyReader;
   private readonly admission: RequestAdmission;
   private readonly controller = new AbortController();
@@ -338,15 +340,16 @@
 
   private trySpendRetry(): boolean {
     const {retries, metrics} = this.context;
-    const granted =
-      this.admission.mayRepeat(this.record.outcome) &&
-      retries.trySpend(this.service.name);
-    if (granted) {
-      metrics.countRetry();
-    } else {
+    const permit = this.admission.mayRepeat(this.record.outcome)
+      ? retries.trySpend(this.service.name)
+      : undefined;
+    if (!permit) {
       metrics.countRefusedRetry();
+      return false;
     }
-    return granted;
+    this.retryPermits.push(permit);
+    metrics.countRetry();
+    return true;
   }
 
   private deliver(upstreamResponse: BufferedResponse): void {
@@ -406,6 +409,7 @@
     this.stallWatch?.stop();
     this.controller.abort();
     this.attempts.forEach(attempt => attempt.cancel());
+    this.retryPermits.forEach(permit => permit.settle());
     recordRequestEnd(this.context, {
       id: this.id,
       route: this.route,
--- a/src/soak/fault_proxy.ts
+++ b/src/soak/fault_proxy.ts
@@ -14,7 +14,12 @@
   /** Data from the destination is dropped. */
   | 'one-way'
   /** Data is dropped in both directions; connections stay open. */
-  | 'silent';
+  | 'silent'
+  /**
+   * Data is held back in both directions until the fault ends. What a sender has reset
+   * meanwhile is lost.
+   */
+  | 'partition';
 
 const DELAY_MS: Milliseconds = 150;
 
@@ -22,6 +27,9 @@
   private currentFault: LinkFault = 'none';
   private readonly server: Server;
   private readonly sockets = new Set<Socket>();
+  /** Resolves when the partition ends; undefined without one. */
+  private partitionEnd: Promise<void> | undefined;
+  private endPartition: () => void = () => undefined;
 
   constructor(private readonly target: {ip: string; port: number}) {
     this.server = createServer({allowHalfOpen: true}, client =>
@@ -35,6 +43,14 @@
 
   set fault(fault: LinkFault) {
     this.currentFault = fault;
+    if (fault !== 'partition') {
+      this.endPartition();
+      this.partitionEnd = undefined;
+    } else {
+      this.partitionEnd ??= new Promise(resolve => {
+        this.endPartition = resolve;
+      });
+    }
     if (fault === 'reset') {
       this.sockets.forEach(socket => socket.resetAndDestroy());
     }
@@ -83,6 +99,7 @@
     this.sockets.add(from);
     from.setNoDelay(true);
     let silent = false;
+    let wasReset = false;
     let tail = Promise.resolve();
     const enqueue = (action: () => void): void => {
       silent ||= droppingFaults.includes(this.currentFault);
@@ -90,12 +107,18 @@
         const delayed = this.currentFault === 'delay';
         tail = tail
           .then(() => (delayed ? sleep(DELAY_MS) : undefined))
-          .then(action);
+          .then(() => this.partitionEnd)
+          .then(() => (wasReset ? undefined : action()));
       }
     };
     from.on('data', chunk => enqueue(() => to.write(chunk)));
     from.on('end', () => enqueue(() => mirrorEnd(from, to)));
-    from.on('error', () => to.resetAndDestroy());
+    from.on('error', () => {
+      wasReset = true;
+      void (this.partitionEnd ?? Promise.resolve()).then(() =>
+        to.resetAndDestroy(),
+      );
+    });
     from.on('close', () => {
       this.sockets.delete(from);
       enqueue(() => to.destroy());
--- /dev/null
+++ b/tests/retry_budget.test.ts
@@ -0,0 +1,57 @@
+import {expect, test} from 'vitest';
+import type {RetryScenario} from './support/retry_simulation.js';
+import {simulateRetries} from './support/retry_simulation.js';
+
+const CALM: RetryScenario = {
+  seed: 1,
+  hosts: 16,
+  requestsPerSecond: 340,
+  durationMs: 32_000,
+  limits: {windowMs: 10_000, ratio: 0.2, slack: 60},
+  timeoutMs: 2_500,
+  heldShare: 0,
+  partitionEndsAt: 0,
+  restartsAt: [],
+};
+
+function restartEvery(ms: number, count: number): readonly number[] {
+  return Array.from({length: count}, (_, index) => (index + 2) * ms);
+}
+
+test.each([
+  ['no trouble', {}],
+  ['few requests', {requestsPerSecond: 5}],
+  // Guards against retries that arrive after the window in which they were counted.
+  ['a partition', {heldShare: 1, partitionEndsAt: 20_000, timeoutMs: 10_000}],
+  [
+    'a partition of half of the paths',
+    {heldShare: 0.5, partitionEndsAt: 20_000, timeoutMs: 10_000},
+  ],
+  // Guards against restarts that renew the share of the retries beyond the ratio.
+  [
+    'restarts and few requests',
+    {requestsPerSecond: 30, restartsAt: restartEvery(1_000, 20)},
+  ],
+  [
+    'restarts beside a partition',
+    {
+      requestsPerSecond: 100,
+      heldShare: 0.5,
+      partitionEndsAt: 14_000,
+      timeoutMs: 2_500,
+      restartsAt: restartEvery(2_600, 8),
+    },
+  ],
+] satisfies readonly (readonly [string, Partial<RetryScenario>])[])(
+  'all hosts stay within the retry budget: %s',
+  (_, trouble) => {
+    for (let seed = 1; seed <= 5; seed += 1) {
+      const {arrivals, allowed} = simulateRetries({...CALM, ...trouble, seed});
+      expect(arrivals).toBeLessThanOrEqual(allowed);
+    }
+  },
+);
+
+test('retries are used where requests fail and nothing else happens', () => {
+  expect(simulateRetries(CALM).peakShare).toBeGreaterThan(0.75);
+});
--- a/tests/window_budget.test.ts
+++ b/tests/window_budget.test.ts
@@ -11,12 +11,14 @@
   for (let i = 0; i < 10; i += 1) {
     budget.noteFirstAttempt();
   }
-  expect([budget.trySpend(0), budget.trySpend(0), budget.trySpend(0)]).toEqual([
+  const isAllowed = (slack: number): boolean =>
+    budget.trySpend(slack) !== undefined;
+  expect([isAllowed(0), isAllowed(0), isAllowed(0)]).toEqual([
     true,
     true,
     false,
   ]);
-  expect(budget.trySpend(1)).toBe(true);
+  expect(isAllowed(1)).toBe(true);
 });
 
 test('unused retries expire with the window', () => {
@@ -26,7 +28,7 @@
     budget.noteFirstAttempt();
   }
   clock.advance(WINDOW_MS + 1_001);
-  expect(budget.trySpend(0)).toBe(false);
+  expect(budget.trySpend(0)).toBeUndefined();
 });
 
 test('all hosts together stay within the ratio in every window', () => {
@@ -54,8 +56,10 @@
         for (let i = 0; i < firstAttempts; i += 1) {
           budgets[host]?.noteFirstAttempt();
           events.push({at: clock.now(), isRetry: false});
-          if (budgets[host]?.trySpend(0)) {
+          const permit = budgets[host]?.trySpend(0);
+          if (permit) {
             events.push({at: clock.now(), isRetry: true});
+            permit.settle();
           }
         }
       }
