Reset the connection of a request that is abandoned

Callers' requests ran for nobody: a host gave an attempt up (the caller left, another attempt answered, its time was over, the upstream was said to have lost it) and closed the connection in the ordinary way. The kernel keeps the bytes of such a connection; a partition, or a machine that stands still, delivers them when it is back, together with those of the whole time of the cut. At the service they count as arrivals beyond the first of their request, and as work at an upstream that nobody waits for.

Connections whose exchange hasn't ended are now reset, which drops what is in transit; those still connecting have sent nothing and are closed as before. Evidence: three tests of tests/held_back_requests.test.ts failed before (the upstream ran the request after the partition) and pass now; a request that is still awaited is delivered as before.

--- a/src/upstreams/attempt.ts
+++ b/src/upstreams/attempt.ts
@@ -10,6 +10,7 @@
   isKeepAlive,
 } from './response_completion.js';
 import type {UpstreamConnection} from './connection.js';
+import {abortExchange} from './connection.js';
 import type {
   AttemptObserver,
   AttemptResult,
@@ -105,8 +106,8 @@
       return;
     }
     this.settled = true;
-    if (!reusable) {
-      this.outgoing?.destroy();
+    if (!reusable && this.outgoing) {
+      abortExchange(this.outgoing);
     }
     this.observer.onSettled(reusable);
     this.resolve(result);
--- a/src/upstreams/connection.ts
+++ b/src/upstreams/connection.ts
@@ -8,6 +8,7 @@
 
 import type {ClientRequest} from 'node:http';
 import {Agent, request} from 'node:http';
+import {Socket} from 'node:net';
 import type {Duplex} from 'node:stream';
 import type {RawHeaders} from '../transport/index.js';
 
@@ -97,13 +98,31 @@
     this.idleTimer.unref();
   }
 
+  /** Closes the connection; an exchange that hasn't ended is aborted. */
   close(): void {
     if (this.closed) {
       return;
     }
     this.closed = true;
     clearTimeout(this.idleTimer);
+    Object.values(this.agent.sockets).flat().forEach(resetSocket);
     this.agent.destroy();
     this.onClosed(this);
   }
 }
+
+/**
+ * Aborts an exchange so that bytes in transit are lost. After an orderly close, a network
+ * path that holds them back would deliver the request when nobody waits for it any more.
+ */
+export function abortExchange(outgoing: ClientRequest): void {
+  resetSocket(outgoing.socket);
+  outgoing.destroy();
+}
+
+/** A socket that is still connecting has sent nothing. */
+function resetSocket(socket: Duplex | null | undefined): void {
+  if (socket instanceof Socket && !socket.connecting) {
+    socket.resetAndDestroy();
+  }
+}
--- a/src/upstreams/probe.ts
+++ b/src/upstreams/probe.ts
@@ -6,6 +6,7 @@
 import type {Milliseconds} from '../time/index.js';
 import {isKeepAlive} from './response_completion.js';
 import type {UpstreamConnection} from './connection.js';
+import {abortExchange} from './connection.js';
 
 const HEALTHY_STATUS = 200;
 
@@ -47,7 +48,7 @@
       settled = true;
       clearTimeout(timer);
       if (!reusable) {
-        outgoing.destroy();
+        abortExchange(outgoing);
         connection.close();
       }
       resolve(result);
