Count a retry until a window after its request has ended

A service saw more arrivals beyond the first of each request than the operators allow: a retry counted from when it was sent, for a window of 10 s, while an attempt of its request that the network held back could arrive until the request's timeout. Retries of two windows then arrived within one.

A retry is now counted as long as any attempt of its request may arrive, and for a window after that. In any window, the arrivals beyond the first belong to retries that count at the last one that was allowed, so that the bound holds for arrivals as well as for sends. Weighed: shares for the time of the longest timeout (takes retries from all for a few slow routes), and counting at the arrival only (hosts don't see it).

--- a/src/decisions/retries/sliding_window_budget.ts
+++ b/src/decisions/retries/sliding_window_budget.ts
@@ -4,6 +4,9 @@
  * Prevents retry storms of a whole fleet: each host may retry a ratio of its own first
  * attempts. These can't sum to more than the same ratio of all first attempts, however
  * many hosts there are and whatever they assume about each other.
+ *
+ * A retry counts from when it is sent until a window after its request has ended: until
+ * then an attempt that the network holds back may arrive, and the operators count arrivals.
  */
 
 import type {Clock, Milliseconds} from '../../time/index.js';
@@ -24,6 +27,8 @@
 
 export class SlidingWindowBudget {
   private parts: Part[] = [];
+  /** Retries of requests that may still arrive at an upstream. */
+  private unsettled = 0;
 
   constructor(
     private readonly clock: Clock,
@@ -37,7 +42,7 @@
   }
 
   /**
-   * Consumes a retry if the window allows one.
+   * Consumes a retry; undefined if the window allows none.
    *
    * @param slack retries allowed beyond the ratio
    */
@@ -45,15 +50,24 @@
     if (!this.allows(slack)) {
       return undefined;
     }
-    this.part().retries += 1;
-    return {settle: () => undefined};
+    this.unsettled += 1;
+    let isSettled = false;
+    return {
+      settle: () => {
+        if (!isSettled) {
+          isSettled = true;
+          this.unsettled -= 1;
+          this.part().retries += 1;
+        }
+      },
+    };
   }
 
   /** Whether a retry is allowed, without consuming it. */
   allows(slack: number): boolean {
     this.part();
     let firstAttempts = 0;
-    let retries = 0;
+    let retries = this.unsettled;
     for (const part of this.parts) {
       firstAttempts += part.firstAttempts;
       retries += part.retries;
--- a/tests/window_budget.test.ts
+++ b/tests/window_budget.test.ts
@@ -102,3 +102,19 @@
   expect(sent / upstreams / seconds).toBeLessThan(60);
   expect(sent / upstreams / seconds).toBeGreaterThan(40);
 });
+
+// Guards against retries that arrive after the window in which they were counted.
+test('a retry counts until a window after its request has ended', () => {
+  const clock = new ManualClock();
+  const budget = new SlidingWindowBudget(clock, WINDOW_MS, 0);
+  const permit = budget.trySpend(1);
+  clock.advance(3 * WINDOW_MS);
+  expect(budget.allows(1)).toBe(false);
+  permit?.settle();
+  permit?.settle();
+  clock.advance(WINDOW_MS);
+  expect(budget.allows(1)).toBe(false);
+  expect(budget.allows(2)).toBe(true);
+  clock.advance(1);
+  expect(budget.allows(1)).toBe(true);
+});
