Give a restarted host no retries beyond the ratio for one window

A service saw more arrivals beyond the first of each request than the operators allow, where hosts restarted in series: a restarted host has forgotten what its earlier life spent, and its share of the retries that don't depend on the number of requests could be spent again with each life.

A host that isn't in the first start of the fleet now has only the ratio of its own first attempts until one window has passed; the ratio needs no memory, since first attempts of an earlier life aren't counted either.

--- a/src/decisions/retries/host_retry_budgets.ts
+++ b/src/decisions/retries/host_retry_budgets.ts
@@ -26,13 +26,21 @@
 
 export class HostRetryBudgets {
   private readonly budgets = new Map<string, SlidingWindowBudget>();
+  private readonly slackFrom: Milliseconds;
 
-  /** @param hostCount hosts that share the retries; 0 while unknown */
+  /**
+   * @param hostCount hosts that share the retries; 0 while unknown
+   * @param isFirstStart whether the whole fleet starts for the first time
+   */
   constructor(
     private readonly clock: Clock,
     private readonly fleet: FleetRetryLimits,
     private readonly hostCount: () => number,
-  ) {}
+    isFirstStart: boolean,
+  ) {
+    // What this host spent before a restart counts for another window.
+    this.slackFrom = isFirstStart ? -Infinity : clock.now() + fleet.windowMs;
+  }
 
   noteFirstAttempt(service: string): void {
     this.budgetOf(service).noteFirstAttempt();
@@ -50,7 +58,8 @@
 
   private get hostSlack(): number {
     const hosts = this.hostCount();
-    return hosts > 0 ? (this.fleet.slack * SLACK_SHARE) / hosts : 0;
+    const hasSlack = hosts > 0 && this.clock.now() >= this.slackFrom;
+    return hasSlack ? (this.fleet.slack * SLACK_SHARE) / hosts : 0;
   }
 
   private budgetOf(service: string): SlidingWindowBudget {
--- a/src/emulator/host_model.ts
+++ b/src/emulator/host_model.ts
@@ -143,6 +143,7 @@
       loop,
       fleetRetries,
       () => fleet.hostCount,
+      true,
     );
   }
 
--- a/src/host/gateway_host.ts
+++ b/src/host/gateway_host.ts
@@ -387,6 +387,7 @@
       clock,
       fleet,
       () => this.state.size.settledEstimate,
+      settings.firstStart,
     );
   }
 
--- a/tests/support/retry_simulation.ts
+++ b/tests/support/retry_simulation.ts
@@ -51,7 +51,7 @@
     private readonly clock: ManualClock,
     private readonly noteExtraArrival: () => void,
   ) {
-    this.budgets = this.createBudgets();
+    this.budgets = this.createBudgets(true);
   }
 
   /** All upstreams fail first attempts; those on held paths are silent instead. */
@@ -88,12 +88,12 @@
 
   restart(): void {
     this.pending = [];
-    this.budgets = this.createBudgets();
+    this.budgets = this.createBudgets(false);
   }
 
-  private createBudgets(): HostRetryBudgets {
+  private createBudgets(isFirstStart: boolean): HostRetryBudgets {
     const {limits, hosts} = this.scenario;
-    return new HostRetryBudgets(this.clock, limits, () => hosts);
+    return new HostRetryBudgets(this.clock, limits, () => hosts, isFirstStart);
   }
 }
 
