--- /dev/null
+++ b/src/decisions/reachability/tunnel_peers.ts
@@ -0,0 +1,69 @@
+/**
+ * Chooses the hosts whose tunnels this one uses.
+ *
+ * Each tunnel goes through a host drawn by chance, so that those that help share the load.
+ */
+
+import type {Clock, Milliseconds, Random} from '../../time/index.js';
+
+/** A host that could not help is left out for this time. */
+const RETRY_DELAY_MS: Milliseconds = 1_000;
+
+export interface TunnelPeersParts {
+  /** Hosts of the data centre that were heard from lately. */
+  readonly near: () => readonly string[];
+  /** All hosts that this one knows. */
+  readonly all: () => readonly string[];
+  readonly clock: Clock;
+  readonly random: Random;
+}
+
+export class TunnelPeers {
+  private readonly failedAt = new Map<string, Milliseconds>();
+
+  constructor(private readonly parts: TunnelPeersParts) {}
+
+  /**
+   * Hosts to try one after the other, at most `count`. Without any that may help, those
+   * that failed longest ago: a path through any of them is better than none.
+   */
+  choose(count: number): readonly string[] {
+    const {near, all} = this.parts;
+    this.prune();
+    const nearby = near();
+    const elsewhere = all().filter(peer => !nearby.includes(peer));
+    const inOrder = [...this.shuffle(nearby), ...this.shuffle(elsewhere)];
+    const open = inOrder.filter(peer => !this.failedAt.has(peer));
+    if (open.length > 0) {
+      return open.slice(0, count);
+    }
+    return inOrder
+      .sort((a, b) => this.failedSince(a) - this.failedSince(b))
+      .slice(0, 1);
+  }
+
+  noteFailure(peer: string): void {
+    this.failedAt.set(peer, this.parts.clock.now());
+  }
+
+  private failedSince(peer: string): Milliseconds {
+    return this.failedAt.get(peer) ?? -Infinity;
+  }
+
+  private shuffle(peers: readonly string[]): readonly string[] {
+    const {random} = this.parts;
+    return peers
+      .map(peer => ({peer, order: random()}))
+      .sort((a, b) => a.order - b.order)
+      .map(({peer}) => peer);
+  }
+
+  private prune(): void {
+    const now = this.parts.clock.now();
+    for (const [peer, at] of this.failedAt) {
+      if (now - at >= RETRY_DELAY_MS) {
+        this.failedAt.delete(peer);
+      }
+    }
+  }
+}
