Log when a host can reach no upstream of a service; reproduce hosts that are cut off

Callers of a host without paths to upstreams get 503 or 504 although other hosts reach all upstreams. A refusal for lack of room looked the same whether upstreams are full, down, or out of reach of this host only: a log line (event "reachability") now tells the start and end of a cut and its evidence, and a gauge the number of services that are cut off. Requests are handled as before.

--- a/src/gateway/gateway_metrics.ts
+++ b/src/gateway/gateway_metrics.ts
@@ -47,6 +47,8 @@
   readonly rateLimited: number;
   /** Upstreams whose backoff has not ended. */
   readonly backoffs: number;
+  /** Services of which this host can reach no upstream. */
+  readonly cutOff: number;
   /** Requests under which upstreams crashed, whether quarantined or not. */
   readonly suspects: number;
   /** Data centres that get no new requests. */
@@ -176,7 +178,7 @@
   });
   private readonly host = new Gauge({
     name: 'cyclamenlever_host',
-    help: 'State of this host: ready, reader, version, behind, age_seconds, upstreams, evacuated, hosts, in_flight, downloads, download_link_seconds, looking, rate_limited, backoffs, suspects, quarantined, ended_lives',
+    help: 'State of this host: ready, reader, version, behind, age_seconds, upstreams, evacuated, hosts, in_flight, downloads, download_link_seconds, looking, rate_limited, backoffs, cut_off, suspects, quarantined, ended_lives',
     labelNames: ['figure'] as const,
     registers: this.registers,
   });
@@ -286,6 +288,7 @@
       looking: gauges.looking,
       rate_limited: gauges.rateLimited,
       backoffs: gauges.backoffs,
+      cut_off: gauges.cutOff,
       suspects: gauges.suspects,
       evacuated: gauges.evacuated,
       quarantined: gauges.quarantined,
--- a/src/gateway/upstream_attempt.ts
+++ b/src/gateway/upstream_attempt.ts
@@ -151,6 +151,7 @@
     const {context, upstream} = this.parts;
     const {unknownHeaders, upstreamClient} = context;
     unknownHeaders.note(upstream.id, headers);
+    upstreamClient.reachability.noteAnswer(upstream.service);
     upstreamClient.leaving.note(upstream.id, headers);
     upstreamClient.retryAfter.note(upstream.id, status, headers);
     upstreamClient.rateLimits.noteAnswer(upstream.id, headers, this.startedAt);
--- a/src/gateway/upstream_client.ts
+++ b/src/gateway/upstream_client.ts
@@ -5,6 +5,8 @@
 import type {DecisionOptions} from '../decisions/options/index.js';
 import type {LoadView, ProbeAnswer} from '../decisions/placement/index.js';
 import {OutcomeHistory} from '../decisions/placement/index.js';
+import {Reachability} from '../decisions/reachability/index.js';
+import type {ReachabilityChange} from '../decisions/reachability/index.js';
 import type {
   RegisteredUpstream,
   UpstreamInService,
@@ -53,6 +55,8 @@
 }
 
 export interface UpstreamClientParts {
+  /** Address of this host, by which upstreams and networks know it. */
+  readonly localIp: string;
   readonly options: DecisionOptions;
   readonly view: LoadView;
   readonly state: FleetState;
@@ -68,11 +72,18 @@
 export class UpstreamClient {
   readonly outcomes: OutcomeHistory;
   readonly retryAfter: RetryAfterReader;
+  readonly reachability: Reachability;
   private readonly connections = new Map<string, UpstreamConnections>();
 
   constructor(private readonly parts: UpstreamClientParts) {
     this.outcomes = new OutcomeHistory(parts.clock, parts.options);
     this.retryAfter = new RetryAfterReader(parts);
+    const {clock, state} = parts;
+    this.reachability = new Reachability({
+      clock,
+      upstreamCount: service => state.registry.inService(service).length,
+      onChange: change => this.logReachability(change),
+    });
   }
 
   get view(): LoadView {
@@ -93,6 +104,7 @@
 
   /** Acquires a connection for a request that is sent at once. */
   acquire(upstream: UpstreamInService): InFlightRequest {
+    this.reachability.isCutOff(upstream.service);
     const connections = this.connectionsOf(upstream);
     const request = {upstream, connection: connections.pool.acquire()};
     connections.inFlight.add(request);
@@ -136,6 +148,9 @@
   /** Drops the connections and the history of upstreams that are out of service. */
   prune(): void {
     this.parts.view.prune();
+    this.reachability.prune(
+      service => this.parts.state.routes.service(service) !== undefined,
+    );
     for (const [id, {pool}] of this.connections) {
       const {registry} = this.parts.state;
       const upstream = registry.find(id);
@@ -203,9 +218,10 @@
     connection: UpstreamConnection,
   ): Promise<ProbeResult> {
     const {clock, metrics, view, rateLimits} = this.parts;
-    const {id, name, address} = upstream;
+    const {id, name, address, service} = upstream;
     const askedAt = clock.now();
     metrics.countProbe();
+    this.reachability.noteSent(service, id);
     const result = await probe(
       connection,
       name,
@@ -219,17 +235,23 @@
       this.retryAfter.note(id, result.status, result.headers);
       view.note({id, ...result.told}, askedAt);
       this.connectionsOf(upstream).pool.release(connection);
+      this.reachability.noteAnswer(service);
     } else {
-      this.recordFailure(id, result);
+      this.recordFailure(upstream, result);
     }
     return result;
   }
 
   private recordFailure(
-    id: string,
+    {id, service}: RegisteredUpstream,
     result: Exclude<ProbeResult, {kind: 'told'}>,
   ): void {
     this.outcomes.failed(id, 'unreachable');
+    if (result.kind === 'wrong-upstream') {
+      this.reachability.noteAnswer(service);
+    } else {
+      this.reachability.noteFailure(service, id);
+    }
     const reason = 'detail' in result ? result.detail : result.kind;
     this.parts.logger.debug(
       {event: 'probe', upstream: id, reason},
@@ -237,6 +259,29 @@
     );
   }
 
+  private logReachability({
+    service,
+    isCutOff,
+    evidence,
+  }: ReachabilityChange): void {
+    const {lastAnswerMsAgo, unreachable} = evidence;
+    this.parts.logger.warn(
+      {
+        event: 'reachability',
+        service,
+        isCutOff,
+        unreachable,
+        lastAnswerMsAgo:
+          lastAnswerMsAgo === undefined
+            ? undefined
+            : Math.round(lastAnswerMsAgo),
+      },
+      isCutOff
+        ? 'no upstream of a service can be reached from this host'
+        : 'upstreams of a service can be reached again',
+    );
+  }
+
   private connectionsOf(upstream: RegisteredUpstream): UpstreamConnections {
     const existing = this.connections.get(upstream.id);
     if (existing) {
@@ -244,7 +289,11 @@
     }
     const address = parseAddress(upstream.address);
     const connections: UpstreamConnections = {
-      pool: new ConnectionPool(address?.ip ?? '', address?.port ?? 0),
+      pool: new ConnectionPool({
+        ip: address?.ip ?? '',
+        port: address?.port ?? 0,
+        localIp: this.parts.localIp,
+      }),
       inFlight: new Set(),
     };
     this.connections.set(upstream.id, connections);
--- a/src/host/gateway_host.ts
+++ b/src/host/gateway_host.ts
@@ -158,6 +158,16 @@
     return this.state.isFresh;
   }
 
+  /** Number of other hosts that this one knows. */
+  get peerCount(): number {
+    return this.member.peers.length;
+  }
+
+  /** Services of which this host can reach no upstream. */
+  get cutOffServices(): readonly string[] {
+    return this.upstreamSelection.upstreamClient.reachability.cutOff;
+  }
+
   /** Version of the active configuration; undefined before the first. */
   get version(): number | undefined {
     return this.state.routes.version;
@@ -241,6 +251,7 @@
       looking: this.upstreamSelection.searchCount,
       rateLimited: this.upstreamSelection.rateLimitedCount,
       backoffs: this.upstreamSelection.backoffCount,
+      cutOff: this.cutOffServices.length,
       suspects: this.crashHistory.quarantine.size,
       quarantined: this.crashHistory.quarantine.quarantinedCount,
       endedInstances: this.crashHistory.quarantine.confirmedCount,
--- a/src/host/upstream_selection.ts
+++ b/src/host/upstream_selection.ts
@@ -150,12 +150,13 @@
   }
 
   private createUpstreamClient(view: LoadView): UpstreamClient {
-    const {clock, logger, metrics, state, lifeCycle} = this.parts;
+    const {settings, clock, logger, metrics, state, lifeCycle} = this.parts;
     const options = DEFAULT_OPTIONS;
     const {rateLimits, backoffs, leaving} = this;
     return lifeCycle.adopt(
       'upstream connections',
       new UpstreamClient({
+        localIp: settings.ip,
         options,
         view,
         state,
--- a/src/soak/fault_proxy.ts
+++ b/src/soak/fault_proxy.ts
@@ -4,6 +4,7 @@
 import {connect, createServer} from 'node:net';
 import type {Milliseconds} from '../time/index.js';
 import {sleep} from '../time/index.js';
+import {mirrorEnd} from '../tunnels/index.js';
 
 /** Fault to inject into connections through the proxy. */
 export type LinkFault =
@@ -11,6 +12,8 @@
   | 'delay'
   /** Open and new connections are reset. */
   | 'reset'
+  /** New connections are reset; open ones live on. */
+  | 'reset-new'
   /** Data from the destination is dropped. */
   | 'one-way'
   /** Data is dropped in both directions; connections stay open. */
@@ -22,14 +25,37 @@
   | 'partition';
 
 const DELAY_MS: Milliseconds = 150;
+const RESETS_NEW: ReadonlySet<LinkFault> = new Set(['reset', 'reset-new']);
 
-export class FaultProxy {
+/** The fault of all connections, or of those from one address. */
+class LinkState {
   private currentFault: LinkFault = 'none';
+  private endPartition: () => void = () => undefined;
+  /** Resolves when the partition ends; undefined without one. */
+  partitionEnd: Promise<void> | undefined;
+
+  get fault(): LinkFault {
+    return this.currentFault;
+  }
+
+  set fault(fault: LinkFault) {
+    this.currentFault = fault;
+    if (fault === 'partition') {
+      this.partitionEnd ??= new Promise(resolve => {
+        this.endPartition = resolve;
+      });
+    } else {
+      this.endPartition();
+      this.partitionEnd = undefined;
+    }
+  }
+}
+
+export class FaultProxy {
+  private readonly all = new LinkState();
+  private readonly byClient = new Map<string, LinkState>();
   private readonly server: Server;
   private readonly sockets = new Set<Socket>();
-  /** Resolves when the partition ends; undefined without one. */
-  private partitionEnd: Promise<void> | undefined;
-  private endPartition: () => void = () => undefined;
 
   constructor(private readonly target: {ip: string; port: number}) {
     this.server = createServer({allowHalfOpen: true}, client =>
@@ -38,24 +64,28 @@
   }
 
   get fault(): LinkFault {
-    return this.currentFault;
+    return this.all.fault;
   }
 
   set fault(fault: LinkFault) {
-    this.currentFault = fault;
-    if (fault !== 'partition') {
-      this.endPartition();
-      this.partitionEnd = undefined;
-    } else {
-      this.partitionEnd ??= new Promise(resolve => {
-        this.endPartition = resolve;
-      });
-    }
+    this.all.fault = fault;
     if (fault === 'reset') {
       this.sockets.forEach(socket => socket.resetAndDestroy());
     }
   }
 
+  /** Sets the fault of connections from one IP address, if there is none of all. */
+  setClientFault(ip: string, fault: LinkFault): void {
+    this.clientState(ip).fault = fault;
+    if (fault === 'reset') {
+      this.sockets.forEach(socket => {
+        if (socket.remoteAddress === ip) {
+          socket.resetAndDestroy();
+        }
+      });
+    }
+  }
+
   listen(): Promise<number> {
     return new Promise(resolve => {
       this.server.listen(0, '127.0.0.1', () => {
@@ -72,8 +102,20 @@
     });
   }
 
+  private clientState(ip: string): LinkState {
+    const known = this.byClient.get(ip);
+    if (known) {
+      return known;
+    }
+    const state = new LinkState();
+    this.byClient.set(ip, state);
+    return state;
+  }
+
   private accept(client: Socket): void {
-    if (this.currentFault === 'reset') {
+    const own = this.clientState(client.remoteAddress ?? '');
+    const state = (): LinkState => (this.all.fault === 'none' ? own : this.all);
+    if (RESETS_NEW.has(state().fault)) {
       client.resetAndDestroy();
       return;
     }
@@ -82,8 +124,8 @@
       port: this.target.port,
       allowHalfOpen: true,
     });
-    this.forward(client, destination, ['silent']);
-    this.forward(destination, client, ['silent', 'one-way']);
+    this.forward(client, destination, state, ['silent']);
+    this.forward(destination, client, state, ['silent', 'one-way']);
   }
 
   /**
@@ -94,6 +136,7 @@
   private forward(
     from: Socket,
     to: Socket,
+    state: () => LinkState,
     droppingFaults: readonly LinkFault[],
   ): void {
     this.sockets.add(from);
@@ -102,12 +145,12 @@
     let wasReset = false;
     let tail = Promise.resolve();
     const enqueue = (action: () => void): void => {
-      silent ||= droppingFaults.includes(this.currentFault);
+      silent ||= droppingFaults.includes(state().fault);
       if (!silent) {
-        const delayed = this.currentFault === 'delay';
+        const delayed = state().fault === 'delay';
         tail = tail
           .then(() => (delayed ? sleep(DELAY_MS) : undefined))
-          .then(() => this.partitionEnd)
+          .then(() => state().partitionEnd)
           .then(() => (wasReset ? undefined : action()));
       }
     };
@@ -115,7 +158,7 @@
     from.on('end', () => enqueue(() => mirrorEnd(from, to)));
     from.on('error', () => {
       wasReset = true;
-      void (this.partitionEnd ?? Promise.resolve()).then(() =>
+      void (state().partitionEnd ?? Promise.resolve()).then(() =>
         to.resetAndDestroy(),
       );
     });
@@ -125,18 +168,3 @@
     });
   }
 }
-
-/**
- * Ends one side as the other ended. Node reports a reset that arrives with the last
- * bytes as an orderly end; only a write fails after a reset. It sends an empty line,
- * which HTTP ignores between messages.
- */
-function mirrorEnd(from: Socket, to: Socket): void {
-  from.write('\r\n', error => {
-    if (error) {
-      to.resetAndDestroy();
-    } else {
-      to.end();
-    }
-  });
-}
--- /dev/null
+++ b/src/tunnels/splice.ts
@@ -0,0 +1,36 @@
+/** Joins two connections so that each sees how the other ends. */
+
+import type {Socket} from 'node:net';
+
+/** An empty line, which HTTP/1.1 ignores between messages. */
+const EMPTY_LINE = '\r\n';
+
+/**
+ * Passes bytes on in both directions, in bounded memory. Resets are passed on as resets:
+ * they mark truncated responses and abandoned requests.
+ */
+export function splice(caller: Socket, upstream: Socket): void {
+  forward(caller, upstream, () => upstream.end());
+  forward(upstream, caller, () => mirrorEnd(upstream, caller));
+}
+
+/**
+ * Ends one side as the other ended. Node reports a reset that arrives with the last
+ * bytes as an orderly end; only a write fails after a reset.
+ */
+export function mirrorEnd(from: Socket, to: Socket): void {
+  from.write(EMPTY_LINE, error => {
+    if (error) {
+      to.resetAndDestroy();
+    } else {
+      to.end();
+    }
+  });
+}
+
+function forward(from: Socket, to: Socket, onEnd: () => void): void {
+  from.pipe(to, {end: false});
+  from.on('end', onEnd);
+  from.on('error', () => to.resetAndDestroy());
+  from.on('close', () => to.destroy());
+}
--- a/src/upstreams/connection.ts
+++ b/src/upstreams/connection.ts
@@ -26,6 +26,14 @@
   readonly headers: RawHeaders;
 }
 
+/** The two ends of a connection. */
+export interface ConnectionEnds {
+  readonly ip: string;
+  readonly port: number;
+  /** Address of this host that it connects from; any if undefined. */
+  readonly localIp?: string;
+}
+
 /** An agent with one socket, which it destroys if data arrives while idle. */
 class SingleSocketAgent extends Agent {
   private idleSocket: Duplex | undefined;
@@ -64,8 +72,7 @@
 
   /** @param onClosed called once, when the connection is closed for good */
   constructor(
-    private readonly host: string,
-    private readonly port: number,
+    private readonly ends: ConnectionEnds,
     private readonly onClosed: (connection: UpstreamConnection) => void,
   ) {
     this.agent = new SingleSocketAgent(() => this.close());
@@ -80,8 +87,9 @@
     clearTimeout(this.idleTimer);
     const outgoing = request({
       agent: this.agent,
-      host: this.host,
-      port: this.port,
+      host: this.ends.ip,
+      port: this.ends.port,
+      localAddress: this.ends.localIp,
       method: head.method,
       path: head.path,
       setHost: false,
--- a/src/upstreams/pool.ts
+++ b/src/upstreams/pool.ts
@@ -1,5 +1,6 @@
 /** Connections to one upstream, most recently used first. */
 
+import type {ConnectionEnds} from './connection.js';
 import {UpstreamConnection} from './connection.js';
 
 export class ConnectionPool {
@@ -7,10 +8,7 @@
   private readonly all = new Set<UpstreamConnection>();
   private draining = false;
 
-  constructor(
-    private readonly host: string,
-    private readonly port: number,
-  ) {}
+  constructor(private readonly ends: ConnectionEnds) {}
 
   get openCount(): number {
     return this.all.size;
@@ -28,7 +26,7 @@
 
   /** A new connection, which its first request opens. */
   open(): UpstreamConnection {
-    const connection = new UpstreamConnection(this.host, this.port, closed =>
+    const connection = new UpstreamConnection(this.ends, closed =>
       this.forgetClosed(closed),
     );
     this.all.add(connection);
--- a/tests/customer_metrics.test.ts
+++ b/tests/customer_metrics.test.ts
@@ -17,6 +17,7 @@
   looking: 0,
   rateLimited: 0,
   backoffs: 0,
+  cutOff: 0,
   suspects: 0,
   quarantined: 0,
   endedInstances: 0,
--- /dev/null
+++ b/tests/cut_off_hosts.test.ts
@@ -0,0 +1,207 @@
+import {afterEach, beforeEach, expect, test} from 'vitest';
+import type {LinkFault} from '../src/soak/index.js';
+import {sleep} from '../src/time/index.js';
+import type {ProxiedUpstream, RunningHost} from './support/gateway.js';
+import {GatewaySystem, until} from './support/gateway.js';
+
+const DATA_CENTRES = ['east', 'east', 'west', 'west', 'west'];
+const SERVICES = ['listings', 'listings', 'listings', 'swaps', 'swaps'];
+const WORK_MS = 10;
+/** Time in which a host finds out that it is cut off. */
+const DETECTION_MS = 700;
+const CALLS = 40;
+const CALL_INTERVAL_MS = 25;
+
+let system: GatewaySystem;
+let upstreams: ProxiedUpstream[];
+
+beforeEach(async () => {
+  system = new GatewaySystem();
+  system.configure(1, [
+    {path_prefix: '/lookup/', kind: 'idempotent'},
+    {path_prefix: '/order/', kind: 'non_idempotent'},
+    {path_prefix: '/trade/', kind: 'non_idempotent', service: 'swaps'},
+  ]);
+  upstreams = [];
+  for (const [index, service] of SERVICES.entries()) {
+    const upstream = await system.addProxiedUpstream(`i-${index}`, service);
+    upstream.server.workMs = WORK_MS;
+    upstreams.push(upstream);
+  }
+  for (const [index, dataCentre] of DATA_CENTRES.entries()) {
+    await system.startReadyHost(dataCentre, {ip: ipOf(index)});
+  }
+  await until(() => system.hosts.every(({host}) => host.peerCount === 4));
+});
+
+afterEach(() => system.close());
+
+function ipOf(index: number): string {
+  return `127.0.7.${index + 1}`;
+}
+
+function hostAt(index: number): RunningHost {
+  const host = system.hosts[index];
+  if (!host) {
+    throw new Error(`there is no host ${index}`);
+  }
+  return host;
+}
+
+function setFault(hosts: readonly number[], fault: LinkFault): void {
+  upstreams.forEach(({proxy}) =>
+    hosts.forEach(index => proxy.setClientFault(ipOf(index), fault)),
+  );
+}
+
+/** Sends requests to one host, one after the other; returns the shares by status. */
+async function callAll(
+  index: number,
+  paths: readonly string[] = ['/lookup/7', '/order/7', '/trade/7'],
+): Promise<ReadonlyMap<number, number>> {
+  const statuses = new Map<number, number>();
+  const calls = Array.from({length: CALLS}, async (_, call) => {
+    await sleep(call * CALL_INTERVAL_MS);
+    const path = paths[call % paths.length] ?? '';
+    const {status} = await system.call(hostAt(index), {
+      path,
+      method: path.startsWith('/lookup') ? 'GET' : 'POST',
+    });
+    statuses.set(status, (statuses.get(status) ?? 0) + 1);
+  });
+  await Promise.all(calls);
+  return statuses;
+}
+
+function servedShare(statuses: ReadonlyMap<number, number>): number {
+  return (statuses.get(200) ?? 0) / CALLS;
+}
+
+/** Whether any request ran more than once. */
+function findRepeatedRuns(): readonly string[] {
+  const ids = system.upstreams.flatMap(({runs}) =>
+    runs.filter(({method}) => method === 'POST').map(({id}) => id),
+  );
+  return ids.filter((id, index) => ids.indexOf(id) !== index);
+}
+
+// Guards against hosts that refuse their callers while others reach all upstreams.
+test.each([
+  ['partition', [1]],
+  ['reset', [1]],
+  ['silent', [0, 2]],
+  ['partition', [0, 1, 2, 3]],
+  ['reset', [0, 1, 3, 4]],
+] satisfies readonly (readonly [LinkFault, readonly number[]])[])(
+  'hosts without paths to upstreams serve through others: %s of %j',
+  async (fault, cut) => {
+    await Promise.all(cut.map(index => callAll(index)));
+    setFault(cut, fault);
+    await Promise.all(cut.map(index => callAll(index)));
+    await sleep(DETECTION_MS);
+    const shares = await Promise.all(
+      cut.map(async index => servedShare(await callAll(index))),
+    );
+    expect(Math.min(...shares)).toBeGreaterThan(0.95);
+    expect(findRepeatedRuns()).toEqual([]);
+  },
+);
+
+test('open connections serve while new ones are reset', async () => {
+  await callAll(1);
+  setFault([1], 'reset-new');
+  await callAll(1);
+  expect(servedShare(await callAll(1))).toBeGreaterThan(0.95);
+});
+
+test('a host that is cut off from one service serves it through others', async () => {
+  await callAll(1);
+  upstreams
+    .filter((_, index) => SERVICES[index] === 'swaps')
+    .forEach(({proxy}) => proxy.setClientFault(ipOf(1), 'partition'));
+  await callAll(1, ['/trade/7']);
+  await sleep(DETECTION_MS);
+  expect(servedShare(await callAll(1))).toBeGreaterThan(0.95);
+});
+
+test('a host returns to the direct paths when the cut is over', async () => {
+  await callAll(1);
+  setFault([1], 'partition');
+  await callAll(1);
+  await until(() => hostAt(1).host.cutOffServices.length === 2);
+  setFault([1], 'none');
+  await until(() => hostAt(1).host.cutOffServices.length === 0);
+  expect(servedShare(await callAll(1))).toBe(1);
+});
+
+// Guards against requests that wait for their deadline where nobody can serve them.
+test('refuses at once when all hosts are cut off', async () => {
+  const all = DATA_CENTRES.map((_, index) => index);
+  await Promise.all(all.map(index => callAll(index)));
+  setFault(all, 'partition');
+  await Promise.all(all.map(index => callAll(index)));
+  await sleep(DETECTION_MS);
+  const startedAt = performance.now();
+  const statuses = await callAll(0, ['/lookup/7']);
+  const callsMs = CALLS * CALL_INTERVAL_MS;
+  expect(performance.now() - startedAt).toBeLessThan(callsMs + 1_000);
+  expect(statuses).toEqual(new Map([[503, CALLS]]));
+});
+
+// Guards against harmless requests that are quarantined because paths reset connections.
+test('a cut that resets connections quarantines no request', async () => {
+  await callAll(1);
+  upstreams.forEach(({server}) => (server.workMs = 150));
+  const first = callAll(1, ['/lookup/7']);
+  await sleep(DETECTION_MS);
+  setFault([1], 'reset');
+  await first;
+  const statuses = await callAll(1, ['/lookup/7']);
+  expect(servedShare(statuses)).toBeGreaterThan(0.9);
+  expect(servedShare(await callAll(0, ['/lookup/7']))).toBe(1);
+});
+
+// Guards against orders that run twice, or are said not to have run, over a dying host.
+test('an order whose tunnel breaks is not sent again', async () => {
+  setFault([1], 'partition');
+  await callAll(1);
+  await sleep(DETECTION_MS);
+  upstreams.forEach(({server}) => (server.workMs = 400));
+  const calls = callAll(1, ['/order/7']);
+  await sleep(DETECTION_MS);
+  await hostAt(0).host.stopNow();
+  await hostAt(2).host.stopNow();
+  const statuses = await calls;
+  expect(findRepeatedRuns()).toEqual([]);
+  expect((statuses.get(200) ?? 0) + (statuses.get(502) ?? 0)).toBeGreaterThan(
+    0.9 * CALLS,
+  );
+});
+
+// Guards against requests in flight that a planned stop of the helping host cuts off.
+test('a host that stops gracefully finishes the requests in its tunnels', async () => {
+  setFault([1], 'partition');
+  await callAll(1);
+  await sleep(DETECTION_MS);
+  upstreams.forEach(({server}) => (server.workMs = 300));
+  const calls = callAll(1, ['/order/7']);
+  await sleep(DETECTION_MS / 2);
+  await Promise.all([hostAt(0).host.stop(), hostAt(2).host.stop()]);
+  expect(servedShare(await calls)).toBe(1);
+});
+
+// Guards against upstreams that work for callers who have left.
+test('a caller that leaves ends its request behind the tunnel', async () => {
+  setFault([1], 'partition');
+  await callAll(1);
+  await sleep(DETECTION_MS);
+  upstreams.forEach(({server}) => (server.workMs = 5_000));
+  const before = countAbandoned();
+  const call = system.call(hostAt(1), {timeLeftMs: 300});
+  expect((await call).status).toBe(504);
+  await until(() => countAbandoned() > before);
+});
+
+function countAbandoned(): number {
+  return system.upstreams.reduce((sum, {abandoned}) => sum + abandoned, 0);
+}
--- a/tests/held_back_requests.test.ts
+++ b/tests/held_back_requests.test.ts
@@ -17,7 +17,7 @@
   upstream = new ReportingUpstream('i-1');
   const port = Number((await upstream.listen()).split(':')[1]);
   proxy = new FaultProxy({ip: '127.0.0.1', port});
-  pool = new ConnectionPool('127.0.0.1', await proxy.listen());
+  pool = new ConnectionPool({ip: '127.0.0.1', port: await proxy.listen()});
 });
 
 afterEach(async () => {
--- a/tests/request_log.test.ts
+++ b/tests/request_log.test.ts
@@ -53,6 +53,7 @@
     looking: 0,
     rateLimited: 0,
     backoffs: 0,
+    cutOff: 0,
     suspects: 0,
     quarantined: 0,
     endedInstances: 0,
--- a/tests/support/gateway.ts
+++ b/tests/support/gateway.ts
@@ -8,6 +8,7 @@
 import type {HostPorts} from '../../src/host/gateway_host.js';
 import {GatewayHost} from '../../src/host/gateway_host.js';
 import type {HostSettings} from '../../src/platform/index.js';
+import {FaultProxy} from '../../src/soak/index.js';
 import {
   OPERATOR_TOPIC,
   StoreClient,
@@ -31,6 +32,12 @@
 
 const ANY_PORT = {ip: '127.0.0.1', port: 0};
 
+/** An upstream that hosts reach through a proxy. */
+export interface ProxiedUpstream {
+  readonly server: ReportingUpstream;
+  readonly proxy: FaultProxy;
+}
+
 export interface RunningHost {
   readonly host: GatewayHost;
   readonly ports: HostPorts;
@@ -41,6 +48,8 @@
 
 /** Options for the start of a host. */
 export interface StartOptions {
+  /** Loopback address of the host, by which proxies tell hosts apart. */
+  readonly ip?: string;
   /** Port for peers; any by default. */
   readonly peers?: number;
   readonly firstStart?: boolean;
@@ -75,6 +84,7 @@
   readonly storeServer = new StoreServer();
   readonly hosts: RunningHost[] = [];
   readonly upstreams: ReportingUpstream[] = [];
+  private readonly proxies: FaultProxy[] = [];
   private nextId = 1;
 
   /** @param logger logger of all hosts; silent by default */
@@ -113,6 +123,21 @@
     return upstream;
   }
 
+  /** Adds an upstream behind a proxy that can cut single hosts off from it. */
+  async addProxiedUpstream(
+    id: string,
+    service = 'listings',
+  ): Promise<ProxiedUpstream> {
+    const server = new ReportingUpstream(id);
+    this.upstreams.push(server);
+    const port = Number((await server.listen()).split(':')[1]);
+    const proxy = new FaultProxy({ip: '127.0.0.1', port});
+    this.proxies.push(proxy);
+    const address = `127.0.0.1:${await proxy.listen()}`;
+    this.register(id, address, 'ready', service);
+    return {server, proxy};
+  }
+
   register(
     id: string,
     address: string,
@@ -130,6 +155,7 @@
   async startHost(
     dataCentre = 'east',
     {
+      ip = '127.0.0.1',
       peers = 0,
       firstStart = true,
       introducers,
@@ -142,7 +168,7 @@
     const store = new StoreClient({ip: '127.0.0.1', port: storeEndpoint.port});
     const settings: HostSettings = {
       host: `entry-${this.hosts.length}`,
-      ip: '127.0.0.1',
+      ip,
       dataCentre,
       regions: new Map(),
       firstStart,
@@ -204,6 +230,7 @@
   async close(): Promise<void> {
     await Promise.all(this.hosts.map(({host}) => host.stopNow()));
     this.hosts.forEach(({store}) => store.close());
+    await Promise.all(this.proxies.map(proxy => proxy.close()));
     await Promise.all(this.upstreams.map(upstream => upstream.close()));
     await this.storeServer.close();
   }
