Reach upstreams through other hosts while a host is cut off from them

Cause: a host had no other way to an upstream than its own, and nothing told it that the fault was its own.

A host that is cut off from a service opens its connections to upstreams through another host, which passes the bytes on (docs/design/tunnels.md). All decisions about a request stay with the host that has the caller, so that attempts, budgets, quotas, crash records and deadlines hold as before, and a tunnel that breaks is a connection that breaks. If no host helps, the direct path is tried. Whether an upstream that refuses connections has ended is checked through another host, so that a cut that resets connections quarantines nothing. A host that stops asks others to end their tunnels and waits for the requests in them.

Failed on the way: without the direct path as a last resort, a request that ended three upstreams made all hosts take themselves for cut off, and nobody served (tests/crashing_requests.test.ts); the same kept the crashes from being counted.

--- a/src/decisions/reachability/tunnel_peers.ts
+++ b/src/decisions/reachability/tunnel_peers.ts
@@ -8,6 +8,8 @@
 
 /** A host that could not help is left out for this time. */
 const RETRY_DELAY_MS: Milliseconds = 1_000;
+/** Upstreams that don't answer through a host before its tunnels count as broken. */
+const UNANSWERED_TO_LEAVE = 2;
 
 export interface TunnelPeersParts {
   /** Hosts of the data centre that were heard from lately. */
@@ -20,6 +22,8 @@
 
 export class TunnelPeers {
   private readonly failedAt = new Map<string, Milliseconds>();
+  /** Upstreams that have not answered since another last did, by host. */
+  private readonly unanswered = new Map<string, Set<string>>();
 
   constructor(private readonly parts: TunnelPeersParts) {}
 
@@ -44,6 +48,23 @@
 
   noteFailure(peer: string): void {
     this.failedAt.set(peer, this.parts.clock.now());
+    this.unanswered.delete(peer);
+  }
+
+  /** An upstream has answered through a host. */
+  noteAnswer(peer: string): void {
+    this.unanswered.delete(peer);
+  }
+
+  /**
+   * An upstream has not answered through a host. One alone may be down itself.
+   *
+   * @returns whether the host's tunnels count as broken
+   */
+  noteUnanswered(peer: string, upstream: string): boolean {
+    const upstreams = this.unanswered.get(peer) ?? new Set();
+    this.unanswered.set(peer, upstreams.add(upstream));
+    return upstreams.size >= UNANSWERED_TO_LEAVE;
   }
 
   private failedSince(peer: string): Milliseconds {
--- a/src/fleet/relay_server.ts
+++ b/src/fleet/relay_server.ts
@@ -2,6 +2,7 @@
 
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import {createServer} from 'node:http';
+import type {Socket} from 'node:net';
 import type {
   Admission,
   ConfigurationHead,
@@ -27,10 +28,10 @@
 /** A follower that doesn't read is disconnected rather than buffered for. */
 const MAX_BUFFERED_BYTES = 4 * 1024 * 1024;
 /**
- * Concurrent connections: followers, and hosts that are redirected. When hundreds of
- * hosts start together, they all ask the same three.
+ * Concurrent connections: followers, hosts that are redirected, and tunnels. When
+ * hundreds of hosts start together, they all ask the same three.
  */
-const MAX_CONNECTIONS = 512;
+const MAX_CONNECTIONS = 768;
 
 const BAD_REQUEST = 400;
 const SERVICE_UNAVAILABLE = 503;
@@ -43,6 +44,8 @@
   readonly released: (address: string) => void;
   /** Hosts to which followers are redirected when this host stops. */
   readonly alternativePeers: () => readonly Peer[];
+  /** Takes over a connection that a host asks to upgrade. */
+  readonly handleUpgrade: (request: IncomingMessage, socket: Socket) => void;
 }
 
 export class RelayServer {
@@ -61,6 +64,9 @@
     this.server = createServer((request, response) =>
       this.handleRequest(request, response),
     );
+    this.server.on('upgrade', (request, socket) =>
+      policy.handleUpgrade(request, socket as Socket),
+    );
     this.server.maxConnections = MAX_CONNECTIONS;
     state.subscribe(update => this.broadcast(update));
     this.timer = setInterval(() => this.sendHeartbeat(), HEARTBEAT_INTERVAL_MS);
--- a/src/gateway/gateway_metrics.ts
+++ b/src/gateway/gateway_metrics.ts
@@ -49,6 +49,8 @@
   readonly backoffs: number;
   /** Services of which this host can reach no upstream. */
   readonly cutOff: number;
+  /** Open connections to upstreams for hosts that are cut off. */
+  readonly tunnels: number;
   /** Requests under which upstreams crashed, whether quarantined or not. */
   readonly suspects: number;
   /** Data centres that get no new requests. */
@@ -178,7 +180,7 @@
   });
   private readonly host = new Gauge({
     name: 'cyclamenlever_host',
-    help: 'State of this host: ready, reader, version, behind, age_seconds, upstreams, evacuated, hosts, in_flight, downloads, download_link_seconds, looking, rate_limited, backoffs, cut_off, suspects, quarantined, ended_lives',
+    help: 'State of this host: ready, reader, version, behind, age_seconds, upstreams, evacuated, hosts, in_flight, downloads, download_link_seconds, looking, rate_limited, backoffs, cut_off, tunnels, suspects, quarantined, ended_lives',
     labelNames: ['figure'] as const,
     registers: this.registers,
   });
@@ -289,6 +291,7 @@
       rate_limited: gauges.rateLimited,
       backoffs: gauges.backoffs,
       cut_off: gauges.cutOff,
+      tunnels: gauges.tunnels,
       suspects: gauges.suspects,
       evacuated: gauges.evacuated,
       quarantined: gauges.quarantined,
--- a/src/gateway/upstream_attempt.ts
+++ b/src/gateway/upstream_attempt.ts
@@ -22,6 +22,8 @@
   readonly upstream: string;
   /** Whether the upstream is in this host's data centre. */
   readonly near: boolean;
+  /** The host whose tunnel was used; undefined on the direct path. */
+  readonly via: string | undefined;
   /** Load that the upstream reported just before. */
   readonly load: LoadReport | undefined;
   /** Age of that report. */
@@ -108,6 +110,7 @@
     return {
       upstream: upstream.id,
       near: this.isNear,
+      via: this.inFlightRequest.connection.via,
       load: probeAnswer.report,
       loadAgeMs: Math.round(this.parts.probeAnswerAgeMs),
       healthy: probeAnswer.healthy,
@@ -151,7 +154,9 @@
     const {context, upstream} = this.parts;
     const {unknownHeaders, upstreamClient} = context;
     unknownHeaders.note(upstream.id, headers);
-    upstreamClient.reachability.noteAnswer(upstream.service);
+    if (!this.inFlightRequest.connection.isTunneled) {
+      upstreamClient.reachability.noteAnswer(upstream.service);
+    }
     upstreamClient.leaving.note(upstream.id, headers);
     upstreamClient.retryAfter.note(upstream.id, status, headers);
     upstreamClient.rateLimits.noteAnswer(upstream.id, headers, this.startedAt);
--- a/src/gateway/upstream_client.ts
+++ b/src/gateway/upstream_client.ts
@@ -17,8 +17,9 @@
 import type {LeavingExchange} from '../leaving/index.js';
 import type {RateLimitExchange} from '../rate_limits/index.js';
 import type {ResetExchange} from '../resets/index.js';
-import type {Clock, Milliseconds} from '../time/index.js';
+import type {Clock, Milliseconds, Random} from '../time/index.js';
 import type {ProbeResult, UpstreamConnection} from '../upstreams/index.js';
+import type {TunnelClient, TunnelOpener} from '../tunnels/index.js';
 import {ConnectionPool, probe} from '../upstreams/index.js';
 import type {GatewayMetrics} from './gateway_metrics.js';
 import {RetryAfterReader} from './retry_after.js';
@@ -26,6 +27,9 @@
 /** An upstream without a probe answer within this time counts as unreachable. */
 const PROBE_TIMEOUT_MS: Milliseconds = 500;
 
+/** Most may be cut off themselves, and a mistake quarantines harmless requests. */
+const MAX_PEERS_TO_CONFIRM = 16;
+
 /** Connections that a host may open to an upstream, however many hosts share it. */
 const MIN_CONNECTION_LIMIT = 4;
 
@@ -49,6 +53,7 @@
 }
 
 interface UpstreamConnections {
+  readonly upstream: RegisteredUpstream;
   readonly pool: ConnectionPool;
   /** Requests of this host in flight there, oldest first. */
   readonly inFlight: Set<InFlightRequest>;
@@ -57,6 +62,8 @@
 export interface UpstreamClientParts {
   /** Address of this host, by which upstreams and networks know it. */
   readonly localIp: string;
+  /** Opens connections through other hosts. */
+  readonly tunnels: TunnelClient;
   readonly options: DecisionOptions;
   readonly view: LoadView;
   readonly state: FleetState;
@@ -82,7 +89,7 @@
     this.reachability = new Reachability({
       clock,
       upstreamCount: service => state.registry.inService(service).length,
-      onChange: change => this.logReachability(change),
+      onChange: change => this.handleReachability(change),
     });
   }
 
@@ -104,7 +111,6 @@
 
   /** Acquires a connection for a request that is sent at once. */
   acquire(upstream: UpstreamInService): InFlightRequest {
-    this.reachability.isCutOff(upstream.service);
     const connections = this.connectionsOf(upstream);
     const request = {upstream, connection: connections.pool.acquire()};
     connections.inFlight.add(request);
@@ -145,6 +151,26 @@
     );
   }
 
+  /** Ends tunnels through a host that stops; requests in flight there go on. */
+  leaveTunnelsThrough(peer: string): void {
+    this.parts.tunnels.avoid(peer);
+    this.connections.forEach(({pool}) => pool.closeThrough(peer));
+  }
+
+  /** Probes an upstream of each service that this host is cut off from directly. */
+  probeCutServices(random: Random): void {
+    const {state} = this.parts;
+    for (const name of this.reachability.cutOff) {
+      const upstreams = state.registry.inService(name);
+      const upstream = upstreams[Math.floor(random() * upstreams.length)];
+      const service = state.routes.service(name);
+      if (upstream && service && this.reachability.takeDirectProbe(name)) {
+        const connection = this.connectionsOf(upstream).pool.openDirectly();
+        void this.sendProbe(upstream, service, connection);
+      }
+    }
+  }
+
   /** Drops the connections and the history of upstreams that are out of service. */
   prune(): void {
     this.parts.view.prune();
@@ -208,7 +234,27 @@
     service: ServiceProfile,
   ): Promise<Presence> {
     const {pool} = this.connectionsOf(upstream);
-    const result = await this.sendProbe(upstream, service, pool.open());
+    const connection = pool.open();
+    const result = await this.sendProbe(upstream, service, connection);
+    return result.kind === 'refused' && !connection.isTunneled
+      ? this.confirmEnd(upstream, service)
+      : PRESENCE_BY_PROBE_RESULT[result.kind];
+  }
+
+  /**
+   * Checks through another host whether an upstream that refuses connections has ended: a
+   * network path that resets them looks the same. If no host can help, it is asked again.
+   */
+  private async confirmEnd(
+    upstream: RegisteredUpstream,
+    service: ServiceProfile,
+  ): Promise<Presence> {
+    const {tunnels} = this.parts;
+    const {pool} = this.connectionsOf(upstream);
+    const connection = pool.openThrough(() =>
+      tunnels.open(upstream.id, MAX_PEERS_TO_CONFIRM),
+    );
+    const result = await this.sendProbe(upstream, service, connection);
     return PRESENCE_BY_PROBE_RESULT[result.kind];
   }
 
@@ -221,7 +267,11 @@
     const {id, name, address, service} = upstream;
     const askedAt = clock.now();
     metrics.countProbe();
-    this.reachability.noteSent(service, id);
+    const {isTunneled} = connection;
+    const isNew = !connection.wasUsed;
+    if (!isTunneled) {
+      this.reachability.noteSent(service, id);
+    }
     const result = await probe(
       connection,
       name,
@@ -235,23 +285,49 @@
       this.retryAfter.note(id, result.status, result.headers);
       view.note({id, ...result.told}, askedAt);
       this.connectionsOf(upstream).pool.release(connection);
-      this.reachability.noteAnswer(service);
     } else {
-      this.recordFailure(upstream, result);
+      this.recordFailure(id, result);
+    }
+    if (isTunneled) {
+      this.noteTunnelResult(id, connection.via, result);
+    } else {
+      this.noteDirectResult(upstream, result, isNew);
     }
     return result;
   }
 
-  private recordFailure(
+  /** A host through which probes fail may be down or cut off itself. */
+  private noteTunnelResult(
+    upstream: string,
+    via: string | undefined,
+    {kind}: ProbeResult,
+  ): void {
+    const {tunnels} = this.parts;
+    if (
+      via !== undefined &&
+      tunnels.noteProbe(via, upstream, kind !== 'failed')
+    ) {
+      this.leaveTunnelsThrough(via);
+    }
+  }
+
+  private noteDirectResult(
     {id, service}: RegisteredUpstream,
-    result: Exclude<ProbeResult, {kind: 'told'}>,
+    {kind}: ProbeResult,
+    isNew: boolean,
   ): void {
-    this.outcomes.failed(id, 'unreachable');
-    if (result.kind === 'wrong-upstream') {
-      this.reachability.noteAnswer(service);
+    if (kind === 'told' || kind === 'wrong-upstream') {
+      this.reachability.noteAnswer(service, isNew);
     } else {
       this.reachability.noteFailure(service, id);
     }
+  }
+
+  private recordFailure(
+    id: string,
+    result: Exclude<ProbeResult, {kind: 'told'}>,
+  ): void {
+    this.outcomes.failed(id, 'unreachable');
     const reason = 'detail' in result ? result.detail : result.kind;
     this.parts.logger.debug(
       {event: 'probe', upstream: id, reason},
@@ -259,6 +335,26 @@
     );
   }
 
+  /** Requests take the new path at once; those in flight stay on the old one. */
+  private handleReachability(change: ReachabilityChange): void {
+    this.logReachability(change);
+    this.connections.forEach(({upstream, pool}) => {
+      if (upstream.service === change.service) {
+        pool.closeIdle();
+      }
+    });
+  }
+
+  /** Opens connections through another host while this one is cut off. */
+  private tunnelTo({
+    id,
+    service,
+  }: RegisteredUpstream): TunnelOpener | undefined {
+    return this.reachability.isCutOff(service)
+      ? () => this.parts.tunnels.open(id)
+      : undefined;
+  }
+
   private logReachability({
     service,
     isCutOff,
@@ -289,11 +385,15 @@
     }
     const address = parseAddress(upstream.address);
     const connections: UpstreamConnections = {
-      pool: new ConnectionPool({
-        ip: address?.ip ?? '',
-        port: address?.port ?? 0,
-        localIp: this.parts.localIp,
-      }),
+      pool: new ConnectionPool(
+        {
+          ip: address?.ip ?? '',
+          port: address?.port ?? 0,
+          localIp: this.parts.localIp,
+        },
+        () => this.tunnelTo(upstream),
+      ),
+      upstream,
       inFlight: new Set(),
     };
     this.connections.set(upstream.id, connections);
--- a/src/host/gateway_host.ts
+++ b/src/host/gateway_host.ts
@@ -25,6 +25,7 @@
 import {CrashHistory} from '../quarantine/index.js';
 import {QuotaExchange} from '../quotas/index.js';
 import type {HostSettings, Store} from '../platform/index.js';
+import {TunnelServer} from '../tunnels/index.js';
 import type {Clock, Milliseconds, Random} from '../time/index.js';
 import {systemWallClock} from '../time/index.js';
 import {sleep} from '../time/index.js';
@@ -62,6 +63,7 @@
   private readonly state: FleetState;
   private readonly member: FleetMember;
   private readonly relay: RelayServer;
+  private readonly tunnels: TunnelServer;
   private readonly gateway: GatewayServer;
   private readonly readiness: ReadinessServer;
   private readonly metricsServer: MetricsServer;
@@ -116,6 +118,7 @@
     });
     this.quotas = this.createQuotas();
     this.overload = this.createOverloadExchange();
+    this.tunnels = this.createTunnelServer();
     this.relay = this.lifeCycle.adopt(
       'relay',
       new RelayServer(this.state, {
@@ -123,6 +126,8 @@
         admit: asker => this.member.admit(asker),
         released: follower => this.member.released(follower),
         alternativePeers: () => this.member.alternativePeers(),
+        handleUpgrade: (request, socket) =>
+          this.tunnels.handleUpgrade(request, socket),
       }),
       one => one.close(),
     );
@@ -168,6 +173,11 @@
     return this.upstreamSelection.upstreamClient.reachability.cutOff;
   }
 
+  /** Open connections to upstreams for hosts that are cut off. */
+  get tunnelCount(): number {
+    return this.tunnels.count;
+  }
+
   /** Version of the active configuration; undefined before the first. */
   get version(): number | undefined {
     return this.state.routes.version;
@@ -215,10 +225,14 @@
     logger.info({event: 'stop', host: settings.host}, 'stopping');
     this.relay.redirectFollowers();
     this.gateway.setPhase('announced');
+    const controller = new AbortController();
+    const drained = this.tunnels.drain(controller.signal);
     await sleep(plan.acceptingMs);
     this.gateway.setPhase('finishing');
     const left = plan.abortInFlightAfterMs - (clock.now() - startedAt);
-    await Promise.race([this.gateway.close(), sleep(left)]);
+    const finished = Promise.all([this.gateway.close(), drained]);
+    await Promise.race([finished, sleep(left)]);
+    controller.abort();
     this.quotas.handOverAll();
     await this.lifeCycle.close();
     logger.info(
@@ -252,6 +266,7 @@
       rateLimited: this.upstreamSelection.rateLimitedCount,
       backoffs: this.upstreamSelection.backoffCount,
       cutOff: this.cutOffServices.length,
+      tunnels: this.tunnels.count,
       suspects: this.crashHistory.quarantine.size,
       quarantined: this.crashHistory.quarantine.quarantinedCount,
       endedInstances: this.crashHistory.quarantine.confirmedCount,
@@ -347,6 +362,22 @@
     );
   }
 
+  private createTunnelServer(): TunnelServer {
+    const {settings, clock, logger} = this.parts;
+    return this.lifeCycle.adopt(
+      'tunnels',
+      new TunnelServer({
+        findUpstream: id => this.state.registry.find(id),
+        localIp: settings.ip,
+        reachability: this.upstreamSelection.upstreamClient.reachability,
+        datagrams: this.datagrams,
+        clock,
+        logger,
+      }),
+      one => one.close(),
+    );
+  }
+
   private createGateway(): GatewayServer {
     const {clock, random, logger, metrics} = this.parts;
     const split = new TrafficSplit(random);
--- a/src/host/upstream_selection.ts
+++ b/src/host/upstream_selection.ts
@@ -14,6 +14,7 @@
   WorkEstimates,
   freeShareOf,
 } from '../decisions/placement/index.js';
+import {TunnelPeers} from '../decisions/reachability/index.js';
 import {ProbeBudget} from '../decisions/probing/index.js';
 import type {NearHosts} from '../decisions/rate_limits/index.js';
 import {RateLimits} from '../decisions/rate_limits/index.js';
@@ -29,10 +30,13 @@
 import {RateLimitExchange} from '../rate_limits/index.js';
 import {LoadExchange} from '../sharing/index.js';
 import {ResetExchange} from '../resets/index.js';
+import {TUNNELS_ENDING, TunnelClient} from '../tunnels/index.js';
 import type {Clock, Milliseconds, Random} from '../time/index.js';
 
 /** A peer from which nothing was received for this time counts as down. */
 const PEER_TIMEOUT_MS: Milliseconds = 10_000;
+/** The same for tunnels, which are needed at once. */
+const TUNNEL_PEER_TIMEOUT_MS: Milliseconds = 3_000;
 
 export interface UpstreamSelectionParts {
   readonly settings: HostSettings;
@@ -59,6 +63,7 @@
   private readonly rateLimits: RateLimitExchange;
   private readonly backoffs: Backoffs;
   private readonly leaving: LeavingExchange;
+  private readonly tunnels: TunnelClient;
   private readonly policy: PlacementPolicy;
   private readonly probes: ProbeBudget;
   private readonly schedulers = new Map<string, Scheduler>();
@@ -76,6 +81,7 @@
     this.rateLimits = this.createRateLimits();
     this.backoffs = new Backoffs(clock);
     this.leaving = this.createLeaving();
+    this.tunnels = this.createTunnels();
     this.upstreamClient = this.createUpstreamClient(view);
     this.probes = new ProbeBudget(clock, settings.probesPerSecond);
     this.policy = this.createPolicy(view);
@@ -145,18 +151,37 @@
   prune(): void {
     const {registry} = this.parts.state;
     this.upstreamClient.prune();
+    this.upstreamClient.probeCutServices(this.parts.random);
     this.leaving.prune();
     this.policy.prune(id => registry.find(id) !== undefined);
   }
 
+  private createTunnels(): TunnelClient {
+    const {clock, random, datagrams, nearPeers, peers} = this.parts;
+    datagrams.handle(TUNNELS_ENDING, peer => {
+      this.upstreamClient.leaveTunnelsThrough(peer);
+      return true;
+    });
+    return new TunnelClient({
+      peers: new TunnelPeers({
+        near: () => nearPeers(TUNNEL_PEER_TIMEOUT_MS),
+        all: peers,
+        clock,
+        random,
+      }),
+      self: () => this.address,
+    });
+  }
+
   private createUpstreamClient(view: LoadView): UpstreamClient {
     const {settings, clock, logger, metrics, state, lifeCycle} = this.parts;
     const options = DEFAULT_OPTIONS;
-    const {rateLimits, backoffs, leaving} = this;
+    const {rateLimits, backoffs, leaving, tunnels} = this;
     return lifeCycle.adopt(
       'upstream connections',
       new UpstreamClient({
         localIp: settings.ip,
+        tunnels,
         options,
         view,
         state,
--- a/src/tunnels/constants.ts
+++ b/src/tunnels/constants.ts
@@ -4,7 +4,10 @@
 /** Header in which a host names its address for peers. */
 export const HOST_HEADER = 'x-cyclamenlever-host';
 
-export const OPENED_STATUS = 200;
+/** Path of tunnels; the upstream's id follows. */
+export const TUNNEL_PATH = '/tunnels/';
+export const UPGRADE_PROTOCOL = 'cyclamenlever-tunnel';
+export const OPENED_STATUS = 101;
 
 /** Statuses by which a host says why it opens no tunnel. */
 export const FAILURE_STATUSES: Readonly<Record<TunnelFailure, number>> = {
--- a/src/tunnels/errors.ts
+++ b/src/tunnels/errors.ts
@@ -1,20 +1,17 @@
-import type {TunnelFailure} from './types.js';
+import type {UpstreamFault} from './types.js';
 
 /** Codes of Node's system errors, by which connections tell why they failed. */
-const CODES: Readonly<Record<TunnelFailure, string>> = {
+const CODES: Readonly<Record<UpstreamFault, string>> = {
   refused: 'ECONNREFUSED',
   unreachable: 'ETIMEDOUT',
-  unavailable: 'EHOSTUNREACH',
 };
 
+/** The upstream can't be reached through another host either. */
 export class TunnelError extends Error {
   readonly code: string;
 
-  constructor(
-    readonly failure: TunnelFailure,
-    message: string,
-  ) {
+  constructor(fault: UpstreamFault, message: string) {
     super(message);
-    this.code = CODES[failure];
+    this.code = CODES[fault];
   }
 }
--- a/src/tunnels/tunnel_client.ts
+++ b/src/tunnels/tunnel_client.ts
@@ -10,7 +10,8 @@
   CONNECT_TIMEOUT_MS,
   FAILURE_STATUSES,
   HOST_HEADER,
-  OPENED_STATUS,
+  TUNNEL_PATH,
+  UPGRADE_PROTOCOL,
 } from './constants.js';
 import {TunnelError} from './errors.js';
 import type {Tunnel, TunnelFailure} from './types.js';
@@ -29,39 +30,55 @@
 export class TunnelClient {
   constructor(private readonly parts: TunnelClientParts) {}
 
-  /** Whether there is any host to ask. */
-  get hasPeers(): boolean {
-    return this.parts.peers.choose(1).length > 0;
-  }
-
-  /** A host's tunnels fail or end: others are asked for a while. */
+  /** A host's tunnels end: others are asked for a while. */
   avoid(peer: string): void {
     this.parts.peers.noteFailure(peer);
   }
 
   /**
-   * @param target address of the upstream
-   * @throws TunnelError if no host opens a tunnel
+   * @param isAnswered whether the upstream answered a probe through the host
+   * @returns whether the host's tunnels count as broken
    */
-  async open(target: string): Promise<Tunnel> {
+  noteProbe(peer: string, upstream: string, isAnswered: boolean): boolean {
+    const {peers} = this.parts;
+    if (isAnswered) {
+      peers.noteAnswer(peer);
+      return false;
+    }
+    return peers.noteUnanswered(peer, upstream);
+  }
+
+  /**
+   * Resolves with undefined if no host helps.
+   *
+   * @param upstream id of the upstream instance
+   * @throws TunnelError if the upstream can't be reached from another host either
+   */
+  async open(
+    upstream: string,
+    maxPeers = MAX_PEERS_ASKED,
+  ): Promise<Tunnel | undefined> {
     const {peers, self} = this.parts;
-    for (const peer of peers.choose(MAX_PEERS_ASKED)) {
-      const result = await openThrough(peer, target, self());
+    for (const peer of peers.choose(maxPeers)) {
+      const result = await openThrough(peer, upstream, self());
       if (typeof result !== 'string') {
         return {socket: result, peer};
       }
       if (result !== 'unavailable') {
-        throw new TunnelError(result, `${target} is ${result} through ${peer}`);
+        throw new TunnelError(
+          result,
+          `${upstream} is ${result} through ${peer}`,
+        );
       }
       peers.noteFailure(peer);
     }
-    throw new TunnelError('unavailable', `no host opens a tunnel to ${target}`);
+    return undefined;
   }
 }
 
 function openThrough(
   peer: string,
-  target: string,
+  upstream: string,
   self: string,
 ): Promise<Socket | TunnelFailure> {
   const address = parseAddress(peer);
@@ -69,24 +86,28 @@
     const outgoing = request({
       host: address?.ip,
       port: address?.port,
-      method: 'CONNECT',
-      path: target,
-      headers: {[HOST_HEADER]: self},
+      path: `${TUNNEL_PATH}${encodeURIComponent(upstream)}`,
+      headers: {
+        connection: 'Upgrade',
+        upgrade: UPGRADE_PROTOCOL,
+        [HOST_HEADER]: self,
+      },
       agent: false,
-      timeout: PEER_TIMEOUT_MS,
     });
-    outgoing.on('timeout', () => outgoing.destroy());
-    outgoing.on('error', () => resolve('unavailable'));
-    outgoing.on('close', () => resolve('unavailable'));
-    outgoing.on('connect', ({statusCode}: IncomingMessage, socket: Socket) => {
-      socket.setTimeout(0);
-      if (statusCode === OPENED_STATUS) {
-        socket.setNoDelay(true);
-        resolve(socket);
-      } else {
-        socket.destroy();
-        resolve(failureOf(statusCode));
-      }
+    const timer = setTimeout(() => outgoing.destroy(), PEER_TIMEOUT_MS);
+    const settle = (result: Socket | TunnelFailure): void => {
+      clearTimeout(timer);
+      resolve(result);
+    };
+    outgoing.on('error', () => settle('unavailable'));
+    outgoing.on('close', () => settle('unavailable'));
+    outgoing.on('response', ({statusCode}) => {
+      settle(failureOf(statusCode));
+      outgoing.destroy();
+    });
+    outgoing.on('upgrade', (_response: IncomingMessage, socket: Socket) => {
+      socket.setNoDelay(true);
+      settle(socket);
     });
     outgoing.end();
   });
--- a/src/tunnels/tunnel_server.ts
+++ b/src/tunnels/tunnel_server.ts
@@ -1,8 +1,8 @@
 /**
- * Passes bytes of other hosts on to upstreams that those hosts can't reach (HTTP CONNECT).
+ * Passes bytes of other hosts on to upstreams that those hosts can't reach.
  *
- * The target must be an upstream that this host knows, so that tunnels lead nowhere else,
- * and never on to another host.
+ * A host asks by HTTP for an upgrade and names the upstream by its id. It must be one that
+ * this host knows: tunnels lead nowhere else, and never on to another host.
  */
 
 import type {IncomingMessage} from 'node:http';
@@ -22,6 +22,8 @@
   FAILURE_STATUSES,
   HOST_HEADER,
   OPENED_STATUS,
+  TUNNEL_PATH,
+  UPGRADE_PROTOCOL,
 } from './constants.js';
 import {splice} from './splice.js';
 import type {TunnelFailure} from './types.js';
@@ -37,8 +39,10 @@
 const LINES_PER_SECOND = 5;
 
 export interface TunnelServerParts {
-  /** The upstream that is registered with an address; undefined if there is none. */
-  readonly upstreamAt: (address: string) => RegisteredUpstream | undefined;
+  /** The upstream instance with an id; undefined if it isn't known. */
+  readonly findUpstream: (id: string) => RegisteredUpstream | undefined;
+  /** Address that connections to upstreams start at. */
+  readonly localIp: string;
   readonly reachability: Reachability;
   readonly datagrams: DatagramPort;
   readonly clock: Clock;
@@ -63,13 +67,13 @@
     return this.tunnels.size;
   }
 
-  /** Handles a `connect` event of an HTTP server. */
-  handleConnect(request: IncomingMessage, caller: Socket): void {
+  /** Handles an `upgrade` event of an HTTP server. */
+  handleUpgrade(request: IncomingMessage, caller: Socket): void {
     caller.on('error', () => undefined);
-    const target = this.parts.upstreamAt(request.url ?? '');
+    const target = this.parts.findUpstream(idOf(request.url));
     const peer = request.headers[HOST_HEADER];
     if (!target || typeof peer !== 'string') {
-      this.refuse(caller, 'unavailable');
+      this.refuse(caller, 'unreachable');
       return;
     }
     const {reachability} = this.parts;
@@ -109,6 +113,7 @@
     const upstream = connect({
       host: address?.ip,
       port: address?.port ?? 0,
+      localAddress: this.parts.localIp,
       allowHalfOpen: true,
       noDelay: true,
     });
@@ -138,14 +143,14 @@
       [caller, upstream].forEach(socket =>
         socket.setTimeout(IDLE_TIMEOUT_MS, () => socket.destroy()),
       );
-      caller.write(statusLine(OPENED_STATUS));
+      caller.write(head(OPENED_STATUS));
       splice(caller, upstream);
     });
   }
 
   private refuse(caller: Socket, failure: TunnelFailure): void {
     if (!caller.destroyed) {
-      caller.end(statusLine(FAILURE_STATUSES[failure]));
+      caller.end(head(FAILURE_STATUSES[failure]));
     }
   }
 
@@ -160,6 +165,17 @@
   }
 }
 
-function statusLine(status: number): string {
-  return `HTTP/1.1 ${status} ${STATUS_CODES[status] ?? ''}\r\n\r\n`;
+/** Undefined becomes an id that no upstream has. */
+function idOf(target = ''): string {
+  return target.startsWith(TUNNEL_PATH)
+    ? decodeURIComponent(target.slice(TUNNEL_PATH.length))
+    : '';
+}
+
+function head(status: number): string {
+  const isOpened = status === OPENED_STATUS;
+  const connection = isOpened
+    ? `Connection: Upgrade\r\nUpgrade: ${UPGRADE_PROTOCOL}`
+    : 'Connection: close\r\nContent-Length: 0';
+  return `HTTP/1.1 ${status} ${STATUS_CODES[status] ?? ''}\r\n${connection}\r\n\r\n`;
 }
--- a/src/tunnels/types.ts
+++ b/src/tunnels/types.ts
@@ -7,14 +7,18 @@
   readonly peer: string;
 }
 
-/** Opens a connection to an upstream. */
-export type TunnelOpener = () => Promise<Tunnel>;
+/** Opens a connection to an upstream; resolves with undefined if no host helps. */
+export type TunnelOpener = () => Promise<Tunnel | undefined>;
 
-/** Why a host opens no tunnel. */
-export type TunnelFailure =
+/** What keeps another host from connecting to an upstream. */
+export type UpstreamFault =
   /** The upstream refuses connections: its process has ended. */
   | 'refused'
   /** The upstream doesn't answer that host either. */
-  | 'unreachable'
+  | 'unreachable';
+
+/** Why a host opens no tunnel. */
+export type TunnelFailure =
+  | UpstreamFault
   /** That host can't help: it is cut off itself, full, stopping or down. */
   | 'unavailable';
--- a/src/upstreams/connection.ts
+++ b/src/upstreams/connection.ts
@@ -6,11 +6,13 @@
  * at most one socket.
  */
 
-import type {ClientRequest} from 'node:http';
+import type {ClientRequest, ClientRequestArgs} from 'node:http';
 import {Agent, request} from 'node:http';
-import {Socket} from 'node:net';
+import type {TcpSocketConnectOpts} from 'node:net';
+import {Socket, connect} from 'node:net';
 import type {Duplex} from 'node:stream';
 import type {RawHeaders} from '../transport/index.js';
+import type {TunnelOpener} from '../tunnels/index.js';
 
 /**
  * Below the shortest known idle timeout of upstreams (10 s), so that they don't close
@@ -34,14 +36,43 @@
   readonly localIp?: string;
 }
 
+type SocketCallback = (error: Error | null, socket: Duplex) => void;
+
+/** Node reads no socket after an error, but its types require one. */
+const NO_SOCKET = undefined as unknown as Duplex;
+
 /** An agent with one socket, which it destroys if data arrives while idle. */
 class SingleSocketAgent extends Agent {
   private idleSocket: Duplex | undefined;
 
-  constructor(private readonly onIdleClosed: () => void) {
+  /**
+   * @param openTunnel opens the socket through another host, or resolves with undefined
+   *   if none helps; left out to connect directly
+   */
+  constructor(
+    private readonly onIdleClosed: () => void,
+    private readonly openTunnel?: () => Promise<Socket | undefined>,
+  ) {
     super({keepAlive: true, maxSockets: 1, maxFreeSockets: 1});
   }
 
+  /** Node accepts a socket that is passed on later. */
+  override createConnection(
+    options: ClientRequestArgs,
+    callback?: SocketCallback,
+  ): Duplex | null | undefined {
+    const {openTunnel} = this;
+    if (!openTunnel) {
+      return super.createConnection(options, callback);
+    }
+    openTunnel().then(
+      socket =>
+        callback?.(null, socket ?? connect(options as TcpSocketConnectOpts)),
+      (error: Error) => callback?.(error, NO_SOCKET),
+    );
+    return undefined;
+  }
+
   /**
    * Data on an idle connection belongs to no request. Left unread, it would be parsed
    * as the start of the next response.
@@ -69,13 +100,37 @@
   private readonly agent: SingleSocketAgent;
   private idleTimer: NodeJS.Timeout | undefined;
   private closed = false;
+  private used = false;
+  private tunnelPeer: string | undefined;
 
-  /** @param onClosed called once, when the connection is closed for good */
+  /**
+   * @param onClosed called once, when the connection is closed for good
+   * @param openTunnel opens it through another host; undefined for a direct connection
+   */
   constructor(
     private readonly ends: ConnectionEnds,
     private readonly onClosed: (connection: UpstreamConnection) => void,
+    private openTunnel?: TunnelOpener,
   ) {
-    this.agent = new SingleSocketAgent(() => this.close());
+    this.agent = new SingleSocketAgent(
+      () => this.close(),
+      openTunnel && (() => this.connectThrough(openTunnel)),
+    );
+  }
+
+  /** Whether a request has been started on it. */
+  get wasUsed(): boolean {
+    return this.used;
+  }
+
+  /** Whether it goes through another host, or would if one helped. */
+  get isTunneled(): boolean {
+    return this.openTunnel !== undefined;
+  }
+
+  /** The host through which it goes; undefined until it is open, or if it is direct. */
+  get via(): string | undefined {
+    return this.tunnelPeer;
   }
 
   get isClosed(): boolean {
@@ -85,6 +140,7 @@
   /** Starts a request; the calling code writes the body and ends it. */
   startRequest(head: RequestHead): ClientRequest {
     clearTimeout(this.idleTimer);
+    this.used = true;
     const outgoing = request({
       agent: this.agent,
       host: this.ends.ip,
@@ -106,6 +162,24 @@
     this.idleTimer.unref();
   }
 
+  private async connectThrough(
+    openTunnel: TunnelOpener,
+  ): Promise<Socket | undefined> {
+    const tunnel = await openTunnel();
+    if (this.closed) {
+      // Its request has ended: the agent would keep the socket for another.
+      tunnel?.socket.destroy();
+      throw new Error('the connection was closed while its tunnel was opened');
+    }
+    if (!tunnel) {
+      // This host may be wrong about the cut: the direct path is all that is left.
+      this.openTunnel = undefined;
+      return undefined;
+    }
+    this.tunnelPeer = tunnel.peer;
+    return tunnel.socket;
+  }
+
   /** Closes the connection; an exchange that hasn't ended is aborted. */
   close(): void {
     if (this.closed) {
--- a/src/upstreams/pool.ts
+++ b/src/upstreams/pool.ts
@@ -1,14 +1,24 @@
 /** Connections to one upstream, most recently used first. */
 
+import type {TunnelOpener} from '../tunnels/index.js';
 import type {ConnectionEnds} from './connection.js';
 import {UpstreamConnection} from './connection.js';
 
 export class ConnectionPool {
   private readonly idle: UpstreamConnection[] = [];
   private readonly all = new Set<UpstreamConnection>();
+  /** Connections in use that carry no further request. */
+  private readonly expired = new WeakSet<UpstreamConnection>();
   private draining = false;
 
-  constructor(private readonly ends: ConnectionEnds) {}
+  /**
+   * @param tunnel opens connections through another host; undefined while the upstream
+   *   is reached directly
+   */
+  constructor(
+    private readonly ends: ConnectionEnds,
+    private readonly tunnel: () => TunnelOpener | undefined = () => undefined,
+  ) {}
 
   get openCount(): number {
     return this.all.size;
@@ -24,13 +34,19 @@
     return this.idle.pop() ?? this.open();
   }
 
-  /** A new connection, which its first request opens. */
+  /** A new connection on the current path, which its first request opens. */
   open(): UpstreamConnection {
-    const connection = new UpstreamConnection(this.ends, closed =>
-      this.forgetClosed(closed),
-    );
-    this.all.add(connection);
-    return connection;
+    return this.openOn(this.tunnel());
+  }
+
+  /** A new direct connection, whatever the current path is. */
+  openDirectly(): UpstreamConnection {
+    return this.openOn(undefined);
+  }
+
+  /** A new connection through another host. */
+  openThrough(tunnel: TunnelOpener): UpstreamConnection {
+    return this.openOn(tunnel);
   }
 
   /** Returns a reusable connection to the pool. */
@@ -38,7 +54,9 @@
     if (connection.isClosed) {
       return;
     }
-    if (this.draining) {
+    const isTunneled = this.tunnel() !== undefined;
+    const isExpired = this.expired.has(connection);
+    if (this.draining || isExpired || connection.isTunneled !== isTunneled) {
       connection.close();
       return;
     }
@@ -57,11 +75,33 @@
     [...this.idle].forEach(connection => connection.close());
   }
 
+  /** Closes idle connections through one host, and those in use when they are released. */
+  closeThrough(peer: string): void {
+    this.idle
+      .filter(({via}) => via === peer)
+      .forEach(connection => connection.close());
+    this.all.forEach(connection => {
+      if (connection.via === peer) {
+        this.expired.add(connection);
+      }
+    });
+  }
+
   closeAll(): void {
     this.draining = true;
     [...this.all].forEach(connection => connection.close());
   }
 
+  private openOn(tunnel: TunnelOpener | undefined): UpstreamConnection {
+    const connection = new UpstreamConnection(
+      this.ends,
+      closed => this.forgetClosed(closed),
+      tunnel,
+    );
+    this.all.add(connection);
+    return connection;
+  }
+
   private forgetClosed(connection: UpstreamConnection): void {
     this.all.delete(connection);
     const at = this.idle.indexOf(connection);
--- a/tests/customer_metrics.test.ts
+++ b/tests/customer_metrics.test.ts
@@ -18,6 +18,7 @@
   rateLimited: 0,
   backoffs: 0,
   cutOff: 0,
+  tunnels: 0,
   suspects: 0,
   quarantined: 0,
   endedInstances: 0,
--- a/tests/request_log.test.ts
+++ b/tests/request_log.test.ts
@@ -54,6 +54,7 @@
     rateLimited: 0,
     backoffs: 0,
     cutOff: 0,
+    tunnels: 0,
     suspects: 0,
     quarantined: 0,
     endedInstances: 0,
