Cut hosts off from upstreams in the soak; check cuts and the retry budget

Now 1 to all but one of the hosts lose the paths to all upstreams or to half of them, by held back, dropped or reset connections, for 5 to 9 s, beside the seed's faults, which stay the same. Checked: hosts that are cut off serve at least two thirds as often as the others from 3 s on; arrivals beyond the first of each request stay within what the operators allow over all hosts. Both checks are tested by histories that break them.

--- a/src/soak/announcements.ts
+++ b/src/soak/announcements.ts
@@ -31,7 +31,10 @@
   },
   'refuse-with-retry-after': async ({history, upstreams}, random) => {
     const {server} = pick({random}, upstreams);
-    server.onArrival = ({id}) => {
+    const noteArrival = server.onArrival;
+    server.onArrival = run => {
+      noteArrival(run);
+      const {id} = run;
       const at = history.clock.now();
       const until = at + RETRY_AFTER_MS;
       history.refusals.push({id, upstream: server.id, at, until});
@@ -39,7 +42,7 @@
     server.retryAfter = String(RETRY_AFTER_MS / 1_000);
     server.fault = 'shed';
     await sleep(REFUSAL_DURATION_MS);
-    server.onArrival = () => undefined;
+    server.onArrival = noteArrival;
     server.fault = 'none';
     server.retryAfter = undefined;
   },
--- a/src/soak/checks.ts
+++ b/src/soak/checks.ts
@@ -18,6 +18,7 @@
 import type {History} from './history.js';
 import {overlapsAny} from './history.js';
 import {OVERLOAD_CHECKS} from './overload_checks.js';
+import {PATH_CHECKS} from './path_checks.js';
 import type {Finding, Span} from './types.js';
 
 /** Statuses that guarantee that a request wasn't executed and won't be. */
@@ -58,6 +59,7 @@
   findHarmfulRuns,
   ...CUSTOMER_CHECKS,
   ...OVERLOAD_CHECKS,
+  ...PATH_CHECKS,
 ];
 
 function findWrongResponses(history: History): readonly Finding[] {
--- a/src/soak/constants.ts
+++ b/src/soak/constants.ts
@@ -21,6 +21,9 @@
 export const PROPAGATION_MS: Milliseconds = 3_000;
 /** Time for which an upstream continues to serve after announcing that it leaves. */
 export const LEAVING_DURATION_MS: Milliseconds = 4_000;
+/** Retries that all hosts together may send, per request and in addition. */
+export const RETRY_RATIO = 0.2;
+export const RETRY_SLACK = 50;
 /** Each host must apply a new configuration within this time. */
 export const MAX_APPLY_DELAY_MS: Milliseconds = 2_000;
 /** How closely hosts must keep the quotas of customers, as in their settings. */
--- a/src/soak/history.ts
+++ b/src/soak/history.ts
@@ -3,7 +3,9 @@
 import type {Clock, Milliseconds} from '../time/index.js';
 import {CustomerHistory} from './customer_history.js';
 import type {
+  Arrival,
   ObservedRun,
+  PathCut,
   RateLimitSpan,
   Refusal,
   RequestOutcome,
@@ -15,6 +17,9 @@
   readonly sent = new Map<string, SentRequest>();
   readonly outcomes = new Map<string, RequestOutcome>();
   readonly runs: ObservedRun[] = [];
+  /** In order. */
+  readonly arrivals: Arrival[] = [];
+  readonly pathCuts: PathCut[] = [];
   /** Faults of any upstream or of the link to it. */
   readonly upstreamFaults: Span[] = [];
   /** Faults of the store itself. */
@@ -72,6 +77,10 @@
     this.outcomes.set(id, outcome);
   }
 
+  noteArrival(id: string): void {
+    this.arrivals.push({id, at: this.clock.now()});
+  }
+
   noteRun(run: Omit<ObservedRun, 'at'>): void {
     this.runs.push({...run, at: this.clock.now()});
   }
--- a/src/soak/host_process.ts
+++ b/src/soak/host_process.ts
@@ -12,7 +12,13 @@
 } from '../platform/index.js';
 import {quotaBounds} from '../standins/index.js';
 import type {Milliseconds} from '../time/index.js';
-import {COLD_OVERAGE, COLD_SLACK, QUOTA_TOLERANCE} from './constants.js';
+import {
+  COLD_OVERAGE,
+  COLD_SLACK,
+  QUOTA_TOLERANCE,
+  RETRY_RATIO,
+  RETRY_SLACK,
+} from './constants.js';
 
 /** The deployed single-file bundle; starts in a third of the time of separate modules. */
 const PROGRAM = 'target/host.cjs';
@@ -127,8 +133,8 @@
       `network.internal_ports=${ports?.peers ?? 0},0`,
       `platform.platform.address=127.0.0.1:${storePort}`,
       `terms.bounds.grace=${GRACE_MS}ms`,
-      'terms.bounds.retry_ratio=0.2',
-      'terms.bounds.retry_slack=50',
+      `terms.bounds.retry_ratio=${RETRY_RATIO}`,
+      `terms.bounds.retry_slack=${RETRY_SLACK}`,
       'terms.bounds.probe_per_s=60',
       `terms.bounds.warmup_overage=${COLD_OVERAGE}`,
       `terms.bounds.warmup_slack=${COLD_SLACK}`,
--- a/src/soak/main.ts
+++ b/src/soak/main.ts
@@ -53,6 +53,10 @@
     description:
       'number of periods with pages of the store cut off or unknown entries in configurations; regressions keep their plans',
   });
+  readonly pathCuts = Option.String('--path-cuts', '1', {
+    description:
+      'number of periods in which hosts are cut off from all or some upstreams; regressions keep their plans',
+  });
   readonly seconds = Option.String('--seconds', '8', {
     description: 'time within which faults and drills begin',
   });
@@ -112,6 +116,7 @@
       announcements: Number(this.announcements),
       customers: Number(this.customers),
       storeOddities: Number(this.storeOddities),
+      pathCuts: Number(this.pathCuts),
       faultPhaseMs: Number(this.seconds) * SECOND_MS,
     };
   }
--- a/src/soak/run.ts
+++ b/src/soak/run.ts
@@ -18,6 +18,7 @@
 import {LOST_READS} from './lost_reads.js';
 import {monitorStalls} from './stall_monitor.js';
 import {ConfigurationWatch} from './configuration_watch.js';
+import {PATH_CUTS} from './path_cuts.js';
 import {STORE_ODDITIES} from './store_oddities.js';
 import type {Finding, RunReport} from './types.js';
 import type {TestbedSize} from './testbed.js';
@@ -37,6 +38,8 @@
   readonly announcements: number;
   /** Number of periods with pages cut off or unknown entries in configurations. */
   readonly storeOddities: number;
+  /** Number of periods in which hosts are cut off from all or some upstreams. */
+  readonly pathCuts: number;
   /** Whether one caller sends a request that crashes each upstream that executes it. */
   readonly harmful: boolean;
   readonly logFolder: string;
@@ -50,6 +53,7 @@
   announcements: 0,
   customers: 0,
   storeOddities: 0,
+  pathCuts: 0,
 } satisfies Partial<RunPlan>;
 
 /** After the last fault, all hosts must serve within this time. */
@@ -64,6 +68,7 @@
 const ANNOUNCEMENTS_SEED_OFFSET = 400_000;
 const CUSTOMERS_SEED_OFFSET = 500_000;
 const STORE_ODDITIES_SEED_OFFSET = 600_000;
+const PATH_CUTS_SEED_OFFSET = 700_000;
 /** Time in which to detect that a refused request is executed after all. */
 const SETTLE_MS: Milliseconds = 500;
 
@@ -194,6 +199,11 @@
       count: plan.storeOddities,
       seed: plan.seed + STORE_ODDITIES_SEED_OFFSET,
     },
+    {
+      drills: PATH_CUTS,
+      count: plan.pathCuts,
+      seed: plan.seed + PATH_CUTS_SEED_OFFSET,
+    },
   ];
 }
 
--- a/src/soak/testbed.ts
+++ b/src/soak/testbed.ts
@@ -18,6 +18,7 @@
   HARMFUL_TARGET,
   FAULT_RECOVERY_MS,
 } from './constants.js';
+import type {LinkFault} from './fault_proxy.js';
 import {FaultProxy} from './fault_proxy.js';
 import type {History} from './history.js';
 import {HostProcess} from './host_process.js';
@@ -71,6 +72,8 @@
   >();
   /** Further entries of the configurations that are written. */
   extraEntries: readonly unknown[] = [];
+  /** Applied to each upstream that is added. */
+  private readonly activeCuts = new Set<(upstream: SoakUpstream) => void>();
   private closed = false;
 
   constructor(
@@ -145,6 +148,7 @@
         void this.crash(upstream);
       }
     });
+    server.onArrival = run => this.history.noteArrival(run.id);
     server.workMs = this.workMs;
     server.refusesWhenFull = this.hasCustomers;
     server.reportsActiveRequests = this.hasCustomers;
@@ -155,11 +159,39 @@
     const dataCentre = dataCentreOf(this.nextUpstream);
     const upstream = {server, proxy, address, dataCentre};
     this.allUpstreams.push(upstream);
+    this.activeCuts.forEach(apply => apply(upstream));
     this.history.dataCentres.set(id, dataCentre);
     this.setUpstreams([...this.upstreams, upstream]);
     this.register(upstream, 'ready');
   }
 
+  /**
+   * Cuts paths from hosts to upstreams, also to upstreams that start meanwhile.
+   *
+   * @param drawsPath whether a path is cut
+   * @returns function that ends the cut
+   */
+  cutPaths(
+    hosts: readonly number[],
+    fault: LinkFault,
+    drawsPath: () => boolean,
+  ): () => void {
+    const ips = hosts.flatMap(host => this.hosts[host]?.options.ip ?? []);
+    const apply = ({proxy}: SoakUpstream): void =>
+      ips
+        .filter(() => drawsPath())
+        .forEach(ip => proxy.setClientFault(ip, fault));
+    this.allUpstreams.forEach(apply);
+    this.activeCuts.add(apply);
+    return () => {
+      this.activeCuts.delete(apply);
+      // Overlapping cuts of a host end together.
+      this.allUpstreams.forEach(({proxy}) =>
+        ips.forEach(ip => proxy.setClientFault(ip, 'none')),
+      );
+    };
+  }
+
   /** Registers an upstream as draining; it continues to serve. */
   drain(upstream: SoakUpstream): void {
     this.excludeFromFaults(upstream);
--- a/src/soak/types.ts
+++ b/src/soak/types.ts
@@ -50,6 +50,17 @@
   readonly to: Milliseconds;
 }
 
+/** The time during which hosts could reach no upstream. */
+export interface PathCut extends Span {
+  readonly hosts: readonly number[];
+}
+
+/** A request that reached an upstream, executed or not. */
+export interface Arrival {
+  readonly id: string;
+  readonly at: Milliseconds;
+}
+
 /** The time during which an upstream announced a rate limit. */
 export interface RateLimitSpan extends Span {
   readonly upstream: string;
--- a/tests/soak.test.ts
+++ b/tests/soak.test.ts
@@ -129,6 +129,23 @@
   expect(report.requests).toBeGreaterThan(100);
 });
 
+// Guards against hosts that refuse their callers while others reach all upstreams.
+test('a run in which hosts are cut off from upstreams violates no guarantee', async () => {
+  const report = await runOnce({
+    ...FAULTS_ONLY,
+    seed: 31,
+    hosts: 5,
+    upstreams: 6,
+    callers: 12,
+    faults: 2,
+    faultPhaseMs: 4_000,
+    pathCuts: 2,
+    logFolder,
+  });
+  expect(report.findings).toEqual([]);
+  expect(report.requests).toBeGreaterThan(100);
+});
+
 // Hand-made histories, each of which breaks one guarantee for customers.
 
 const CUSTOMER_HEADER = 'cyclamenlever-tenant-id';
@@ -370,3 +387,32 @@
   addBurst('key-of-maps', 150, 0.5);
   expect(violated()).toEqual([]);
 });
+
+// Guards against a check that misses hosts without paths to upstreams.
+test('hosts that are cut off and serve less than the others are found', () => {
+  history.pathCuts.push({hosts: [1], from: 0, to: 10_000});
+  for (let at = 3_100; at < 9_900; at += 100) {
+    addRun(at, {key: 'key-of-courts', host: 0});
+    addRun(at, {key: 'key-of-courts', host: 1});
+  }
+  expect(violated()).toEqual([]);
+  const calls = Array.from({length: 60}, (_, index) => 6_500 + index);
+  calls.forEach(at => add({at, key: 'key-of-courts', host: 1, status: 502}));
+  expect(violated()).toEqual(['cut-off hosts']);
+});
+
+// Guards against a check that misses arrivals of abandoned requests.
+test('arrivals beyond the retry budget are found', () => {
+  for (let at = 0; at < 10_000; at += 100) {
+    addRun(at, {key: 'key-of-courts'});
+  }
+  const repeat = (count: number): void => {
+    for (let i = 0; i < count; i += 1) {
+      history.arrivals.push({id: 'r1', at: 9_900});
+    }
+  };
+  repeat(71);
+  expect(violated()).toEqual([]);
+  repeat(1);
+  expect(violated()).toEqual(['retry budget']);
+});
