--- a/src/explain/explain.ts
+++ b/src/explain/explain.ts
@@ -70,8 +70,10 @@
   const location = send.near
     ? 'in the same data centre'
     : 'in another data centre';
+  const tunnel =
+    send.via === undefined ? '' : `, through a tunnel of host ${send.via}`;
   return [
-    `After ${send.atMs} ms it was sent to ${send.upstream}, ${location}.`,
+    `After ${send.atMs} ms it was sent to ${send.upstream}, ${location}${tunnel}.`,
     `Just before, that upstream ${describeLoad(send)}.`,
     `Result after ${send.ms} ms: ${describeResult(send)}${describeFailure(id, send, lines)}.`,
     ...describeUpstreamStates(send, lines),
--- a/src/explain/types.ts
+++ b/src/explain/types.ts
@@ -10,6 +10,8 @@
 const ATTEMPT_ENTRY = z.object({
   upstream: z.string(),
   near: z.boolean(),
+  /** The host whose tunnel was used. */
+  via: z.string().optional(),
   load: LOAD.optional(),
   loadAgeMs: z.number().nullish(),
   healthy: z.boolean(),
--- a/tests/explain.test.ts
+++ b/tests/explain.test.ts
@@ -15,6 +15,13 @@
   expect(text).toContain('It may have run');
 });
 
+test('a send through another host names that host', () => {
+  const lost = LOST.replace('"near":true', '"near":true,"via":"10.1.0.9:7700"');
+  expect(explain('r1', parseLogLines(lost))).toContain(
+    'sent to i-8, in the same data centre, through a tunnel of host 10.1.0.9:7700.',
+  );
+});
+
 test('a refusal says that nothing was sent and that the request has not run', () => {
   const text = explain(
     'r2',
