End a cut for which only slow probes spoke when a late answer arrives

A host that stood still for 100 ms found its own probes unanswered, took itself for cut off and gave up its kept connections for up to a second, although the answers were waiting to be read. A late answer on any direct connection now ends such a cut; where connections are refused, only a new one does, as before. Test: "a late answer ends a cut for which only slow probes spoke".

--- a/src/decisions/reachability/service_reachability.ts
+++ b/src/decisions/reachability/service_reachability.ts
@@ -24,6 +24,8 @@
   private readonly failed = new Map<string, Milliseconds>();
   private answeredAt: Milliseconds | undefined;
   private cutOff = false;
+  /** Whether failed connections were evidence of the cut. */
+  private areConnectionsRefused = false;
   private directProbeAt: Milliseconds = -Infinity;
 
   /** @param upstreamCount upstreams of the service that are in service */
@@ -34,7 +36,10 @@
 
   /** Whether requests have to take another path. */
   get isCutOff(): boolean {
-    this.cutOff ||= this.hasEvidence();
+    if (!this.cutOff && this.hasEvidence()) {
+      this.cutOff = true;
+      this.areConnectionsRefused = this.failed.size > 0;
+    }
     return this.cutOff;
   }
 
@@ -55,14 +60,15 @@
   }
 
   /**
-   * An upstream has answered on the direct path. While the service is cut off, only a
-   * connection opened since shows that it no longer is: older ones may live on.
+   * An upstream has answered on the direct path. A late answer shows that probes were only
+   * slow. Where connections are refused, only a new one shows that the cut is over: older
+   * ones may live on.
    *
    * @returns whether this ends a cut
    */
   noteAnswer(isNewConnection: boolean): boolean {
-    const endsCut = this.cutOff && isNewConnection;
-    if (this.cutOff && !isNewConnection) {
+    const endsCut = this.cutOff;
+    if (endsCut && this.areConnectionsRefused && !isNewConnection) {
       return false;
     }
     this.unanswered.clear();
--- a/tests/reachability.test.ts
+++ b/tests/reachability.test.ts
@@ -94,6 +94,14 @@
   expect(reachability.isCutOff(SERVICE)).toBe(false);
 });
 
+// Guards against a host that stood still and takes itself for cut off.
+test('a late answer ends a cut for which only slow probes spoke', () => {
+  probeWithoutAnswer('i-1', 'i-2', 'i-3');
+  expect(reachability.isCutOff(SERVICE)).toBe(true);
+  reachability.noteAnswer(SERVICE);
+  expect(reachability.isCutOff(SERVICE)).toBe(false);
+});
+
 test('each end of a cut is reported once, with its evidence', () => {
   reachability.noteAnswer(SERVICE);
   clock.advance(500);
