Close tunnels before the server that accepted them

Callers saw nothing, but the platform killed a host that stopped: the server that accepts tunnels waits for all its connections, upgraded ones too, and was closed before they were. A tunnel whose upstream was out of reach stayed half open after the other host had closed it, so that the wait for the end of all tunnels used up the grace period.

Tunnels are closed first, and both sides end when the host that asked for the tunnel closes it.

The soak's check of cuts leaves out times in which upstreams accept less than they have capacity for.

--- a/src/host/gateway_host.ts
+++ b/src/host/gateway_host.ts
@@ -118,7 +118,6 @@
     });
     this.quotas = this.createQuotas();
     this.overload = this.createOverloadExchange();
-    this.tunnels = this.createTunnelServer();
     this.relay = this.lifeCycle.adopt(
       'relay',
       new RelayServer(this.state, {
@@ -131,6 +130,8 @@
       }),
       one => one.close(),
     );
+    // Closed before the relay, whose server waits for upgraded connections too.
+    this.tunnels = this.createTunnelServer();
     this.member = this.createMember();
     this.state.subscribeToStoreRestore(() => this.handleStoreRestore());
     warnOfUnknownEvacuations(this.state, settings.regions, logger);
--- a/src/soak/path_checks.ts
+++ b/src/soak/path_checks.ts
@@ -24,13 +24,20 @@
   readonly all: number;
 }
 
-/** Counts requests from some time after the start of the cut, at undisturbed hosts. */
+/**
+ * Counts requests from some time after the start of the cut, at undisturbed hosts, while
+ * upstreams accept what they have capacity for: shares of limits differ between hosts.
+ */
 function findUnservedCuts(history: History): readonly Finding[] {
   return history.pathCuts.flatMap(cut => {
     const requests = [...history.sent.values()].filter(({at, host}) => {
       const isWithin = at > cut.from + FAULT_RECOVERY_MS && at < cut.to;
       const span = {from: at - FAULT_RECOVERY_MS, to: at};
-      return isWithin && !overlapsAny(span, history.hostFaults.get(host) ?? []);
+      const excuses = [
+        ...history.customers.capacityFaults,
+        ...(history.hostFaults.get(host) ?? []),
+      ];
+      return isWithin && !overlapsAny(span, excuses);
     });
     const inside = count(history, requests, cut, true);
     const outside = count(history, requests, cut, false);
--- a/src/tunnels/splice.ts
+++ b/src/tunnels/splice.ts
@@ -10,7 +10,11 @@
  * they mark truncated responses and abandoned requests.
  */
 export function splice(caller: Socket, upstream: Socket): void {
-  forward(caller, upstream, () => upstream.end());
+  // Callers don't half-close: an upstream that is out of reach must not keep the tunnel.
+  forward(caller, upstream, () => {
+    upstream.end();
+    caller.end();
+  });
   forward(upstream, caller, () => mirrorEnd(upstream, caller));
 }
 
