--- a/src/decisions/fleet/fleet_node.ts
+++ b/src/decisions/fleet/fleet_node.ts
@@ -75,7 +75,13 @@
     const position = new TreePosition(self);
     this.position = position;
     this.peerExchange = new PeerExchange(self, introducers, clock, random);
-    this.followers = new FollowerSlots(self, maxNearFollowers, clock, random);
+    this.followers = new FollowerSlots(
+      self,
+      maxNearFollowers,
+      clock,
+      random,
+      () => this.position.sources,
+    );
     this.peerBackoffs = new PeerBackoffs(clock);
     this.search = new ParentSearch(self, clock, random);
     this.readerRole = new ReaderRole({
--- a/src/decisions/fleet/follower_slots.ts
+++ b/src/decisions/fleet/follower_slots.ts
@@ -27,12 +27,16 @@
 export class FollowerSlots {
   private readonly followers = new Map<string, Follower>();
 
-  /** @param maxNearFollowers limit for followers of the same data centre */
+  /**
+   * @param maxNearFollowers limit for followers of the same data centre
+   * @param sources hosts that relay updates to this one
+   */
   constructor(
     private readonly self: Peer,
     private readonly maxNearFollowers: number,
     private readonly clock: Clock,
     private readonly random: Random,
+    private readonly sources: () => readonly string[] = () => [],
   ) {}
 
   get count(): number {
@@ -58,14 +62,12 @@
 
   /** Hosts that receive updates through this one, itself included. */
   get subtreeSize(): number {
-    let sum = 1;
-    this.followers.forEach(({subtreeSize}) => (sum += subtreeSize));
-    return sum;
+    return this.sizeThrough([...this.followers.values()]);
   }
 
   /** The same, through followers that were heard recently. */
   get reachableSize(): number {
-    return this.reachable.reduce((sum, one) => sum + one.subtreeSize, 1);
+    return this.sizeThrough(this.reachable);
   }
 
   /** Followers that have timed out and are to be disconnected. */
@@ -114,6 +116,17 @@
     }
   }
 
+  /**
+   * Leaves out followers that relay to this host: while hosts follow each other in a loop,
+   * each would add its own subtree to the next one's, again and again.
+   */
+  private sizeThrough(followers: readonly Follower[]): number {
+    const sources = new Set(this.sources());
+    return followers
+      .filter(({address}) => !sources.has(address))
+      .reduce((sum, {subtreeSize}) => sum + subtreeSize, 1);
+  }
+
   private get reachable(): readonly Follower[] {
     const since = this.clock.now() - REACHABLE_TIMEOUT_MS;
     return [...this.followers.values()].filter(one => one.heardAt >= since);
--- a/src/decisions/fleet/tree_position.ts
+++ b/src/decisions/fleet/tree_position.ts
@@ -38,6 +38,11 @@
     return this.relayPath;
   }
 
+  /** Hosts that relay updates to this one now, in any order. */
+  get sources(): readonly string[] {
+    return this.source ? [...this.relayPath, this.source.address] : [];
+  }
+
   /** Hosts between the store and this one. */
   get depth(): number {
     return this.relayPath.length;
--- a/tests/fleet_node.test.ts
+++ b/tests/fleet_node.test.ts
@@ -128,6 +128,19 @@
   expect(slots.admit(followRequest(3, 'north'), []).kind).toBe('accept');
 });
 
+// Guards against hosts in a loop that count each other again and again.
+test('a follower that relays to this host is not counted', () => {
+  let sources = [peer(3).address, peer(1).address];
+  const random = seededRandom(1);
+  const slots = new FollowerSlots(SELF, 8, clock, random, () => sources);
+  [1, 2].forEach(index => slots.admit(followRequest(index), []));
+  slots.updateSubtreeSize(peer(1).address, 500);
+  slots.updateSubtreeSize(peer(2).address, 5);
+  expect([slots.subtreeSize, slots.reachableSize]).toEqual([6, 6]);
+  sources = [];
+  expect(slots.subtreeSize).toBe(506);
+});
+
 test('a host that cannot reach the redirect target is admitted itself', () => {
   // The only follower in a data centre loses power. Until it times out, the
   // next host of that data centre would be redirected to it again and again.
