--- a/src/soak/announcements.ts
+++ b/src/soak/announcements.ts
@@ -31,18 +31,15 @@
   },
   'refuse-with-retry-after': async ({history, upstreams}, random) => {
     const {server} = pick({random}, upstreams);
-    const noteArrival = server.onArrival;
-    server.onArrival = run => {
-      noteArrival(run);
-      const {id} = run;
+    const unsubscribe = server.subscribeToArrivals(({id}) => {
       const at = history.clock.now();
       const until = at + RETRY_AFTER_MS;
       history.refusals.push({id, upstream: server.id, at, until});
-    };
+    });
     server.retryAfter = String(RETRY_AFTER_MS / 1_000);
     server.fault = 'shed';
     await sleep(REFUSAL_DURATION_MS);
-    server.onArrival = noteArrival;
+    unsubscribe();
     server.fault = 'none';
     server.retryAfter = undefined;
   },
--- a/src/soak/testbed.ts
+++ b/src/soak/testbed.ts
@@ -148,7 +148,7 @@
         void this.crash(upstream);
       }
     });
-    server.onArrival = run => this.history.noteArrival(run.id);
+    server.subscribeToArrivals(run => this.history.noteArrival(run.id));
     server.workMs = this.workMs;
     server.refusesWhenFull = this.hasCustomers;
     server.reportsActiveRequests = this.hasCustomers;
--- a/src/standins/reporting_upstream.ts
+++ b/src/standins/reporting_upstream.ts
@@ -96,10 +96,9 @@
   announcesLeaving = false;
   /** Value of the Retry-After header in refusals; omitted if undefined. */
   retryAfter: string | undefined;
-  /** Called for each request that arrives, whatever its outcome. */
-  onArrival: (run: UpstreamRun) => void = () => undefined;
   /** Called when requests exceed the cold limit; the upstream then stops. */
   onColdOverload: () => void = () => undefined;
+  private readonly arrivalListeners = new Set<(run: UpstreamRun) => void>();
   private readonly server: Server;
   private readonly sockets = new Set<Socket>();
   private readonly muted = new Set<Socket>();
@@ -136,6 +135,16 @@
     return !this.server.listening;
   }
 
+  /**
+   * Calls the listener for each request that arrives, whatever its outcome.
+   *
+   * @returns function that ends this
+   */
+  subscribeToArrivals(listener: (run: UpstreamRun) => void): () => void {
+    this.arrivalListeners.add(listener);
+    return () => this.arrivalListeners.delete(listener);
+  }
+
   /**
    * Starts a cold phase and reports its remaining time in health responses.
    *
@@ -215,7 +224,7 @@
       socket.write(this.formatResponse(run, this.healthy ? 200 : 503, ''));
       return;
     }
-    this.onArrival(run);
+    this.arrivalListeners.forEach(listener => listener(run));
     if (this.fault === 'shed' || this.isFull) {
       socket.write(this.formatResponse(run, 503, '', this.refusalHeaders));
       return;
--- a/tests/announced_leaving.test.ts
+++ b/tests/announced_leaving.test.ts
@@ -51,7 +51,9 @@
   leaving.announcesLeaving = true;
   await generateLoad(system.hosts, DRAIN_MS);
   let arrivals = 0;
-  leaving.onArrival = () => (arrivals += 1);
+  leaving.subscribeToArrivals(() => {
+    arrivals += 1;
+  });
   const probes = leaving.probes;
   const replies = await generateLoad(system.hosts, DRAIN_MS);
   expect(arrivals).toBe(0);
--- a/tests/rate_limits.test.ts
+++ b/tests/rate_limits.test.ts
@@ -37,7 +37,7 @@
 /** Records when requests arrive at an upstream. */
 function recordArrivals(upstream: ReportingUpstream): readonly Milliseconds[] {
   const arrivals: Milliseconds[] = [];
-  upstream.onArrival = () => arrivals.push(systemClock.now());
+  upstream.subscribeToArrivals(() => arrivals.push(systemClock.now()));
   return arrivals;
 }
 
--- a/tests/upstream_backoff.test.ts
+++ b/tests/upstream_backoff.test.ts
@@ -27,7 +27,7 @@
   const arrivals: Milliseconds[] = [];
   upstream.fault = 'shed';
   upstream.retryAfter = String(BACKOFF_MS / 1_000);
-  upstream.onArrival = () => arrivals.push(systemClock.now());
+  upstream.subscribeToArrivals(() => arrivals.push(systemClock.now()));
   return arrivals;
 }
 
