--- a/src/decisions/fleet/fleet_node.ts
+++ b/src/decisions/fleet/fleet_node.ts
@@ -70,18 +70,12 @@
   private actions: NodeAction[] = [];
 
   constructor(private readonly parts: FleetNodeParts) {
-    const {self, introducers, firstStart, maxNearFollowers} = parts;
+    const {self, introducers, firstStart} = parts;
     const {budget, freshness, size, clock, random} = parts;
     const position = new TreePosition(self);
     this.position = position;
     this.peerExchange = new PeerExchange(self, introducers, clock, random);
-    this.followers = new FollowerSlots(
-      self,
-      maxNearFollowers,
-      clock,
-      random,
-      () => this.position.sources,
-    );
+    this.followers = new FollowerSlots(parts, this.position);
     this.peerBackoffs = new PeerBackoffs(clock);
     this.search = new ParentSearch(self, clock, random);
     this.readerRole = new ReaderRole({
--- a/src/decisions/fleet/follower_slots.ts
+++ b/src/decisions/fleet/follower_slots.ts
@@ -24,19 +24,25 @@
   readonly heardAt: Milliseconds;
 }
 
+export interface FollowerSlotsParts {
+  readonly self: Peer;
+  /** Limit for followers of the same data centre. */
+  readonly maxNearFollowers: number;
+  readonly clock: Clock;
+  readonly random: Random;
+}
+
+interface Sources {
+  /** Hosts that relay updates to this one. */
+  readonly sources: readonly string[];
+}
+
 export class FollowerSlots {
   private readonly followers = new Map<string, Follower>();
 
-  /**
-   * @param maxNearFollowers limit for followers of the same data centre
-   * @param sources hosts that relay updates to this one
-   */
   constructor(
-    private readonly self: Peer,
-    private readonly maxNearFollowers: number,
-    private readonly clock: Clock,
-    private readonly random: Random,
-    private readonly sources: () => readonly string[] = () => [],
+    private readonly parts: FollowerSlotsParts,
+    private readonly position: Sources = {sources: []},
   ) {}
 
   get count(): number {
@@ -72,7 +78,7 @@
 
   /** Followers that have timed out and are to be disconnected. */
   get silent(): readonly string[] {
-    const since = this.clock.now() - FOLLOWER_TIMEOUT_MS;
+    const since = this.parts.clock.now() - FOLLOWER_TIMEOUT_MS;
     return [...this.followers.values()]
       .filter(({heardAt}) => heardAt < since)
       .map(({address}) => address);
@@ -80,7 +86,7 @@
 
   /** @param path hosts that relay updates to this one */
   admit(request: FollowRequest, path: readonly string[]): Admission {
-    const isLoop = [this.self.address, ...path].includes(request.address);
+    const isLoop = [this.parts.self.address, ...path].includes(request.address);
     if (isLoop || path.length >= MAX_PATH_LENGTH) {
       return {kind: 'refuse'};
     }
@@ -88,16 +94,16 @@
     // here.
     this.followers.delete(request.address);
     const reachable = this.reachableFollowersFor(request);
-    const isNear = request.dataCentre === this.self.dataCentre;
+    const isNear = request.dataCentre === this.parts.self.dataCentre;
     const hasRoom = isNear
-      ? reachable.length < this.maxNearFollowers
+      ? reachable.length < this.parts.maxNearFollowers
       : reachable.length === 0 && this.farCount < MAX_FAR_FOLLOWERS;
     if (!hasRoom) {
-      const peers = pick(reachable, REDIRECT_TARGETS, this.random);
+      const peers = pick(reachable, REDIRECT_TARGETS, this.parts.random);
       return {kind: 'redirect', peers};
     }
     const {address, dataCentre} = request;
-    const heardAt = this.clock.now();
+    const heardAt = this.parts.clock.now();
     this.followers.set(address, {address, dataCentre, subtreeSize: 1, heardAt});
     return {kind: 'accept'};
   }
@@ -111,7 +117,7 @@
   updateSubtreeSize(address: string, subtreeSize: number): void {
     const follower = this.followers.get(address);
     if (follower) {
-      const heardAt = this.clock.now();
+      const heardAt = this.parts.clock.now();
       this.followers.set(address, {...follower, subtreeSize, heardAt});
     }
   }
@@ -121,19 +127,19 @@
    * each would add its own subtree to the next one's, again and again.
    */
   private sizeThrough(followers: readonly Follower[]): number {
-    const sources = new Set(this.sources());
+    const sources = new Set(this.position.sources);
     return followers
       .filter(({address}) => !sources.has(address))
       .reduce((sum, {subtreeSize}) => sum + subtreeSize, 1);
   }
 
   private get reachable(): readonly Follower[] {
-    const since = this.clock.now() - REACHABLE_TIMEOUT_MS;
+    const since = this.parts.clock.now() - REACHABLE_TIMEOUT_MS;
     return [...this.followers.values()].filter(one => one.heardAt >= since);
   }
 
   private get farCount(): number {
-    const {dataCentre} = this.self;
+    const {dataCentre} = this.parts.self;
     return this.peers.filter(one => one.dataCentre !== dataCentre).length;
   }
 
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -3,7 +3,6 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {Customer} from '../decisions/customers/index.js';
 import {RequestAttempts} from '../decisions/attempts/index.js';
-import type {RetryPermit} from '../decisions/retries/index.js';
 import type {Route, ServiceProfile} from '../decisions/routes/index.js';
 import type {Placed, Refused} from '../decisions/scheduling/index.js';
 import type {ProblemReason, RequestBody} from '../http/index.js';
@@ -51,7 +50,6 @@
   private readonly id: string;
   private readonly record: RequestAttempts;
   private readonly attempts: UpstreamAttempt[] = [];
-  private readonly retryPermits: RetryPermit[] = [];
   private readonly bodyReader: BodyReader;
   private readonly admission: RequestAdmission;
   private readonly controller = new AbortController();
@@ -269,7 +267,11 @@
       return;
     }
     const isWanted = !this.done && pending.isPending && this.record.mayHedge;
-    if (placing.kind === 'placed' && isWanted && this.trySpendRetry()) {
+    if (
+      placing.kind === 'placed' &&
+      isWanted &&
+      this.admission.trySpendRetry(this.record.outcome)
+    ) {
       metrics.countHedge();
       this.startAttempt(ready, placing);
     }
@@ -299,7 +301,7 @@
     const step = this.record.handleEnd(attemptEndOf(result), {
       leftMs: this.leftMs,
       isBodyBuffered: ready.isBodyBuffered,
-      trySpendRetry: () => this.trySpendRetry(),
+      trySpendRetry: () => this.admission.trySpendRetry(this.record.outcome),
     });
     switch (step.kind) {
       case 'deliver':
@@ -338,20 +340,6 @@
     logFailedAttempt(this.context, this.id, id, result);
   }
 
-  private trySpendRetry(): boolean {
-    const {retries, metrics} = this.context;
-    const permit = this.admission.mayRepeat(this.record.outcome)
-      ? retries.trySpend(this.service.name)
-      : undefined;
-    if (!permit) {
-      metrics.countRefusedRetry();
-      return false;
-    }
-    this.retryPermits.push(permit);
-    metrics.countRetry();
-    return true;
-  }
-
   private deliver(upstreamResponse: BufferedResponse): void {
     if (!this.done) {
       writeResponse(this.response, upstreamResponse);
@@ -409,7 +397,7 @@
     this.stallWatch?.stop();
     this.controller.abort();
     this.attempts.forEach(attempt => attempt.cancel());
-    this.retryPermits.forEach(permit => permit.settle());
+    this.admission.settleRetries();
     recordRequestEnd(this.context, {
       id: this.id,
       route: this.route,
--- a/src/gateway/request_admission.ts
+++ b/src/gateway/request_admission.ts
@@ -1,4 +1,7 @@
-/** Applies the limit for downloads, the customer's quota and overload control to one request. */
+/**
+ * Applies the limit for downloads, the customer's quota, overload control and the retry
+ * budget to one request.
+ */
 
 import type {ServerResponse} from 'node:http';
 import type {Customer} from '../decisions/customers/index.js';
@@ -7,6 +10,7 @@
   AdmissionVerdict,
 } from '../decisions/overload/index.js';
 import type {QuotaVerdict} from '../decisions/quotas/index.js';
+import type {RetryPermit} from '../decisions/retries/index.js';
 import type {Route, ServiceProfile} from '../decisions/routes/index.js';
 import type {SchedulingResult} from '../decisions/scheduling/index.js';
 import type {Milliseconds} from '../time/index.js';
@@ -41,6 +45,7 @@
   private hasPermit = false;
   private isPlaced = false;
   private refusal: Refusal | undefined;
+  private readonly retryPermits: RetryPermit[] = [];
 
   constructor(private readonly parts: RequestAdmissionParts) {
     const {context, route, service, customer, arrivedAt, giveUpAt} = parts;
@@ -88,6 +93,26 @@
     return outcome === 'not-run' || admission.mayRepeat(this.request);
   }
 
+  /** Consumes a retry or hedge of the budget; returns false if none may be sent. */
+  trySpendRetry(outcome: 'not-run' | 'unknown'): boolean {
+    const {context, service} = this.parts;
+    const permit = this.mayRepeat(outcome)
+      ? context.retries.trySpend(service.name)
+      : undefined;
+    if (!permit) {
+      context.metrics.countRefusedRetry();
+      return false;
+    }
+    this.retryPermits.push(permit);
+    context.metrics.countRetry();
+    return true;
+  }
+
+  /** The request has ended: no attempt of it can arrive any more. */
+  settleRetries(): void {
+    this.retryPermits.forEach(permit => permit.settle());
+  }
+
   /** @param tried upstreams to which the request has been sent */
   placementRequest(tried: ReadonlySet<string>): PlacementRequest {
     const {route, service, arrivedAt, giveUpAt} = this.parts;
--- a/src/gateway/upstream_client.ts
+++ b/src/gateway/upstream_client.ts
@@ -267,9 +267,8 @@
     const {id, name, address, service} = upstream;
     const askedAt = clock.now();
     metrics.countProbe();
-    const {isTunneled} = connection;
     const isNew = !connection.wasUsed;
-    if (!isTunneled) {
+    if (!connection.isTunneled) {
       this.reachability.noteSent(service, id);
     }
     const result = await probe(
@@ -279,6 +278,12 @@
       healthPath,
       PROBE_TIMEOUT_MS,
     );
+    // It is direct after all if no host opened a tunnel.
+    if (connection.isTunneled) {
+      this.noteTunnelResult(id, connection.via, result);
+    } else {
+      this.noteDirectResult(upstream, result, isNew);
+    }
     if (result.kind === 'told') {
       rateLimits.noteHealth(id, result.headers);
       this.leaving.note(id, result.headers);
@@ -288,11 +293,6 @@
     } else {
       this.recordFailure(id, result);
     }
-    if (isTunneled) {
-      this.noteTunnelResult(id, connection.via, result);
-    } else {
-      this.noteDirectResult(upstream, result, isNew);
-    }
     return result;
   }
 
--- a/src/host/gateway_host.ts
+++ b/src/host/gateway_host.ts
@@ -1,15 +1,13 @@
 /** Composes an entry host on the platform from its parts, and shuts it down in order. */
 
-import type {Logger} from 'pino';
 import {propagationBudget} from '../decisions/fleet/index.js';
 import {ByteBudget} from '../decisions/limits/index.js';
 import {DEFAULT_OPTIONS} from '../decisions/options/index.js';
-import {HostRetryBudgets} from '../decisions/retries/index.js';
 import {StallDetector} from '../decisions/stalls/index.js';
 import {planShutdown} from '../decisions/stopping/index.js';
 import {TrafficSplit} from '../decisions/routes/index.js';
 import {FleetMember, FleetState, RelayServer} from '../fleet/index.js';
-import type {GatewayMetrics, HostGauges} from '../gateway/index.js';
+import type {HostGauges} from '../gateway/index.js';
 import {
   CrashDetector,
   DownloadAdmission,
@@ -24,12 +22,12 @@
 import {OverloadExchange} from '../overload/index.js';
 import {CrashHistory} from '../quarantine/index.js';
 import {QuotaExchange} from '../quotas/index.js';
-import type {HostSettings, Store} from '../platform/index.js';
-import {TunnelServer} from '../tunnels/index.js';
-import type {Clock, Milliseconds, Random} from '../time/index.js';
+import type {Milliseconds} from '../time/index.js';
 import {systemWallClock} from '../time/index.js';
 import {sleep} from '../time/index.js';
+import {createRetryBudgets} from './retry_budgets.js';
 import {warnOfUnknownEvacuations} from './unknown_evacuations.js';
+import type {BodyMemory, GatewayHostParts, HostPorts} from './types.js';
 import {UpstreamSelection} from './upstream_selection.js';
 
 const PRUNE_INTERVAL_MS: Milliseconds = 500;
@@ -37,33 +35,11 @@
 /** Memory budget for request bodies: a tenth of the smallest hosts' memory. */
 const BODY_MEMORY_BYTES = 24 * 1024 * 1024;
 
-export interface GatewayHostParts {
-  readonly settings: HostSettings;
-  readonly store: Store;
-  readonly clock: Clock;
-  readonly random: Random;
-  readonly logger: Logger;
-  readonly metrics: GatewayMetrics;
-}
-
-export interface HostPorts {
-  readonly callers: number;
-  readonly readiness: number;
-  readonly peers: number;
-  readonly metrics: number;
-}
-
-export interface BodyMemory {
-  readonly reservedBytes: number;
-  readonly waiting: number;
-}
-
 export class GatewayHost {
   private readonly lifeCycle: ResourceStack;
   private readonly state: FleetState;
   private readonly member: FleetMember;
   private readonly relay: RelayServer;
-  private readonly tunnels: TunnelServer;
   private readonly gateway: GatewayServer;
   private readonly readiness: ReadinessServer;
   private readonly metricsServer: MetricsServer;
@@ -126,12 +102,10 @@
         released: follower => this.member.released(follower),
         alternativePeers: () => this.member.alternativePeers(),
         handleUpgrade: (request, socket) =>
-          this.tunnels.handleUpgrade(request, socket),
+          this.upstreamSelection.tunnelServer.handleUpgrade(request, socket),
       }),
       one => one.close(),
     );
-    // Closed before the relay, whose server waits for upgraded connections too.
-    this.tunnels = this.createTunnelServer();
     this.member = this.createMember();
     this.state.subscribeToStoreRestore(() => this.handleStoreRestore());
     warnOfUnknownEvacuations(this.state, settings.regions, logger);
@@ -176,7 +150,7 @@
 
   /** Open connections to upstreams for hosts that are cut off. */
   get tunnelCount(): number {
-    return this.tunnels.count;
+    return this.upstreamSelection.tunnelServer.count;
   }
 
   /** Version of the active configuration; undefined before the first. */
@@ -227,7 +201,9 @@
     this.relay.redirectFollowers();
     this.gateway.setPhase('announced');
     const controller = new AbortController();
-    const drained = this.tunnels.drain(controller.signal);
+    const drained = this.upstreamSelection.tunnelServer.drain(
+      controller.signal,
+    );
     await sleep(plan.acceptingMs);
     this.gateway.setPhase('finishing');
     const left = plan.abortInFlightAfterMs - (clock.now() - startedAt);
@@ -235,7 +211,7 @@
     await Promise.race([finished, sleep(left)]);
     controller.abort();
     this.quotas.handOverAll();
-    await this.lifeCycle.close();
+    await this.closeAll();
     logger.info(
       {event: 'stop', unfinished: this.gateway.inFlightCount},
       'stopped',
@@ -246,7 +222,13 @@
   async stopNow(): Promise<void> {
     this.stopping = true;
     this.gateway.closeNow();
-    await this.lifeCycle.close();
+    await this.closeAll();
+  }
+
+  /** Tunnels go first: the server that accepted them waits for all its connections. */
+  private closeAll(): Promise<void> {
+    this.upstreamSelection.tunnelServer.close();
+    return this.lifeCycle.close();
   }
 
   private gauges(): HostGauges {
@@ -267,7 +249,7 @@
       rateLimited: this.upstreamSelection.rateLimitedCount,
       backoffs: this.upstreamSelection.backoffCount,
       cutOff: this.cutOffServices.length,
-      tunnels: this.tunnels.count,
+      tunnels: this.upstreamSelection.tunnelServer.count,
       suspects: this.crashHistory.quarantine.size,
       quarantined: this.crashHistory.quarantine.quarantinedCount,
       endedInstances: this.crashHistory.quarantine.confirmedCount,
@@ -363,22 +345,6 @@
     );
   }
 
-  private createTunnelServer(): TunnelServer {
-    const {settings, clock, logger} = this.parts;
-    return this.lifeCycle.adopt(
-      'tunnels',
-      new TunnelServer({
-        findUpstream: id => this.state.registry.find(id),
-        localIp: settings.ip,
-        reachability: this.upstreamSelection.upstreamClient.reachability,
-        datagrams: this.datagrams,
-        clock,
-        logger,
-      }),
-      one => one.close(),
-    );
-  }
-
   private createGateway(): GatewayServer {
     const {clock, random, logger, metrics} = this.parts;
     const split = new TrafficSplit(random);
@@ -410,7 +376,7 @@
       split,
       quotas: this.quotas,
       admission: this.overload.control,
-      retries: this.createRetries(),
+      retries: createRetryBudgets(this.parts, this.state.size),
       unknownHeaders: new UnknownHeaders(logger),
       metrics,
       logger,
@@ -419,21 +385,6 @@
     });
   }
 
-  private createRetries(): HostRetryBudgets {
-    const {clock, settings} = this.parts;
-    const fleet = {
-      windowMs: settings.retryWindowMs,
-      ratio: settings.retryRatio,
-      slack: settings.retrySlack,
-    };
-    return new HostRetryBudgets(
-      clock,
-      fleet,
-      () => this.state.size.settledEstimate,
-      settings.firstStart,
-    );
-  }
-
   /** Logs the counts of each second in which there was activity. */
   private logActivity(): void {
     const activity = this.parts.metrics.takeActivity();
--- a/src/host/upstream_selection.ts
+++ b/src/host/upstream_selection.ts
@@ -30,7 +30,7 @@
 import {RateLimitExchange} from '../rate_limits/index.js';
 import {LoadExchange} from '../sharing/index.js';
 import {ResetExchange} from '../resets/index.js';
-import {TUNNELS_ENDING, TunnelClient} from '../tunnels/index.js';
+import {TUNNELS_ENDING, TunnelClient, TunnelServer} from '../tunnels/index.js';
 import type {Clock, Milliseconds, Random} from '../time/index.js';
 
 /** A peer from which nothing was received for this time counts as down. */
@@ -56,6 +56,7 @@
 
 export class UpstreamSelection {
   readonly upstreamClient: UpstreamClient;
+  readonly tunnelServer: TunnelServer;
   readonly work = new WorkEstimates();
   private readonly resets = new ResetHistory();
   private readonly gain: SharingGain;
@@ -83,6 +84,7 @@
     this.leaving = this.createLeaving();
     this.tunnels = this.createTunnels();
     this.upstreamClient = this.createUpstreamClient(view);
+    this.tunnelServer = this.createTunnelServer();
     this.probes = new ProbeBudget(clock, settings.probesPerSecond);
     this.policy = this.createPolicy(view);
   }
@@ -173,6 +175,20 @@
     });
   }
 
+  private createTunnelServer(): TunnelServer {
+    const {settings, state, lifeCycle} = this.parts;
+    return lifeCycle.adopt(
+      'tunnels',
+      new TunnelServer({
+        ...this.parts,
+        findUpstream: id => state.registry.find(id),
+        localIp: settings.ip,
+        reachability: this.upstreamClient.reachability,
+      }),
+      one => one.close(),
+    );
+  }
+
   private createUpstreamClient(view: LoadView): UpstreamClient {
     const {settings, clock, logger, metrics, state, lifeCycle} = this.parts;
     const options = DEFAULT_OPTIONS;
--- a/src/quickstart/platform.ts
+++ b/src/quickstart/platform.ts
@@ -6,7 +6,7 @@
 import {pino} from 'pino';
 import {request} from 'undici';
 import {GatewayMetrics} from '../gateway/index.js';
-import type {HostPorts} from '../host/gateway_host.js';
+import type {HostPorts} from '../host/types.js';
 import {GatewayHost} from '../host/gateway_host.js';
 import {
   CONFIGURATION_KEY,
--- a/src/soak/host_process.ts
+++ b/src/soak/host_process.ts
@@ -5,7 +5,7 @@
 import {createWriteStream, writeFileSync} from 'node:fs';
 import {join} from 'node:path';
 import {createInterface} from 'node:readline';
-import type {HostPorts} from '../host/gateway_host.js';
+import type {HostPorts} from '../host/types.js';
 import {
   METRICS_PORT_VARIABLE,
   SETTINGS_FILE_VARIABLE,
--- a/tests/support/gateway.ts
+++ b/tests/support/gateway.ts
@@ -5,7 +5,7 @@
 import type {Logger} from 'pino';
 import {pino} from 'pino';
 import {GatewayMetrics} from '../../src/gateway/index.js';
-import type {HostPorts} from '../../src/host/gateway_host.js';
+import type {HostPorts} from '../../src/host/types.js';
 import {GatewayHost} from '../../src/host/gateway_host.js';
 import type {HostSettings} from '../../src/platform/index.js';
 import {FaultProxy} from '../../src/soak/index.js';
