Wait 120 ms for answers through other hosts, in one round

A host that was cut off refused requests (no-room, nothing told) while its tunnels were being opened: a round of probes ends after 40 ms without an answer, and a tunnel may take several hosts that are asked in turn.

--- a/src/decisions/scheduling/service_scheduler.ts
+++ b/src/decisions/scheduling/service_scheduler.ts
@@ -52,6 +52,8 @@
   readonly fleetSize: () => FleetSize;
   /** Whether this host may use one more connection to an upstream. */
   readonly canConnect: (upstream: UpstreamInService) => boolean;
+  /** Whether upstreams are reached through other hosts only. */
+  readonly isCutOff: () => boolean;
   /** Region of a data centre; undefined if unknown. */
   readonly regionOf: (dataCentre: string) => string | undefined;
   readonly options: DecisionOptions;
@@ -166,7 +168,7 @@
   }
 
   private beginRound(search: UpstreamSearch): void {
-    const {policy, clock, canConnect} = this.parts;
+    const {policy, clock, canConnect, isCutOff} = this.parts;
     const isLast = search.roundCount + 1 >= MAX_PROBE_ROUNDS;
     const candidates = this.withinProbeBudget(
       policy.probeTargets(
@@ -189,12 +191,12 @@
       }
     }
     const asked = candidates.map(({id}) => id);
-    search.beginRound(asked, pending, clock.now());
+    search.beginRound(asked, pending, clock.now(), isCutOff());
   }
 
   /** Evaluates the answers of a round that is over: begins another or ends the search. */
   private advance(search: UpstreamSearch): void {
-    const {policy, clock} = this.parts;
+    const {policy, clock, isCutOff} = this.parts;
     while (this.searches.has(search) && clock.now() >= search.dueAt) {
       const {request, answers, asked, isRemote} = search;
       const before = asked.size;
@@ -207,7 +209,9 @@
         exhausted,
         isRemote,
       );
-      if (verdict.kind === 'ask-more') {
+      // Without an answer through any other host, further rounds bring none either.
+      const isUnreachable = answers.length === 0 && isCutOff();
+      if (verdict.kind === 'ask-more' && !isUnreachable) {
         this.beginRound(search);
         if (asked.size > before) {
           continue;
--- a/src/decisions/scheduling/upstream_search.ts
+++ b/src/decisions/scheduling/upstream_search.ts
@@ -8,6 +8,8 @@
 const STRAGGLER_WAIT_MS: Milliseconds = 6;
 /** A round ends after this time if none of its probes is answered. */
 const FIRST_ANSWER_TIMEOUT_MS: Milliseconds = 40;
+/** The same through other hosts, of which some may have to be asked in turn. */
+const TUNNEL_ANSWER_TIMEOUT_MS: Milliseconds = 120;
 
 export class UpstreamSearch {
   readonly asked = new Set<string>();
@@ -31,17 +33,22 @@
     return this.pending.size === 0 ? -Infinity : this.roundEndsAt;
   }
 
-  /** @param pending upstreams whose answers are awaited */
+  /**
+   * @param pending upstreams whose answers are awaited
+   * @param isTunneled whether they are probed through other hosts
+   */
   beginRound(
     asked: readonly string[],
     pending: readonly string[],
     now: Milliseconds,
+    isTunneled: boolean,
   ): void {
     this.rounds += 1;
     asked.forEach(id => this.asked.add(id));
     this.pending.clear();
     pending.forEach(id => this.pending.add(id));
-    this.roundEndsAt = now + FIRST_ANSWER_TIMEOUT_MS;
+    this.roundEndsAt =
+      now + (isTunneled ? TUNNEL_ANSWER_TIMEOUT_MS : FIRST_ANSWER_TIMEOUT_MS);
   }
 
   /** @param answer undefined if the probe failed */
--- a/src/emulator/scheduler_model.ts
+++ b/src/emulator/scheduler_model.ts
@@ -53,6 +53,7 @@
       upstreams: () => fleet.inService(service),
       fleetSize: () => ({upstreams: upstreams.length, hosts: hostCount}),
       canConnect: () => true,
+      isCutOff: () => false,
       options,
       gain,
     });
--- a/src/gateway/scheduler.ts
+++ b/src/gateway/scheduler.ts
@@ -57,6 +57,7 @@
       upstreams: () => this.upstreams,
       fleetSize: () => this.fleetSize(),
       canConnect: upstream => this.canConnect(upstream),
+      isCutOff: () => upstreamClient.reachability.isCutOff(parts.service),
     });
   }
 
--- a/tests/scheduling.test.ts
+++ b/tests/scheduling.test.ts
@@ -37,12 +37,14 @@
 let upstreams: UpstreamInService[];
 let scheduler: ServiceScheduler;
 let canConnect: boolean;
+let isCutOff: boolean;
 let nextId: number;
 
 beforeEach(() => {
   clock = new ManualClock(10_000);
   view = new LoadView(clock);
   upstreams = ['a', 'b', 'c', 'd', 'e', 'f'].map(id => inService(id));
+  isCutOff = false;
   canConnect = true;
   nextId = 1;
   const random = seededRandom(3);
@@ -72,6 +74,7 @@
     upstreams: () => upstreams,
     fleetSize: () => ({upstreams: upstreams.length, hosts: 1}),
     canConnect: () => canConnect,
+    isCutOff: () => isCutOff,
     gain: new SharingGain(clock, true),
     regionOf: dataCentre => REGIONS.get(dataCentre),
     options: OPTIONS,
@@ -287,3 +290,17 @@
   expect(mixed.some(ids => ids.every(isRemote))).toBe(false);
   expect(rounds.every(ids => ids.length <= DEFAULT_OPTIONS.asked)).toBe(true);
 });
+
+// Guards against refusals while tunnels are being opened, and against long waits in vain.
+test('a host that is cut off waits longer for answers, in one round', () => {
+  isCutOff = true;
+  scheduler.schedule(request());
+  clock.advance(119);
+  expect(schedulingResults(scheduler.tick())).toEqual([]);
+  clock.advance(1);
+  const actions = scheduler.tick();
+  expect(probedIds(actions)).toEqual([]);
+  expect(schedulingResults(actions)).toMatchObject([
+    {kind: 'refused', reason: 'no-room'},
+  ]);
+});
