Refuse tunnels to ids that can't be decoded

A request for a tunnel whose path has a broken escape ended the process of the host that got it, with all its callers: decoding threw in an event handler. No host sends one; found when reading the change. It is now refused like an unknown id. Test "a tunnel to /tunnels/% is refused" failed before (URIError); the others show that tunnels lead to registered upstreams only.

--- a/src/tunnels/tunnel_server.ts
+++ b/src/tunnels/tunnel_server.ts
@@ -159,17 +159,22 @@
     if (this.lines.tryTake(clock.now())) {
       logger.info(
         {event: 'tunnel', peer, upstream, open: this.tunnels.size},
-        'opened a tunnel for a host that is cut off from an upstream',
+        'opened a tunnel for a host that cannot reach an upstream',
       );
     }
   }
 }
 
-/** Undefined becomes an id that no upstream has. */
-function idOf(target = ''): string {
-  return target.startsWith(TUNNEL_PATH)
-    ? decodeURIComponent(target.slice(TUNNEL_PATH.length))
-    : '';
+/** Empty, which no upstream's id is, if the path names none. */
+function idOf(path = ''): string {
+  if (!path.startsWith(TUNNEL_PATH)) {
+    return '';
+  }
+  try {
+    return decodeURIComponent(path.slice(TUNNEL_PATH.length));
+  } catch {
+    return '';
+  }
 }
 
 function head(status: number): string {
--- a/tests/cut_off_hosts.test.ts
+++ b/tests/cut_off_hosts.test.ts
@@ -1,3 +1,5 @@
+import type {IncomingMessage} from 'node:http';
+import {request} from 'node:http';
 import {afterEach, beforeEach, expect, test} from 'vitest';
 import type {LinkFault} from '../src/soak/index.js';
 import {sleep} from '../src/time/index.js';
@@ -229,6 +231,31 @@
   await Promise.all(calls);
 });
 
+// Guards against a host that ends on a request that no host sends, and against an open proxy.
+test.each([
+  '/tunnels/%',
+  '/tunnels/127.0.0.1:22',
+  '/tunnels/',
+  '/updates',
+  '*',
+])('a tunnel to %s is refused', async path => {
+  const response = await new Promise<IncomingMessage>((resolve, reject) => {
+    const headers = {
+      connection: 'Upgrade',
+      upgrade: 'cyclamenlever-tunnel',
+      'x-cyclamenlever-host': '127.0.0.1:1',
+    };
+    request({port: hostAt(0).ports.peers, path, headers})
+      .on('response', resolve)
+      .on('upgrade', () => reject(new Error('the tunnel was opened')))
+      .on('error', reject)
+      .end();
+  });
+  response.resume();
+  expect(response.statusCode).toBe(504);
+  expect(servedShare(await callAll(0))).toBe(1);
+});
+
 // Guards against upstreams that work for callers who have left.
 test('a caller that leaves ends its request behind the tunnel', async () => {
   setFault([1], 'partition');
