--- a/tests/fleet_node.test.ts
+++ b/tests/fleet_node.test.ts
@@ -11,13 +11,8 @@
 } from '../src/decisions/fleet/index.js';
 import {decodeGreeting, encodeGreeting} from '../src/fleet/greeting_codec.js';
 import {ManualClock, seededRandom} from '../src/time/index.js';
-import {
-  followRequest,
-  followerSlots,
-  heartbeat,
-  peer,
-  peerStatus,
-} from './support/peers.js';
+import {followerSlots} from './support/follower_slots.js';
+import {followRequest, heartbeat, peer, peerStatus} from './support/peers.js';
 
 const SELF: Peer = {address: '10.0.0.50:7', dataCentre: 'east'};
 const STORE_FAILS = {reader: undefined, isStoreFailing: true, hosts: 300};
--- a/tests/fleet_size_record.test.ts
+++ b/tests/fleet_size_record.test.ts
@@ -8,8 +8,9 @@
 } from '../src/decisions/fleet/index.js';
 import {ManualClock, seededRandom} from '../src/time/index.js';
 import {DEFAULT_ROUTES, GatewaySystem, until} from './support/gateway.js';
+import {followerSlots} from './support/follower_slots.js';
 import {LogCapture} from './support/log_capture.js';
-import {followerSlots, peer} from './support/peers.js';
+import {peer} from './support/peers.js';
 
 const FLEET_TOPIC = 'keyed.fleet';
 const MAPS = {name: 'maps', keys: ['key-of-maps'], ratePerSecond: 10};
--- a/tests/support/peers.ts
+++ b/tests/support/peers.ts
@@ -6,9 +6,6 @@
   Peer,
   PeerStatus,
 } from '../../src/decisions/fleet/index.js';
-import {FollowerSlots} from '../../src/decisions/fleet/index.js';
-import type {Clock} from '../../src/time/index.js';
-import {seededRandom} from '../../src/time/index.js';
 
 export function peer(number: number, dataCentre = 'east'): Peer {
   return {address: `10.0.0.${number}:7`, dataCentre};
@@ -53,13 +50,3 @@
     ...overrides,
   };
 }
-
-/** @param maxNearFollowers limit for followers of the same data centre */
-export function followerSlots(
-  self: Peer,
-  maxNearFollowers: number,
-  clock: Clock,
-): FollowerSlots {
-  const random = seededRandom(1);
-  return new FollowerSlots({self, maxNearFollowers, clock, random});
-}
