--- a/review/support/client.ts
+++ b/review/support/client.ts
@@ -1,8 +1,15 @@
 /** A client with one kept connection, on which it sends one request after the other. */
 
-import type {IncomingMessage} from 'node:http';
+import type {
+  ClientRequest as OutgoingRequest,
+  IncomingMessage,
+} from 'node:http';
 import {Agent, request} from 'node:http';
 import {randomBytes} from 'node:crypto';
+import {sleep} from './sleep.js';
+
+/** Interval at which pieces of a body are sent. */
+const PIECE_MS = 5;
 
 export interface ClientRequest {
   readonly method: 'GET' | 'POST';
@@ -10,6 +17,8 @@
   readonly path: string;
   readonly deadlineMs: number;
   readonly body?: Buffer;
+  /** Speed at which the body is sent; at once if left out. */
+  readonly bytesPerMs?: number;
 }
 
 /** How a request ended for the client. */
@@ -17,6 +26,8 @@
   readonly id: string;
   /** Whether the connection had carried an earlier request. */
   readonly isKept: boolean;
+  /** Whether all bytes of the request were handed to the operating system. */
+  readonly isSent: boolean;
   readonly kind: 'answered' | 'cut-short' | 'closed' | 'gave-up';
   readonly status: number | undefined;
   readonly bytes: number;
@@ -35,7 +46,7 @@
   ) {}
 
   send(
-    {method, host, path, deadlineMs, body}: ClientRequest,
+    {method, host, path, deadlineMs, body, bytesPerMs}: ClientRequest,
     read: BodyReader = answer => answer.resume(),
   ): Promise<Answer> {
     const id = randomBytes(8).toString('hex');
@@ -57,10 +68,18 @@
         },
       });
       const end = (kind: Answer['kind'], detail: string): void => {
-        clearTimeout(timer);
         const ms = Math.round(performance.now() - sentAt);
-        const isKept = outgoing.reusedSocket;
-        resolve({id, isKept, kind, status, bytes, ms, detail});
+        const finish = (): void => {
+          clearTimeout(timer);
+          const {reusedSocket: isKept, writableFinished: isSent} = outgoing;
+          resolve({id, isKept, isSent, kind, status, bytes, ms, detail});
+        };
+        // An answer may come before the end of the body, which is sent all the same.
+        if (kind === 'answered' && !outgoing.writableFinished) {
+          outgoing.once('finish', finish);
+        } else {
+          finish();
+        }
       };
       const timer = setTimeout(() => {
         end('gave-up', 'at the deadline');
@@ -82,7 +101,7 @@
       outgoing.on('error', error =>
         end(status === undefined ? 'closed' : 'cut-short', error.message),
       );
-      outgoing.end(body);
+      void writeBody(outgoing, body, bytesPerMs);
     });
   }
 
@@ -90,3 +109,20 @@
     this.agent.destroy();
   }
 }
+
+/** Sends all of the body, also if an answer arrives before its end. */
+async function writeBody(
+  outgoing: OutgoingRequest,
+  body: Buffer = Buffer.alloc(0),
+  bytesPerMs = Infinity,
+): Promise<void> {
+  const pieceBytes = Math.min(body.length, bytesPerMs * PIECE_MS);
+  for (let at = 0; at < body.length; at += pieceBytes) {
+    if (outgoing.destroyed) {
+      return;
+    }
+    outgoing.write(body.subarray(at, at + pieceBytes));
+    await sleep(bytesPerMs === Infinity ? 0 : PIECE_MS);
+  }
+  outgoing.end();
+}
--- a/review/support/server.ts
+++ b/review/support/server.ts
@@ -26,6 +26,8 @@
   /** Answers a request at the end of its run. */
   readonly answer: (run: Run) => void;
   readonly onRun: (run: Run) => void;
+  /** Whether to reject a request before its body is in; the rest is read later. */
+  readonly rejectsEarly?: (request: IncomingMessage) => boolean;
 }
 
 export class ReviewServer {
@@ -73,13 +75,22 @@
       response.writeHead(200, {'content-length': 0}).end();
     } else if (typeof requestId !== 'string') {
       this.refuse(response, 400);
-    } else if (this.running < SLOTS) {
-      this.run({server: id, id: requestId, request, response});
-    } else if (this.waiting.length < MAX_WAITING) {
+    } else if (this.options.rejectsEarly?.(request)) {
+      response.writeHead(413, {'content-length': 0}).end();
+    } else {
       const run = {server: id, id: requestId, request, response};
+      request.once('end', () => this.place(run));
+    }
+  }
+
+  /** Runs a request whose body is in, queues it, or refuses it. */
+  private place(run: Run): void {
+    if (this.running < SLOTS) {
+      this.run(run);
+    } else if (this.waiting.length < MAX_WAITING) {
       this.waiting.push(() => this.run(run));
     } else {
-      this.refuse(response, 503);
+      this.refuse(run.response, 503);
     }
   }
 
