--- a/review/support/testbed.ts
+++ b/review/support/testbed.ts
@@ -17,6 +17,13 @@
 const ZONES = ['castlebar-a', 'castlebar-b', 'galway-east'] as const;
 const HEARTBEAT_MS = 1_500;
 const SETTLE_MS = 3_000;
+/** What clients may send, and for how long they may stay idle. */
+const LIMITS = {
+  max_header_bytes: 16_384,
+  max_body_bytes: 8_388_608,
+  header_timeout: '3s',
+  idle_timeout: '15s',
+};
 export const SERVICE = 'listings';
 export const HOST_NAME = 'shop.example';
 
@@ -32,7 +39,7 @@
   readonly servers: number;
   readonly server: (
     index: number,
-  ) => Pick<ServerOptions, 'workMs' | 'answer' | 'onRun'>;
+  ) => Pick<ServerOptions, 'workMs' | 'answer' | 'onRun' | 'rejectsEarly'>;
 }
 
 export class Testbed {
@@ -62,7 +69,7 @@
     this.store.put(
       'keyed.op',
       'config',
-      configurationRecord(version, routes, [SERVICE], {}),
+      configurationRecord(version, routes, [SERVICE], LIMITS),
     );
     await this.startServers();
     const {octet} = this;
