Take a response with more headers than are read for broken, not for unframed

Callers saw: all requests of a host cut at once, also those at sound upstreams, within 100 ms of one response with 3,000 headers before its Content-Length.

Cause: Node's parser keeps the first 1,000 headers of a message, drops the others without an error and goes on framing by all of them. A response whose length was dropped counted as unframed; at its end its connection had been given back, and reading the state of the missing socket threw in an 'end' handler, which ended the process. The same happens to responses that are streamed.

Evidence: 'a response with 3,000 headers before its length is whole' and the same for a large one failed before (TypeError: Cannot read properties of null (reading 'closed') at ResponseCompletion.verify, twice in a run), as did 'a response with more headers than are read is broken'.

Fix: requests to upstreams, probes among them, read up to 10,000 headers, and one more, which shows that a head isn't known whole: such a response is a broken attempt. Header names that are keys of objects were tried as well and never did harm on this Node.

--- a/src/http/index.ts
+++ b/src/http/index.ts
@@ -1,6 +1,11 @@
 export {discardBody} from './discard_body.js';
 export {COMMON_RESPONSE_HEADERS} from './common_headers.js';
 export * from './constants.js';
+export {
+  MAX_HEADER_COUNT,
+  PARSED_HEADER_COUNT,
+  hasTooManyHeaders,
+} from './head_limits.js';
 export type {RequestFault} from './request_validation.js';
 export {findRequestFault} from './request_validation.js';
 export type {Problem, ProblemReason} from './problem.js';
--- a/src/upstreams/connection.ts
+++ b/src/upstreams/connection.ts
@@ -11,6 +11,7 @@
 import type {TcpSocketConnectOpts} from 'node:net';
 import {Socket, connect} from 'node:net';
 import type {Duplex} from 'node:stream';
+import {PARSED_HEADER_COUNT} from '../http/index.js';
 import type {RawHeaders} from '../transport/index.js';
 import type {TunnelOpener} from '../tunnels/index.js';
 
@@ -152,6 +153,7 @@
       // Node accepts alternating names and values; its types lack that form.
       headers: head.headers as unknown as string[],
     });
+    outgoing.maxHeadersCount = PARSED_HEADER_COUNT;
     outgoing.setNoDelay(true);
     return outgoing;
   }
--- a/src/upstreams/response_validation.ts
+++ b/src/upstreams/response_validation.ts
@@ -2,6 +2,7 @@
 
 import type {IncomingMessage} from 'node:http';
 import {validateHeaderName, validateHeaderValue} from 'node:http';
+import {MAX_HEADER_COUNT, hasTooManyHeaders} from '../http/index.js';
 import type {RawHeaders} from '../transport/index.js';
 
 /** Interim responses don't arrive as responses, so that these are final ones. */
@@ -14,11 +15,11 @@
  *
  * @returns what is wrong; undefined if nothing is
  */
-export function findHeadFault({
-  statusCode = 0,
-  headers,
-  rawHeaders,
-}: IncomingMessage): string | undefined {
+export function findHeadFault(response: IncomingMessage): string | undefined {
+  const {statusCode = 0, headers, rawHeaders} = response;
+  if (hasTooManyHeaders(response)) {
+    return `the response has over ${MAX_HEADER_COUNT} headers`;
+  }
   if (statusCode < MIN_STATUS || statusCode > MAX_STATUS) {
     return `the response has status ${statusCode}`;
   }
