Refuse requests with more headers than are read, rather than lose their body

Callers saw: an order with 1,500 headers before its Content-Length ran at the upstream with an empty body, and was answered 200.

The parser drops headers beyond the first 1,000 without an error. Without its length a request counts as one without a body: the body was read and dropped, and the request passed on with a length of 0. Credentials, the request's id and its deadline can be lost in the same way.

Evidence: 'an order with 1,500 headers before its length runs with its body' failed before (expected 'POST /order/7 a bundle', received 'POST /order/7 '); 'a request with more headers than are read is refused' as well (400 for a missing Host, which had been dropped too).

Fix: the servers of both programs read up to 10,000 headers and one more. A request that has more is refused with 431, and has not run.

--- a/src/http/request_validation.ts
+++ b/src/http/request_validation.ts
@@ -9,6 +9,7 @@
 
 import type {IncomingMessage} from 'node:http';
 import {MAX_CALL_DEPTH, MAX_URL_BYTES, DEPTH_HEADER} from './constants.js';
+import {MAX_HEADER_COUNT, hasTooManyHeaders} from './head_limits.js';
 import type {ProblemReason} from './problem.js';
 
 /** Why a request is refused. */
@@ -31,6 +32,10 @@
   request: IncomingMessage,
 ): RequestFault | undefined {
   const {method = '', url = '', headers} = request;
+  if (hasTooManyHeaders(request)) {
+    const detail = `over ${MAX_HEADER_COUNT} headers`;
+    return {reason: 'headers-too-large', detail};
+  }
   if (!SUPPORTED_METHODS.has(method)) {
     return {reason: 'method-not-allowed', detail: `method ${method}`};
   }
--- a/src/servers/graceful_server.ts
+++ b/src/servers/graceful_server.ts
@@ -3,12 +3,14 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {Server} from 'node:http';
 import type {Socket} from 'node:net';
+import {PARSED_HEADER_COUNT} from '../http/index.js';
 import type {Milliseconds} from '../time/index.js';
 
 /** Time for the other side to close a connection that this one has ended. */
 const LINGER_MS: Milliseconds = 1_000;
 
 export class GracefulServer extends Server {
+  override maxHeadersCount: number | null = PARSED_HEADER_COUNT;
   /** Responses of each open connection whose last byte hasn't been sent. */
   private readonly pending = new Map<Socket, Set<ServerResponse>>();
 
--- a/tests/whole_heads.test.ts
+++ b/tests/whole_heads.test.ts
@@ -4,6 +4,12 @@
 
 const LOOKUP = {path: '/lookup/7', timeLeftMs: 1_000};
 const ORDER = {method: 'POST', path: '/order/7', body: 'a bundle'};
+const MANY_HEADERS = Object.fromEntries(
+  Array.from({length: 1_500}, (_, at) => [`x-${at}`, '1']),
+);
+const TOO_MANY_HEADERS = Object.fromEntries(
+  Array.from({length: 12_000}, (_, at) => [at.toString(36), '']),
+);
 
 let system: GatewaySystem;
 let host: RunningHost;
@@ -48,6 +54,18 @@
   expect([reply.status, one.runs.length]).toEqual([502, 1]);
 });
 
+// Guards against an order that runs without its body, whose framing the parser has dropped.
+test('an order with 1,500 headers before its length runs with its body', async () => {
+  const reply = await system.call(host, {...ORDER, headers: MANY_HEADERS});
+  expect([reply.status, reply.body]).toEqual([200, 'POST /order/7 a bundle']);
+});
+
+// Guards against a request of which only the first headers are known.
+test('a request with more headers than are read is refused', async () => {
+  const reply = await system.call(host, {...ORDER, headers: TOO_MANY_HEADERS});
+  expect([reply.status, one.runs.length]).toEqual([431, 0]);
+});
+
 // Guards against header names that are keys of JavaScript objects.
 test.each(['__proto__', 'constructor', 'toString'])(
   'a header named %s changes nothing',
