Tell a response in another transfer coding than chunks from a truncated one

Callers saw: 200 with half of a response, complete by its framing, when the upstream named a transfer coding other than chunked and its connection was reset.

Cause: any Transfer-Encoding counted as framing. Only chunks delimit a body; in another coding it ends with its connection, which must then have been closed in order. Node tells a reset that arrives with the last bytes as an orderly end, and the check for that was left out.

Evidence: 20 orders at once, each response reset after its last bytes: 0 of 20 may be answered 200.

Found while looking for other heads whose framing the host reads in another way than Node's parser.

--- a/src/standins/reporting_upstream.ts
+++ b/src/standins/reporting_upstream.ts
@@ -111,6 +111,8 @@
   /** Value of the Retry-After header in refusals; omitted if undefined. */
   retryAfter: string | undefined;
   earlyStatus = 503;
+  /** Further header lines of all responses to requests. */
+  extraHeaders: readonly string[] = [];
   /** Spoils a response, for the `raw` fault. */
   rawResponse: (response: string) => string = response => response;
   /** Called when requests exceed the cold limit; the upstream then stops. */
@@ -300,7 +302,7 @@
   }
 
   private respond(socket: Socket, run: UpstreamRun): void {
-    const stamp = ['Cyclamenlever-Server-Stamp: signed'];
+    const stamp = ['Cyclamenlever-Server-Stamp: signed', ...this.extraHeaders];
     const extra = 'x'.repeat(this.extraBytes);
     const body = `${run.method} ${run.target} ${run.body}${extra}`;
     const response = this.formatResponse(run, 200, body, stamp);
--- a/src/upstreams/response_completion.ts
+++ b/src/upstreams/response_completion.ts
@@ -18,10 +18,15 @@
   return (
     BODILESS_STATUSES.has(statusCode ?? 0) ||
     headers['content-length'] !== undefined ||
-    headers['transfer-encoding'] !== undefined
+    isChunked(headers['transfer-encoding'])
   );
 }
 
+/** A body in another transfer coding ends when its connection closes (RFC 9112, 6.3). */
+function isChunked(codings = ''): boolean {
+  return codings.split(',').at(-1)?.trim().toLowerCase() === 'chunked';
+}
+
 export function isKeepAlive({headers}: IncomingMessage): boolean {
   return headers.connection?.toLowerCase() !== 'close';
 }
--- a/tests/whole_heads.test.ts
+++ b/tests/whole_heads.test.ts
@@ -76,3 +76,12 @@
     expect([reply.status, reply.body]).toEqual([200, 'GET /lookup/7 ']);
   },
 );
+
+// Guards against a response cut by a reset that looks complete, as its coding doesn't delimit it.
+test('a response with a coding other than chunks is truncated by a reset', async () => {
+  one.fault = 'cut-unframed';
+  one.extraHeaders = ['Transfer-Encoding: gzip'];
+  const orders = Array.from({length: 20}, () => system.call(host, ORDER));
+  const replies = await Promise.all(orders);
+  expect(replies.map(({status}) => status)).not.toContain(200);
+});
