--- a/eslint.config.js
+++ b/eslint.config.js
@@ -1,6 +1,13 @@
 import js from '@eslint/js';
 import tseslint from 'typescript-eslint';
 
+const NAMED_EXPORTS_ONLY = {
+  selector: 'ExportDefaultDeclaration',
+  message: 'Use named exports.',
+};
+const BOUNDARY_ONLY =
+  'An error here would end the process with all its requests: use an ErrorBoundary.';
+
 const PURE_ONLY = 'src/decisions/ is deterministic: pass it in.';
 
 export default tseslint.config(
@@ -22,13 +29,7 @@
       'prefer-const': 'error',
       'max-depth': ['error', 4],
       'max-lines-per-function': ['error', {max: 70, skipComments: true}],
-      'no-restricted-syntax': [
-        'error',
-        {
-          selector: 'ExportDefaultDeclaration',
-          message: 'Use named exports.',
-        },
-      ],
+      'no-restricted-syntax': ['error', NAMED_EXPORTS_ONLY],
       '@typescript-eslint/consistent-type-definitions': ['error', 'interface'],
       '@typescript-eslint/explicit-module-boundary-types': 'error',
       '@typescript-eslint/no-non-null-assertion': 'error',
@@ -64,6 +65,34 @@
       ],
     },
   },
+  {
+    files: [
+      'src/{caller,datagrams,fleet,gateway,http,platform,servers,tunnels,upstreams}/**/*.ts',
+    ],
+    // An error in the state of the fleet stops the process in order. The other two serve no
+    // request: one counts bytes, one starts servers.
+    ignores: [
+      'src/fleet/fleet_{member,state}.ts',
+      'src/servers/{listen,traffic_meter}.ts',
+    ],
+    rules: {
+      'no-restricted-syntax': [
+        'error',
+        NAMED_EXPORTS_ONLY,
+        {
+          selector:
+            'CallExpression[callee.property.name=/^(on|once|addListener|prependListener|prependOnceListener)$/]',
+          message: BOUNDARY_ONLY,
+        },
+        {
+          selector:
+            'CallExpression[callee.name=/^(setTimeout|setInterval|setImmediate|createServer)$/]' +
+            ':not([arguments.0.callee.property.name="wrap"]):not([arguments.0.type="Identifier"])',
+          message: BOUNDARY_ONLY,
+        },
+      ],
+    },
+  },
   {
     files: ['*.config.ts', '*.config.js'],
     rules: {'no-restricted-syntax': 'off'},
--- a/src/caller/caller_server.ts
+++ b/src/caller/caller_server.ts
@@ -31,6 +31,8 @@
 import {hasBody, readBody} from '../http/index.js';
 import {CallerSession} from './session.js';
 import type {CallerContext} from './types.js';
+import {ErrorBoundary} from '../lifecycle/index.js';
+import type {IncomingCall} from '../servers/index.js';
 import {GracefulServer, isClosing, listen} from '../servers/index.js';
 
 const IDLE_SWEEP_MS = 20;
@@ -48,6 +50,7 @@
   private stopping = false;
 
   constructor(private readonly context: CallerContext) {
+    const {logger} = context;
     this.server = new GracefulServer(
       {
         maxHeaderSize: MAX_HEADER_BYTES,
@@ -56,12 +59,16 @@
         keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
         requireHostHeader: false,
       },
-      (request, response) => this.accept(request, response),
-    ).trackConnections();
-    this.server.on('checkExpectation', (request, response) => {
-      this.accept(request, response);
-    });
-    this.server.on('clientError', refuseUnparsable);
+      (error, fields) =>
+        logger.error({...fields, error}, 'an internal error was contained'),
+      call => this.handle(call),
+    );
+    this.server.listenTo(
+      'checkExpectation',
+      (request: IncomingMessage, response: ServerResponse) =>
+        this.server.accept(request, response),
+    );
+    this.server.listenTo('clientError', refuseUnparsable);
   }
 
   /** Starts to listen; resolves with the port in use. */
@@ -75,11 +82,14 @@
    */
   close(): Promise<void> {
     this.stopping = true;
+    const sweeping = new ErrorBoundary(error =>
+      this.context.logger.error({error}, 'an internal error was contained'),
+    );
     return new Promise(resolve => {
       // A connection that was busy at the start of the shutdown becomes idle
       // later, and its keep-alive would delay the shutdown up to the limit.
       const sweep = setInterval(
-        () => this.server.closeIdleConnections(),
+        sweeping.wrap(() => this.server.closeIdleConnections()),
         IDLE_SWEEP_MS,
       );
       this.server.close(() => {
@@ -95,7 +105,8 @@
     this.server.closeAllConnections();
   }
 
-  private accept(request: IncomingMessage, response: ServerResponse): void {
+  private handle(call: IncomingCall): void {
+    const {request, response} = call;
     const earlier = this.server.noteRequest(request, response);
     if (isClosing(request, earlier)) {
       return;
@@ -119,41 +130,37 @@
       this.refuse(response, 'unknown-service', `no service for ${host}`);
       return;
     }
-    this.serve(request, response, runtime);
+    this.serve(call, runtime);
   }
 
-  private serve(
-    request: IncomingMessage,
-    response: ServerResponse,
-    runtime: ServiceRuntime,
-  ): void {
+  private serve(call: IncomingCall, runtime: ServiceRuntime): void {
+    const {request, response, boundary} = call;
     const path = (request.url ?? '/').split('?', 1)[0] ?? '/';
     const rule = runtime.findRule(request.method ?? 'GET', path);
     if (!hasBody(request)) {
-      this.start(request, response, runtime, rule, {kind: 'none'});
+      this.start(call, runtime, rule, {kind: 'none'});
       return;
     }
-    readBody(request).then(
-      body => this.start(request, response, runtime, rule, body),
-      () => this.refuse(response, 'request-body-broken'),
+    readBody(request, boundary).then(
+      boundary.wrap(body => this.start(call, runtime, rule, body)),
+      boundary.wrap(() => this.refuse(response, 'request-body-broken')),
     );
   }
 
   private start(
-    request: IncomingMessage,
-    response: ServerResponse,
+    call: IncomingCall,
     runtime: ServiceRuntime,
     rule: Rule,
     body: RequestBody,
   ): void {
+    const {request, response, boundary} = call;
     if (response.destroyed) {
       return;
     }
     const dispatch = this.describe(request, rule);
     const serveHere = (recorder?: OrderRecorder): void =>
       new CallerSession(
-        request,
-        response,
+        call,
         runtime,
         rule,
         dispatch,
@@ -166,7 +173,7 @@
       const {method = '', url = ''} = request;
       const service = rule.service;
       const name = {service, idempotencyKey, method, url, body, dispatch};
-      void this.claim(name, rule, response, serveHere);
+      boundary.run(() => this.claim(name, rule, response, serveHere));
       return;
     }
     if (request.headers[HANDOVER_HEADER] !== undefined) {
@@ -182,7 +189,7 @@
     }
     const {name: service} = runtime.service;
     this.context.metrics.attempts.inc({service, kind: 'handover'});
-    const handover = {request, response, dispatch, body: bufferedBytes(body)};
+    const handover = {...call, dispatch, body: bufferedBytes(body)};
     new HandoverSession(handover, homeHost, this.context, serveHere).start();
   }
 
--- a/src/caller/handover_session.ts
+++ b/src/caller/handover_session.ts
@@ -1,6 +1,5 @@
 /** An idempotent request that this host hands over to a home host. */
 
-import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {DispatchRequest} from '../decisions/dispatch/index.js';
 import type {HomeHost} from '../decisions/handover/index.js';
 import type {ResponseHead, AttemptObserver} from '../transport/index.js';
@@ -14,6 +13,7 @@
 import {handoverResponseHeaders, requestHeaders} from './headers.js';
 import {findHeader} from '../http/index.js';
 import {sendProblem} from '../http/index.js';
+import type {IncomingCall} from '../servers/index.js';
 import type {CallerContext} from './types.js';
 
 /** Connections to one home host: enough for the requests in flight there. */
@@ -25,9 +25,7 @@
   'unknown-service',
 ]);
 
-export interface HandedOverRequest {
-  readonly request: IncomingMessage;
-  readonly response: ServerResponse;
+export interface HandedOverRequest extends IncomingCall {
   readonly dispatch: DispatchRequest;
   readonly body: Buffer | null;
 }
@@ -37,7 +35,7 @@
   private timer: NodeJS.Timeout | undefined;
   private delivering = false;
   private finished = false;
-  private readonly onClose = (): void => this.callerClosed();
+  private stopListening: () => void = () => undefined;
 
   constructor(
     private readonly handover: HandedOverRequest,
@@ -48,13 +46,18 @@
   ) {}
 
   start(): void {
-    const {request, response, dispatch, body} = this.handover;
+    const {request, response, boundary, dispatch, body} = this.handover;
     const remainingMs = Math.max(
       0,
       dispatch.deadlineAt - this.context.clock.now(),
     );
-    this.timer = setTimeout(() => this.expire(), remainingMs);
-    response.on('close', this.onClose);
+    this.timer = setTimeout(
+      boundary.wrap(() => this.expire()),
+      remainingMs,
+    );
+    this.stopListening = boundary.listen(response, 'close', () =>
+      this.callerClosed(),
+    );
     this.context.handovers.handOver(this.homeHost, dispatch.id, () =>
       this.reclaim(),
     );
@@ -104,10 +107,10 @@
   }
 
   onData(chunk: Buffer): void {
-    const {response} = this.handover;
+    const {response, boundary} = this.handover;
     if (!response.write(chunk)) {
       this.handle?.pause();
-      response.once('drain', () => this.handle?.resume());
+      boundary.listenOnce(response, 'drain', () => this.handle?.resume());
     }
   }
 
@@ -154,7 +157,7 @@
     }
     this.finished = true;
     clearTimeout(this.timer);
-    this.handover.response.off('close', this.onClose);
+    this.stopListening();
     this.context.handovers.end(this.homeHost, this.handover.dispatch.id);
     this.handle?.cancel();
   }
--- a/src/caller/session.ts
+++ b/src/caller/session.ts
@@ -1,6 +1,6 @@
 /** Serves one caller request, from its head to its final outcome. */
 
-import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {ServerResponse} from 'node:http';
 import type {Readable} from 'node:stream';
 import type {Rule, Upstream} from '../decisions/configuration/index.js';
 import type {
@@ -18,6 +18,7 @@
 import type {Problem} from '../http/index.js';
 import {sendProblem} from '../http/index.js';
 import type {RequestBody} from '../http/index.js';
+import type {IncomingCall} from '../servers/index.js';
 import type {CallerContext} from './types.js';
 
 export class CallerSession implements RequestHandler {
@@ -32,8 +33,7 @@
   private sent = false;
 
   constructor(
-    private readonly request: IncomingMessage,
-    private readonly response: ServerResponse,
+    private readonly call: IncomingCall,
     private readonly runtime: ServiceRuntime,
     private readonly rule: Rule,
     private readonly dispatch: DispatchRequest,
@@ -42,13 +42,21 @@
     private readonly recorder?: OrderRecorder,
   ) {
     this.startedAt = context.clock.now();
-    this.forwardedHeaders = requestHeaders(request.rawHeaders);
+    this.forwardedHeaders = requestHeaders(call.request.rawHeaders);
+  }
+
+  private get response(): ServerResponse {
+    return this.call.response;
   }
 
   start(): void {
+    const {boundary} = this.call;
     const remainingMs = this.dispatch.deadlineAt - this.context.clock.now();
-    this.timer = setTimeout(() => this.expire(), Math.max(0, remainingMs));
-    this.response.on('close', () => this.callerClosed());
+    this.timer = setTimeout(
+      boundary.wrap(() => this.expire()),
+      Math.max(0, remainingMs),
+    );
+    boundary.listen(this.response, 'close', () => this.callerClosed());
     this.runtime.submit(this.dispatch, this);
   }
 
@@ -63,8 +71,8 @@
     attempt.handle = this.context.transport.send(
       {
         address: upstream.at,
-        method: this.request.method ?? 'GET',
-        path: this.request.url ?? '/',
+        method: this.call.request.method ?? 'GET',
+        path: this.call.request.url ?? '/',
         headers: this.attemptHeaders(),
         body: payloadOf(this.body),
       },
@@ -114,7 +122,9 @@
     this.recorder?.add(chunk);
     if (!this.response.write(chunk)) {
       attempt.handle?.pause();
-      this.response.once('drain', () => attempt.handle?.resume());
+      this.call.boundary.listenOnce(this.response, 'drain', () =>
+        attempt.handle?.resume(),
+      );
     }
   }
 
--- a/src/datagrams/datagram_port.ts
+++ b/src/datagrams/datagram_port.ts
@@ -7,6 +7,8 @@
 import {createSocket} from 'node:dgram';
 import {decode, encode} from '@msgpack/msgpack';
 import type {Logger} from 'pino';
+import type {ErrorReporter} from '../lifecycle/index.js';
+import {ErrorBoundary} from '../lifecycle/index.js';
 import {parseAddress} from '../platform/index.js';
 import type {Milliseconds} from '../time/index.js';
 
@@ -19,18 +21,31 @@
 export type DatagramHandler = (from: string, body: unknown) => boolean;
 
 export class DatagramPort {
+  private readonly boundary = new ErrorBoundary(error =>
+    this.reportError(error, {unit: 'datagram'}),
+  );
   private readonly socket: Socket;
   private readonly handlers = new Map<string, DatagramHandler>();
   private readonly rejectionLogTimer: NodeJS.Timeout;
   private address: string | undefined;
   private refused = 0;
 
-  constructor(private readonly logger: Logger) {
+  constructor(
+    private readonly logger: Logger,
+    private readonly reportError: ErrorReporter,
+  ) {
+    const {boundary} = this;
     this.socket = createSocket({type: 'udp4', lookup: skipNameLookup});
-    this.socket.on('message', (bytes, origin) => this.receive(bytes, origin));
-    this.socket.on('error', error => this.logSocketError(error));
+    boundary.listen(
+      this.socket,
+      'message',
+      (bytes: Buffer, origin: RemoteInfo) => this.receive(bytes, origin),
+    );
+    boundary.listen(this.socket, 'error', (error: Error) =>
+      this.logSocketError(error),
+    );
     this.rejectionLogTimer = setInterval(
-      () => this.report(),
+      boundary.wrap(() => this.report()),
       REJECTION_LOG_INTERVAL_MS,
     );
     this.rejectionLogTimer.unref();
@@ -50,7 +65,7 @@
         resolve();
       });
       // Without datagrams a host finds its peers more slowly, but it serves.
-      this.socket.once('error', () => resolve());
+      this.boundary.listenOnce(this.socket, 'error', () => resolve());
     });
   }
 
@@ -102,10 +117,11 @@
       return this.handlers.get(String(kind))?.(from, body) ?? false;
     } catch (error) {
       // One malformed datagram must not end the process and all of its requests.
-      this.logger.error(
-        {event: 'internal-error', peer: from, kind: String(kind), error},
-        'a datagram could not be handled',
-      );
+      this.reportError(error, {
+        unit: 'datagram',
+        peer: from,
+        kind: String(kind),
+      });
       return false;
     }
   }
--- a/src/fleet/fleet_member.ts
+++ b/src/fleet/fleet_member.ts
@@ -1,6 +1,7 @@
 /** Performs the actions that `FleetNode` decides on for this host. */
 
 import type {Logger} from 'pino';
+import type {ErrorReporter} from '../lifecycle/index.js';
 import type {DatagramPort} from '../datagrams/index.js';
 import type {
   Admission,
@@ -65,6 +66,7 @@
   /** Called when followers are to be sent a heartbeat, or when one is silent. */
   readonly onHeartbeatDue: () => void;
   readonly onFollowerSilent: (follower: string) => void;
+  readonly reportError: ErrorReporter;
 }
 
 export class FleetMember {
@@ -305,6 +307,8 @@
       {
         onUpdate: update => this.receiveUpdate(address, update),
         onEnd: (fault, reason) => this.ended(address, fault, reason),
+        onError: error =>
+          this.parts.reportError(error, {unit: 'followed host', peer: address}),
       },
     );
     this.client = client;
--- a/src/fleet/relay_client.ts
+++ b/src/fleet/relay_client.ts
@@ -4,6 +4,8 @@
 import {request} from 'node:http';
 import {StringDecoder} from 'node:string_decoder';
 import type {Peer, PeerFault, Update} from '../decisions/fleet/index.js';
+import type {ErrorHandler} from '../lifecycle/index.js';
+import {ErrorBoundary} from '../lifecycle/index.js';
 import {parseAddress} from '../platform/index.js';
 import type {Milliseconds} from '../time/index.js';
 import {encodeFollowRequest} from './follow_request.js';
@@ -19,9 +21,15 @@
   readonly onUpdate: (update: Update) => void;
   /** Called once, when no more updates will arrive. */
   readonly onEnd: (fault: PeerFault, reason: string) => void;
+  /** Called for an error of this program, which ends the stream. */
+  readonly onError: ErrorHandler;
 }
 
 export class RelayClient {
+  private readonly boundary = new ErrorBoundary(error => {
+    this.handlers.onError(error);
+    this.end(`an update could not be handled: ${String(error)}`);
+  });
   private readonly outgoing: ClientRequest;
   private readonly decoder = new StringDecoder('utf8');
   private timer: NodeJS.Timeout;
@@ -55,8 +63,13 @@
     this.timer = this.startSilenceTimer(
       Math.min(firstUpdateMs, SILENCE_TIMEOUT_MS),
     );
-    this.outgoing.on('error', error => this.end(error.message));
-    this.outgoing.on('response', answer => this.read(answer));
+    const {boundary, outgoing} = this;
+    boundary.listen(outgoing, 'error', (error: Error) =>
+      this.end(error.message),
+    );
+    boundary.listen(outgoing, 'response', (answer: IncomingMessage) =>
+      this.read(answer),
+    );
     this.outgoing.end();
   }
 
@@ -72,9 +85,12 @@
       this.end(`status ${String(answer.statusCode)}`, 'stale');
       return;
     }
-    answer.on('data', (chunk: Buffer) => this.receive(chunk));
-    answer.on('error', error => this.end(error.message));
-    answer.on('close', () => this.end('the peer closed the connection'));
+    const {boundary} = this;
+    boundary.listen(answer, 'data', (chunk: Buffer) => this.receive(chunk));
+    boundary.listen(answer, 'error', (error: Error) => this.end(error.message));
+    boundary.listen(answer, 'close', () =>
+      this.end('the peer closed the connection'),
+    );
   }
 
   private receive(chunk: Buffer): void {
@@ -96,17 +112,15 @@
         this.end('the peer sent an invalid update');
         return;
       }
-      try {
-        this.handlers.onUpdate(update);
-      } catch (error) {
-        this.end(`an update could not be applied: ${String(error)}`);
-        return;
-      }
+      this.handlers.onUpdate(update);
     }
   }
 
   private startSilenceTimer(afterMs: Milliseconds): NodeJS.Timeout {
-    return setTimeout(() => this.end(`silent for ${afterMs} ms`), afterMs);
+    return setTimeout(
+      this.boundary.wrap(() => this.end(`silent for ${afterMs} ms`)),
+      afterMs,
+    );
   }
 
   private end(reason: string, fault: PeerFault = 'unreachable'): void {
--- a/src/fleet/relay_server.ts
+++ b/src/fleet/relay_server.ts
@@ -12,6 +12,8 @@
   Update,
 } from '../decisions/fleet/index.js';
 import {RepeatLimiter} from '../decisions/fleet/index.js';
+import type {ErrorReporter} from '../lifecycle/index.js';
+import {ErrorBoundary} from '../lifecycle/index.js';
 import type {SocketAddress} from '../platform/index.js';
 import {closeNow, listen} from '../servers/index.js';
 import type {Milliseconds} from '../time/index.js';
@@ -46,9 +48,13 @@
   readonly alternativePeers: () => readonly Peer[];
   /** Takes over a connection that a host asks to upgrade. */
   readonly handleUpgrade: (request: IncomingMessage, socket: Socket) => void;
+  readonly reportError: ErrorReporter;
 }
 
 export class RelayServer {
+  private readonly boundary = new ErrorBoundary(error =>
+    this.policy.reportError(error, {unit: 'relay server'}),
+  );
   private readonly server: Server;
   private readonly followers = new Map<string, ServerResponse>();
   private readonly timer: NodeJS.Timeout;
@@ -61,15 +67,21 @@
     private readonly state: FleetState,
     private readonly policy: FollowerPolicy,
   ) {
-    this.server = createServer((request, response) =>
-      this.handleRequest(request, response),
+    this.server = createServer(
+      this.boundary.wrap((request, response) => this.accept(request, response)),
     );
-    this.server.on('upgrade', (request, socket) =>
-      policy.handleUpgrade(request, socket as Socket),
+    this.boundary.listen(
+      this.server,
+      'upgrade',
+      (request: IncomingMessage, socket: Socket) =>
+        policy.handleUpgrade(request, socket),
     );
     this.server.maxConnections = MAX_CONNECTIONS;
-    state.subscribe(update => this.broadcast(update));
-    this.timer = setInterval(() => this.sendHeartbeat(), HEARTBEAT_INTERVAL_MS);
+    state.subscribe(this.boundary.wrap(update => this.broadcast(update)));
+    this.timer = setInterval(
+      this.boundary.wrap(() => this.sendHeartbeat()),
+      HEARTBEAT_INTERVAL_MS,
+    );
     this.timer.unref();
   }
 
@@ -113,9 +125,22 @@
     return closeNow(this.server);
   }
 
+  /** An error in the service of one follower ends its connection alone. */
+  private accept(request: IncomingMessage, response: ServerResponse): void {
+    const boundary = new ErrorBoundary(error => {
+      const follower = request.socket.remoteAddress;
+      this.policy.reportError(error, {unit: 'follower', follower});
+      response.destroy();
+    });
+    // Without a listener, an error such as a write after the end would end the process.
+    boundary.listen(response, 'error', () => response.destroy());
+    boundary.run(() => this.handleRequest(request, response, boundary));
+  }
+
   private handleRequest(
     request: IncomingMessage,
     response: ServerResponse,
+    boundary: ErrorBoundary,
   ): void {
     request.resume();
     const query = new URLSearchParams(request.url?.split('?', 2)[1]);
@@ -131,7 +156,7 @@
     const admission = this.policy.admit(followRequest);
     switch (admission.kind) {
       case 'accept':
-        this.addFollower(followRequest, query, response);
+        this.addFollower(followRequest, query, response, boundary);
         break;
       case 'redirect':
         response.end(encode({kind: 'elsewhere', peers: admission.peers}));
@@ -148,10 +173,11 @@
     {address}: FollowRequest,
     query: URLSearchParams,
     response: ServerResponse,
+    boundary: ErrorBoundary,
   ): void {
     this.followers.get(address)?.destroy();
     this.followers.set(address, response);
-    response.on('close', () => {
+    boundary.listen(response, 'close', () => {
       // A follower that has reconnected meanwhile keeps its slot.
       if (this.followers.get(address) === response) {
         this.followers.delete(address);
@@ -177,7 +203,7 @@
     const line = encode(update);
     for (const follower of this.followers.values()) {
       if (follower.writableEnded) {
-        // It has been redirected; a write after the end would end this process.
+        // It has been redirected.
         continue;
       }
       if (follower.writableLength > MAX_BUFFERED_BYTES) {
--- a/src/gateway/body_reader.ts
+++ b/src/gateway/body_reader.ts
@@ -4,6 +4,7 @@
 import type {ByteBudget} from '../decisions/limits/index.js';
 import type {RequestBody} from '../http/index.js';
 import {hasBody, readBody} from '../http/index.js';
+import type {ErrorBoundary} from '../lifecycle/index.js';
 
 /** Bodies up to this size are buffered, so that the request can be retried. */
 const MAX_BUFFERED_BODY_BYTES = 1024 * 1024;
@@ -14,7 +15,10 @@
   private readonly releases: (() => void)[] = [];
   private reservedBytes = 0;
 
-  constructor(private readonly budget: ByteBudget) {}
+  constructor(
+    private readonly budget: ByteBudget,
+    private readonly boundary: ErrorBoundary,
+  ) {}
 
   /**
    * Waits for a memory reservation, then reads. A body that is too large to
@@ -37,7 +41,7 @@
       }
     }
     const isStreamed = length > MAX_BUFFERED_BODY_BYTES;
-    return readBody(request, {
+    return readBody(request, this.boundary, {
       canBuffer: bytes =>
         bytes <= this.reservedBytes ||
         (!isStreamed && this.extendReservation()),
--- a/src/gateway/download_admission.ts
+++ b/src/gateway/download_admission.ts
@@ -5,6 +5,7 @@
 import {DownloadLimit} from '../decisions/limits/index.js';
 import type {Route, RouteTable} from '../decisions/routes/index.js';
 import {chooseRetryAfter} from '../decisions/scheduling/index.js';
+import type {ErrorBoundary} from '../lifecycle/index.js';
 import type {Clock, Milliseconds, Random} from '../time/index.js';
 
 /**
@@ -60,6 +61,7 @@
     route: Route,
     response: ServerResponse,
     giveUpAt: Milliseconds,
+    boundary: ErrorBoundary,
   ): HostBusy | undefined {
     if (!route.hasLargeResponses || response.destroyed) {
       return undefined;
@@ -71,7 +73,7 @@
     // Detached from the response once that is finished.
     const {socket} = response;
     const writtenBefore = socket?.bytesWritten ?? 0;
-    response.once('close', () => {
+    boundary.listenOnce(response, 'close', () => {
       const sentBytes = (socket?.bytesWritten ?? 0) - writtenBefore;
       const isComplete =
         response.writableFinished &&
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -7,7 +7,9 @@
 import type {Placed, Refused} from '../decisions/scheduling/index.js';
 import type {ProblemReason, RequestBody} from '../http/index.js';
 import {BodyTooLargeError, discardBody, sendProblem} from '../http/index.js';
+import {ErrorBoundary} from '../lifecycle/index.js';
 import {HEADERS, readTimeLeft} from '../platform/index.js';
+import type {IncomingCall} from '../servers/index.js';
 import type {Milliseconds} from '../time/index.js';
 import type {
   AttemptResult,
@@ -29,6 +31,7 @@
 import {forwardedRequest} from './forwarded_request.js';
 import {RequestAdmission} from './request_admission.js';
 import {recordRequestEnd} from './request_end.js';
+import type {StreamObserver} from './response_writer.js';
 import {streamResponse, writeResponse} from './response_writer.js';
 import {StallWatch} from './stall_watch.js';
 import {refusalProblem} from './refusal_problem.js';
@@ -68,21 +71,27 @@
   /** Resumes `serve` for a retry, or when the exchange is done. */
   private proceed: () => void = () => undefined;
 
+  /** An error in the handling of a request ends it, and no other. */
+  private readonly boundary = new ErrorBoundary(error => this.fail(error));
+  private readonly request: IncomingMessage;
+  private readonly response: ServerResponse;
+
   constructor(
-    private readonly request: IncomingMessage,
-    private readonly response: ServerResponse,
+    {request, response}: IncomingCall,
     private readonly route: Route,
     private readonly service: ServiceProfile,
     private readonly customer: Customer | undefined,
     private readonly context: GatewayContext,
   ) {
+    this.request = request;
+    this.response = response;
     this.record = new RequestAttempts(route);
-    this.bodyReader = new BodyReader(context.bodies);
+    this.bodyReader = new BodyReader(context.bodies, this.boundary);
     this.arrivedAt = context.clock.now();
     const timeoutMs = Math.min(route.timeoutMs, readTimeLeft(request.headers));
     this.giveUpAt = this.arrivedAt + timeoutMs;
     this.id = String(request.headers[HEADERS.requestId] ?? '');
-    const {arrivedAt, giveUpAt} = this;
+    const {arrivedAt, giveUpAt, boundary} = this;
     this.admission = new RequestAdmission({
       context,
       route,
@@ -91,20 +100,21 @@
       customer,
       arrivedAt,
       giveUpAt,
+      boundary,
     });
   }
 
-  /** Resolves when the final response is sent or the caller disconnects. */
-  async run(): Promise<void> {
+  /** Starts to serve the request, until a response is sent or the caller disconnects. */
+  run(): void {
+    const {boundary} = this;
     this.timer = setTimeout(
-      () => void this.contain(() => this.handleTimeout()),
+      boundary.wrap(() => this.handleTimeout()),
       this.leftMs,
     );
-    this.response.once(
-      'close',
-      () => void this.contain(() => this.finish('caller-left')),
+    boundary.listenOnce(this.response, 'close', () =>
+      this.finish('caller-left'),
     );
-    await this.contain(() => this.readAndServe());
+    boundary.run(() => this.readAndServe());
   }
 
   private async readAndServe(): Promise<void> {
@@ -115,22 +125,8 @@
     }
   }
 
-  /** An error in the handling of one request must not end the process and all others. */
-  private async contain(work: () => void | Promise<void>): Promise<void> {
-    try {
-      await work();
-    } catch (error) {
-      this.fail(error);
-    }
-  }
-
   private fail(error: unknown): void {
-    const {logger, metrics} = this.context;
-    metrics.countInternalError();
-    logger.error(
-      {event: 'internal-error', request: this.id, error},
-      'a request failed by an error of this host',
-    );
+    this.context.reportError(error, {request: this.id});
     try {
       this.refuse('internal-error');
     } catch {
@@ -150,7 +146,9 @@
       const {signal} = this.controller;
       const body = await this.bodyReader.read(this.request, maxBytes, signal);
       if (body?.kind === 'stream') {
-        body.stream.once('error', error => this.refuseBody(error));
+        this.boundary.listenOnce(body.stream, 'error', (error: Error) =>
+          this.refuseBody(error),
+        );
       }
       return body;
     } catch (error) {
@@ -276,10 +274,10 @@
       attempt,
       scheduler: context.schedulerOf(service.name),
       service,
-      onStalled: () => void this.contain(() => this.hedge(ready, attempt)),
-      onError: error => this.fail(error),
+      onStalled: () => this.boundary.run(() => this.hedge(ready, attempt)),
+      boundary: this.boundary,
     });
-    void this.contain(async () => {
+    this.boundary.run(async () => {
       const result = await attempt.waitForResult();
       if (!this.done) {
         const {repeatable} = this.route;
@@ -403,19 +401,18 @@
     this.streaming = attempt;
     this.endAttempts();
     this.keepOpenForBody();
-    streamResponse(this.response, upstreamResponse, {
-      onComplete: () =>
-        void this.contain(() => {
-          guard.reportResponse();
-          this.finish(`answered-${upstreamResponse.status}`);
-        }),
-      onTruncated: () =>
-        void this.contain(() => {
-          guard.reportBrokenAttempt(upstream);
-          this.context.upstreamClient.outcomes.failed(upstream.id, 'broken');
-          this.finish('response-truncated');
-        }),
-    });
+    const observer: StreamObserver = {
+      onComplete: () => {
+        guard.reportResponse();
+        this.finish(`answered-${upstreamResponse.status}`);
+      },
+      onTruncated: () => {
+        guard.reportBrokenAttempt(upstream);
+        this.context.upstreamClient.outcomes.failed(upstream.id, 'broken');
+        this.finish('response-truncated');
+      },
+    };
+    streamResponse(this.response, upstreamResponse, observer, this.boundary);
   }
 
   /**
@@ -490,7 +487,7 @@
     this.endAttempts();
     this.admission.settleRetries();
     this.bodyReader.release();
-    discardBody(this.request);
+    discardBody(this.request, this.boundary);
     this.proceed();
     recordRequestEnd(this.context, {
       id: this.id,
--- a/src/gateway/gateway_server.ts
+++ b/src/gateway/gateway_server.ts
@@ -1,6 +1,7 @@
 /** The HTTP server that callers reach. */
 
 import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {Duplex} from 'node:stream';
 import type {Customer} from '../decisions/customers/index.js';
 import {identify} from '../decisions/customers/index.js';
 import type {ConfigurationReport} from '../decisions/fleet/index.js';
@@ -9,8 +10,11 @@
 import {discardBody, findRequestFault, sendProblem} from '../http/index.js';
 import type {SocketAddress} from '../platform/index.js';
 import {HEADERS} from '../platform/index.js';
+import type {IncomingCall} from '../servers/index.js';
 import {GracefulServer, isClosing, listen} from '../servers/index.js';
 import type {Milliseconds} from '../time/index.js';
+import {sleep} from '../time/index.js';
+import type {ParserError} from './connection_faults.js';
 import {closeFaultyConnection} from './connection_faults.js';
 import {Exchange} from './exchange.js';
 import type {LogFields} from './request_log.js';
@@ -77,19 +81,20 @@
         requireHostHeader: false,
         noDelay: true,
       },
-      (request, response) => this.handleSafely(request, response),
-    ).trackConnections();
-    this.server.on('checkContinue', (request, response) => {
-      response.writeContinue();
-      delete request.headers.expect;
-      this.handleSafely(request, response);
-    });
-    this.server.on('clientError', (error, socket) => {
-      const {reason, answered} = closeFaultyConnection(error, socket);
-      if (answered) {
-        this.recordRefusal(reason, {event: 'connection', error: error.message});
-      }
-    });
+      context.reportError,
+      call => this.handleRequest(call),
+    );
+    this.server.listenTo(
+      'checkContinue',
+      (request: IncomingMessage, response: ServerResponse) => {
+        response.writeContinue();
+        delete request.headers.expect;
+        this.server.accept(request, response);
+      },
+    );
+    this.server.listenTo('clientError', (error: ParserError, socket: Duplex) =>
+      this.handleFaulty(error, socket),
+    );
     context.state.subscribe(update => {
       if (update.kind === 'table') {
         const {idleMs, headerMs} = update.table.limits;
@@ -116,7 +121,7 @@
     this.server.close();
     while (this.inFlight > 0) {
       this.server.closeIdleConnections();
-      await new Promise(resolve => setTimeout(resolve, IDLE_CLOSE_INTERVAL_MS));
+      await sleep(IDLE_CLOSE_INTERVAL_MS);
     }
     this.server.closeIdleConnections();
   }
@@ -139,35 +144,21 @@
     );
   }
 
-  /** An error in the handling of one request must not end the process and all others. */
-  private handleSafely(
-    request: IncomingMessage,
-    response: ServerResponse,
-  ): void {
-    try {
-      this.handleRequest(request, response);
-    } catch (error) {
-      const {logger, metrics} = this.context;
-      metrics.countInternalError();
-      const id = request.headers[HEADERS.requestId];
-      logger.error(
-        {event: 'internal-error', request: id, error},
-        'a request failed by an error of this host',
-      );
-      response.destroy();
+  private handleFaulty(error: ParserError, socket: Duplex): void {
+    const {reason, answered} = closeFaultyConnection(error, socket);
+    if (answered) {
+      this.recordRefusal(reason, {event: 'connection', error: error.message});
     }
   }
 
-  private handleRequest(
-    request: IncomingMessage,
-    response: ServerResponse,
-  ): void {
+  private handleRequest(call: IncomingCall): void {
+    const {request, response, boundary} = call;
     const earlier = this.server.noteRequest(request, response);
     if (isClosing(request, earlier)) {
       return;
     }
     this.inFlight += 1;
-    response.once('close', () => {
+    boundary.listenOnce(response, 'close', () => {
       this.inFlight -= 1;
     });
     if (this.phase !== 'running') {
@@ -178,22 +169,23 @@
     if (fault) {
       // What follows on the connection can't be told from the body.
       response.setHeader('connection', 'close');
-      this.refuse(response, fault.reason, {detail: fault.detail});
+      this.refuse(call, fault.reason, {detail: fault.detail});
       return;
     }
     if (this.phase === 'finishing') {
-      this.refuse(response, 'not-ready', {
+      this.refuse(call, 'not-ready', {
         retryAfterMs: STOPPING_RETRY_AFTER_MS,
       });
       return;
     }
-    this.route(request, response);
+    this.route(call);
   }
 
-  private route(request: IncomingMessage, response: ServerResponse): void {
+  private route(call: IncomingCall): void {
+    const {request} = call;
     const {state} = this.context;
     if (!state.isComplete) {
-      this.waitForConfiguration(request, response);
+      this.waitForConfiguration(call);
       return;
     }
     const {host = ''} = request.headers;
@@ -201,11 +193,11 @@
     const route = state.routes.find(host, target);
     if (!route) {
       const miss = state.routes.explainMiss(host, target);
-      this.refuseUnknown(response, 'unknown-route', {miss});
+      this.refuseUnknown(call, 'unknown-route', {miss});
       return;
     }
     if (route.destinations.length === 0) {
-      this.refuse(response, 'unusable-route', {
+      this.refuse(call, 'unusable-route', {
         rank: route.rank,
         configuration: state.configuration.report,
         retryAfterMs: UNUSABLE_RETRY_AFTER_MS,
@@ -214,18 +206,18 @@
     }
     const limits = state.routes.current?.limits;
     if (limits && headerBytes(request) > limits.headerBytes) {
-      this.refuse(response, 'headers-too-large', {});
+      this.refuse(call, 'headers-too-large', {});
       return;
     }
     const {authorization} = request.headers;
     const identity = identify(state.customers, route.isPublic, authorization);
     switch (identity.kind) {
       case 'unknown-key':
-        return this.refuseUnknown(response, 'unknown-key', {rank: route.rank});
+        return this.refuseUnknown(call, 'unknown-key', {rank: route.rank});
       case 'customer':
-        return this.startExchange(request, response, route, identity.customer);
+        return this.startExchange(call, route, identity.customer);
       case 'anonymous':
-        return this.startExchange(request, response, route);
+        return this.startExchange(call, route);
       default:
         identity satisfies never;
     }
@@ -235,54 +227,45 @@
    * Holds a request until the configuration is known, which takes some 100 ms after a
    * start. Callers that are refused would retry later than they could be served.
    */
-  private waitForConfiguration(
-    request: IncomingMessage,
-    response: ServerResponse,
-  ): void {
+  private waitForConfiguration(call: IncomingCall): void {
+    const {response, boundary} = call;
     const {state} = this.context;
-    const stopListening = state.subscribe(() => {
+    const route = boundary.wrap(() => {
       if (state.isComplete && !response.destroyed) {
         stopWaiting();
-        this.route(request, response);
+        this.route(call);
       }
     });
-    const timer = setTimeout(() => {
+    const giveUp = boundary.wrap(() => {
       stopWaiting();
-      this.refuse(response, 'not-ready', {
-        retryAfterMs: NOT_READY_RETRY_AFTER_MS,
-      });
-    }, CONFIGURATION_WAIT_MS);
+      this.refuse(call, 'not-ready', {retryAfterMs: NOT_READY_RETRY_AFTER_MS});
+    });
+    const stopSubscription = state.subscribe(route);
+    const timer = setTimeout(giveUp, CONFIGURATION_WAIT_MS);
+    const stopListening = boundary.listenOnce(response, 'close', () =>
+      stopWaiting(),
+    );
     const stopWaiting = (): void => {
-      stopListening();
+      stopSubscription();
       clearTimeout(timer);
-      response.off('close', stopWaiting);
+      stopListening();
     };
-    response.once('close', stopWaiting);
   }
 
   private startExchange(
-    request: IncomingMessage,
-    response: ServerResponse,
+    call: IncomingCall,
     route: Route,
     customer?: Customer,
   ): void {
     const {state, split} = this.context;
     const service = state.routes.service(split.next(route) ?? '');
     if (!service) {
-      this.refuse(response, 'no-upstream', {
+      this.refuse(call, 'no-upstream', {
         retryAfterMs: NOT_READY_RETRY_AFTER_MS,
       });
       return;
     }
-    const {context} = this;
-    void new Exchange(
-      request,
-      response,
-      route,
-      service,
-      customer,
-      context,
-    ).run();
+    new Exchange(call, route, service, customer, this.context).run();
   }
 
   /**
@@ -290,28 +273,28 @@
    * host may lack a new route or key, and callers don't retry after these.
    */
   private refuseUnknown(
-    response: ServerResponse,
+    call: IncomingCall,
     reason: 'unknown-route' | 'unknown-key',
     details: RefusalDetails,
   ): void {
     const {state} = this.context;
     const explained = {...details, configuration: state.configuration.report};
     if (state.hasNewestConfiguration) {
-      this.refuse(response, reason, explained);
+      this.refuse(call, reason, explained);
       return;
     }
     const [refusal, retryAfterMs]: [ProblemReason, Milliseconds] = state.isFresh
       ? ['newer-configuration', UNUSABLE_RETRY_AFTER_MS]
       : ['not-ready', NOT_READY_RETRY_AFTER_MS];
-    this.refuse(response, refusal, {...explained, retryAfterMs});
+    this.refuse(call, refusal, {...explained, retryAfterMs});
   }
 
   private refuse(
-    response: ServerResponse,
+    {request: incoming, response, boundary}: IncomingCall,
     reason: ProblemReason,
     {rank, miss, configuration, ...more}: RefusalDetails,
   ): void {
-    const {method, url: target, headers} = response.req;
+    const {method, url: target, headers} = incoming;
     const request = headers[HEADERS.requestId];
     const {host} = headers;
     this.recordRefusal(
@@ -325,7 +308,7 @@
       ...more,
       fractionalRetryAfter: true,
     });
-    discardBody(response.req);
+    discardBody(incoming, boundary);
   }
 
   private recordRefusal(
--- a/src/gateway/metrics_server.ts
+++ b/src/gateway/metrics_server.ts
@@ -1,7 +1,9 @@
 /** Serves the Prometheus metrics of an entry host. */
 
-import type {Server} from 'node:http';
+import type {RequestListener, Server} from 'node:http';
 import {createServer} from 'node:http';
+import type {ErrorReporter} from '../lifecycle/index.js';
+import {ErrorBoundary} from '../lifecycle/index.js';
 import type {SocketAddress} from '../platform/index.js';
 import {closeNow, listen} from '../servers/index.js';
 
@@ -11,8 +13,11 @@
 export class MetricsServer {
   private readonly server: Server;
 
-  constructor(text: () => Promise<string>) {
-    this.server = createServer((request, response) => {
+  constructor(text: () => Promise<string>, reportError: ErrorReporter) {
+    const boundary = new ErrorBoundary(error =>
+      reportError(error, {unit: 'metrics server'}),
+    );
+    const respond: RequestListener = (request, response) => {
       if (request.url !== METRICS_PATH) {
         response.statusCode = NOT_FOUND;
         response.end();
@@ -22,7 +27,8 @@
         metrics => response.end(metrics),
         () => response.destroy(),
       );
-    });
+    };
+    this.server = createServer(boundary.wrap(respond));
   }
 
   listen(address: SocketAddress): Promise<number> {
--- a/src/gateway/readiness_server.ts
+++ b/src/gateway/readiness_server.ts
@@ -1,7 +1,9 @@
 /** Tells the platform whether to route callers to this host. */
 
-import type {Server} from 'node:http';
+import type {RequestListener, Server} from 'node:http';
 import {createServer} from 'node:http';
+import type {ErrorReporter} from '../lifecycle/index.js';
+import {ErrorBoundary} from '../lifecycle/index.js';
 import type {SocketAddress} from '../platform/index.js';
 import {READINESS_PATH} from '../platform/index.js';
 import {closeNow, listen} from '../servers/index.js';
@@ -13,8 +15,11 @@
 export class ReadinessServer {
   private readonly server: Server;
 
-  constructor(isReady: () => boolean) {
-    this.server = createServer((request, response) => {
+  constructor(isReady: () => boolean, reportError: ErrorReporter) {
+    const boundary = new ErrorBoundary(error =>
+      reportError(error, {unit: 'readiness server'}),
+    );
+    const respond: RequestListener = (request, response) => {
       if (request.url !== READINESS_PATH) {
         response.statusCode = NOT_FOUND;
         response.end();
@@ -22,7 +27,8 @@
       }
       response.statusCode = isReady() ? READY : NOT_READY;
       response.end();
-    });
+    };
+    this.server = createServer(boundary.wrap(respond));
   }
 
   listen(address: SocketAddress): Promise<number> {
--- a/src/gateway/request_admission.ts
+++ b/src/gateway/request_admission.ts
@@ -13,6 +13,7 @@
 import type {RetryPermit} from '../decisions/retries/index.js';
 import type {Route, ServiceProfile} from '../decisions/routes/index.js';
 import type {SchedulingResult} from '../decisions/scheduling/index.js';
+import type {ErrorBoundary} from '../lifecycle/index.js';
 import type {Milliseconds} from '../time/index.js';
 import {sleep} from '../time/index.js';
 import type {HostBusy} from './download_admission.js';
@@ -38,6 +39,7 @@
   readonly customer: Customer | undefined;
   readonly arrivedAt: Milliseconds;
   readonly giveUpAt: Milliseconds;
+  readonly boundary: ErrorBoundary;
 }
 
 export class RequestAdmission {
@@ -65,8 +67,9 @@
 
   /** Undefined if the request may be placed. */
   async admit(): Promise<Refusal | undefined> {
-    const {context, route, response, customer, giveUpAt} = this.parts;
-    this.refusal = context.downloads.admit(route, response, giveUpAt);
+    const {context, route, response, customer, giveUpAt, boundary} = this.parts;
+    const {downloads} = context;
+    this.refusal = downloads.admit(route, response, giveUpAt, boundary);
     if (this.refusal) {
       return this.refusal;
     }
--- a/src/gateway/response_writer.ts
+++ b/src/gateway/response_writer.ts
@@ -1,6 +1,7 @@
 /** Writes upstreams' responses to callers, unchanged except for framing. */
 
 import type {ServerResponse} from 'node:http';
+import type {ErrorBoundary} from '../lifecycle/index.js';
 import {BODILESS_STATUSES, filterHeaders} from '../http/index.js';
 import type {StreamedResponse, BufferedResponse} from '../upstreams/index.js';
 
@@ -38,6 +39,7 @@
   response: ServerResponse,
   streamed: StreamedResponse,
   {onComplete, onTruncated}: StreamObserver,
+  boundary: ErrorBoundary,
 ): void {
   const {status, headers, prefix, remainder, completion} = streamed;
   const handleTruncation = (): void => {
@@ -46,16 +48,21 @@
     }
     response.destroy();
   };
-  remainder.on('aborted', handleTruncation);
-  remainder.on('error', handleTruncation);
-  response.once('close', () => remainder.destroy());
+  boundary.listen(remainder, 'aborted', handleTruncation);
+  boundary.listen(remainder, 'error', handleTruncation);
+  boundary.listenOnce(response, 'close', () => remainder.destroy());
   response.writeHead(status, filterHeaders(headers, NO_HEADERS));
   prefix.forEach(chunk => response.write(chunk));
-  response.write('', () => streamed.releasePrefix());
+  response.write(
+    '',
+    boundary.wrap(() => streamed.releasePrefix()),
+  );
   remainder.pipe(response, {end: false});
   const finish = (): void => {
     onComplete();
     response.end();
   };
-  remainder.on('end', () => completion.verify(finish, handleTruncation));
+  boundary.listen(remainder, 'end', () =>
+    completion.verify(finish, handleTruncation),
+  );
 }
--- a/src/gateway/scheduler.ts
+++ b/src/gateway/scheduler.ts
@@ -14,6 +14,8 @@
 import {ServiceScheduler} from '../decisions/scheduling/index.js';
 import type {SharingGain} from '../decisions/sharing/index.js';
 import type {FleetState} from '../fleet/index.js';
+import type {ErrorReporter} from '../lifecycle/index.js';
+import {ErrorBoundary} from '../lifecycle/index.js';
 import type {Clock, Random} from '../time/index.js';
 import type {InFlightRequest, UpstreamClient} from './upstream_client.js';
 
@@ -30,10 +32,12 @@
   readonly regionOf: (dataCentre: string) => string | undefined;
   readonly clock: Clock;
   readonly random: Random;
+  readonly reportError: ErrorReporter;
 }
 
 export class Scheduler {
   private readonly decisions: ServiceScheduler;
+  private readonly boundary: ErrorBoundary;
   private readonly pendingRequests = new Map<
     number,
     (placing: SchedulingResult) => void
@@ -43,22 +47,11 @@
   private timer: NodeJS.Timeout | undefined;
 
   constructor(private readonly parts: SchedulerParts) {
-    const {clock, random, policy, probes, upstreamClient, options} = parts;
-    const {gain, regionOf} = parts;
-    this.decisions = new ServiceScheduler({
-      clock,
-      random,
-      policy,
-      probes,
-      options,
-      gain,
-      regionOf,
-      view: upstreamClient.view,
-      upstreams: () => this.upstreams,
-      fleetSize: () => this.fleetSize(),
-      canConnect: upstream => this.canConnect(upstream),
-      isCutOff: () => upstreamClient.reachability.isCutOff(parts.service),
+    const {reportError, service} = parts;
+    this.boundary = new ErrorBoundary(error => {
+      reportError(error, {unit: 'scheduler', service});
     });
+    this.decisions = this.createDecisions();
   }
 
   /** Requests for which upstreams are being probed. */
@@ -87,7 +80,9 @@
         resolve(result);
       });
       signal.addEventListener('abort', cancel, {once: true});
-      this.execute(this.decisions.schedule({...request, id}));
+      this.boundary.run(() =>
+        this.execute(this.decisions.schedule({...request, id})),
+      );
     });
   }
 
@@ -125,7 +120,7 @@
 
   private cancel(id: number): void {
     if (this.pendingRequests.delete(id)) {
-      this.decisions.leave(id);
+      this.boundary.run(() => this.decisions.leave(id));
     }
   }
 
@@ -133,7 +128,7 @@
     for (const action of actions) {
       switch (action.kind) {
         case 'probe':
-          void this.probe(action.upstream);
+          this.boundary.run(() => this.probe(action.upstream));
           break;
         case 'settle':
           this.pendingRequests.get(action.id)?.(action.result);
@@ -158,7 +153,22 @@
     const {dueAt} = this.decisions;
     if (dueAt < Infinity) {
       const inMs = Math.max(0, dueAt - this.parts.clock.now());
-      this.timer = setTimeout(() => this.execute(this.decisions.tick()), inMs);
+      this.timer = setTimeout(
+        this.boundary.wrap(() => this.execute(this.decisions.tick())),
+        inMs,
+      );
     }
   }
+
+  private createDecisions(): ServiceScheduler {
+    const {upstreamClient, service} = this.parts;
+    return new ServiceScheduler({
+      ...this.parts,
+      view: upstreamClient.view,
+      upstreams: () => this.upstreams,
+      fleetSize: () => this.fleetSize(),
+      canConnect: upstream => this.canConnect(upstream),
+      isCutOff: () => upstreamClient.reachability.isCutOff(service),
+    });
+  }
 }
--- a/src/gateway/stall_watch.ts
+++ b/src/gateway/stall_watch.ts
@@ -9,6 +9,7 @@
  */
 
 import type {ServiceProfile} from '../decisions/routes/index.js';
+import type {ErrorBoundary} from '../lifecycle/index.js';
 import type {Milliseconds} from '../time/index.js';
 import type {Scheduler} from './scheduler.js';
 import type {UpstreamAttempt} from './upstream_attempt.js';
@@ -26,7 +27,7 @@
   readonly scheduler: Scheduler;
   readonly service: ServiceProfile;
   readonly onStalled: () => void;
-  readonly onError: (error: unknown) => void;
+  readonly boundary: ErrorBoundary;
 }
 
 export class StallWatch {
@@ -59,6 +60,10 @@
   }
 
   private checkAfter(ms: Milliseconds): NodeJS.Timeout {
-    return setTimeout(() => void this.check().catch(this.parts.onError), ms);
+    const {boundary} = this.parts;
+    return setTimeout(
+      boundary.wrap(() => this.check()),
+      ms,
+    );
   }
 }
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -8,6 +8,7 @@
 import type {TrafficSplit} from '../decisions/routes/index.js';
 import type {StallDetector} from '../decisions/stalls/index.js';
 import type {FleetState} from '../fleet/index.js';
+import type {ErrorReporter} from '../lifecycle/index.js';
 import type {Clock} from '../time/index.js';
 import type {CrashDetector} from './crash_detector.js';
 import type {DownloadAdmission} from './download_admission.js';
@@ -45,6 +46,7 @@
   readonly unknownHeaders: UnknownHeaders;
   readonly metrics: GatewayMetrics;
   readonly logger: Logger;
+  readonly reportError: ErrorReporter;
   readonly log: RequestLog;
   readonly clock: Clock;
 }
--- a/src/gateway/upstream_client.ts
+++ b/src/gateway/upstream_client.ts
@@ -14,6 +14,7 @@
 import type {ServiceProfile} from '../decisions/routes/index.js';
 import type {FleetState} from '../fleet/index.js';
 import {parseAddress} from '../platform/index.js';
+import type {ErrorReporter} from '../lifecycle/index.js';
 import type {LeavingExchange} from '../leaving/index.js';
 import type {RateLimitExchange} from '../rate_limits/index.js';
 import type {ResetExchange} from '../resets/index.js';
@@ -74,6 +75,7 @@
   readonly clock: Clock;
   readonly logger: Logger;
   readonly metrics: GatewayMetrics;
+  readonly reportError: ErrorReporter;
 }
 
 export class UpstreamClient {
@@ -267,12 +269,7 @@
     try {
       return await this.exchangeProbe(upstream, service, connection);
     } catch (error) {
-      const {logger, metrics} = this.parts;
-      metrics.countInternalError();
-      logger.error(
-        {event: 'internal-error', upstream: upstream.id, error},
-        'a probe failed by an error of this host',
-      );
+      this.parts.reportError(error, {unit: 'probe', upstream: upstream.id});
       connection.close();
       return {kind: 'failed', detail: String(error)};
     }
@@ -411,6 +408,11 @@
           port: address?.port ?? 0,
           localIp: this.parts.localIp,
         },
+        error =>
+          this.parts.reportError(error, {
+            unit: 'upstream connection',
+            upstream: upstream.id,
+          }),
         () => this.tunnelTo(upstream),
       ),
       upstream,
--- a/src/host/gateway_host.ts
+++ b/src/host/gateway_host.ts
@@ -18,7 +18,8 @@
   RequestLog,
   UnknownHeaders,
 } from '../gateway/index.js';
-import {ResourceStack} from '../lifecycle/index.js';
+import type {ErrorReporter} from '../lifecycle/index.js';
+import {ResourceStack, createErrorReporter} from '../lifecycle/index.js';
 import {DatagramPort} from '../datagrams/index.js';
 import {OverloadExchange} from '../overload/index.js';
 import {CrashHistory} from '../quarantine/index.js';
@@ -40,6 +41,7 @@
 
 export class GatewayHost {
   private readonly lifeCycle: ResourceStack;
+  private readonly reportError: ErrorReporter;
   private readonly state: FleetState;
   private readonly member: FleetMember;
   private readonly relay: RelayServer;
@@ -61,6 +63,11 @@
   constructor(private readonly parts: GatewayHostParts) {
     const {settings, clock, random, logger} = parts;
     this.lifeCycle = new ResourceStack(logger);
+    const {metrics} = parts;
+    const reportError = createErrorReporter(logger, () =>
+      metrics.countInternalError(),
+    );
+    this.reportError = reportError;
     this.state = this.lifeCycle.adopt(
       'state',
       new FleetState(clock, logger, settings.changeBoundMs),
@@ -73,15 +80,14 @@
       clock,
       random,
     });
-    const {metrics} = parts;
     this.metricsServer = this.lifeCycle.adopt(
       'metrics',
-      new MetricsServer(() => metrics.render(this.gauges())),
+      new MetricsServer(() => metrics.render(this.gauges()), reportError),
       one => one.close(),
     );
     this.datagrams = this.lifeCycle.adopt(
       'datagrams',
-      new DatagramPort(logger),
+      new DatagramPort(logger, reportError),
       one => one.close(),
     );
     this.crashHistory = this.createCrashHistory();
@@ -96,28 +102,18 @@
       random,
       logger,
       metrics,
+      reportError,
     });
     this.quotas = this.createQuotas();
     this.retries = createRetryBudgets(parts, this.state.size);
     this.overload = this.createOverloadExchange();
-    this.relay = this.lifeCycle.adopt(
-      'relay',
-      new RelayServer(this.state, {
-        heartbeat: () => this.member.heartbeat(),
-        admit: asker => this.member.admit(asker),
-        released: follower => this.member.released(follower),
-        alternativePeers: () => this.member.alternativePeers(),
-        handleUpgrade: (request, socket) =>
-          this.upstreamSelection.tunnelServer.handleUpgrade(request, socket),
-      }),
-      one => one.close(),
-    );
+    this.relay = this.createRelay();
     this.member = this.createMember();
     this.state.subscribeToStoreRestore(() => this.handleStoreRestore());
     warnOfUnknownEvacuations(this.state, settings.regions, logger);
     this.readiness = this.lifeCycle.adopt(
       'readiness',
-      new ReadinessServer(() => this.isReady()),
+      new ReadinessServer(() => this.isReady(), reportError),
       one => one.close(),
     );
     this.gateway = this.createGateway();
@@ -280,6 +276,22 @@
     return ready;
   }
 
+  private createRelay(): RelayServer {
+    return this.lifeCycle.adopt(
+      'relay',
+      new RelayServer(this.state, {
+        heartbeat: () => this.member.heartbeat(),
+        admit: asker => this.member.admit(asker),
+        released: follower => this.member.released(follower),
+        alternativePeers: () => this.member.alternativePeers(),
+        handleUpgrade: (request, socket) =>
+          this.upstreamSelection.tunnelServer.handleUpgrade(request, socket),
+        reportError: this.reportError,
+      }),
+      one => one.close(),
+    );
+  }
+
   private createMember(): FleetMember {
     const {settings, store, clock, random, logger, metrics} = this.parts;
     const {dataCentre, introducers, firstStart, linkMbps} = settings;
@@ -302,6 +314,7 @@
         onBadRecord: sort => metrics.countBadRecord(sort),
         onHeartbeatDue: () => this.relay.sendHeartbeat(),
         onFollowerSilent: follower => this.relay.disconnect(follower),
+        reportError: this.reportError,
       }),
       one => one.close(),
     );
@@ -396,6 +409,7 @@
       unknownHeaders: new UnknownHeaders(logger),
       metrics,
       logger,
+      reportError: this.reportError,
       log,
       clock,
     });
--- a/src/host/upstream_selection.ts
+++ b/src/host/upstream_selection.ts
@@ -25,7 +25,7 @@
 import type {GatewayMetrics} from '../gateway/index.js';
 import {Scheduler, UpstreamClient} from '../gateway/index.js';
 import {LeavingExchange} from '../leaving/index.js';
-import type {ResourceStack} from '../lifecycle/index.js';
+import type {ErrorReporter, ResourceStack} from '../lifecycle/index.js';
 import type {HostSettings} from '../platform/index.js';
 import {RateLimitExchange} from '../rate_limits/index.js';
 import {LoadExchange} from '../sharing/index.js';
@@ -52,6 +52,7 @@
   readonly random: Random;
   readonly logger: Logger;
   readonly metrics: GatewayMetrics;
+  readonly reportError: ErrorReporter;
 }
 
 export class UpstreamSelection {
@@ -121,7 +122,7 @@
     if (known) {
       return known;
     }
-    const {clock, random, settings, state, lifeCycle} = this.parts;
+    const {clock, random, settings, state, lifeCycle, reportError} = this.parts;
     const {upstreamClient, policy, probes, gain} = this;
     const scheduler = lifeCycle.adopt(
       `scheduler of ${service}`,
@@ -135,6 +136,7 @@
         random,
         options: DEFAULT_OPTIONS,
         gain,
+        reportError,
         regionOf: dataCentre => settings.regions.get(dataCentre),
       }),
       one => one.close(),
@@ -172,6 +174,7 @@
         random,
       }),
       self: () => this.address,
+      onError: error => this.parts.reportError(error, {unit: 'tunnel'}),
     });
   }
 
@@ -190,7 +193,8 @@
   }
 
   private createUpstreamClient(view: LoadView): UpstreamClient {
-    const {settings, clock, logger, metrics, state, lifeCycle} = this.parts;
+    const {settings, clock, logger, metrics, state, lifeCycle, reportError} =
+      this.parts;
     const options = DEFAULT_OPTIONS;
     const {rateLimits, backoffs, leaving, tunnels} = this;
     return lifeCycle.adopt(
@@ -208,6 +212,7 @@
         clock,
         logger,
         metrics,
+        reportError,
       }),
       one => one.close(),
     );
--- a/src/http/discard_body.ts
+++ b/src/http/discard_body.ts
@@ -1,6 +1,7 @@
 /** Reads and drops the rest of a request body whose response has been sent early. */
 
 import type {IncomingMessage} from 'node:http';
+import type {ErrorBoundary} from '../lifecycle/index.js';
 import type {Milliseconds} from '../time/index.js';
 
 /** More than this, or longer, isn't read: the caller goes on with a new connection. */
@@ -11,15 +12,21 @@
  * Left unread, the rest would keep the next request on the connection from being read. A
  * connection that is closed at once would be reset by it, which can destroy the response.
  */
-export function discardBody(request: IncomingMessage): void {
+export function discardBody(
+  request: IncomingMessage,
+  boundary: ErrorBoundary,
+): void {
   if (request.complete || request.destroyed) {
     return;
   }
   let bytes = 0;
-  const timer = setTimeout(() => request.socket.destroy(), MAX_DISCARDING_MS);
+  const timer = setTimeout(
+    boundary.wrap(() => request.socket.destroy()),
+    MAX_DISCARDING_MS,
+  );
   timer.unref();
-  request.once('close', () => clearTimeout(timer));
-  request.on('data', (chunk: Buffer) => {
+  boundary.listenOnce(request, 'close', () => clearTimeout(timer));
+  boundary.listen(request, 'data', (chunk: Buffer) => {
     bytes += chunk.length;
     if (bytes > MAX_DISCARDED_BYTES) {
       request.socket.destroy();
--- a/src/http/request_body.ts
+++ b/src/http/request_body.ts
@@ -2,6 +2,7 @@
 
 import type {IncomingMessage} from 'node:http';
 import {PassThrough, type Readable} from 'node:stream';
+import type {ErrorBoundary} from '../lifecycle/index.js';
 import {DEFAULT_BUFFERED_BODY_BYTES} from './constants.js';
 
 export type RequestBody =
@@ -51,6 +52,7 @@
  */
 export function readBody(
   request: IncomingMessage,
+  boundary: ErrorBoundary,
   bounds = DEFAULT_LIMITS,
 ): Promise<RequestBody> {
   if (!hasBody(request)) {
@@ -64,8 +66,9 @@
   return new Promise((resolve, reject) => {
     const chunks: Buffer[] = [];
     let size = 0;
+    const listeners: (() => void)[] = [];
     const settle = (): void => {
-      request.off('data', onData).off('end', onEnd).off('close', onClose);
+      listeners.forEach(stop => stop());
     };
     const onData = (chunk: Buffer): void => {
       chunks.push(chunk);
@@ -75,7 +78,7 @@
         reject(new BodyTooLargeError(maxBytes));
       } else if (!canBuffer(size)) {
         settle();
-        const stream = streamRemaining(request, chunks, maxBytes);
+        const stream = streamRemaining(request, chunks, maxBytes, boundary);
         const prefix = Buffer.concat(
           chunks,
           Math.min(size, DEFAULT_BUFFERED_BODY_BYTES),
@@ -91,7 +94,11 @@
       settle();
       reject(new Error('the caller disconnected while sending its body'));
     };
-    request.on('data', onData).on('end', onEnd).on('close', onClose);
+    listeners.push(
+      boundary.listen(request, 'data', onData),
+      boundary.listen(request, 'end', onEnd),
+      boundary.listen(request, 'close', onClose),
+    );
   });
 }
 
@@ -100,6 +107,7 @@
   request: IncomingMessage,
   chunks: readonly Buffer[],
   maxBytes: number,
+  boundary: ErrorBoundary,
 ): Readable {
   const stream = new PassThrough({highWaterMark: DEFAULT_BUFFERED_BODY_BYTES});
   let size = 0;
@@ -107,13 +115,13 @@
     size += chunk.length;
     stream.write(chunk);
   });
-  request.on('data', (chunk: Buffer) => {
+  boundary.listen(request, 'data', (chunk: Buffer) => {
     size += chunk.length;
     if (size > maxBytes) {
       stream.destroy(new BodyTooLargeError(maxBytes));
     }
   });
-  request.on('close', () => {
+  boundary.listen(request, 'close', () => {
     // A truncated body must not look complete.
     if (!request.complete) {
       stream.destroy(
--- a/src/platform/store_client.ts
+++ b/src/platform/store_client.ts
@@ -10,6 +10,8 @@
   offsetOf,
   positionOf,
 } from '../decisions/registry/index.js';
+import {PARSED_HEADER_COUNT, hasTooManyHeaders} from '../http/index.js';
+import {ErrorBoundary} from '../lifecycle/index.js';
 import {isObject} from '../records/index.js';
 import type {Milliseconds} from '../time/index.js';
 import {decodePage, encodeKeyedRecord, decodeText} from './keyed_records.js';
@@ -184,26 +186,38 @@
       });
       const fail = (message: string): void =>
         settle(err({kind: 'unknown', message}));
-      const timer = setTimeout(() => {
+      outgoing.maxHeadersCount = PARSED_HEADER_COUNT;
+      const boundary = new ErrorBoundary(error => {
+        fail(String(error));
+        outgoing.destroy();
+      });
+      const expire = boundary.wrap(() => {
         fail(`no response within ${call.timeoutMs} ms`);
         outgoing.destroy();
-      }, call.timeoutMs);
-      outgoing.on('error', error => fail(error.message));
-      outgoing.on('response', response => {
-        readBody(response).then(
-          bytes => settle(toStoreResponse(response, bytes)),
-          (error: unknown) => fail(String(error)),
-        );
       });
+      const timer = setTimeout(expire, call.timeoutMs);
+      boundary.listen(outgoing, 'error', (error: Error) => fail(error.message));
+      boundary.listen(
+        outgoing,
+        'response',
+        async (response: IncomingMessage) => {
+          const bytes = await readBody(response);
+          settle(toStoreResponse(response, bytes));
+        },
+      );
       outgoing.end(call.body);
     });
   }
 }
 
 function toStoreResponse(
-  {statusCode: status = 0, headers}: IncomingMessage,
+  response: IncomingMessage,
   bytes: Buffer,
 ): Result<StoreResponse, StoreFailure> {
+  const {statusCode: status = 0, headers} = response;
+  if (hasTooManyHeaders(response)) {
+    return err({kind: 'unknown', message: 'the response has too many headers'});
+  }
   const message = `status ${status}`;
   switch (status) {
     case 200:
--- a/src/servers/graceful_server.ts
+++ b/src/servers/graceful_server.ts
@@ -1,10 +1,13 @@
 /** An HTTP server that closes its connections without cutting responses. */
 
-import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {IncomingMessage, ServerOptions, ServerResponse} from 'node:http';
 import {Server} from 'node:http';
 import type {Socket} from 'node:net';
 import {PARSED_HEADER_COUNT} from '../http/index.js';
+import type {ErrorReporter} from '../lifecycle/index.js';
+import {ErrorBoundary} from '../lifecycle/index.js';
 import type {Milliseconds} from '../time/index.js';
+import type {IncomingCall} from './types.js';
 
 /** Time for the other side to close a connection that this one has ended. */
 const LINGER_MS: Milliseconds = 1_000;
@@ -14,12 +17,39 @@
   /** Responses of each open connection whose last byte hasn't been sent. */
   private readonly pending = new Map<Socket, Set<ServerResponse>>();
 
-  /** Call it once, before the server listens. */
-  trackConnections(): this {
-    return this.on('connection', (socket: Socket) => {
+  private readonly boundary: ErrorBoundary;
+
+  constructor(
+    options: ServerOptions,
+    private readonly reportError: ErrorReporter,
+    private readonly handle: (call: IncomingCall) => void,
+  ) {
+    super(options, (request, response) => this.accept(request, response));
+    const boundary = new ErrorBoundary(error =>
+      reportError(error, {unit: 'caller connection'}),
+    );
+    this.boundary = boundary;
+    boundary.listen(this, 'connection', (socket: Socket) => {
       this.pending.set(socket, new Set());
-      socket.once('close', () => this.forget(socket));
+      boundary.listenOnce(socket, 'close', () => this.forget(socket));
+    });
+  }
+
+  /** An error in the handling of a request ends it, and no other. */
+  accept(request: IncomingMessage, response: ServerResponse): void {
+    const {url: target} = request;
+    const boundary = new ErrorBoundary(error => {
+      this.reportError(error, {target});
+      response.destroy();
     });
+    // Without a listener, an error such as a write after the end would end the process.
+    boundary.listen(response, 'error', () => response.destroy());
+    boundary.run(() => this.handle({request, response, boundary}));
+  }
+
+  /** Listens to an event that belongs to no request. */
+  listenTo(event: string, listener: (...values: never[]) => unknown): void {
+    this.boundary.listen(this, event, listener);
   }
 
   /**
@@ -34,7 +64,7 @@
     const owed = this.pending.get(socket);
     const earlier = [...(owed ?? [])];
     owed?.add(response);
-    response.once('close', () => owed?.delete(response));
+    this.boundary.listenOnce(response, 'close', () => owed?.delete(response));
     return earlier;
   }
 
@@ -56,7 +86,10 @@
     this.pending.forEach((owed, socket) => {
       if (owed.size === 0 && !socket.writableEnded) {
         socket.end();
-        setTimeout(() => socket.destroy(), LINGER_MS).unref();
+        setTimeout(
+          this.boundary.wrap(() => socket.destroy()),
+          LINGER_MS,
+        ).unref();
       }
     });
   }
--- a/src/servers/index.ts
+++ b/src/servers/index.ts
@@ -1,3 +1,4 @@
+export type {IncomingCall} from './types.js';
 export {GracefulServer, isClosing} from './graceful_server.js';
 export {closeNow, listen} from './listen.js';
 export {TrafficMeter} from './traffic_meter.js';
--- a/src/tunnels/splice.ts
+++ b/src/tunnels/splice.ts
@@ -1,6 +1,7 @@
 /** Joins two connections so that each sees how the other ends. */
 
 import type {Socket} from 'node:net';
+import type {ErrorBoundary} from '../lifecycle/index.js';
 
 /** An empty line, which HTTP/1.1 ignores between messages. */
 const EMPTY_LINE = '\r\n';
@@ -9,13 +10,17 @@
  * Passes bytes on in both directions, in bounded memory. Resets are passed on as resets:
  * they mark truncated responses and abandoned requests.
  */
-export function splice(caller: Socket, upstream: Socket): void {
+export function splice(
+  caller: Socket,
+  upstream: Socket,
+  boundary: ErrorBoundary,
+): void {
   // Callers don't half-close: an upstream that is out of reach must not keep the tunnel.
-  forward(caller, upstream, () => {
+  forward(caller, upstream, boundary, () => {
     upstream.end();
     caller.end();
   });
-  forward(upstream, caller, () => mirrorEnd(upstream, caller));
+  forward(upstream, caller, boundary, () => mirrorEnd(upstream, caller));
 }
 
 /**
@@ -32,9 +37,14 @@
   });
 }
 
-function forward(from: Socket, to: Socket, onEnd: () => void): void {
+function forward(
+  from: Socket,
+  to: Socket,
+  boundary: ErrorBoundary,
+  onEnd: () => void,
+): void {
   from.pipe(to, {end: false});
-  from.on('end', onEnd);
-  from.on('error', () => to.resetAndDestroy());
-  from.on('close', () => to.destroy());
+  boundary.listen(from, 'end', onEnd);
+  boundary.listen(from, 'error', () => to.resetAndDestroy());
+  boundary.listen(from, 'close', () => to.destroy());
 }
--- a/src/tunnels/tunnel_client.ts
+++ b/src/tunnels/tunnel_client.ts
@@ -4,6 +4,8 @@
 import type {IncomingMessage} from 'node:http';
 import {request} from 'node:http';
 import type {TunnelPeers} from '../decisions/reachability/index.js';
+import type {ErrorHandler} from '../lifecycle/index.js';
+import {ErrorBoundary} from '../lifecycle/index.js';
 import {parseAddress} from '../platform/index.js';
 import type {Milliseconds} from '../time/index.js';
 import {
@@ -25,6 +27,8 @@
   readonly peers: TunnelPeers;
   /** Address of this host for peers. */
   readonly self: () => string;
+  /** Called for an error of this program, after which the host counts as unavailable. */
+  readonly onError: ErrorHandler;
 }
 
 export class TunnelClient {
@@ -58,9 +62,9 @@
     upstream: string,
     maxPeers = MAX_PEERS_ASKED,
   ): Promise<Tunnel | undefined> {
-    const {peers, self} = this.parts;
+    const {peers, self, onError} = this.parts;
     for (const peer of peers.choose(maxPeers)) {
-      const result = await openThrough(peer, upstream, self());
+      const result = await openThrough(peer, upstream, self(), onError);
       if (typeof result !== 'string') {
         return {socket: result, peer};
       }
@@ -80,6 +84,7 @@
   peer: string,
   upstream: string,
   self: string,
+  onError: ErrorHandler,
 ): Promise<Socket | TunnelFailure> {
   const address = parseAddress(peer);
   return new Promise(resolve => {
@@ -94,21 +99,33 @@
       },
       agent: false,
     });
-    const timer = setTimeout(() => outgoing.destroy(), PEER_TIMEOUT_MS);
+    const boundary = new ErrorBoundary(error => {
+      onError(error);
+      outgoing.destroy();
+      settle('unavailable');
+    });
+    const timer = setTimeout(
+      boundary.wrap(() => outgoing.destroy()),
+      PEER_TIMEOUT_MS,
+    );
     const settle = (result: Socket | TunnelFailure): void => {
       clearTimeout(timer);
       resolve(result);
     };
-    outgoing.on('error', () => settle('unavailable'));
-    outgoing.on('close', () => settle('unavailable'));
-    outgoing.on('response', ({statusCode}) => {
+    boundary.listen(outgoing, 'error', () => settle('unavailable'));
+    boundary.listen(outgoing, 'close', () => settle('unavailable'));
+    boundary.listen(outgoing, 'response', ({statusCode}: IncomingMessage) => {
       settle(failureOf(statusCode));
       outgoing.destroy();
     });
-    outgoing.on('upgrade', (_response: IncomingMessage, socket: Socket) => {
-      socket.setNoDelay(true);
-      settle(socket);
-    });
+    boundary.listen(
+      outgoing,
+      'upgrade',
+      (_response: IncomingMessage, socket: Socket) => {
+        socket.setNoDelay(true);
+        settle(socket);
+      },
+    );
     outgoing.end();
   });
 }
--- a/src/tunnels/tunnel_server.ts
+++ b/src/tunnels/tunnel_server.ts
@@ -14,6 +14,8 @@
 import {LogRateLimiter} from '../decisions/limits/index.js';
 import type {Reachability} from '../decisions/reachability/index.js';
 import type {RegisteredUpstream} from '../decisions/registry/index.js';
+import type {ErrorReporter} from '../lifecycle/index.js';
+import {ErrorBoundary} from '../lifecycle/index.js';
 import {parseAddress} from '../platform/index.js';
 import type {Clock, Milliseconds} from '../time/index.js';
 import {sleep} from '../time/index.js';
@@ -47,6 +49,7 @@
   readonly datagrams: DatagramPort;
   readonly clock: Clock;
   readonly logger: Logger;
+  readonly reportError: ErrorReporter;
 }
 
 interface OpenTunnel {
@@ -69,7 +72,20 @@
 
   /** Handles an `upgrade` event of an HTTP server. */
   handleUpgrade(request: IncomingMessage, caller: Socket): void {
-    caller.on('error', () => undefined);
+    const boundary = new ErrorBoundary(error => {
+      this.parts.reportError(error, {unit: 'tunnel', path: request.url});
+      caller.resetAndDestroy();
+    });
+    // The socket closes after an error, which its other listeners handle.
+    boundary.listen(caller, 'error', () => undefined);
+    boundary.run(() => this.accept(request, caller, boundary));
+  }
+
+  private accept(
+    request: IncomingMessage,
+    caller: Socket,
+    boundary: ErrorBoundary,
+  ): void {
     const target = this.parts.findUpstream(idOf(request.url));
     const peer = request.headers[HOST_HEADER];
     if (!target || typeof peer !== 'string') {
@@ -82,7 +98,7 @@
       this.refuse(caller, 'unavailable');
       return;
     }
-    this.open(target, caller, peer);
+    this.open(target, caller, peer, boundary);
   }
 
   /**
@@ -107,7 +123,12 @@
     }
   }
 
-  private open(target: RegisteredUpstream, caller: Socket, peer: string): void {
+  private open(
+    target: RegisteredUpstream,
+    caller: Socket,
+    peer: string,
+    boundary: ErrorBoundary,
+  ): void {
     const {reachability} = this.parts;
     const address = parseAddress(target.address);
     const upstream = connect({
@@ -125,26 +146,35 @@
       reachability.noteFailure(target.service, target.id);
       this.refuse(caller, failure);
     };
-    const timer = setTimeout(() => fail('unreachable'), CONNECT_TIMEOUT_MS);
-    const handleError = (error: NodeJS.ErrnoException): void =>
-      fail(error.code === 'ECONNREFUSED' ? 'refused' : 'unreachable');
-    upstream.once('error', handleError);
-    caller.once('close', () => upstream.destroy());
-    upstream.once('close', () => {
+    const timer = setTimeout(
+      boundary.wrap(() => fail('unreachable')),
+      CONNECT_TIMEOUT_MS,
+    );
+    const stopFailing = boundary.listenOnce(
+      upstream,
+      'error',
+      ({code}: NodeJS.ErrnoException) =>
+        fail(code === 'ECONNREFUSED' ? 'refused' : 'unreachable'),
+    );
+    boundary.listenOnce(caller, 'close', () => upstream.destroy());
+    boundary.listenOnce(upstream, 'close', () => {
       clearTimeout(timer);
       this.tunnels.delete(tunnel);
     });
-    upstream.once('connect', () => {
+    boundary.listenOnce(upstream, 'connect', () => {
       clearTimeout(timer);
-      upstream.off('error', handleError);
+      stopFailing();
       reachability.noteAnswer(target.service, true);
       this.log(tunnel, target);
       caller.setNoDelay(true);
       [caller, upstream].forEach(socket =>
-        socket.setTimeout(IDLE_TIMEOUT_MS, () => socket.destroy()),
+        socket.setTimeout(
+          IDLE_TIMEOUT_MS,
+          boundary.wrap(() => socket.destroy()),
+        ),
       );
       caller.write(head(OPENED_STATUS));
-      splice(caller, upstream);
+      splice(caller, upstream, boundary);
     });
   }
 
--- a/src/upstreams/attempt.ts
+++ b/src/upstreams/attempt.ts
@@ -1,7 +1,9 @@
 /** Sends one request to one upstream and reads its response. */
 
 import type {ClientRequest, IncomingMessage} from 'node:http';
+import type {Socket} from 'node:net';
 import type {RequestBody} from '../http/index.js';
+import {ErrorBoundary} from '../lifecycle/index.js';
 import {HEADERS, WRONG_UPSTREAM_STATUS, readLoad} from '../platform/index.js';
 import {findHeadFault} from './response_validation.js';
 import {
@@ -51,6 +53,12 @@
   /** Memory reserved for the response. */
   private reservedBytes = 0;
 
+  /** What a response makes a handler throw ends its own attempt. */
+  private readonly boundary = new ErrorBoundary(error => {
+    this.fail(`the response could not be handled: ${String(error)}`);
+    this.parts.onError(error);
+  });
+
   constructor(private readonly parts: AttemptParts) {}
 
   send(): Promise<AttemptResult> {
@@ -66,23 +74,26 @@
     headers.push(...framingHeadersOf(method, body));
     const outgoing = connection.startRequest({method, path, headers});
     this.outgoing = outgoing;
-    outgoing.on('socket', socket => {
+    const {boundary} = this;
+    boundary.listen(outgoing, 'socket', (socket: Socket) => {
       if (socket.connecting) {
-        socket.once('connect', () => (this.maybeSent = true));
+        boundary.listenOnce(socket, 'connect', () => (this.maybeSent = true));
       } else {
         this.maybeSent = true;
       }
     });
-    outgoing.on('error', error => this.fail(error.message));
-    outgoing.on('close', () => {
+    boundary.listen(outgoing, 'error', (error: Error) =>
+      this.fail(error.message),
+    );
+    boundary.listen(outgoing, 'close', () => {
       if (!this.responseEnded) {
         this.fail('the connection closed');
       }
     });
-    outgoing.on('response', response =>
-      this.contain(() => this.readResponse(response)),
+    boundary.listen(outgoing, 'response', (response: IncomingMessage) =>
+      this.readResponse(response),
     );
-    writeBody(outgoing, body);
+    writeBody(outgoing, body, boundary);
     return new Promise(resolve => {
       this.resolve = resolve;
     });
@@ -119,20 +130,26 @@
       this.fail(fault);
       return;
     }
-    const completion = new ResponseCompletion(response, request.method);
+    const {boundary} = this;
+    const {method} = request;
+    const completion = new ResponseCompletion(response, method, boundary);
     if (this.isExpectedResponse(response)) {
       observer.onHeaders(response.statusCode ?? 0, response.headers);
     }
     const chunks: Buffer[] = [];
-    response.on('data', (chunk: Buffer) => {
+    boundary.listen(response, 'data', (chunk: Buffer) => {
       chunks.push(chunk);
       if (!this.settled && !this.tryReserve(chunk.length)) {
-        this.contain(() => this.startStreaming(response, chunks, completion));
+        this.startStreaming(response, chunks, completion);
       }
     });
-    response.on('error', error => this.fail(error.message));
-    response.on('aborted', () => this.fail('the response was truncated'));
-    response.on('end', () => {
+    boundary.listen(response, 'error', (error: Error) =>
+      this.fail(error.message),
+    );
+    boundary.listen(response, 'aborted', () =>
+      this.fail('the response was truncated'),
+    );
+    boundary.listen(response, 'end', () => {
       this.responseEnded = true;
       if (!response.complete) {
         this.fail('the response was truncated');
@@ -140,22 +157,13 @@
       }
       const body = Buffer.concat(chunks);
       completion.verify(
-        () => this.contain(() => this.settleBuffered(response, body)),
+        () => this.settleBuffered(response, body),
         () =>
           this.fail('the connection was reset before the end of the response'),
       );
     });
   }
 
-  /** What a response makes a handler throw ends its own attempt. */
-  private contain(handle: () => void): void {
-    try {
-      handle();
-    } catch (error) {
-      this.fail(`the response could not be handled: ${String(error)}`);
-    }
-  }
-
   private tryReserve(bytes: number): boolean {
     const isReserved =
       this.reservedBytes + bytes <= MAX_BUFFERED_RESPONSE_BYTES &&
@@ -184,7 +192,7 @@
     }
     this.settled = true;
     const {status, headers} = result;
-    response.once('close', () => {
+    this.boundary.listenOnce(response, 'close', () => {
       this.releaseMemory();
       this.parts.observer.onSettled(false);
     });
@@ -277,7 +285,11 @@
   }
 }
 
-function writeBody(outgoing: ClientRequest, body: RequestBody): void {
+function writeBody(
+  outgoing: ClientRequest,
+  body: RequestBody,
+  boundary: ErrorBoundary,
+): void {
   switch (body.kind) {
     case 'none':
       outgoing.end();
@@ -286,7 +298,9 @@
       outgoing.end(body.bytes);
       return;
     case 'stream':
-      body.stream.on('error', error => outgoing.destroy(error));
+      boundary.listen(body.stream, 'error', (error: Error) =>
+        outgoing.destroy(error),
+      );
       body.stream.pipe(outgoing);
       return;
     default:
--- a/src/upstreams/connection.ts
+++ b/src/upstreams/connection.ts
@@ -12,6 +12,8 @@
 import {Socket, connect} from 'node:net';
 import type {Duplex} from 'node:stream';
 import {PARSED_HEADER_COUNT} from '../http/index.js';
+import type {ErrorHandler} from '../lifecycle/index.js';
+import {ErrorBoundary} from '../lifecycle/index.js';
 import type {RawHeaders} from '../transport/index.js';
 import type {TunnelOpener} from '../tunnels/index.js';
 
@@ -44,7 +46,8 @@
 
 /** An agent with one socket, which it destroys if data arrives while idle. */
 class SingleSocketAgent extends Agent {
-  private idleSocket: Duplex | undefined;
+  /** Stops listening to the idle socket. */
+  private stopListening: (() => void) | undefined;
 
   /**
    * @param openTunnel opens the socket through another host, or resolves with undefined
@@ -52,6 +55,7 @@
    */
   constructor(
     private readonly onIdleClosed: () => void,
+    private readonly boundary: ErrorBoundary,
     private readonly openTunnel?: () => Promise<Socket | undefined>,
   ) {
     super({keepAlive: true, maxSockets: 1, maxFreeSockets: 1});
@@ -79,26 +83,25 @@
    * as the start of the next response.
    */
   override keepSocketAlive(socket: Duplex): boolean {
-    socket.on('data', this.destroyIdleSocket);
-    socket.once('close', this.onIdleClosed);
-    this.idleSocket = socket;
+    const {boundary, onIdleClosed} = this;
+    const listeners = [
+      boundary.listen(socket, 'data', () => socket.destroy()),
+      boundary.listenOnce(socket, 'close', onIdleClosed),
+    ];
+    this.stopListening = () => listeners.forEach(stop => stop());
     return true;
   }
 
   override reuseSocket(socket: Duplex, outgoing: ClientRequest): void {
     super.reuseSocket(socket, outgoing);
-    socket.off('data', this.destroyIdleSocket);
-    socket.off('close', this.onIdleClosed);
-    this.idleSocket = undefined;
+    this.stopListening?.();
+    this.stopListening = undefined;
   }
-
-  private readonly destroyIdleSocket = (): void => {
-    this.idleSocket?.destroy();
-  };
 }
 
 export class UpstreamConnection {
   private readonly agent: SingleSocketAgent;
+  private readonly boundary: ErrorBoundary;
   private idleTimer: NodeJS.Timeout | undefined;
   private closed = false;
   private used = false;
@@ -106,15 +109,22 @@
 
   /**
    * @param onClosed called once, when the connection is closed for good
+   * @param onError called for an error of this program, which closes the connection
    * @param openTunnel opens it through another host; undefined for a direct connection
    */
   constructor(
     private readonly ends: ConnectionEnds,
     private readonly onClosed: (connection: UpstreamConnection) => void,
+    onError: ErrorHandler,
     private openTunnel?: TunnelOpener,
   ) {
+    this.boundary = new ErrorBoundary(error => {
+      onError(error);
+      this.close();
+    });
     this.agent = new SingleSocketAgent(
       () => this.close(),
+      this.boundary,
       openTunnel && (() => this.connectThrough(openTunnel)),
     );
   }
@@ -160,7 +170,10 @@
 
   /** Starts the idle timeout of a connection that is back in its pool. */
   startIdleTimer(): void {
-    this.idleTimer = setTimeout(() => this.close(), IDLE_TIMEOUT_MS);
+    this.idleTimer = setTimeout(
+      this.boundary.wrap(() => this.close()),
+      IDLE_TIMEOUT_MS,
+    );
     this.idleTimer.unref();
   }
 
--- a/src/upstreams/pool.ts
+++ b/src/upstreams/pool.ts
@@ -1,5 +1,6 @@
 /** Connections to one upstream, most recently used first. */
 
+import type {ErrorHandler} from '../lifecycle/index.js';
 import type {TunnelOpener} from '../tunnels/index.js';
 import type {ConnectionEnds} from './connection.js';
 import {UpstreamConnection} from './connection.js';
@@ -12,11 +13,13 @@
   private draining = false;
 
   /**
+   * @param onError called for an error of this program in one of the connections
    * @param tunnel opens connections through another host; undefined while the upstream
    *   is reached directly
    */
   constructor(
     private readonly ends: ConnectionEnds,
+    private readonly onError: ErrorHandler,
     private readonly tunnel: () => TunnelOpener | undefined = () => undefined,
   ) {}
 
@@ -96,6 +99,7 @@
     const connection = new UpstreamConnection(
       this.ends,
       closed => this.forgetClosed(closed),
+      this.onError,
       tunnel,
     );
     this.all.add(connection);
--- a/src/upstreams/probe.ts
+++ b/src/upstreams/probe.ts
@@ -2,9 +2,11 @@
 
 import type {IncomingHttpHeaders, IncomingMessage} from 'node:http';
 import type {ProbeAnswer} from '../decisions/placement/index.js';
+import {ErrorBoundary} from '../lifecycle/index.js';
 import {HEADERS, readColdMs, readLoad} from '../platform/index.js';
 import type {Milliseconds} from '../time/index.js';
 import {isKeepAlive} from './response_completion.js';
+import {findHeadFault} from './response_validation.js';
 import type {UpstreamConnection} from './connection.js';
 import {abortExchange} from './connection.js';
 
@@ -26,6 +28,7 @@
 /**
  * @param name of the expected upstream
  * @param authority value of the Host header
+ * @throws an error of this program, after which the connection is closed
  */
 export function probe(
   connection: UpstreamConnection,
@@ -34,7 +37,7 @@
   path: string,
   timeoutMs: Milliseconds,
 ): Promise<ProbeResult> {
-  return new Promise(resolve => {
+  return new Promise((resolve, reject) => {
     const outgoing = connection.startRequest({
       method: 'GET',
       path,
@@ -55,21 +58,25 @@
     };
     const fail = (detail: string): void =>
       settle({kind: 'failed', detail}, false);
+    const boundary = new ErrorBoundary(error => {
+      reject(error as Error);
+      fail(String(error));
+    });
     const timer = setTimeout(
-      () => fail(`no answer within ${timeoutMs} ms`),
+      boundary.wrap(() => fail(`no answer within ${timeoutMs} ms`)),
       timeoutMs,
     );
-    outgoing.on('error', (error: NodeJS.ErrnoException) => {
+    boundary.listen(outgoing, 'error', (error: NodeJS.ErrnoException) => {
       const kind = error.code === 'ECONNREFUSED' ? 'refused' : 'failed';
       settle({kind, detail: error.message}, false);
     });
-    outgoing.on('close', () => fail('the connection closed'));
-    outgoing.on('response', response => {
+    boundary.listen(outgoing, 'close', () => fail('the connection closed'));
+    boundary.listen(outgoing, 'response', (response: IncomingMessage) => {
       response.resume();
-      response.on('error', error => fail(error.message));
-      response.on('end', () => {
+      boundary.listen(response, 'error', (error: Error) => fail(error.message));
+      boundary.listen(response, 'end', () => {
         const keepAlive = isKeepAlive(response);
-        const result = classifySafely(response, name);
+        const result = classify(response, name);
         settle(
           result,
           keepAlive && response.complete && result.kind === 'told',
@@ -80,17 +87,12 @@
   });
 }
 
-/** What a response makes the reader of its headers throw ends its probe alone. */
-function classifySafely(response: IncomingMessage, name: string): ProbeResult {
-  try {
-    return classify(response, name);
-  } catch (error) {
-    return {kind: 'failed', detail: String(error)};
-  }
-}
-
 function classify(response: IncomingMessage, name: string): ProbeResult {
   const {headers, statusCode: status = 0} = response;
+  const fault = findHeadFault(response);
+  if (fault !== undefined) {
+    return {kind: 'failed', detail: fault};
+  }
   if (headers[HEADERS.signature] !== undefined) {
     // A second response to an earlier request on this connection: probes aren't signed.
     return {kind: 'failed', detail: 'the response is to another request'};
--- a/src/upstreams/response_completion.ts
+++ b/src/upstreams/response_completion.ts
@@ -10,6 +10,7 @@
 
 import type {IncomingMessage} from 'node:http';
 import {BODILESS_STATUSES} from '../http/index.js';
+import type {ErrorBoundary} from '../lifecycle/index.js';
 
 const EMPTY_LINE = '\r\n';
 
@@ -38,11 +39,12 @@
   constructor(
     private readonly response: IncomingMessage,
     method: string,
+    private readonly boundary: ErrorBoundary,
   ) {
     this.hasFraming = method === 'HEAD' || isFramed(response);
     if (!this.hasFraming) {
       const {socket} = response;
-      socket.prependListener('end', () => socket.write(EMPTY_LINE));
+      boundary.listenFirst(socket, 'end', () => socket.write(EMPTY_LINE));
     }
   }
 
@@ -61,7 +63,7 @@
     } else if (socket.closed) {
       report();
     } else {
-      socket.once('close', report);
+      this.boundary.listenOnce(socket, 'close', report);
     }
   }
 }
--- a/src/upstreams/types.ts
+++ b/src/upstreams/types.ts
@@ -4,6 +4,7 @@
 import type {ResponseCompletion} from './response_completion.js';
 import type {RequestBody} from '../http/index.js';
 import type {Milliseconds} from '../time/index.js';
+import type {ErrorHandler} from '../lifecycle/index.js';
 import type {RawHeaders} from '../transport/index.js';
 import type {UpstreamConnection} from './connection.js';
 
@@ -86,6 +87,8 @@
   /** Memory for responses that are buffered until they are complete. */
   readonly responseMemory: ByteBudget;
   readonly observer: AttemptObserver;
+  /** Called for an error of this program, which ends the attempt as well. */
+  readonly onError: ErrorHandler;
 }
 
 export interface AttemptHandle {
--- a/tests/crashing_requests.test.ts
+++ b/tests/crashing_requests.test.ts
@@ -152,7 +152,7 @@
 
 /** Sends a crash report to all hosts as a faulty host would. */
 async function sendFalseReport(call: Call, instances: readonly string[]) {
-  const faultyPeer = new DatagramPort(pino({level: 'silent'}));
+  const faultyPeer = new DatagramPort(pino({level: 'silent'}), () => undefined);
   const {url, method} = {url: call.path, method: call.method ?? 'GET'};
   const headers = {host: 'shop.example'};
   const request = {url, method, headers} as unknown as IncomingMessage;
--- a/tests/held_back_requests.test.ts
+++ b/tests/held_back_requests.test.ts
@@ -18,7 +18,8 @@
   upstream = new ReportingUpstream('i-1');
   const port = Number((await upstream.listen()).split(':')[1]);
   proxy = new FaultProxy({ip: '127.0.0.1', port});
-  pool = new ConnectionPool({ip: '127.0.0.1', port: await proxy.listen()});
+  const ends = {ip: '127.0.0.1', port: await proxy.listen()};
+  pool = new ConnectionPool(ends, throwError);
 });
 
 afterEach(async () => {
@@ -27,6 +28,10 @@
   await upstream.close();
 });
 
+function throwError(error: unknown): void {
+  throw error;
+}
+
 function send(id: string): ReturnType<typeof sendAttempt> {
   const request: ForwardedRequest = {
     id,
@@ -42,6 +47,7 @@
     upstreamName: 'i-1',
     timeLeftMs: TIME_LEFT_MS,
     responseMemory: new ByteBudget(Infinity),
+    onError: throwError,
     observer: {
       onHeaders: () => undefined,
       onSettled: reusable => {
--- a/tests/overload_decisions.test.ts
+++ b/tests/overload_decisions.test.ts
@@ -23,6 +23,7 @@
 import type {Route} from '../src/decisions/routes/index.js';
 import {RequestAdmission} from '../src/gateway/request_admission.js';
 import type {GatewayContext} from '../src/gateway/types.js';
+import {ErrorBoundary} from '../src/lifecycle/index.js';
 import {decodeDemand, encodeDemand} from '../src/overload/index.js';
 import {ManualClock, seededRandom} from '../src/time/index.js';
 
@@ -276,6 +277,9 @@
     customer: undefined,
     arrivedAt: 0,
     giveUpAt: 1_000,
+    boundary: new ErrorBoundary(error => {
+      throw error;
+    }),
   });
   admission.notePlaced();
   admission.release();
--- a/tests/relay_server.test.ts
+++ b/tests/relay_server.test.ts
@@ -25,6 +25,9 @@
     released: follower => released.push(follower),
     alternativePeers: () => [],
     handleUpgrade: () => undefined,
+    reportError: error => {
+      throw error;
+    },
   });
   port = await server.listen({ip: '127.0.0.1', port: 0});
 });
