Answer a request whose body can't be read because of an internal error

Callers saw: nothing until they gave up. An error of this host while a body was read, such as in the memory budget, was taken for a disconnect of the caller, so that no response was sent and the connection stayed open.

Cause: whatever wasn't a body that is too large counted as a body that the caller had broken off.

Fix: that has an error type of its own; any other error ends the request like internal errors do, with 500 and the outcome not-run.

Evidence: 'an error while a body is read is answered' timed out before.

--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -6,7 +6,12 @@
 import type {Route, ServiceProfile} from '../decisions/routes/index.js';
 import type {Placed, Refused} from '../decisions/scheduling/index.js';
 import type {ProblemReason, RequestBody} from '../http/index.js';
-import {BodyTooLargeError, discardBody, sendProblem} from '../http/index.js';
+import {
+  BodyTooLargeError,
+  BodyTruncatedError,
+  discardBody,
+  sendProblem,
+} from '../http/index.js';
 import {ErrorBoundary} from '../lifecycle/index.js';
 import {HEADERS, readTimeLeft} from '../platform/index.js';
 import type {IncomingCall} from '../servers/index.js';
@@ -163,9 +168,10 @@
     }
     if (error instanceof BodyTooLargeError) {
       this.refuse('body-too-large');
-    } else {
-      // The caller disconnected before its body was complete.
+    } else if (error instanceof BodyTruncatedError) {
       this.finish('body-broken');
+    } else {
+      this.fail(error);
     }
   }
 
--- a/src/http/index.ts
+++ b/src/http/index.ts
@@ -12,4 +12,9 @@
 export {sendProblem} from './problem.js';
 export {filterHeaders, findHeader} from './raw_headers.js';
 export type {BodyLimits, RequestBody} from './request_body.js';
-export {BodyTooLargeError, hasBody, readBody} from './request_body.js';
+export {
+  BodyTooLargeError,
+  BodyTruncatedError,
+  hasBody,
+  readBody,
+} from './request_body.js';
--- a/src/http/request_body.ts
+++ b/src/http/request_body.ts
@@ -29,6 +29,13 @@
   }
 }
 
+/** The caller disconnected before its body was complete. */
+export class BodyTruncatedError extends Error {
+  constructor() {
+    super('the caller disconnected while sending its body');
+  }
+}
+
 const NO_BODY: RequestBody = {kind: 'none'};
 const DEFAULT_LIMITS: BodyLimits = {
   canBuffer: bytes => bytes <= DEFAULT_BUFFERED_BODY_BYTES,
@@ -47,7 +54,7 @@
 
 /**
  * Reads the body until it ends or grows too large to buffer. Rejects if the caller
- * disconnects first, or with BodyTooLargeError: nothing has been forwarded then. A
+ * disconnects first, with BodyTruncatedError, or with BodyTooLargeError: nothing has been forwarded then. A
  * stream that exceeds the limit later fails with the same error.
  */
 export function readBody(
@@ -92,7 +99,7 @@
     };
     const onClose = (): void => {
       settle();
-      reject(new Error('the caller disconnected while sending its body'));
+      reject(new BodyTruncatedError());
     };
     listeners.push(
       boundary.listen(request, 'data', onData),
@@ -124,9 +131,7 @@
   boundary.listen(request, 'close', () => {
     // A truncated body must not look complete.
     if (!request.complete) {
-      stream.destroy(
-        new Error('the caller disconnected while sending its body'),
-      );
+      stream.destroy(new BodyTruncatedError());
     }
   });
   request.pipe(stream);
--- a/tests/internal_errors.test.ts
+++ b/tests/internal_errors.test.ts
@@ -1,4 +1,5 @@
 import {afterEach, beforeEach, expect, test, vi} from 'vitest';
+import {ByteBudget} from '../src/decisions/limits/index.js';
 import {GatewayMetrics} from '../src/gateway/index.js';
 import {
   GatewaySystem,
@@ -45,3 +46,16 @@
   const {body} = await get(host.ports.metrics, '/metrics');
   expect(body).toMatch(/^cyclamenlever_internal_errors_total 1$/m);
 });
+
+// Guards against an internal error that is taken for a caller's disconnect, and leaves it without a response.
+test('an error while a body is read is answered', async () => {
+  vi.spyOn(ByteBudget.prototype, 'reserve').mockImplementationOnce(() => {
+    throw new Error('injected');
+  });
+  const order = {method: 'POST', path: '/order/7', body: 'a bundle'};
+  const reply = await system.call(host, order);
+  expect([reply.status, reply.headers['cyclamenlever-outcome']]).toEqual([
+    500,
+    'not-run',
+  ]);
+});
