Begin searches for upstreams anew after an internal error in them

Callers saw: no request of a service served any more after one error in its scheduler (test: none within 60 s), as probes that were decided on and never sent counted as on their way for ever.

Cause: an error between a decision and what carries it out left the state of the scheduler half changed, and it went on with it.

Fix: the scheduler runs its steps within a boundary; an error refuses the requests that wait and begins with new state. Requests at upstreams aren't touched.

--- a/src/gateway/scheduler.ts
+++ b/src/gateway/scheduler.ts
@@ -16,7 +16,7 @@
 import type {FleetState} from '../fleet/index.js';
 import type {ErrorReporter} from '../lifecycle/index.js';
 import {ErrorBoundary} from '../lifecycle/index.js';
-import type {Clock, Random} from '../time/index.js';
+import type {Clock, Milliseconds, Random} from '../time/index.js';
 import type {InFlightRequest, UpstreamClient} from './upstream_client.js';
 
 export type PlacementRequest = Omit<ScheduledRequest, 'id'>;
@@ -35,8 +35,19 @@
   readonly reportError: ErrorReporter;
 }
 
+/** Retry-After of a request whose search was ended by an error. */
+const INTERRUPTED_RETRY_AFTER_MS: Milliseconds = 100;
+
+const INTERRUPTED: SchedulingResult = {
+  kind: 'refused',
+  reason: 'no-room',
+  retryAfterMs: INTERRUPTED_RETRY_AFTER_MS,
+  told: [],
+  blockers: {limits: [], backoffs: []},
+};
+
 export class Scheduler {
-  private readonly decisions: ServiceScheduler;
+  private decisions: ServiceScheduler;
   private readonly boundary: ErrorBoundary;
   private readonly pendingRequests = new Map<
     number,
@@ -50,6 +61,7 @@
     const {reportError, service} = parts;
     this.boundary = new ErrorBoundary(error => {
       reportError(error, {unit: 'scheduler', service});
+      this.restart();
     });
     this.decisions = this.createDecisions();
   }
@@ -160,6 +172,14 @@
     }
   }
 
+  /** After an error the decisions may be half made: searches begin anew. */
+  private restart(): void {
+    this.decisions = this.createDecisions();
+    const pending = [...this.pendingRequests.values()];
+    this.pendingRequests.clear();
+    pending.forEach(settle => settle(INTERRUPTED));
+  }
+
   private createDecisions(): ServiceScheduler {
     const {upstreamClient, service} = this.parts;
     return new ServiceScheduler({
