Stop a host in order after an error that nothing contains

Callers saw: all requests in flight cut when an error occurred outside of requests, such as in a timer of the fleet's state.

Cause: Node ends the process at once. The state may indeed be half changed then, so that a host mustn't go on; but the requests that it has at upstreams are sound.

Fix: the host logs the error, stops like at SIGTERM, finishes what is in flight and exits with 1; if the stop itself fails or hangs it exits at the end of its grace. Further errors meanwhile are logged and counted. The stand-alone daemon does the same.

Evidence: 'a host stops in order after an error that nobody contains' (the deployed program in a process of its own) timed out before, as the process was gone at once.

--- a/src/daemon/main.ts
+++ b/src/daemon/main.ts
@@ -9,6 +9,8 @@
 import {seededRandom, systemClock} from '../time/index.js';
 import {EntryHost} from './entry_host.js';
 
+/** Node's own code for an error that nobody caught. */
+const EXIT_UNCAUGHT_ERROR = 1;
 const EXIT_BAD_SETTINGS = 2;
 
 function helpText(): string {
@@ -57,8 +59,15 @@
     await host.stop();
     await platform.close();
   };
-  process.once('SIGTERM', () => void stop());
-  process.once('SIGINT', () => void stop());
+  let stopped: Promise<void> | undefined;
+  process.once('SIGTERM', () => (stopped ??= stop()));
+  process.once('SIGINT', () => (stopped ??= stop()));
+  // Requests in flight are finished before the process ends.
+  process.on('uncaughtException', error => {
+    logger.fatal({error}, 'stopping because of an internal error');
+    process.exitCode = EXIT_UNCAUGHT_ERROR;
+    stopped ??= stop();
+  });
   await host.start();
 }
 
--- a/src/host/program.ts
+++ b/src/host/program.ts
@@ -1,6 +1,7 @@
 /** Runs an entry host on the platform as a daemon. */
 
 import {randomInt} from 'node:crypto';
+import type {Logger} from 'pino';
 import {pino} from 'pino';
 import {GatewayMetrics} from '../gateway/index.js';
 import {StoreClient, readSettings} from '../platform/index.js';
@@ -9,6 +10,8 @@
 import {GatewayHost} from './gateway_host.js';
 
 const STOP_SIGNALS = ['SIGTERM', 'SIGINT'] as const;
+/** Node's own code for an error that nobody caught. */
+const EXIT_UNCAUGHT_ERROR = 1;
 const EXIT_BAD_SETTINGS = 2;
 const EXIT_CANNOT_LISTEN = 3;
 const SEED_RANGE = 2 ** 31;
@@ -25,15 +28,8 @@
  */
 const LOG_FLUSH_INTERVAL_MS: Milliseconds = 1_000;
 
-/** Starts a host; SIGTERM or SIGINT shuts it down. */
-export async function runHost(): Promise<void> {
-  const settings = readSettings(process.env);
-  if (settings.isErr()) {
-    process.stderr.write(`cyclamenlever: ${settings.error.message}\n`);
-    process.exitCode = EXIT_BAD_SETTINGS;
-    return;
-  }
-  const logger = pino(
+function createLogger(): Logger {
+  return pino(
     {base: undefined},
     pino.destination({
       dest: 1,
@@ -42,6 +38,17 @@
       maxLength: MAX_BUFFERED_LOG_BYTES,
     }),
   );
+}
+
+/** Starts a host; SIGTERM or SIGINT shuts it down. */
+export async function runHost(): Promise<void> {
+  const settings = readSettings(process.env);
+  if (settings.isErr()) {
+    process.stderr.write(`cyclamenlever: ${settings.error.message}\n`);
+    process.exitCode = EXIT_BAD_SETTINGS;
+    return;
+  }
+  const logger = createLogger();
   const metrics = new GatewayMetrics();
   const store = new StoreClient(settings.value.store, (call, outcome) =>
     metrics.countStoreCall(call, outcome),
@@ -54,17 +61,35 @@
     logger,
     metrics,
   });
-  const stop = async (): Promise<void> => {
-    await host.stop();
-    store.close();
-    logger.flush();
-    process.exit(0);
-  };
   let stopped: Promise<void> | undefined;
+  const stop = async (exitCode: number): Promise<void> => {
+    const exit = (): void => {
+      logger.flush();
+      process.exit(exitCode);
+    };
+    setTimeout(exit, settings.value.graceMs).unref();
+    try {
+      await host.stop();
+      store.close();
+    } finally {
+      exit();
+    }
+  };
+  // What no boundary contains may have left the state of this host half changed. Requests
+  // in flight are finished before the process ends.
+  process.on('uncaughtException', error => {
+    metrics.countInternalError();
+    logger.fatal(
+      {event: 'uncaught-error', error},
+      'stopping because of an internal error',
+    );
+    logger.flush();
+    stopped ??= stop(EXIT_UNCAUGHT_ERROR);
+  });
   // Repeated signals are ignored. Their default would end the process at once and
   // abort the requests in flight.
   for (const signal of STOP_SIGNALS) {
-    process.on(signal, () => (stopped ??= stop()));
+    process.on(signal, () => (stopped ??= stop(0)));
   }
   process.on('SIGHUP', () => {
     logger.info(
--- a/tests/host_process.test.ts
+++ b/tests/host_process.test.ts
@@ -64,11 +64,15 @@
   });
 }
 
-/** Spawns the deployed program and waits until it listens; `port` is for callers. */
-async function spawnHost(): Promise<SpawnedHost> {
+/**
+ * Spawns the deployed program and waits until it listens; `port` is for callers.
+ *
+ * @param flags of Node
+ */
+async function spawnHost(flags: readonly string[] = []): Promise<SpawnedHost> {
   const path = join(folder, 'settings');
   writeFileSync(path, settingsWith(0));
-  const child = spawn(process.execPath, ['target/host.cjs'], {
+  const child = spawn(process.execPath, [...flags, 'target/host.cjs'], {
     env: {
       ...process.env,
       CYCLAMENLEVER_SETTINGS: path,
@@ -159,3 +163,24 @@
   expect(await statusOf(port, '/any/')).toBe(503);
   expect(await exit).toEqual([0, null]);
 });
+
+// Guards against an error outside of all requests that cuts those in flight.
+test('a host stops in order after an error that nobody contains', async () => {
+  const {child, lines, port} = await spawnHost([
+    '--import',
+    './tests/support/throw_on_signal.mjs',
+  ]);
+  const events: string[] = [];
+  lines.on('line', line => {
+    events.push((JSON.parse(line) as {event: string}).event);
+  });
+  const ended = once(child, 'exit');
+  child.kill('SIGUSR2');
+  while (!events.includes('stop')) {
+    await new Promise(resolve => setTimeout(resolve, 10));
+  }
+  child.kill('SIGUSR2');
+  expect(await statusOf(port, '/')).toBe(503);
+  expect(await ended).toEqual([1, null]);
+  expect(events.filter(event => event === 'uncaught-error')).toHaveLength(2);
+});
