Let restarted hosts use three quarters of the retry ratio for one window

Callers saw: nothing; operators saw more arrivals beyond the first of each request than they allow (simulated, 769 of 740) when all hosts were killed seven times within 20 s in which all paths held back what was sent.

Cause: a killed host has forgotten its retries, which the network may still deliver, so each life spends a ratio of its own, and all of them arrive in the window in which the path is back.

Fix: for one window after a restart, in which a host knows nothing of what it sent before, it uses three quarters of the ratio.

--- a/src/decisions/retries/host_retry_budgets.ts
+++ b/src/decisions/retries/host_retry_budgets.ts
@@ -15,6 +15,12 @@
 /** Share of the retries beyond the ratio that hosts use. */
 const SLACK_SHARE = 0.5;
 
+/**
+ * Share of the ratio that a restarted host uses for one window. The network may hold back
+ * retries of its earlier lives, of which it knows nothing, and deliver them all at once.
+ */
+const RESTARTED_RATIO_SHARE = 0.75;
+
 /** Bounds the length of log lines. */
 const MAX_USAGES = 4;
 
@@ -33,7 +39,8 @@
 
 export class HostRetryBudgets {
   private readonly budgets = new Map<string, SlidingWindowBudget>();
-  private readonly slackFrom: Milliseconds;
+  /** When what earlier lives of this host have sent no longer counts. */
+  private readonly settledFrom: Milliseconds;
 
   /**
    * @param hostCount hosts that share the retries; 0 while unknown
@@ -45,8 +52,7 @@
     private readonly hostCount: () => number,
     isFirstStart: boolean,
   ) {
-    // What this host spent before a restart counts for another window.
-    this.slackFrom = isFirstStart ? -Infinity : clock.now() + fleet.windowMs;
+    this.settledFrom = isFirstStart ? -Infinity : clock.now() + fleet.windowMs;
   }
 
   noteFirstAttempt(service: string): void {
@@ -55,12 +61,12 @@
 
   /** Whether a retry is allowed, without consuming it. */
   allows(service: string): boolean {
-    return this.budgetOf(service).allows(this.hostSlack);
+    return this.budgetOf(service).allows(this.hostSlack, this.ratioShare);
   }
 
   /** Consumes a retry; undefined if none is allowed. */
   trySpend(service: string): RetryPermit | undefined {
-    return this.budgetOf(service).trySpend(this.hostSlack);
+    return this.budgetOf(service).trySpend(this.hostSlack, this.ratioShare);
   }
 
   /** The services with most retries that count, at most `MAX_USAGES` of them. */
@@ -74,8 +80,17 @@
 
   private get hostSlack(): number {
     const hosts = this.hostCount();
-    const hasSlack = hosts > 0 && this.clock.now() >= this.slackFrom;
-    return hasSlack ? (this.fleet.slack * SLACK_SHARE) / hosts : 0;
+    return hosts > 0 && this.isSettled
+      ? (this.fleet.slack * SLACK_SHARE) / hosts
+      : 0;
+  }
+
+  private get ratioShare(): number {
+    return this.isSettled ? 1 : RESTARTED_RATIO_SHARE;
+  }
+
+  private get isSettled(): boolean {
+    return this.clock.now() >= this.settledFrom;
   }
 
   private budgetOf(service: string): SlidingWindowBudget {
--- a/src/decisions/retries/sliding_window_budget.ts
+++ b/src/decisions/retries/sliding_window_budget.ts
@@ -65,9 +65,10 @@
    * Consumes a retry; undefined if the window allows none.
    *
    * @param slack retries allowed beyond the ratio
+   * @param ratioShare share of the ratio that may be used
    */
-  trySpend(slack: number): RetryPermit | undefined {
-    if (!this.allows(slack)) {
+  trySpend(slack: number, ratioShare = 1): RetryPermit | undefined {
+    if (!this.allows(slack, ratioShare)) {
       return undefined;
     }
     this.unsettled += 1;
@@ -86,8 +87,9 @@
   }
 
   /** Whether a retry is allowed, without consuming it. */
-  allows(slack: number): boolean {
+  allows(slack: number, ratioShare = 1): boolean {
     const now = this.clock.now();
+    const backing = this.ratio * ratioShare * BACKING_SHARE;
     const spans = [
       ...this.countedParts.map(({from, retriedAt}) => ({
         retries: this.retriesSince(from),
@@ -97,7 +99,7 @@
     ];
     return spans.every(({retries, backedFrom}) => {
       const firstAttempts = sumOf(this.partsSince(backedFrom), 'firstAttempts');
-      return retries + 1 <= this.ratio * BACKING_SHARE * firstAttempts + slack;
+      return retries + 1 <= backing * firstAttempts + slack;
     });
   }
 
--- a/tests/retry_budget.test.ts
+++ b/tests/retry_budget.test.ts
@@ -59,6 +59,17 @@
       restartsAt: restartEvery(2_600, 8),
     },
   ],
+  [
+    'hosts killed again and again behind a longer partition',
+    {
+      durationMs: 45_000,
+      heldShare: 1,
+      partitionEndsAt: 28_000,
+      timeoutMs: 2_500,
+      killedDeliver: true,
+      restartsAt: restartEvery(2_600, 9),
+    },
+  ],
   [
     'hosts killed once behind a partition',
     {
