--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -4,13 +4,16 @@
 import type {Customer} from '../decisions/customers/index.js';
 import {RequestAttempts} from '../decisions/attempts/index.js';
 import type {Route, ServiceProfile} from '../decisions/routes/index.js';
-import type {Placed, Refused} from '../decisions/scheduling/index.js';
+import type {
+  Placed,
+  Refused,
+  SchedulingResult,
+} from '../decisions/scheduling/index.js';
 import type {ProblemReason, RequestBody} from '../http/index.js';
 import {
   BodyTooLargeError,
   BodyTruncatedError,
   discardBody,
-  sendProblem,
 } from '../http/index.js';
 import {ErrorBoundary} from '../lifecycle/index.js';
 import {HEADERS, readTimeLeft} from '../platform/index.js';
@@ -36,12 +39,11 @@
 import {forwardedRequest} from './forwarded_request.js';
 import {RequestAdmission} from './request_admission.js';
 import {recordRequestEnd} from './request_end.js';
-import type {StreamObserver} from './response_writer.js';
-import {streamResponse, writeResponse} from './response_writer.js';
-import {StallWatch} from './stall_watch.js';
+import {RequestSends} from './request_sends.js';
+import {ResponseDelivery} from './response_delivery.js';
 import {refusalProblem} from './refusal_problem.js';
 import type {GatewayContext} from './types.js';
-import {UpstreamAttempt} from './upstream_attempt.js';
+import type {UpstreamAttempt} from './upstream_attempt.js';
 
 /** Retry-After of a request for which no upstream could be reached. */
 const UNREACHABLE_RETRY_AFTER_MS: Milliseconds = 150;
@@ -58,15 +60,14 @@
   private readonly giveUpAt: Milliseconds;
   private readonly id: string;
   private readonly record: RequestAttempts;
-  private readonly attempts: UpstreamAttempt[] = [];
+  private readonly sends: RequestSends;
+  private readonly delivery: ResponseDelivery;
   private readonly bodyReader: BodyReader;
   private readonly admission: RequestAdmission;
   private readonly controller = new AbortController();
   private timer: NodeJS.Timeout | undefined;
-  private stallWatch: StallWatch | undefined;
   private guard: CrashGuard | undefined;
   private done = false;
-  private hasTimedOut = false;
   /** The attempt whose response is passed on while it arrives. */
   private streaming: UpstreamAttempt | undefined;
   /** An upstream's 5xx response, delivered if no attempt does better. */
@@ -97,16 +98,10 @@
     this.giveUpAt = this.arrivedAt + timeoutMs;
     this.id = String(request.headers[HEADERS.requestId] ?? '');
     const {arrivedAt, giveUpAt, boundary} = this;
-    this.admission = new RequestAdmission({
-      context,
-      route,
-      response,
-      service,
-      customer,
-      arrivedAt,
-      giveUpAt,
-      boundary,
-    });
+    const parts = {context, route, service, arrivedAt, giveUpAt, boundary};
+    this.admission = new RequestAdmission({...parts, response, customer});
+    this.sends = new RequestSends(parts);
+    this.delivery = new ResponseDelivery({request, response, boundary});
   }
 
   /** Starts to serve the request, until a response is sent or the caller disconnects. */
@@ -136,7 +131,7 @@
       this.refuse('internal-error');
     } catch {
       // Its end could not be recorded; the caller must hear of it all the same.
-      this.response.destroy();
+      this.delivery.abort();
     }
   }
 
@@ -205,37 +200,43 @@
       isBodyBuffered: body.kind !== 'stream',
     };
     while (!this.done) {
-      // Checked twice: other hosts may report crashes while an upstream is selected.
-      if (await this.refuseIfQuarantined(ready)) {
-        return;
-      }
-      const {signal} = this.controller;
-      const scheduler = context.schedulerOf(service.name);
-      const placing = await this.admission.place(
-        () =>
-          scheduler.place(
-            this.admission.placementRequest(this.record.tried),
-            service,
-            signal,
-          ),
-        signal,
-      );
-      if (this.done) {
-        return;
-      }
-      if (placing.kind === 'refused') {
-        this.refusal = placing;
-        this.deliverErrorOrRefuse(placing.reason, placing.retryAfterMs);
-        return;
-      }
-      if (await this.refuseIfQuarantined(ready)) {
+      const placed = await this.place(ready);
+      if (!placed) {
         return;
       }
-      this.startAttempt(ready, placing);
+      this.startAttempt(ready, placed);
       await new Promise<void>(resolve => (this.proceed = resolve));
     }
   }
 
+  /** Chooses an upstream; undefined if the request has ended, or was refused. */
+  private async place(ready: ReadyRequest): Promise<Placed | undefined> {
+    // Checked twice: other hosts may report crashes while an upstream is selected.
+    if (await this.refuseIfQuarantined(ready)) {
+      return undefined;
+    }
+    const {signal} = this.controller;
+    const placing = await this.admission.place(
+      () => this.schedule(signal),
+      signal,
+    );
+    if (this.done) {
+      return undefined;
+    }
+    if (placing.kind === 'refused') {
+      this.refusal = placing;
+      this.deliverErrorOrRefuse(placing.reason, placing.retryAfterMs);
+      return undefined;
+    }
+    return (await this.refuseIfQuarantined(ready)) ? undefined : placing;
+  }
+
+  private schedule(signal: AbortSignal): Promise<SchedulingResult> {
+    const {service, admission, context} = this;
+    const request = admission.placementRequest(this.record.tried);
+    return context.schedulerOf(service.name).place(request, service, signal);
+  }
+
   /** Refuses a request under which upstreams crash; returns whether it is done. */
   private async refuseIfQuarantined({guard}: ReadyRequest): Promise<boolean> {
     const quarantinedForMs = await guard.quarantinedForMs();
@@ -258,38 +259,17 @@
   }
 
   private startAttempt(ready: ReadyRequest, placed: Placed): void {
-    const {context, route, service, arrivedAt} = this;
-    const {upstream, answer, answerAgeMs, expectedMs} = placed;
-    this.record.noteSend(upstream.id);
+    this.record.noteSend(placed.upstream.id);
     this.admission.notePlaced();
-    const attempt = new UpstreamAttempt({
-      context,
-      route,
-      service: service.name,
-      upstream,
-      probeAnswer: answer,
-      probeAnswerAgeMs: answerAgeMs,
-      expectedMs,
-      request: ready.forwarded,
-      arrivedAt,
-      timeLeftMs: this.leftMs,
-    });
-    this.attempts.push(attempt);
-    this.stallWatch?.stop();
-    this.stallWatch = new StallWatch({
-      attempt,
-      scheduler: context.schedulerOf(service.name),
-      service,
-      onStalled: () => this.boundary.run(() => this.hedge(ready, attempt)),
-      boundary: this.boundary,
-    });
-    this.boundary.run(async () => {
-      const result = await attempt.waitForResult();
-      if (!this.done) {
-        const {repeatable} = this.route;
-        const told = repeatable ? result : withoutUnprovenPromise(result);
-        this.handleResult(told, attempt, ready);
-      }
+    this.sends.start(ready.forwarded, placed, {
+      onStalled: attempt => this.hedge(ready, attempt),
+      onResult: (result, attempt) => {
+        if (!this.done) {
+          const {repeatable} = this.route;
+          const told = repeatable ? result : withoutUnprovenPromise(result);
+          this.handleResult(told, attempt, ready);
+        }
+      },
     });
   }
 
@@ -298,7 +278,7 @@
     ready: ReadyRequest,
     pending: UpstreamAttempt,
   ): Promise<void> {
-    const {schedulerOf, metrics, retries, options} = this.context;
+    const {metrics, retries, options} = this.context;
     const mayRetry =
       this.admission.mayRepeat(this.record.outcome) &&
       retries.allows(this.service.name);
@@ -306,11 +286,7 @@
     if (!ready.isBodyBuffered || !mayHedge || !mayRetry) {
       return;
     }
-    const placing = await schedulerOf(this.service.name).place(
-      this.admission.placementRequest(this.record.tried),
-      this.service,
-      this.controller.signal,
-    );
+    const placing = await this.schedule(this.controller.signal);
     // The first attempt goes on: its response would show that the request is harmless.
     if ((await ready.guard.quarantinedForMs()) !== undefined) {
       return;
@@ -391,8 +367,7 @@
 
   private deliver(upstreamResponse: BufferedResponse): void {
     if (!this.done) {
-      this.keepOpenForBody();
-      writeResponse(this.response, upstreamResponse);
+      this.delivery.send(upstreamResponse);
       this.finish(`answered-${upstreamResponse.status}`);
     }
   }
@@ -406,8 +381,7 @@
     const {upstream} = attempt;
     this.streaming = attempt;
     this.endAttempts();
-    this.keepOpenForBody();
-    const observer: StreamObserver = {
+    this.delivery.stream(upstreamResponse, {
       onComplete: () => {
         guard.reportResponse();
         this.finish(`answered-${upstreamResponse.status}`);
@@ -417,38 +391,21 @@
         this.context.upstreamClient.outcomes.failed(upstream.id, 'broken');
         this.finish('response-truncated');
       },
-    };
-    streamResponse(this.response, upstreamResponse, observer, this.boundary);
-  }
-
-  /**
-   * Closing while the body still arrives would reset the connection. A body that hasn't
-   * arrived by the timeout isn't waited for.
-   */
-  private keepOpenForBody(): void {
-    const {request, response} = this;
-    if (request.complete || response.headersSent) {
-      return;
-    }
-    if (this.hasTimedOut) {
-      response.setHeader('connection', 'close');
-    } else {
-      response.removeHeader('connection');
-    }
+    });
   }
 
   /** A caller that reads slowly is no failure of the upstream. */
   private abortStream({upstream}: UpstreamAttempt): void {
-    if (!this.response.writableNeedDrain) {
+    if (!this.delivery.isBehind) {
       this.context.upstreamClient.outcomes.failed(upstream.id, 'broken');
     }
     this.finish('response-timed-out');
-    this.response.destroy();
+    this.delivery.abort();
   }
 
   /** Responds at the deadline, and says whether the request may have run. */
   private handleTimeout(): void {
-    this.hasTimedOut = true;
+    this.delivery.noteTimeout();
     if (this.streaming) {
       this.abortStream(this.streaming);
       return;
@@ -469,16 +426,14 @@
       return;
     }
     const problem = refusalProblem(this.record.outcome, reason, retryAfterMs);
-    this.keepOpenForBody();
-    sendProblem(this.response, problem);
+    this.delivery.refuse(problem);
     this.finish(problem.reason);
   }
 
   /** No further attempt is started, and those that are pending are cancelled. */
   private endAttempts(): void {
-    this.stallWatch?.stop();
     this.controller.abort();
-    this.attempts.forEach(attempt => attempt.cancel());
+    this.sends.cancel();
   }
 
   private finish(outcome: string): void {
@@ -504,7 +459,7 @@
       leftMs: this.leftMs,
       admission: this.admission.logFields,
       fingerprint: this.guard?.fingerprint,
-      attempts: this.attempts,
+      attempts: this.sends.attempts,
       refusal: this.refusal,
     });
   }
--- a/src/gateway/response_writer.ts
+++ b/src/gateway/response_writer.ts
@@ -1,7 +1,7 @@
 /** Writes upstreams' responses to callers, unchanged except for framing. */
 
 import type {ServerResponse} from 'node:http';
-import type {ErrorBoundary} from '../lifecycle/index.js';
+import type {IncomingCall} from '../servers/index.js';
 import {BODILESS_STATUSES, filterHeaders} from '../http/index.js';
 import type {StreamedResponse, BufferedResponse} from '../upstreams/index.js';
 
@@ -36,10 +36,9 @@
  * the caller's connection is destroyed.
  */
 export function streamResponse(
-  response: ServerResponse,
+  {response, boundary}: IncomingCall,
   streamed: StreamedResponse,
   {onComplete, onTruncated}: StreamObserver,
-  boundary: ErrorBoundary,
 ): void {
   const {status, headers, prefix, remainder, completion} = streamed;
   const handleTruncation = (): void => {
