Check that mutated responses and probe responses harm nobody else

Two upstreams mutate all of their responses, and a third of those to health checks, in 19 ways: bytes of the status line, the headers and the body, lengths, codings, interim responses, cut, doubled and overlong ones.

--- a/src/standins/reporting_upstream.ts
+++ b/src/standins/reporting_upstream.ts
@@ -115,6 +115,8 @@
   extraHeaders: readonly string[] = [];
   /** Spoils a response, for the `raw` fault. */
   rawResponse: (response: string) => string = response => response;
+  /** Spoils responses to health checks, for the `raw` fault. */
+  rawProbeResponse: (response: string) => string = response => response;
   /** Called when requests exceed the cold limit; the upstream then stops. */
   onColdOverload: () => void = () => undefined;
   private readonly arrivalListeners = new Set<(run: UpstreamRun) => void>();
@@ -249,7 +251,12 @@
     }
     if (run.target === '/health') {
       this.probes += 1;
-      socket.write(this.formatResponse(run, this.healthy ? 200 : 503, ''));
+      const response = this.formatResponse(run, this.healthy ? 200 : 503, '');
+      const isRaw = this.fault === 'raw';
+      socket.write(
+        isRaw ? this.rawProbeResponse(response) : response,
+        'latin1',
+      );
       return;
     }
     this.arrivalListeners.forEach(listener => listener(run));
