--- a/tests/injected_errors.test.ts
+++ b/tests/injected_errors.test.ts
@@ -29,6 +29,7 @@
   type RunningHost,
   until,
 } from './support/gateway.js';
+import {UncaughtErrors} from './support/uncaught_errors.js';
 
 /** Classes whose methods run for requests, responses and probes. */
 const CLASSES = [
@@ -80,11 +81,10 @@
 
 let system: GatewaySystem;
 let host: RunningHost;
-let uncaught: unknown[];
+let uncaught: UncaughtErrors;
 
 beforeEach(async () => {
-  uncaught = [];
-  process.on('uncaughtExceptionMonitor', noteUncaught);
+  uncaught = new UncaughtErrors();
   system = new GatewaySystem();
   system.configure(1);
   await system.addUpstream('i-1');
@@ -96,13 +96,9 @@
 afterEach(async () => {
   vi.restoreAllMocks();
   await system.close();
-  process.off('uncaughtExceptionMonitor', noteUncaught);
+  uncaught.stop();
 });
 
-function noteUncaught(error: unknown): void {
-  uncaught.push(error);
-}
-
 function isOfHost(name: string): boolean {
   return name === 'constructor' || METHODS_OF_THE_HOST.has(name);
 }
@@ -142,6 +138,6 @@
     }
     vi.restoreAllMocks();
     await until(async () => (await attempt({path: '/lookup/4'})) === 200);
-    expect(uncaught).toEqual([]);
+    expect(uncaught.all).toEqual([]);
   },
 );
--- a/tests/mutated_responses.test.ts
+++ b/tests/mutated_responses.test.ts
@@ -2,6 +2,7 @@
 import type {ReportingUpstream} from '../src/standins/index.js';
 import {seededRandom} from '../src/time/index.js';
 import {GatewaySystem, type RunningHost, until} from './support/gateway.js';
+import {UncaughtErrors} from './support/uncaught_errors.js';
 
 /** More by hand: MUTATED_RESPONSES=200000. */
 const COUNT = Number(process.env['MUTATED_RESPONSES'] ?? 600);
@@ -48,11 +49,10 @@
 
 let system: GatewaySystem;
 let host: RunningHost;
-let uncaught: unknown[];
+let uncaught: UncaughtErrors;
 
 beforeEach(async () => {
-  uncaught = [];
-  process.on('uncaughtExceptionMonitor', noteUncaught);
+  uncaught = new UncaughtErrors();
   system = new GatewaySystem();
   system.configure(1, [
     {path_prefix: '/lookup/', kind: 'idempotent'},
@@ -62,14 +62,10 @@
 });
 
 afterEach(async () => {
-  process.off('uncaughtExceptionMonitor', noteUncaught);
+  uncaught.stop();
   await system.close();
 });
 
-function noteUncaught(error: unknown): void {
-  uncaught.push(error);
-}
-
 function pick(random: Random): number {
   return Math.floor(10 ** (random() * 4));
 }
@@ -166,7 +162,7 @@
       }),
     );
     expect(harmed).toEqual([]);
-    expect(uncaught).toEqual([]);
+    expect(uncaught.all).toEqual([]);
   },
   TIMEOUT_MS,
 );
