Log errors that occur before a request is routed with the request's id

The line had the target alone since the servers of both programs hand over a request with its boundary; the id is what operators search by ('an error before a request is routed is logged with its id').

--- a/src/caller/caller_server.ts
+++ b/src/caller/caller_server.ts
@@ -59,8 +59,11 @@
         keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
         requireHostHeader: false,
       },
-      (error, fields) =>
-        logger.error({...fields, error}, 'an internal error was contained'),
+      (error, request) =>
+        logger.error(
+          {error, target: request?.url},
+          'an internal error was contained',
+        ),
       call => this.handle(call),
     );
     this.server.listenTo(
--- a/src/gateway/gateway_server.ts
+++ b/src/gateway/gateway_server.ts
@@ -81,7 +81,10 @@
         requireHostHeader: false,
         noDelay: true,
       },
-      context.reportError,
+      (error, request) =>
+        context.reportError(error, {
+          request: request?.headers[HEADERS.requestId],
+        }),
       call => this.handleRequest(call),
     );
     this.server.listenTo(
--- a/src/servers/graceful_server.ts
+++ b/src/servers/graceful_server.ts
@@ -4,7 +4,6 @@
 import {Server} from 'node:http';
 import type {Socket} from 'node:net';
 import {PARSED_HEADER_COUNT} from '../http/index.js';
-import type {ErrorReporter} from '../lifecycle/index.js';
 import {ErrorBoundary} from '../lifecycle/index.js';
 import type {Milliseconds} from '../time/index.js';
 import type {IncomingCall} from './types.js';
@@ -12,6 +11,12 @@
 /** Time for the other side to close a connection that this one has ended. */
 const LINGER_MS: Milliseconds = 1_000;
 
+/** @param request in whose handling the error occurred; undefined if in none */
+export type RequestErrorReporter = (
+  error: unknown,
+  request?: IncomingMessage,
+) => void;
+
 export class GracefulServer extends Server {
   override maxHeadersCount: number | null = PARSED_HEADER_COUNT;
   /** Responses of each open connection whose last byte hasn't been sent. */
@@ -21,13 +26,11 @@
 
   constructor(
     options: ServerOptions,
-    private readonly reportError: ErrorReporter,
+    private readonly reportError: RequestErrorReporter,
     private readonly handle: (call: IncomingCall) => void,
   ) {
     super(options, (request, response) => this.accept(request, response));
-    const boundary = new ErrorBoundary(error =>
-      reportError(error, {unit: 'caller connection'}),
-    );
+    const boundary = new ErrorBoundary(error => reportError(error));
     this.boundary = boundary;
     boundary.listen(this, 'connection', (socket: Socket) => {
       this.pending.set(socket, new Set());
@@ -37,9 +40,8 @@
 
   /** An error in the handling of a request ends it, and no other. */
   accept(request: IncomingMessage, response: ServerResponse): void {
-    const {url: target} = request;
     const boundary = new ErrorBoundary(error => {
-      this.reportError(error, {target});
+      this.reportError(error, request);
       response.destroy();
     });
     // Without a listener, an error such as a write after the end would end the process.
--- a/tests/internal_errors.test.ts
+++ b/tests/internal_errors.test.ts
@@ -1,5 +1,6 @@
 import {afterEach, beforeEach, expect, test, vi} from 'vitest';
 import {ByteBudget} from '../src/decisions/limits/index.js';
+import {RouteIndex} from '../src/decisions/routes/index.js';
 import {GatewayMetrics} from '../src/gateway/index.js';
 import {
   GatewaySystem,
@@ -59,3 +60,13 @@
     'not-run',
   ]);
 });
+
+test('an error before a request is routed is logged with its id', async () => {
+  vi.spyOn(RouteIndex.prototype, 'find').mockImplementationOnce(() => {
+    throw new Error('injected');
+  });
+  const call = {...LOOKUP, id: 'request-of-the-error'};
+  await expect(system.call(host, call)).rejects.toThrow();
+  const line = log.find('event', 'internal-error');
+  expect(line).toMatchObject({request: 'request-of-the-error'});
+});
