Accept requests of all servers of a host within a boundary by one function

The callers' server and the relay server each made the boundary of a request, and the readiness and metrics servers had one for the whole server, which reported an error and left its request without an end. One function serves all four: an error ends its connection.

--- a/src/caller/caller_server.ts
+++ b/src/caller/caller_server.ts
@@ -31,7 +31,6 @@
 import {hasBody, readBody} from '../http/index.js';
 import {CallerSession} from './session.js';
 import type {CallerContext} from './types.js';
-import {ErrorBoundary} from '../lifecycle/index.js';
 import type {IncomingCall} from '../servers/index.js';
 import {GracefulServer, isClosing, listen} from '../servers/index.js';
 
@@ -85,18 +84,12 @@
    */
   close(): Promise<void> {
     this.stopping = true;
-    const sweeping = new ErrorBoundary(error =>
-      this.context.logger.error({error}, 'an internal error was contained'),
-    );
     return new Promise(resolve => {
       // A connection that was busy at the start of the shutdown becomes idle
       // later, and its keep-alive would delay the shutdown up to the limit.
-      const sweep = setInterval(
-        sweeping.wrap(() => this.server.closeIdleConnections()),
-        IDLE_SWEEP_MS,
-      );
+      const stopSweep = this.server.startIdleSweep(IDLE_SWEEP_MS);
       this.server.close(() => {
-        clearInterval(sweep);
+        stopSweep();
         resolve();
       });
       this.server.closeIdleConnections();
--- a/src/fleet/relay_server.ts
+++ b/src/fleet/relay_server.ts
@@ -15,7 +15,8 @@
 import type {ErrorReporter} from '../lifecycle/index.js';
 import {ErrorBoundary} from '../lifecycle/index.js';
 import type {SocketAddress} from '../platform/index.js';
-import {closeNow, listen} from '../servers/index.js';
+import type {IncomingCall} from '../servers/index.js';
+import {closeNow, containedListener, listen} from '../servers/index.js';
 import type {Milliseconds} from '../time/index.js';
 import type {FleetState} from './fleet_state.js';
 import {decodeFollowRequest} from './follow_request.js';
@@ -67,9 +68,15 @@
     private readonly state: FleetState,
     private readonly policy: FollowerPolicy,
   ) {
-    this.server = createServer(
-      this.boundary.wrap((request, response) => this.accept(request, response)),
+    const listener = containedListener(
+      (error, request) =>
+        policy.reportError(error, {
+          unit: 'follower',
+          follower: request?.socket.remoteAddress,
+        }),
+      call => this.handleRequest(call),
     );
+    this.server = createServer(listener);
     this.boundary.listen(
       this.server,
       'upgrade',
@@ -125,23 +132,7 @@
     return closeNow(this.server);
   }
 
-  /** An error in the service of one follower ends its connection alone. */
-  private accept(request: IncomingMessage, response: ServerResponse): void {
-    const boundary = new ErrorBoundary(error => {
-      const follower = request.socket.remoteAddress;
-      this.policy.reportError(error, {unit: 'follower', follower});
-      response.destroy();
-    });
-    // Without a listener, an error such as a write after the end would end the process.
-    boundary.listen(response, 'error', () => response.destroy());
-    boundary.run(() => this.handleRequest(request, response, boundary));
-  }
-
-  private handleRequest(
-    request: IncomingMessage,
-    response: ServerResponse,
-    boundary: ErrorBoundary,
-  ): void {
+  private handleRequest({request, response, boundary}: IncomingCall): void {
     request.resume();
     const query = new URLSearchParams(request.url?.split('?', 2)[1]);
     const followRequest = decodeFollowRequest(query);
--- a/src/gateway/metrics_server.ts
+++ b/src/gateway/metrics_server.ts
@@ -1,11 +1,10 @@
 /** Serves the Prometheus metrics of an entry host. */
 
-import type {RequestListener, Server} from 'node:http';
+import type {Server} from 'node:http';
 import {createServer} from 'node:http';
 import type {ErrorReporter} from '../lifecycle/index.js';
-import {ErrorBoundary} from '../lifecycle/index.js';
 import type {SocketAddress} from '../platform/index.js';
-import {closeNow, listen} from '../servers/index.js';
+import {closeNow, containedListener, listen} from '../servers/index.js';
 
 const METRICS_PATH = '/metrics';
 const NOT_FOUND = 404;
@@ -14,21 +13,21 @@
   private readonly server: Server;
 
   constructor(text: () => Promise<string>, reportError: ErrorReporter) {
-    const boundary = new ErrorBoundary(error =>
-      reportError(error, {unit: 'metrics server'}),
+    const listener = containedListener(
+      error => reportError(error, {unit: 'metrics server'}),
+      ({request, response, boundary}) => {
+        if (request.url !== METRICS_PATH) {
+          response.statusCode = NOT_FOUND;
+          response.end();
+          return;
+        }
+        text().then(
+          boundary.wrap(metrics => response.end(metrics)),
+          boundary.wrap(() => response.destroy()),
+        );
+      },
     );
-    const respond: RequestListener = (request, response) => {
-      if (request.url !== METRICS_PATH) {
-        response.statusCode = NOT_FOUND;
-        response.end();
-        return;
-      }
-      text().then(
-        metrics => response.end(metrics),
-        () => response.destroy(),
-      );
-    };
-    this.server = createServer(boundary.wrap(respond));
+    this.server = createServer(listener);
   }
 
   listen(address: SocketAddress): Promise<number> {
--- a/src/gateway/readiness_server.ts
+++ b/src/gateway/readiness_server.ts
@@ -1,12 +1,11 @@
 /** Tells the platform whether to route callers to this host. */
 
-import type {RequestListener, Server} from 'node:http';
+import type {Server} from 'node:http';
 import {createServer} from 'node:http';
 import type {ErrorReporter} from '../lifecycle/index.js';
-import {ErrorBoundary} from '../lifecycle/index.js';
 import type {SocketAddress} from '../platform/index.js';
 import {READINESS_PATH} from '../platform/index.js';
-import {closeNow, listen} from '../servers/index.js';
+import {closeNow, containedListener, listen} from '../servers/index.js';
 
 const READY = 200;
 const NOT_READY = 503;
@@ -16,19 +15,19 @@
   private readonly server: Server;
 
   constructor(isReady: () => boolean, reportError: ErrorReporter) {
-    const boundary = new ErrorBoundary(error =>
-      reportError(error, {unit: 'readiness server'}),
-    );
-    const respond: RequestListener = (request, response) => {
-      if (request.url !== READINESS_PATH) {
-        response.statusCode = NOT_FOUND;
+    const listener = containedListener(
+      error => reportError(error, {unit: 'readiness server'}),
+      ({request, response}) => {
+        if (request.url !== READINESS_PATH) {
+          response.statusCode = NOT_FOUND;
+          response.end();
+          return;
+        }
+        response.statusCode = isReady() ? READY : NOT_READY;
         response.end();
-        return;
-      }
-      response.statusCode = isReady() ? READY : NOT_READY;
-      response.end();
-    };
-    this.server = createServer(boundary.wrap(respond));
+      },
+    );
+    this.server = createServer(listener);
   }
 
   listen(address: SocketAddress): Promise<number> {
--- a/src/lifecycle/error_boundary.ts
+++ b/src/lifecycle/error_boundary.ts
@@ -38,7 +38,7 @@
 
   /** @returns function that stops listening */
   listen(emitter: EventEmitter, event: string, listener: Listener): () => void {
-    const wrapped = this.wrap(listener as (...values: unknown[]) => unknown);
+    const wrapped = this.wrapListener(listener);
     emitter.on(event, wrapped);
     return () => emitter.off(event, wrapped);
   }
@@ -49,16 +49,17 @@
     event: string,
     listener: Listener,
   ): () => void {
-    const wrapped = this.wrap(listener as (...values: unknown[]) => unknown);
+    const wrapped = this.wrapListener(listener);
     emitter.once(event, wrapped);
     return () => emitter.off(event, wrapped);
   }
 
   /** Listens before all that listen already. */
   listenFirst(emitter: EventEmitter, event: string, listener: Listener): void {
-    emitter.prependListener(
-      event,
-      this.wrap(listener as (...values: unknown[]) => unknown),
-    );
+    emitter.prependListener(event, this.wrapListener(listener));
+  }
+
+  private wrapListener(listener: Listener): (...values: unknown[]) => void {
+    return this.wrap(listener as (...values: unknown[]) => unknown);
   }
 }
--- a/src/servers/graceful_server.ts
+++ b/src/servers/graceful_server.ts
@@ -1,35 +1,40 @@
 /** An HTTP server that closes its connections without cutting responses. */
 
-import type {IncomingMessage, ServerOptions, ServerResponse} from 'node:http';
+import type {
+  IncomingMessage,
+  RequestListener,
+  ServerOptions,
+  ServerResponse,
+} from 'node:http';
 import {Server} from 'node:http';
 import type {Socket} from 'node:net';
 import {PARSED_HEADER_COUNT} from '../http/index.js';
 import {ErrorBoundary} from '../lifecycle/index.js';
 import type {Milliseconds} from '../time/index.js';
+import type {RequestErrorReporter} from './contained_listener.js';
+import {containedListener} from './contained_listener.js';
 import type {IncomingCall} from './types.js';
 
 /** Time for the other side to close a connection that this one has ended. */
 const LINGER_MS: Milliseconds = 1_000;
 
-/** @param request in whose handling the error occurred; undefined if in none */
-export type RequestErrorReporter = (
-  error: unknown,
-  request?: IncomingMessage,
-) => void;
-
 export class GracefulServer extends Server {
   override maxHeadersCount: number | null = PARSED_HEADER_COUNT;
   /** Responses of each open connection whose last byte hasn't been sent. */
   private readonly pending = new Map<Socket, Set<ServerResponse>>();
 
+  /** Handles a request that Node passes on by another event than `request`. */
+  readonly accept: RequestListener;
   private readonly boundary: ErrorBoundary;
 
   constructor(
     options: ServerOptions,
-    private readonly reportError: RequestErrorReporter,
-    private readonly handle: (call: IncomingCall) => void,
+    reportError: RequestErrorReporter,
+    handle: (call: IncomingCall) => void,
   ) {
-    super(options, (request, response) => this.accept(request, response));
+    const accept = containedListener(reportError, handle);
+    super(options, accept);
+    this.accept = accept;
     const boundary = new ErrorBoundary(error => reportError(error));
     this.boundary = boundary;
     boundary.listen(this, 'connection', (socket: Socket) => {
@@ -38,15 +43,11 @@
     });
   }
 
-  /** An error in the handling of a request ends it, and no other. */
-  accept(request: IncomingMessage, response: ServerResponse): void {
-    const boundary = new ErrorBoundary(error => {
-      this.reportError(error, request);
-      response.destroy();
-    });
-    // Without a listener, an error such as a write after the end would end the process.
-    boundary.listen(response, 'error', () => response.destroy());
-    boundary.run(() => this.handle({request, response, boundary}));
+  /** Closes idle connections at an interval; returns a function that stops this. */
+  startIdleSweep(intervalMs: Milliseconds): () => void {
+    const sweep = this.boundary.wrap(() => this.closeIdleConnections());
+    const timer = setInterval(sweep, intervalMs);
+    return () => clearInterval(timer);
   }
 
   /** Listens to an event that belongs to no request. */
--- a/src/servers/index.ts
+++ b/src/servers/index.ts
@@ -1,4 +1,6 @@
 export type {IncomingCall} from './types.js';
+export type {RequestErrorReporter} from './contained_listener.js';
+export {containedListener} from './contained_listener.js';
 export {GracefulServer, isClosing} from './graceful_server.js';
 export {closeNow, listen} from './listen.js';
 export {TrafficMeter} from './traffic_meter.js';
