Call the attempts of a request by one name, and say what the metric of internal errors counts

RequestSends held the UpstreamAttempts of a request; code, logs of attempts and the decisions say attempt. The help text of cyclamenlever_internal_errors_total named requests and probes alone. No behaviour changes.

--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -39,7 +39,7 @@
 import {forwardedRequest} from './forwarded_request.js';
 import {RequestAdmission} from './request_admission.js';
 import {recordRequestEnd} from './request_end.js';
-import {RequestSends} from './request_sends.js';
+import {UpstreamAttempts} from './upstream_attempts.js';
 import {ResponseDelivery} from './response_delivery.js';
 import {refusalProblem} from './refusal_problem.js';
 import type {GatewayContext} from './types.js';
@@ -60,7 +60,7 @@
   private readonly giveUpAt: Milliseconds;
   private readonly id: string;
   private readonly record: RequestAttempts;
-  private readonly sends: RequestSends;
+  private readonly attempts: UpstreamAttempts;
   private readonly delivery: ResponseDelivery;
   private readonly bodyReader: BodyReader;
   private readonly admission: RequestAdmission;
@@ -100,7 +100,7 @@
     const {arrivedAt, giveUpAt, boundary} = this;
     const parts = {context, route, service, arrivedAt, giveUpAt, boundary};
     this.admission = new RequestAdmission({...parts, response, customer});
-    this.sends = new RequestSends(parts);
+    this.attempts = new UpstreamAttempts(parts);
     this.delivery = new ResponseDelivery({request, response, boundary});
   }
 
@@ -261,7 +261,7 @@
   private startAttempt(ready: ReadyRequest, placed: Placed): void {
     this.record.noteSend(placed.upstream.id);
     this.admission.notePlaced();
-    this.sends.start(ready.forwarded, placed, {
+    this.attempts.start(ready.forwarded, placed, {
       onStalled: attempt => this.hedge(ready, attempt),
       onResult: (result, attempt) => {
         if (!this.done) {
@@ -433,7 +433,7 @@
   /** No further attempt is started, and those that are pending are cancelled. */
   private endAttempts(): void {
     this.controller.abort();
-    this.sends.cancel();
+    this.attempts.cancel();
   }
 
   private finish(outcome: string): void {
@@ -459,7 +459,7 @@
       leftMs: this.leftMs,
       admission: this.admission.logFields,
       fingerprint: this.guard?.fingerprint,
-      attempts: this.sends.attempts,
+      attempts: this.attempts.started,
       refusal: this.refusal,
     });
   }
--- a/src/gateway/gateway_metrics.ts
+++ b/src/gateway/gateway_metrics.ts
@@ -157,7 +157,7 @@
   });
   private readonly internalErrors = new Counter({
     name: 'cyclamenlever_internal_errors_total',
-    help: 'Errors of this host that ended one request or probe',
+    help: 'Internal errors, most of which ended one request, probe or connection',
     registers: this.registers,
   });
   private readonly badRecords = new Counter({
--- a/src/gateway/request_sends.ts
+++ b/src/gateway/upstream_attempts.ts
@@ -9,7 +9,7 @@
 import type {GatewayContext} from './types.js';
 import {UpstreamAttempt} from './upstream_attempt.js';
 
-export interface RequestSendsParts {
+export interface UpstreamAttemptsParts {
   readonly context: GatewayContext;
   readonly route: Route;
   readonly service: ServiceProfile;
@@ -18,27 +18,27 @@
   readonly boundary: ErrorBoundary;
 }
 
-export interface SendObserver {
+export interface AttemptHandlers {
   /** Called again and again while the attempt is more likely lost than running. */
   readonly onStalled: (attempt: UpstreamAttempt) => Promise<void>;
   readonly onResult: (result: AttemptResult, attempt: UpstreamAttempt) => void;
 }
 
-export class RequestSends {
-  private readonly started: UpstreamAttempt[] = [];
+export class UpstreamAttempts {
+  private readonly all: UpstreamAttempt[] = [];
   private stallWatch: StallWatch | undefined;
 
-  constructor(private readonly parts: RequestSendsParts) {}
+  constructor(private readonly parts: UpstreamAttemptsParts) {}
 
-  get attempts(): readonly UpstreamAttempt[] {
-    return this.started;
+  get started(): readonly UpstreamAttempt[] {
+    return this.all;
   }
 
   /** Sends the request to the upstream that was chosen. */
   start(
     request: ForwardedRequest,
     placed: Placed,
-    {onStalled, onResult}: SendObserver,
+    {onStalled, onResult}: AttemptHandlers,
   ): void {
     const {context, service, giveUpAt, boundary} = this.parts;
     const {upstream, answer, answerAgeMs, expectedMs} = placed;
@@ -52,7 +52,7 @@
       request,
       timeLeftMs: Math.max(0, giveUpAt - context.clock.now()),
     });
-    this.started.push(attempt);
+    this.all.push(attempt);
     this.stallWatch?.stop();
     this.stallWatch = new StallWatch({
       attempt,
@@ -69,6 +69,6 @@
   /** Cancels the attempts that are pending. */
   cancel(): void {
     this.stallWatch?.stop();
-    this.started.forEach(attempt => attempt.cancel());
+    this.all.forEach(attempt => attempt.cancel());
   }
 }
