--- a/tests/mutated_responses.test.ts
+++ b/tests/mutated_responses.test.ts
@@ -2,6 +2,7 @@
 import type {ReportingUpstream} from '../src/standins/index.js';
 import {seededRandom} from '../src/time/index.js';
 import {GatewaySystem, type RunningHost, until} from './support/gateway.js';
+import {mutateBytes} from './support/mutations.js';
 import {UncaughtErrors} from './support/uncaught_errors.js';
 
 /** More by hand: MUTATED_RESPONSES=200000. */
@@ -13,6 +14,8 @@
 const REFUSED = 503;
 const PROBE_SHARE = 0.3;
 const TOKEN_LENGTH = 12;
+/** Covers the status line and a part of the first header. */
+const STATUS_LINE_LENGTH = 40;
 const TIMEOUT_MS = 3_600_000;
 
 type Random = () => number;
@@ -20,9 +23,9 @@
 
 const MUTATIONS: readonly Mutation[] = [
   // Bytes of the status line, the headers or the body.
-  (response, random) => mutateBytes(response, random, 40),
-  (response, random) => mutateBytes(response, random, headLength(response)),
-  (response, random) => mutateBytes(response, random, response.length),
+  (response, random) => mutateUpTo(STATUS_LINE_LENGTH, response, random),
+  (response, random) => mutateUpTo(headLength(response), response, random),
+  mutateBytes,
   // Framing.
   response => response.replace(/Content-Length: .*\r\n/, ''),
   (response, random) =>
@@ -78,15 +81,8 @@
   return response.replace('\r\n', `\r\n${line}\r\n`);
 }
 
-function mutateBytes(response: string, random: Random, end: number): string {
-  const bytes = [...response];
-  for (let edits = 1 + Math.floor(random() * 3); edits > 0; edits -= 1) {
-    const at = Math.floor(random() * Math.min(end, bytes.length));
-    const byte = String.fromCharCode(Math.floor(random() * 256));
-    const removed = Math.floor(random() * 3);
-    bytes.splice(at, removed, ...(random() < 0.7 ? [byte] : []));
-  }
-  return bytes.join('');
+function mutateUpTo(end: number, response: string, random: Random): string {
+  return mutateBytes(response.slice(0, end), random) + response.slice(end);
 }
 
 function mutate(response: string, random: Random): string {
--- a/tests/spoiled_responses.test.ts
+++ b/tests/spoiled_responses.test.ts
@@ -2,6 +2,7 @@
 import type {ReportingUpstream} from '../src/standins/index.js';
 import {seededRandom} from '../src/time/index.js';
 import {GatewaySystem, type RunningHost, until} from './support/gateway.js';
+import {mutateBytes} from './support/mutations.js';
 
 const LOOKUP = {path: '/lookup/7'};
 const ORDER = {method: 'POST', path: '/order/7', body: 'a bundle'};
@@ -116,16 +117,10 @@
   await until(() => host.host.upstreamCount > count);
 }
 
-/** Replaces, inserts or removes bytes of the head: those of a body can't be checked. */
+/** Mutates the head: bytes of a body can't be checked. */
 function mutate(response: string, random: () => number): string {
   const bodyAt = response.indexOf('\r\n\r\n') + 4;
-  const bytes = [...response.slice(0, bodyAt)];
-  const edits = 1 + Math.floor(random() * 3);
-  for (let i = 0; i < edits; i += 1) {
-    const at = Math.floor(random() * bytes.length);
-    const byte = String.fromCharCode(Math.floor(random() * 256));
-    const removed = Math.floor(random() * 3);
-    bytes.splice(at, removed, ...(random() < 0.7 ? [byte] : []));
-  }
-  return bytes.join('') + response.slice(bodyAt);
+  return (
+    mutateBytes(response.slice(0, bodyAt), random) + response.slice(bodyAt)
+  );
 }
