Log and count responses whose connection closes before they are sent

Node itself emits 'finish', and sets writableFinished, for a response whose connection is destroyed under it.

Now 'incomplete-delivery' names the request, whether all of the response had been written, which side closed the connection, and the phase of the shutdown; a metric counts them by side.

--- a/src/gateway/gateway_metrics.ts
+++ b/src/gateway/gateway_metrics.ts
@@ -155,6 +155,12 @@
     labelNames: ['call', 'outcome'] as const,
     registers: this.registers,
   });
+  private readonly incompleteDeliveries = new Counter({
+    name: 'cyclamenlever_incomplete_deliveries_total',
+    help: 'Requests whose connection closed before their whole response was sent, by who closed it: host, caller',
+    labelNames: ['closed_by'] as const,
+    registers: this.registers,
+  });
   private readonly internalErrors = new Counter({
     name: 'cyclamenlever_internal_errors_total',
     help: 'Internal errors, most of which ended one request, probe or connection',
@@ -256,6 +262,10 @@
     this.storeCalls.inc({call, outcome});
   }
 
+  countIncompleteDelivery(closedBy: string): void {
+    this.incompleteDeliveries.inc({closed_by: closedBy});
+  }
+
   countInternalError(): void {
     this.internalErrors.inc();
   }
--- a/src/gateway/gateway_server.ts
+++ b/src/gateway/gateway_server.ts
@@ -10,8 +10,13 @@
 import {discardBody, findRequestFault, sendProblem} from '../http/index.js';
 import type {SocketAddress} from '../platform/index.js';
 import {HEADERS} from '../platform/index.js';
-import type {IncomingCall} from '../servers/index.js';
-import {GracefulServer, isClosing, listen} from '../servers/index.js';
+import type {Delivery, IncomingCall} from '../servers/index.js';
+import {
+  GracefulServer,
+  isClosing,
+  listen,
+  observeDelivery,
+} from '../servers/index.js';
 import type {Milliseconds} from '../time/index.js';
 import {sleep} from '../time/index.js';
 import type {ParserError} from './connection_faults.js';
@@ -68,6 +73,8 @@
 export class GatewayServer {
   private readonly server: GracefulServer;
   private phase: ShutdownPhase = 'running';
+  /** When the current phase began. */
+  private phaseSince: Milliseconds = 0;
   private inFlight = 0;
 
   constructor(private readonly context: GatewayContext) {
@@ -117,6 +124,7 @@
 
   setPhase(phase: ShutdownPhase): void {
     this.phase = phase;
+    this.phaseSince = this.context.clock.now();
   }
 
   /** Stops accepting connections; resolves once no request is in flight. */
@@ -164,6 +172,9 @@
     boundary.listenOnce(response, 'close', () => {
       this.inFlight -= 1;
     });
+    observeDelivery(response, boundary, delivery =>
+      this.recordDelivery(request, delivery),
+    );
     if (this.phase !== 'running') {
       earlier.forEach(one => one.removeHeader('connection'));
       response.setHeader('connection', 'close');
@@ -314,6 +325,32 @@
     discardBody(incoming, boundary);
   }
 
+  /** The log line of the request only tells what was written. */
+  private recordDelivery(
+    {method, url: target, headers}: IncomingMessage,
+    {isComplete, wasWritten, status, closedBy}: Delivery,
+  ): void {
+    if (isComplete) {
+      return;
+    }
+    const {metrics, log, clock} = this.context;
+    metrics.countIncompleteDelivery(closedBy);
+    log.logFailure(
+      {
+        event: 'incomplete-delivery',
+        request: headers[HEADERS.requestId],
+        method,
+        target,
+        status,
+        wasWritten,
+        closedBy,
+        phase: this.phase,
+        inPhaseMs: Math.round(clock.now() - this.phaseSince),
+      },
+      'connection closed before the whole response was sent',
+    );
+  }
+
   private recordRefusal(
     outcome: ProblemReason,
     fields: LogFields,
--- a/src/servers/index.ts
+++ b/src/servers/index.ts
@@ -1,6 +1,8 @@
 export type {IncomingCall} from './types.js';
 export type {RequestErrorReporter} from './contained_listener.js';
 export {containedListener} from './contained_listener.js';
+export type {Delivery} from './delivery.js';
+export {observeDelivery} from './delivery.js';
 export {GracefulServer, isClosing} from './graceful_server.js';
 export {closeNow, listen} from './listen.js';
 export {TrafficMeter} from './traffic_meter.js';
