Send responses until shortly before the end of the grace period

What callers saw: a response that was still being received when a stopping host had 0.8 s of its grace period left was cut, whether or not it would have been whole in time; requests without a response got a 502 while the process ended.

Cause: one moment ended both the wait for upstreams and the sending of responses. Class: a connection closed by the host's schedule while a response is owed on it.

Now requests that have no response 0.8 s before the end get one of this host (not run, or unknown), and connections stay open until 0.4 s before it.

Evidence: 'a response that begins late in the grace period is received whole' is truncated on the code before, and passes. 'requests in flight at the end of the grace period get a response' got 502 there.

--- a/src/decisions/stopping/shutdown_plan.ts
+++ b/src/decisions/stopping/shutdown_plan.ts
@@ -14,20 +14,25 @@
 const OUT_OF_ROTATION_MS: Milliseconds = 2_600;
 /** New requests are accepted for at most this share of the time. */
 const MAX_ACCEPTING_SHARE = 0.5;
-/** Reserved for closing before the process is killed; a slow host needs it. */
-const CLOSE_RESERVE_MS: Milliseconds = 800;
+/** Reserved for the final responses and for closing, before the process is killed. */
+const FINAL_RESPONSES_RESERVE_MS: Milliseconds = 800;
+/** Reserved for closing; a slow host needs it. */
+const CLOSE_RESERVE_MS: Milliseconds = 400;
 
 export interface ShutdownPlan {
   /** How long new requests are accepted, on connections that are being closed. */
   readonly acceptingMs: Milliseconds;
-  /** When requests in flight are aborted, from the start of the shutdown. */
-  readonly abortInFlightAfterMs: Milliseconds;
+  /** When requests without a response get one of this host, from the start of the shutdown. */
+  readonly respondAfterMs: Milliseconds;
+  /** When connections are closed on which responses are still being sent. */
+  readonly closeAfterMs: Milliseconds;
 }
 
 /** @param graceMs time from the stop signal until the process is killed */
 export function planShutdown(graceMs: Milliseconds): ShutdownPlan {
   return {
     acceptingMs: Math.min(OUT_OF_ROTATION_MS, graceMs * MAX_ACCEPTING_SHARE),
-    abortInFlightAfterMs: Math.max(0, graceMs - CLOSE_RESERVE_MS),
+    respondAfterMs: Math.max(0, graceMs - FINAL_RESPONSES_RESERVE_MS),
+    closeAfterMs: Math.max(0, graceMs - CLOSE_RESERVE_MS),
   };
 }
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -47,6 +47,8 @@
 
 /** Retry-After of a request for which no upstream could be reached. */
 const UNREACHABLE_RETRY_AFTER_MS: Milliseconds = 150;
+/** Retry-After of a host that shuts down: callers retry at another host. */
+export const STOPPING_RETRY_AFTER_MS: Milliseconds = 20;
 
 /** A request whose body has been read, ready for attempts. */
 interface ReadyRequest {
@@ -410,14 +412,15 @@
       this.abortStream(this.streaming);
       return;
     }
-    if (this.upstreamError) {
-      this.deliver(this.upstreamError);
-      return;
-    }
-    if (this.record.outcome === 'unknown') {
-      this.refuse('attempt-timed-out');
-    } else {
-      this.refuse('waited-too-long', UNREACHABLE_RETRY_AFTER_MS);
+    this.deliverErrorOrRefuse('waited-too-long', UNREACHABLE_RETRY_AFTER_MS);
+  }
+
+  /** Responds at once, as the host is about to end; a response that is being sent goes on. */
+  abandon(): void {
+    if (!this.streaming) {
+      this.boundary.run(() =>
+        this.deliverErrorOrRefuse('not-ready', STOPPING_RETRY_AFTER_MS),
+      );
     }
   }
 
--- a/src/gateway/gateway_server.ts
+++ b/src/gateway/gateway_server.ts
@@ -21,7 +21,7 @@
 import {sleep} from '../time/index.js';
 import type {ParserError} from './connection_faults.js';
 import {closeFaultyConnection} from './connection_faults.js';
-import {Exchange} from './exchange.js';
+import {Exchange, STOPPING_RETRY_AFTER_MS} from './exchange.js';
 import type {LogFields} from './request_log.js';
 import type {GatewayContext} from './types.js';
 
@@ -46,8 +46,6 @@
 const UNUSABLE_RETRY_AFTER_MS: Milliseconds = 1_000;
 /** How long requests wait for the configuration after a start. */
 const CONFIGURATION_WAIT_MS: Milliseconds = 150;
-/** Retry-After of a host that shuts down: callers retry at another host. */
-const STOPPING_RETRY_AFTER_MS: Milliseconds = 20;
 const IDLE_CLOSE_INTERVAL_MS: Milliseconds = 50;
 
 /** Phases of a shutdown. */
@@ -76,6 +74,7 @@
   /** When the current phase began. */
   private phaseSince: Milliseconds = 0;
   private inFlight = 0;
+  private readonly exchanges = new Set<Exchange>();
 
   constructor(private readonly context: GatewayContext) {
     this.server = new GracefulServer(
@@ -137,6 +136,11 @@
     this.server.closeIdleConnections();
   }
 
+  /** Responds to requests in flight that have no response yet: the host is about to end. */
+  respondToUnanswered(): void {
+    this.exchanges.forEach(exchange => exchange.abandon());
+  }
+
   /** Closes all connections, also those with requests in flight. */
   closeNow(): void {
     this.server.close();
@@ -279,7 +283,12 @@
       });
       return;
     }
-    new Exchange(call, route, service, customer, this.context).run();
+    const exchange = new Exchange(call, route, service, customer, this.context);
+    this.exchanges.add(exchange);
+    call.boundary.listenOnce(call.response, 'close', () =>
+      this.exchanges.delete(exchange),
+    );
+    exchange.run();
   }
 
   /**
--- a/src/gateway/refusal_problem.ts
+++ b/src/gateway/refusal_problem.ts
@@ -10,6 +10,7 @@
   ['quarantined', 'attempt-broken'],
   ['shed', 'attempt-broken'],
   ['upstreams-refused', 'attempt-broken'],
+  ['not-ready', 'attempt-timed-out'],
   ['waited-too-long', 'attempt-timed-out'],
 ]);
 
--- a/src/host/gateway_host.ts
+++ b/src/host/gateway_host.ts
@@ -217,9 +217,12 @@
     );
     await sleep(plan.acceptingMs);
     this.gateway.setPhase('finishing');
-    const left = plan.abortInFlightAfterMs - (clock.now() - startedAt);
     const finished = Promise.all([this.gateway.close(), drained]);
-    await Promise.race([finished, sleep(left)]);
+    const finishBy = (afterMs: Milliseconds): Promise<unknown> =>
+      Promise.race([finished, sleep(startedAt + afterMs - clock.now())]);
+    await finishBy(plan.respondAfterMs);
+    this.gateway.respondToUnanswered();
+    await finishBy(plan.closeAfterMs);
     controller.abort();
     this.quotas.handOverAll();
     await this.closeAll();
--- a/tests/graceful_stop.test.ts
+++ b/tests/graceful_stop.test.ts
@@ -145,3 +145,35 @@
   });
   expect(performance.now() - startedAt).toBeLessThan(2_000);
 });
+
+// Guards against responses that are begun while the process ends.
+test('requests in flight at the end of the grace period get a response', async () => {
+  one.workMs = 10_000;
+  one.load = {running: 0, waiting: 0, slots: 100, percent: 100};
+  const callers = [new RawCaller(), new RawCaller()];
+  callers.forEach(caller => caller.send(['/order/1']));
+  await until(() => one.runs.length === callers.length);
+  await host.host.stop();
+  await until(() => callers.every(({hasEnded}) => hasEnded));
+  callers.forEach(caller =>
+    expect(caller.responses).toEqual({statuses: [504], isTruncated: false}),
+  );
+});
+
+// Guards against a response that is cut although the grace period still lasts.
+test('a response that begins late in the grace period is received whole', async () => {
+  one.workMs = 1_100;
+  one.extraBytes = RESPONSE_BYTES;
+  const caller = new RawCaller();
+  caller.socket.pause();
+  const stopped = host.host.stop();
+  caller.send(Array.from({length: REQUESTS}, () => '/lookup/1'));
+  await sleep(1_350);
+  caller.socket.resume();
+  await stopped;
+  await until(() => caller.hasEnded);
+  expect(caller.responses).toEqual({
+    statuses: Array.from({length: REQUESTS}, () => 200),
+    isTruncated: false,
+  });
+});
