Refuse faulty bytes on a connection after the responses that are owed on it

What callers saw: an order and behind it, on the same connection, bytes that are no request: the caller got 400 as the response to the order, which ran. A response that was being received when such bytes came was cut. The same for a request whose head arrives too slowly behind another one (408).

Cause: the parser's error was answered, or the connection destroyed, at once, whatever was owed on it.

Now the server passes a connection's fault on once the responses before it have been sent, also in the daemon.

--- a/src/caller/caller_server.ts
+++ b/src/caller/caller_server.ts
@@ -70,7 +70,7 @@
       (request: IncomingMessage, response: ServerResponse) =>
         this.server.accept(request, response),
     );
-    this.server.listenTo('clientError', refuseUnparsable);
+    this.server.listenToFaults(refuseUnparsable);
   }
 
   /** Starts to listen; resolves with the port in use. */
--- a/src/gateway/gateway_server.ts
+++ b/src/gateway/gateway_server.ts
@@ -101,7 +101,7 @@
         this.server.accept(request, response);
       },
     );
-    this.server.listenTo('clientError', (error: ParserError, socket: Duplex) =>
+    this.server.listenToFaults((error, socket) =>
       this.handleFaulty(error, socket),
     );
     context.state.subscribe(update => {
--- a/src/servers/graceful_server.ts
+++ b/src/servers/graceful_server.ts
@@ -55,6 +55,38 @@
     this.boundary.listen(this, event, listener);
   }
 
+  /**
+   * Passes on faults of connections, such as bytes that are no request, once the responses to
+   * the requests before them have been sent. A caller would take an error that is sent earlier
+   * for one of these responses.
+   */
+  listenToFaults(
+    listener: (error: NodeJS.ErrnoException, socket: Socket) => void,
+  ): void {
+    const faulty = new WeakSet<Socket>();
+    this.listenTo(
+      'clientError',
+      (error: NodeJS.ErrnoException, socket: Socket) => {
+        if (!faulty.has(socket)) {
+          faulty.add(socket);
+          this.whenSettled(socket, () => listener(error, socket));
+        }
+      },
+    );
+  }
+
+  /** Calls back when nothing is owed on a connection that can be written to. */
+  private whenSettled(socket: Socket, callback: () => void): void {
+    const [response] = this.pending.get(socket) ?? [];
+    if (!response || !socket.writable) {
+      callback();
+      return;
+    }
+    this.boundary.listenOnce(response, 'close', () =>
+      this.whenSettled(socket, callback),
+    );
+  }
+
   /**
    * Notes that a response is owed until its last byte is sent.
    *
--- /dev/null
+++ b/tests/faulty_connections.test.ts
@@ -0,0 +1,63 @@
+import type {Socket} from 'node:net';
+import {connect} from 'node:net';
+import {afterEach, beforeEach, expect, test} from 'vitest';
+import type {ReportingUpstream} from '../src/standins/index.js';
+import {GatewaySystem, type RunningHost, until} from './support/gateway.js';
+
+const ORDER =
+  'POST /order/1 HTTP/1.1\r\nHost: shop.example\r\nContent-Length: 0\r\n' +
+  'Cyclamenlever-Request-Id: o-1\r\nCyclamenlever-Deadline-Ms: 20000\r\n\r\n';
+const GARBAGE = 'this is no request\r\n\r\n';
+
+let system: GatewaySystem;
+let host: RunningHost;
+let upstream: ReportingUpstream;
+let caller: Socket;
+let received: string;
+
+beforeEach(async () => {
+  system = new GatewaySystem();
+  system.configure(1);
+  upstream = await system.addUpstream('i-1');
+  host = await system.startReadyHost();
+  received = '';
+  caller = connect(host.ports.callers, '127.0.0.1');
+  caller.on('error', () => undefined);
+  caller.on('data', chunk => (received += chunk.toString('latin1')));
+});
+
+afterEach(async () => {
+  caller.destroy();
+  await system.close();
+});
+
+function statuses(): readonly string[] {
+  return [...received.matchAll(/^HTTP\/1\.1 (\d+)/gm)].map(
+    ([, status = '']) => status,
+  );
+}
+
+test('bytes that are no request are refused', async () => {
+  caller.write(GARBAGE);
+  await until(() => caller.closed);
+  expect(statuses()).toEqual(['400']);
+});
+
+// Guards against an error that its caller takes for the response to an order that runs.
+test('an order is answered before the bytes behind it are refused', async () => {
+  upstream.workMs = 200;
+  caller.write(ORDER + GARBAGE);
+  await until(() => caller.closed);
+  expect(upstream.runs).toHaveLength(1);
+  expect(statuses()[0]).toBe('200');
+});
+
+// Guards against a response that is cut by what its caller sends meanwhile.
+test('a response under way is sent whole before the bytes behind it are refused', async () => {
+  upstream.extraBytes = 20_000_000;
+  caller.once('data', () => caller.write(GARBAGE));
+  caller.write(ORDER);
+  await until(() => caller.closed);
+  expect(received.length).toBeGreaterThan(upstream.extraBytes);
+  expect(statuses()[0]).toBe('200');
+});
