Close a connection once its caller has received its last response

What callers saw: a download without its end around a stop, though the host's own account calls it sent. Two ways, both on the landed code: a caller that sends more on its connection while it receives the last response (Connection: close) gets a reset in place of the rest; and where a machine goes away with its process, what the system still held for callers is lost.

Cause: a connection was closed, and the process ended, once the system had taken the last byte of a response. A closed socket answers whatever arrives with a reset, which drops the bytes that wait to be sent. Class, as in the incident: handed over taken for received. Before, it was Node that was handed the response; here it is the system.

Now the server ends a connection (its caller sees the end behind the last byte), goes on reading, and closes it when the caller closes, or after the time that the slowest callers need. A stop lasts until connections are closed, within the grace period. A request that is read after the end of its connection gets an 'incomplete-delivery' line.

Evidence: both tests fail on the code before.

--- a/src/gateway/gateway_server.ts
+++ b/src/gateway/gateway_server.ts
@@ -126,14 +126,13 @@
     this.phaseSince = this.context.clock.now();
   }
 
-  /** Stops accepting connections; resolves once no request is in flight. */
+  /** Stops accepting connections; resolves once callers have received what is owed. */
   async close(): Promise<void> {
     this.server.close();
-    while (this.inFlight > 0) {
+    while (this.server.openCount > 0) {
       this.server.closeIdleConnections();
       await sleep(IDLE_CLOSE_INTERVAL_MS);
     }
-    this.server.closeIdleConnections();
   }
 
   /** Responds to requests in flight that have no response yet: the host is about to end. */
@@ -169,16 +168,17 @@
   private handleRequest(call: IncomingCall): void {
     const {request, response, boundary} = call;
     const earlier = this.server.noteRequest(request, response);
+    observeDelivery(response, boundary, delivery =>
+      this.recordDelivery(request, delivery),
+    );
     if (isClosing(request, earlier)) {
+      request.resume();
       return;
     }
     this.inFlight += 1;
     boundary.listenOnce(response, 'close', () => {
       this.inFlight -= 1;
     });
-    observeDelivery(response, boundary, delivery =>
-      this.recordDelivery(request, delivery),
-    );
     if (this.phase !== 'running') {
       earlier.forEach(one => one.removeHeader('connection'));
       response.setHeader('connection', 'close');
--- a/src/servers/graceful_server.ts
+++ b/src/servers/graceful_server.ts
@@ -15,13 +15,17 @@
 import {containedListener} from './contained_listener.js';
 import type {IncomingCall} from './types.js';
 
-/** Time for the other side to close a connection that this one has ended. */
+/** Time for a caller to close a connection that the server has ended. */
 const LINGER_MS: Milliseconds = 1_000;
+/** Bytes of a response that the slowest callers receive in a millisecond. */
+const SLOWEST_BYTES_PER_MS = 100;
 
 export class GracefulServer extends Server {
   override maxHeadersCount: number | null = PARSED_HEADER_COUNT;
   /** Responses of each open connection whose last byte hasn't been sent. */
   private readonly pending = new Map<Socket, Set<ServerResponse>>();
+  /** Bytes that each connection had carried before its last request. */
+  private readonly bytesBefore = new WeakMap<Socket, number>();
 
   /** Handles a request that Node passes on by another event than `request`. */
   readonly accept: RequestListener;
@@ -39,10 +43,17 @@
     this.boundary = boundary;
     boundary.listen(this, 'connection', (socket: Socket) => {
       this.pending.set(socket, new Set());
+      // Node closes a connection by this method after a response that is its last.
+      socket.destroySoon = () => this.endConnection(socket);
       boundary.listenOnce(socket, 'close', () => this.forget(socket));
     });
   }
 
+  /** Connections that aren't closed yet, by this side or their caller. */
+  get openCount(): number {
+    return this.pending.size;
+  }
+
   /** Closes idle connections at an interval; returns a function that stops this. */
   startIdleSweep(intervalMs: Milliseconds): () => void {
     const sweep = this.boundary.wrap(() => this.closeIdleConnections());
@@ -99,6 +110,7 @@
     const owed = this.pending.get(socket);
     const earlier = [...(owed ?? [])];
     owed?.add(response);
+    this.bytesBefore.set(socket, socket.bytesWritten);
     this.boundary.listenOnce(response, 'close', () => owed?.delete(response));
     return earlier;
   }
@@ -119,15 +131,30 @@
    */
   override closeIdleConnections(): void {
     this.pending.forEach((owed, socket) => {
-      if (owed.size === 0 && !socket.writableEnded) {
-        socket.end();
-        setTimeout(
-          this.boundary.wrap(() => socket.destroy()),
-          LINGER_MS,
-        ).unref();
+      if (owed.size === 0) {
+        this.endConnection(socket);
       }
     });
   }
+
+  /**
+   * Ends a connection, and closes it once its caller has received all and does the same.
+   * Closed earlier, it would be reset by whatever the caller still sends, or by the end of
+   * the machine, and the caller would lose what was still on its way.
+   */
+  private endConnection(socket: Socket): void {
+    if (socket.writableEnded) {
+      return;
+    }
+    socket.end();
+    const bytes = socket.bytesWritten - (this.bytesBefore.get(socket) ?? 0);
+    const timer = setTimeout(
+      this.boundary.wrap(() => socket.destroy()),
+      LINGER_MS + bytes / SLOWEST_BYTES_PER_MS,
+    );
+    timer.unref();
+    this.boundary.listenOnce(socket, 'close', () => clearTimeout(timer));
+  }
 }
 
 /**
--- a/tests/graceful_stop.test.ts
+++ b/tests/graceful_stop.test.ts
@@ -177,3 +177,37 @@
     isTruncated: false,
   });
 });
+
+// Guards against a response whose tail is lost to a reset, as its caller sends more meanwhile.
+test('a caller that sends more while it receives its last response gets it whole', async () => {
+  one.extraBytes = RESPONSE_BYTES;
+  const caller = new RawCaller();
+  const stopped = host.host.stop();
+  caller.socket.pause();
+  caller.send(['/lookup/1']);
+  await until(() => one.runs.length > 0);
+  await sleep(300);
+  caller.send(['/lookup/2']);
+  await sleep(100);
+  caller.socket.resume();
+  await stopped;
+  await until(() => caller.hasEnded);
+  expect(caller.responses).toEqual({statuses: [200], isTruncated: false});
+});
+
+// Guards against a process that ends, maybe with its machine, before its responses are received.
+test('a stop waits until callers have received their last response', async () => {
+  one.extraBytes = RESPONSE_BYTES;
+  const caller = new RawCaller();
+  caller.socket.pause();
+  caller.send(['/lookup/1']);
+  await until(() => one.runs.length > 0);
+  await sleep(300);
+  let hasStopped = false;
+  const stopped = host.host.stop().then(() => (hasStopped = true));
+  await sleep(FINISHING_MS + 200);
+  expect(hasStopped).toBe(false);
+  caller.socket.resume();
+  await stopped;
+  expect(caller.responses).toEqual({statuses: [200], isTruncated: false});
+});
