Refuse a request whose own body is faulty at once

What callers saw: a chunked upload with a chunk that is none got 503 at the route's timeout in place of 400 at once. An upload whose caller left in the middle (its end, no reset) held its memory and its connection until that timeout.

Cause: a connection's fault waits for the responses that are owed before it, and the faulty request counted as one of them: its response waits for the rest of a body that never comes. In the daemon, where nothing limits the wait for a body, it would wait for ever (read, not run).

Now only requests that are whole, or whose response has begun, are waited for.

Evidence: both tests fail on the code before (503 in place of 400; 1.3 s in place of under 1 s) and pass.

--- a/src/servers/graceful_server.ts
+++ b/src/servers/graceful_server.ts
@@ -86,9 +86,14 @@
     );
   }
 
-  /** Calls back when nothing is owed on a connection that can be written to. */
+  /**
+   * Calls back when nothing is owed on a connection that can be written to. A request whose
+   * own body is faulty is owed nothing: it would wait for the rest of that body.
+   */
   private whenSettled(socket: Socket, callback: () => void): void {
-    const [response] = this.pending.get(socket) ?? [];
+    const response = [...(this.pending.get(socket) ?? [])].find(
+      ({req, headersSent}) => req.complete || headersSent,
+    );
     if (!response || !socket.writable) {
       callback();
       return;
--- a/tests/faulty_connections.test.ts
+++ b/tests/faulty_connections.test.ts
@@ -2,6 +2,7 @@
 import {connect} from 'node:net';
 import {afterEach, beforeEach, expect, test} from 'vitest';
 import type {ReportingUpstream} from '../src/standins/index.js';
+import {sleep} from '../src/time/index.js';
 import {GatewaySystem, type RunningHost, until} from './support/gateway.js';
 
 const ORDER =
@@ -61,3 +62,29 @@
   expect(received.length).toBeGreaterThan(upstream.extraBytes);
   expect(statuses()[0]).toBe('200');
 });
+
+// Guards against a fault that waits for a response which in turn waits for the faulty body.
+test('a request whose body breaks off the protocol is refused at once', async () => {
+  caller.write(
+    'POST /order/1 HTTP/1.1\r\nHost: shop.example\r\nTransfer-Encoding: chunked\r\n' +
+      'Cyclamenlever-Request-Id: o-1\r\nCyclamenlever-Deadline-Ms: 20000\r\n\r\n' +
+      'this is no chunk\r\n',
+  );
+  await until(() => caller.closed);
+  expect(statuses()).toEqual(['400']);
+  expect(upstream.runs).toHaveLength(0);
+});
+
+// Guards against bodies whose memory is held until the route's timeout.
+test('an upload that its caller breaks off ends at once', async () => {
+  caller.write(
+    'POST /order/1 HTTP/1.1\r\nHost: shop.example\r\nContent-Length: 5000\r\n' +
+      'Cyclamenlever-Request-Id: o-1\r\nCyclamenlever-Deadline-Ms: 20000\r\n\r\n',
+  );
+  caller.write(Buffer.alloc(1_000));
+  await sleep(200);
+  const startedAt = performance.now();
+  caller.end();
+  await until(() => caller.closed);
+  expect(performance.now() - startedAt).toBeLessThan(1_000);
+});
