Leave a connection open for its last response when faulty bytes follow it

What callers saw: a response with `Connection: close` (any, in a stop) and behind its request bytes that are no request: the response was cut as soon as the caller sent more.

Cause: a fault was passed on once the last response was handed over. The connection has ended by then and can't be written to, and closeFaultyConnection destroys such a connection: the time for its caller to receive all was skipped. Class: handed over taken for received.

Now a fault on a connection that has ended is dropped: that connection is being closed anyway.

Evidence: the test gets 195,584 of 900,000 bytes on the code before, and passes.

--- a/src/servers/graceful_server.ts
+++ b/src/servers/graceful_server.ts
@@ -80,7 +80,12 @@
       (error: NodeJS.ErrnoException, socket: Socket) => {
         if (!faulty.has(socket)) {
           faulty.add(socket);
-          this.whenSettled(socket, () => listener(error, socket));
+          this.whenSettled(socket, () => {
+            // One that has ended is being closed; its last response may be on its way.
+            if (!socket.writableEnded) {
+              listener(error, socket);
+            }
+          });
         }
       },
     );
--- a/tests/faulty_connections.test.ts
+++ b/tests/faulty_connections.test.ts
@@ -88,3 +88,18 @@
   await until(() => caller.closed);
   expect(performance.now() - startedAt).toBeLessThan(1_000);
 });
+
+// Guards against a last response whose tail is lost to a reset, as faulty bytes follow it.
+test("faulty bytes don't cut the last response of a connection", async () => {
+  upstream.extraBytes = 900_000;
+  caller.pause();
+  caller.write(ORDER.replace('\r\n\r\n', '\r\nConnection: close\r\n\r\n'));
+  await until(() => upstream.runs.length > 0);
+  caller.write(GARBAGE);
+  await sleep(400);
+  caller.write(GARBAGE);
+  await sleep(100);
+  caller.resume();
+  await until(() => caller.closed);
+  expect(received.length).toBeGreaterThan(upstream.extraBytes);
+});
