Close refused connections that their callers leave open

What callers saw: nothing at once. A caller that sent bytes that are no request, was refused, and kept its connection open held a descriptor for ever, and each stop of the host until nine tenths of its grace period.

Cause: the refusal ends the connection, and a connection that had ended already was left to its caller, also by a stop: only connections that the server itself had ended were closed after a time.

Now the server closes a connection after that time whoever ended it.

Evidence: in the test a stop lasts 1.8 s of 2 s on the code before; it passes (under 1.4 s).

--- a/src/servers/graceful_server.ts
+++ b/src/servers/graceful_server.ts
@@ -26,6 +26,8 @@
   private readonly pending = new Map<Socket, Set<ServerResponse>>();
   /** Bytes that each connection had carried before its last request. */
   private readonly bytesBefore = new WeakMap<Socket, number>();
+  /** Connections that this server has ended, and will close. */
+  private readonly ended = new WeakSet<Socket>();
 
   /** Handles a request that Node passes on by another event than `request`. */
   readonly accept: RequestListener;
@@ -84,6 +86,7 @@
             // One that has ended is being closed; its last response may be on its way.
             if (!socket.writableEnded) {
               listener(error, socket);
+              this.endConnection(socket);
             }
           });
         }
@@ -153,9 +156,10 @@
    * the machine, and the caller would lose what was still on its way.
    */
   private endConnection(socket: Socket): void {
-    if (socket.writableEnded) {
+    if (socket.destroyed || this.ended.has(socket)) {
       return;
     }
+    this.ended.add(socket);
     socket.end();
     const bytes = socket.bytesWritten - (this.bytesBefore.get(socket) ?? 0);
     const timer = setTimeout(
--- a/tests/faulty_connections.test.ts
+++ b/tests/faulty_connections.test.ts
@@ -103,3 +103,20 @@
   await until(() => caller.closed);
   expect(received.length).toBeGreaterThan(upstream.extraBytes);
 });
+
+// Guards against descriptors that are held for ever by callers that don't close.
+test('a connection that was refused is closed though its caller does not close it', async () => {
+  const half = connect({
+    port: host.ports.callers,
+    host: '127.0.0.1',
+    allowHalfOpen: true,
+  });
+  half.on('error', () => undefined);
+  half.resume();
+  half.write(GARBAGE);
+  await sleep(2_000);
+  const startedAt = performance.now();
+  await host.host.stop();
+  half.destroy();
+  expect(performance.now() - startedAt).toBeLessThan(1_400);
+});
