Read what has arrived before a stop closes idle connections

Callers saw connections closed without an answer at the moment at which a stopping host begins to close idle ones (2.6 to 3.0 s after SIGTERM): some requests on kept connections had waited for hundreds of milliseconds by then. Nothing had run.

After a pause a connection with a whole request in its buffer counts as idle. Read after the end of the host's side, the request can't be answered any more.

The decision is now taken after the loop has polled once more, on what has been read then. A stop goes on until all connections have ended, so that a request which is read in that last poll is answered before the host is gone.

Weighed: an idle connection can't be asked politely to close, for a response without a request is taken for the answer to the next one; and a connection that is half closed carries no answer. So the end comes as late as it can, right after a poll that brought nothing. Requests that cross it are closed unrun, as before. Between the poll and the system call a few callbacks still run: a pause that begins exactly there can still hit a request. destroy() in place of end() would shorten that, but cut responses that a narrow link still carries if a further request arrives.

Before: [200] on each connection; after: [200, 503], the refusal of a host that stops.

--- a/src/gateway/gateway_server.ts
+++ b/src/gateway/gateway_server.ts
@@ -122,11 +122,9 @@
   /** Stops accepting connections; resolves once no request is in flight. */
   async close(): Promise<void> {
     this.server.close();
-    while (this.inFlight > 0) {
-      this.server.closeIdleConnections();
+    while (!(await this.server.endIdleConnections()) || this.inFlight > 0) {
       await sleep(IDLE_CLOSE_INTERVAL_MS);
     }
-    this.server.closeIdleConnections();
   }
 
   /** Closes all connections, also those with requests in flight. */
--- a/src/servers/graceful_server.ts
+++ b/src/servers/graceful_server.ts
@@ -11,6 +11,7 @@
 import {PARSED_HEADER_COUNT} from '../http/index.js';
 import {ErrorBoundary} from '../lifecycle/index.js';
 import type {Milliseconds} from '../time/index.js';
+import {nextPoll} from '../time/index.js';
 import type {RequestErrorReporter} from './contained_listener.js';
 import {containedListener} from './contained_listener.js';
 import type {IncomingCall} from './types.js';
@@ -86,15 +87,32 @@
    * slow connection hasn't taken yet would be lost.
    */
   override closeIdleConnections(): void {
+    this.boundary.run(() => this.endIdleConnections());
+  }
+
+  /**
+   * Ends connections on which nothing is owed once what has arrived is read.
+   *
+   * @returns whether all connections have ended
+   */
+  async endIdleConnections(): Promise<boolean> {
+    await nextPoll();
+    let hasEndedAll = true;
     this.pending.forEach((owed, socket) => {
-      if (owed.size === 0 && !socket.writableEnded) {
-        socket.end();
-        setTimeout(
-          this.boundary.wrap(() => socket.destroy()),
-          LINGER_MS,
-        ).unref();
+      if (socket.writableEnded) {
+        return;
+      }
+      if (owed.size > 0) {
+        hasEndedAll = false;
+        return;
       }
+      socket.end();
+      setTimeout(
+        this.boundary.wrap(() => socket.destroy()),
+        LINGER_MS,
+      ).unref();
     });
+    return hasEndedAll;
   }
 }
 
--- a/tests/graceful_stop.test.ts
+++ b/tests/graceful_stop.test.ts
@@ -3,6 +3,7 @@
 import {afterEach, beforeEach, expect, test} from 'vitest';
 import type {ReportingUpstream} from '../src/standins/index.js';
 import {sleep} from '../src/time/index.js';
+import {blockAfter} from './support/blocking.js';
 import {
   GatewaySystem,
   type RunningHost,
@@ -13,7 +14,9 @@
 /** Buffered by the host; several fill the buffers of the connection. */
 const RESPONSE_BYTES = 900_000;
 const REQUESTS = 12;
-/** When a host of the tests has begun to refuse requests, after its stop signal. */
+/** When a host of the tests closes idle connections, after its stop signal. */
+const SWEEP_MS = 1_000;
+/** When it has begun to refuse requests. */
 const FINISHING_MS = 1_080;
 
 let system: GatewaySystem;
@@ -131,6 +134,22 @@
   await until(() => callers.every(({hasEnded}) => hasEnded));
 });
 
+// Guards against unread requests that are closed because a timer comes before them.
+test('a stop answers what arrived before it closed idle connections', async () => {
+  const callers = Array.from({length: 5}, () => new RawCaller());
+  callers.forEach(caller => caller.send(['/lookup/1']));
+  await until(() => callers.every(({received}) => received !== ''));
+  const stopped = host.host.stop();
+  await blockAfter(SWEEP_MS - 50, 100, () =>
+    callers.forEach(caller => caller.send(['/lookup/2'])),
+  );
+  await until(() => callers.every(({hasEnded}) => hasEnded));
+  expect(callers.map(({responses}) => responses.statuses)).toEqual(
+    callers.map(() => [200, 503]),
+  );
+  await stopped;
+});
+
 // Guards against requests that count as in flight for ever once their caller has left.
 test('requests of a connection that breaks end together', async () => {
   one.workMs = 10_000;
