Accept the connections that wait before a stop closes the listener

Callers saw resets on new connections around the end of a stop's accepting phase, up to a second after they had sent their request.

Cause: the system resets connections that wait to be accepted when their listener closes. After a pause of the host all that came meanwhile wait there, with whole requests.

A stop now accepts first, until the loop polls and no connection comes. Node accepts one each time that it polls. The number is bounded, so that callers that connect again after each refusal don't delay the close.

Failed try: a bound of 500 ms. The bound therefore counts connections.

Evidence: the test blocks the event loop past the close while 20 connections arrive. Before: no answer on any; after: 503 on all.

--- a/src/caller/caller_server.ts
+++ b/src/caller/caller_server.ts
@@ -82,9 +82,10 @@
    * Stops accepting connections and lets requests in flight finish. Further
    * responses close their connection, so that keep-alive callers disconnect.
    */
-  close(): Promise<void> {
+  async close(): Promise<void> {
     this.stopping = true;
-    return new Promise(resolve => {
+    await this.server.acceptWaiting();
+    await new Promise<void>(resolve => {
       // A connection that was busy at the start of the shutdown becomes idle
       // later, and its keep-alive would delay the shutdown up to the limit.
       const stopSweep = this.server.startIdleSweep(IDLE_SWEEP_MS);
@@ -92,7 +93,6 @@
         stopSweep();
         resolve();
       });
-      this.server.closeIdleConnections();
     });
   }
 
--- a/src/gateway/gateway_server.ts
+++ b/src/gateway/gateway_server.ts
@@ -121,6 +121,7 @@
 
   /** Stops accepting connections; resolves once no request is in flight. */
   async close(): Promise<void> {
+    await this.server.acceptWaiting();
     this.server.close();
     while (!(await this.server.endIdleConnections()) || this.inFlight > 0) {
       await sleep(IDLE_CLOSE_INTERVAL_MS);
--- a/src/servers/graceful_server.ts
+++ b/src/servers/graceful_server.ts
@@ -18,11 +18,14 @@
 
 /** Time for the other side to close a connection that this one has ended. */
 const LINGER_MS: Milliseconds = 1_000;
+/** Callers that connect again after each refusal must not delay the close. */
+const MAX_LATE_CONNECTIONS = 512;
 
 export class GracefulServer extends Server {
   override maxHeadersCount: number | null = PARSED_HEADER_COUNT;
   /** Responses of each open connection whose last byte hasn't been sent. */
   private readonly pending = new Map<Socket, Set<ServerResponse>>();
+  private acceptedCount = 0;
 
   /** Handles a request that Node passes on by another event than `request`. */
   readonly accept: RequestListener;
@@ -39,6 +42,7 @@
     const boundary = new ErrorBoundary(error => reportError(error));
     this.boundary = boundary;
     boundary.listen(this, 'connection', (socket: Socket) => {
+      this.acceptedCount += 1;
       this.pending.set(socket, new Set());
       boundary.listenOnce(socket, 'close', () => this.forget(socket));
     });
@@ -81,6 +85,20 @@
       .forEach(response => response.emit('close'));
   }
 
+  /**
+   * Accepts the connections that wait, before `close`: the system resets those that
+   * weren't accepted, with the requests that were sent on them.
+   */
+  async acceptWaiting(): Promise<void> {
+    const last = this.acceptedCount + MAX_LATE_CONNECTIONS;
+    let count: number;
+    do {
+      count = this.acceptedCount;
+      // Node accepts one connection each time that it polls.
+      await nextPoll();
+    } while (this.acceptedCount > count && this.acceptedCount < last);
+  }
+
   /**
    * Closes connections on which nothing is owed. For Node, whose method this replaces
    * also where `close` calls it, a response is complete once it was handed over, and what a
--- a/tests/graceful_stop.test.ts
+++ b/tests/graceful_stop.test.ts
@@ -150,6 +150,21 @@
   await stopped;
 });
 
+// Guards against connections that the end of the listener resets.
+test('a stop accepts connections that wait', async () => {
+  const stopped = host.host.stop();
+  let callers: readonly RawCaller[] = [];
+  await blockAfter(SWEEP_MS - 50, 100, () => {
+    callers = Array.from({length: 20}, () => new RawCaller());
+    callers.forEach(caller => caller.send(['/lookup/1']));
+  });
+  await until(() => callers.every(({hasEnded}) => hasEnded));
+  expect(callers.map(({responses}) => responses.statuses)).toEqual(
+    callers.map(() => [503]),
+  );
+  await stopped;
+});
+
 // Guards against requests that count as in flight for ever once their caller has left.
 test('requests of a connection that breaks end together', async () => {
   one.workMs = 10_000;
