Read what has arrived before the idle timeout of a server's connection

A request that waits unread when the idle timeout of its connection passes was lost: Node closes the connection from the timer, before the loop polls for input. That holds for callers, the operators' readiness and metrics requests, and hosts that ask to follow.

Servers now handle the timeout themselves: the loop polls once more, and only a connection that brought no bytes is closed. Node starts the timeout anew when bytes arrive.

Not changed: Node's timeout for heads closes with 408, and its margin of 2 s covers pauses. Upstreams' idle timer closes at once as before: a connection in a pool carries nothing that is owed, and one that was idle for too long must not be taken by a request read in the meantime.

Evidence: the test blocks the event loop past the timeout while a request arrives.

--- a/src/fleet/relay_server.ts
+++ b/src/fleet/relay_server.ts
@@ -16,7 +16,12 @@
 import {ErrorBoundary} from '../lifecycle/index.js';
 import type {SocketAddress} from '../platform/index.js';
 import type {IncomingCall} from '../servers/index.js';
-import {closeNow, containedListener, listen} from '../servers/index.js';
+import {
+  closeNow,
+  containedListener,
+  listen,
+  readBeforeIdleTimeout,
+} from '../servers/index.js';
 import type {Milliseconds} from '../time/index.js';
 import type {FleetState} from './fleet_state.js';
 import {decodeFollowRequest} from './follow_request.js';
@@ -77,6 +82,7 @@
       call => this.handleRequest(call),
     );
     this.server = createServer(listener);
+    readBeforeIdleTimeout(this.server, this.boundary);
     this.boundary.listen(
       this.server,
       'upgrade',
--- a/src/gateway/metrics_server.ts
+++ b/src/gateway/metrics_server.ts
@@ -3,8 +3,14 @@
 import type {Server} from 'node:http';
 import {createServer} from 'node:http';
 import type {ErrorReporter} from '../lifecycle/index.js';
+import {ErrorBoundary} from '../lifecycle/index.js';
 import type {SocketAddress} from '../platform/index.js';
-import {closeNow, containedListener, listen} from '../servers/index.js';
+import {
+  closeNow,
+  containedListener,
+  listen,
+  readBeforeIdleTimeout,
+} from '../servers/index.js';
 
 const METRICS_PATH = '/metrics';
 const NOT_FOUND = 404;
@@ -13,8 +19,11 @@
   private readonly server: Server;
 
   constructor(text: () => Promise<string>, reportError: ErrorReporter) {
+    const report = (error: unknown): void =>
+      reportError(error, {unit: 'metrics server'});
+    const boundary = new ErrorBoundary(report);
     const listener = containedListener(
-      error => reportError(error, {unit: 'metrics server'}),
+      report,
       ({request, response, boundary}) => {
         if (request.url !== METRICS_PATH) {
           response.statusCode = NOT_FOUND;
@@ -28,6 +37,7 @@
       },
     );
     this.server = createServer(listener);
+    readBeforeIdleTimeout(this.server, boundary);
   }
 
   listen(address: SocketAddress): Promise<number> {
--- a/src/gateway/readiness_server.ts
+++ b/src/gateway/readiness_server.ts
@@ -3,9 +3,15 @@
 import type {Server} from 'node:http';
 import {createServer} from 'node:http';
 import type {ErrorReporter} from '../lifecycle/index.js';
+import {ErrorBoundary} from '../lifecycle/index.js';
 import type {SocketAddress} from '../platform/index.js';
 import {READINESS_PATH} from '../platform/index.js';
-import {closeNow, containedListener, listen} from '../servers/index.js';
+import {
+  closeNow,
+  containedListener,
+  listen,
+  readBeforeIdleTimeout,
+} from '../servers/index.js';
 
 const READY = 200;
 const NOT_READY = 503;
@@ -15,19 +21,20 @@
   private readonly server: Server;
 
   constructor(isReady: () => boolean, reportError: ErrorReporter) {
-    const listener = containedListener(
-      error => reportError(error, {unit: 'readiness server'}),
-      ({request, response}) => {
-        if (request.url !== READINESS_PATH) {
-          response.statusCode = NOT_FOUND;
-          response.end();
-          return;
-        }
-        response.statusCode = isReady() ? READY : NOT_READY;
+    const report = (error: unknown): void =>
+      reportError(error, {unit: 'readiness server'});
+    const boundary = new ErrorBoundary(report);
+    const listener = containedListener(report, ({request, response}) => {
+      if (request.url !== READINESS_PATH) {
+        response.statusCode = NOT_FOUND;
         response.end();
-      },
-    );
+        return;
+      }
+      response.statusCode = isReady() ? READY : NOT_READY;
+      response.end();
+    });
     this.server = createServer(listener);
+    readBeforeIdleTimeout(this.server, boundary);
   }
 
   listen(address: SocketAddress): Promise<number> {
--- a/src/servers/graceful_server.ts
+++ b/src/servers/graceful_server.ts
@@ -14,6 +14,7 @@
 import {nextPoll} from '../time/index.js';
 import type {RequestErrorReporter} from './contained_listener.js';
 import {containedListener} from './contained_listener.js';
+import {readBeforeIdleTimeout} from './idle_timeout.js';
 import type {IncomingCall} from './types.js';
 
 /** Time for the other side to close a connection that this one has ended. */
@@ -41,6 +42,7 @@
     this.accept = accept;
     const boundary = new ErrorBoundary(error => reportError(error));
     this.boundary = boundary;
+    readBeforeIdleTimeout(this, boundary);
     boundary.listen(this, 'connection', (socket: Socket) => {
       this.acceptedCount += 1;
       this.pending.set(socket, new Set());
--- /dev/null
+++ b/tests/unread_input.test.ts
@@ -0,0 +1,57 @@
+import {once} from 'node:events';
+import type {Socket} from 'node:net';
+import {connect} from 'node:net';
+import {afterEach, expect, test} from 'vitest';
+import {GracefulServer, listen} from '../src/servers/index.js';
+import {blockAfter} from './support/blocking.js';
+
+const IDLE_MS = 100;
+const GET = 'GET / HTTP/1.1\r\nHost: a\r\n\r\n';
+
+const closers: (() => void)[] = [];
+
+afterEach(() => closers.splice(0).forEach(close => close()));
+
+function fail(error: unknown): void {
+  throw error;
+}
+
+async function openSocket(port: number): Promise<Socket> {
+  const socket = connect(port, '127.0.0.1');
+  closers.push(() => socket.destroy());
+  socket.on('error', () => undefined);
+  await once(socket, 'connect');
+  return socket;
+}
+
+// Guards against unread requests that the idle timeout of their connection discards.
+test('a request that has arrived is read before an idle timeout', async () => {
+  const server = new GracefulServer(
+    {keepAliveTimeout: IDLE_MS},
+    fail,
+    ({request, response}) => {
+      server.noteRequest(request, response);
+      response.end(request.url);
+    },
+  );
+  closers.push(() => server.closeAllConnections());
+  const port = await listen(server, '127.0.0.1', 0);
+  const first = await openSocket(port);
+  first.write(GET);
+  await once(first, 'data');
+  const idleSince = performance.now();
+  // Some releases of Node add a second to the timeout.
+  await once(first, 'close');
+  const timeoutMs = performance.now() - idleSince;
+  const socket = await openSocket(port);
+  let received = '';
+  socket.on('data', chunk => (received += chunk.toString()));
+  socket.write(GET);
+  await once(socket, 'data');
+  await blockAfter(timeoutMs - 50, 100, () => {
+    received = '';
+    socket.write(GET);
+  });
+  await once(socket, 'close');
+  expect(received).toContain('200 OK');
+});
