Read what has arrived before a tunnel closes as idle

The idle timeout of a tunnel is a timer too: after a pause it destroyed both sides although bytes of one of them waited unread.

It now closes a side only if the loop polled once more and brought nothing.

Evidence: the test blocks the event loop past a timeout while bytes arrive. The test is of the function that tunnels use; with their timeout of a minute it isn't run on a tunnel.

--- a/src/tunnels/tunnel_server.ts
+++ b/src/tunnels/tunnel_server.ts
@@ -17,6 +17,7 @@
 import type {ErrorReporter} from '../lifecycle/index.js';
 import {ErrorBoundary} from '../lifecycle/index.js';
 import {parseAddress} from '../platform/index.js';
+import {closeWhenIdle} from '../servers/index.js';
 import type {Clock, Milliseconds} from '../time/index.js';
 import {sleep} from '../time/index.js';
 import {
@@ -168,10 +169,7 @@
       this.log(tunnel, target);
       caller.setNoDelay(true);
       [caller, upstream].forEach(socket =>
-        socket.setTimeout(
-          IDLE_TIMEOUT_MS,
-          boundary.wrap(() => socket.destroy()),
-        ),
+        closeWhenIdle(socket, IDLE_TIMEOUT_MS, boundary),
       );
       caller.write(head(OPENED_STATUS));
       splice(caller, upstream, boundary);
--- a/tests/unread_input.test.ts
+++ b/tests/unread_input.test.ts
@@ -1,8 +1,9 @@
 import {once} from 'node:events';
 import type {Socket} from 'node:net';
-import {connect} from 'node:net';
+import {connect, createServer} from 'node:net';
 import {afterEach, expect, test} from 'vitest';
-import {GracefulServer, listen} from '../src/servers/index.js';
+import {ErrorBoundary} from '../src/lifecycle/index.js';
+import {GracefulServer, closeWhenIdle, listen} from '../src/servers/index.js';
 import {blockAfter} from './support/blocking.js';
 
 const IDLE_MS = 100;
@@ -55,3 +56,21 @@
   await once(socket, 'close');
   expect(received).toContain('200 OK');
 });
+
+// Guards against tunnels that end although bytes have arrived.
+test('bytes that have arrived are read before a connection counts as idle', async () => {
+  const server = createServer();
+  closers.push(() => server.close());
+  server.listen(0, '127.0.0.1');
+  await once(server, 'listening');
+  const {port} = server.address() as {port: number};
+  const accepted = once(server, 'connection') as Promise<[Socket]>;
+  const sender = await openSocket(port);
+  const [receiver] = await accepted;
+  closeWhenIdle(receiver, IDLE_MS, new ErrorBoundary(fail));
+  let received = '';
+  receiver.on('data', chunk => (received += chunk.toString()));
+  await blockAfter(IDLE_MS - 50, 100, () => sender.write('late'));
+  await once(receiver, 'close');
+  expect(received).toBe('late');
+});
