Read what has arrived before a followed host counts as silent

After a pause a follower took its parent for silent and left it, though its heartbeats waited unread: the silence timeout runs before the loop polls for input. All followers of a machine that is starved for 700 ms would search for another parent at once.

The stream ends only if the loop polled once more and brought nothing.

Evidence: the test blocks the event loop past the timeout while a heartbeat arrives. Before: 'silent for 700 ms'; after: the stream goes on.

--- a/src/fleet/relay_client.ts
+++ b/src/fleet/relay_client.ts
@@ -8,6 +8,7 @@
 import {ErrorBoundary} from '../lifecycle/index.js';
 import {parseAddress} from '../platform/index.js';
 import type {Milliseconds} from '../time/index.js';
+import {nextPoll} from '../time/index.js';
 import {encodeFollowRequest} from './follow_request.js';
 import type {StateVersions} from './types.js';
 
@@ -33,7 +34,7 @@
   private readonly outgoing: ClientRequest;
   private readonly decoder = new StringDecoder('utf8');
   private timer: NodeJS.Timeout;
-  private hasReceivedData = false;
+  private receivedBytes = 0;
   private partialLine = '';
   private ended = false;
 
@@ -94,13 +95,13 @@
   }
 
   private receive(chunk: Buffer): void {
-    if (this.hasReceivedData) {
+    if (this.receivedBytes > 0) {
       this.timer.refresh();
     } else {
-      this.hasReceivedData = true;
       clearTimeout(this.timer);
       this.timer = this.startSilenceTimer(SILENCE_TIMEOUT_MS);
     }
+    this.receivedBytes += chunk.length;
     const lines = (this.partialLine + this.decoder.write(chunk)).split('\n');
     this.partialLine = lines.pop() ?? '';
     for (const line of lines) {
@@ -118,11 +119,19 @@
 
   private startSilenceTimer(afterMs: Milliseconds): NodeJS.Timeout {
     return setTimeout(
-      this.boundary.wrap(() => this.end(`silent for ${afterMs} ms`)),
+      this.boundary.wrap(() => this.endUnlessReadable(afterMs)),
       afterMs,
     );
   }
 
+  private async endUnlessReadable(silentMs: Milliseconds): Promise<void> {
+    const {receivedBytes} = this;
+    await nextPoll();
+    if (this.receivedBytes === receivedBytes) {
+      this.end(`silent for ${silentMs} ms`);
+    }
+  }
+
   private end(reason: string, fault: PeerFault = 'unreachable'): void {
     if (this.ended) {
       return;
--- a/tests/unread_input.test.ts
+++ b/tests/unread_input.test.ts
@@ -1,12 +1,19 @@
 import {once} from 'node:events';
+import type {ServerResponse} from 'node:http';
+import {createServer as createHttpServer} from 'node:http';
 import type {Socket} from 'node:net';
 import {connect, createServer} from 'node:net';
 import {afterEach, expect, test} from 'vitest';
+import {RelayClient} from '../src/fleet/relay_client.js';
 import {ErrorBoundary} from '../src/lifecycle/index.js';
 import {GracefulServer, closeWhenIdle, listen} from '../src/servers/index.js';
+import {sleep} from '../src/time/index.js';
 import {blockAfter} from './support/blocking.js';
+import {until} from './support/gateway.js';
 
 const IDLE_MS = 100;
+/** After which a follower leaves its parent. */
+const SILENCE_MS = 700;
 const GET = 'GET / HTTP/1.1\r\nHost: a\r\n\r\n';
 
 const closers: (() => void)[] = [];
@@ -74,3 +81,36 @@
   await once(receiver, 'close');
   expect(received).toBe('late');
 });
+
+// Guards against followers that leave a parent whose heartbeats wait unread.
+test('a follower reads what has arrived before a parent counts as silent', async () => {
+  const server = createHttpServer();
+  closers.push(() => server.closeAllConnections());
+  const port = await listen(server, '127.0.0.1', 0);
+  const followed = once(server, 'request') as Promise<
+    [unknown, ServerResponse]
+  >;
+  let updates = 0;
+  const ends: string[] = [];
+  const client = new RelayClient(
+    `127.0.0.1:${port}`,
+    {address: '127.0.0.1:1', dataCentre: 'east'},
+    [],
+    {} as never,
+    Infinity,
+    {
+      onUpdate: () => (updates += 1),
+      onEnd: (_fault, reason) => ends.push(reason),
+      onError: fail,
+    },
+  );
+  closers.push(() => client.close());
+  const [, response] = await followed;
+  const sendHeartbeat = (): boolean => response.write('{"kind":"alive"}\n');
+  sendHeartbeat();
+  await until(() => updates === 1);
+  await blockAfter(SILENCE_MS - 50, 100, sendHeartbeat);
+  await sleep(50);
+  expect(ends).toEqual([]);
+  expect(updates).toBe(2);
+});
