Let the rest of a head arrive before a stop closes its connection

A connection on which half of a head had arrived counted as idle, for the server only knows requests whose head is complete. A stop ended it in the middle of the request, and the caller got no answer.

Connections now count the bytes read when their last request had ended; a connection with more than these isn't idle. The same holds for a body that still arrives after an early answer. The wait is a second at most, and never beyond the end of the stop.

Before: no answer; after: 503.

--- a/src/servers/graceful_server.ts
+++ b/src/servers/graceful_server.ts
@@ -22,10 +22,21 @@
 /** Callers that connect again after each refusal must not delay the close. */
 const MAX_LATE_CONNECTIONS = 512;
 
+/** Time for the rest of a request's head to arrive once its connection is to close. */
+const MAX_HEAD_WAIT_MS: Milliseconds = 1_000;
+
+interface OpenConnection {
+  /** Responses whose last byte hasn't been sent. */
+  readonly owed: Set<ServerResponse>;
+  /** Bytes read from it when its last request had ended. */
+  consumedBytes: number;
+  /** When a connection to be closed was first found with the beginning of a request. */
+  waitingSince?: Milliseconds;
+}
+
 export class GracefulServer extends Server {
   override maxHeadersCount: number | null = PARSED_HEADER_COUNT;
-  /** Responses of each open connection whose last byte hasn't been sent. */
-  private readonly pending = new Map<Socket, Set<ServerResponse>>();
+  private readonly openConnections = new Map<Socket, OpenConnection>();
   private acceptedCount = 0;
 
   /** Handles a request that Node passes on by another event than `request`. */
@@ -45,7 +56,7 @@
     readBeforeIdleTimeout(this, boundary);
     boundary.listen(this, 'connection', (socket: Socket) => {
       this.acceptedCount += 1;
-      this.pending.set(socket, new Set());
+      this.openConnections.set(socket, {owed: new Set(), consumedBytes: 0});
       boundary.listenOnce(socket, 'close', () => this.forget(socket));
     });
   }
@@ -68,20 +79,32 @@
    * @returns earlier responses that are owed on the same connection
    */
   noteRequest(
-    {socket}: IncomingMessage,
+    request: IncomingMessage,
     response: ServerResponse,
   ): readonly ServerResponse[] {
-    const owed = this.pending.get(socket);
-    const earlier = [...(owed ?? [])];
-    owed?.add(response);
-    this.boundary.listenOnce(response, 'close', () => owed?.delete(response));
+    const {socket} = request;
+    const connection = this.openConnections.get(socket);
+    if (!connection) {
+      return [];
+    }
+    const {owed} = connection;
+    const earlier = [...owed];
+    const noteConsumed = (): void => {
+      connection.consumedBytes = socket.bytesRead;
+    };
+    owed.add(response);
+    this.boundary.listenOnce(request, 'close', noteConsumed);
+    this.boundary.listenOnce(response, 'close', () => {
+      owed.delete(response);
+      noteConsumed();
+    });
     return earlier;
   }
 
   /** Node reports only to the first of several responses that a connection has closed. */
   private forget(socket: Socket): void {
-    const owed = this.pending.get(socket) ?? [];
-    this.pending.delete(socket);
+    const {owed = []} = this.openConnections.get(socket) ?? {};
+    this.openConnections.delete(socket);
     [...owed]
       .filter(response => response.socket === null)
       .forEach(response => response.emit('close'));
@@ -118,11 +141,11 @@
   async endIdleConnections(): Promise<boolean> {
     await nextPoll();
     let hasEndedAll = true;
-    this.pending.forEach((owed, socket) => {
+    this.openConnections.forEach((connection, socket) => {
       if (socket.writableEnded) {
         return;
       }
-      if (owed.size > 0) {
+      if (connection.owed.size > 0 || isArriving(connection, socket)) {
         hasEndedAll = false;
         return;
       }
@@ -136,6 +159,19 @@
   }
 }
 
+/**
+ * Whether the beginning of a request has arrived on a connection that is to close, or the
+ * rest of a body that was answered early still does.
+ */
+function isArriving(connection: OpenConnection, {bytesRead}: Socket): boolean {
+  if (bytesRead === connection.consumedBytes) {
+    return false;
+  }
+  const now = performance.now();
+  connection.waitingSince ??= now;
+  return now - connection.waitingSince < MAX_HEAD_WAIT_MS;
+}
+
 /**
  * Whether a connection ends before the response to a request could be sent on it. The
  * request must not be passed on then: its caller may send it again.
--- a/tests/graceful_stop.test.ts
+++ b/tests/graceful_stop.test.ts
@@ -150,6 +150,19 @@
   await stopped;
 });
 
+// Guards against heads that arrive in parts, which a stop would cut.
+test('a stop waits for the rest of a head', async () => {
+  const caller = new RawCaller();
+  const stopped = host.host.stop();
+  await sleep(SWEEP_MS - 50);
+  caller.socket.write('GET /lookup/1 HTTP/1.1\r\nHost: shop.ex');
+  await sleep(150);
+  caller.socket.write('ample\r\n\r\n');
+  await until(() => caller.hasEnded);
+  expect(caller.responses.statuses).toEqual([503]);
+  await stopped;
+});
+
 // Guards against connections that the end of the listener resets.
 test('a stop accepts connections that wait', async () => {
   const stopped = host.host.stop();
