Take no connection whose upstream has ended it

An idle connection left its pool when its socket closed, which Node reports in a later turn of the event loop than the end of its input. A request that was read in between, as happens when all that came during a pause is read in one turn, was written on a connection that the upstream had ended: a broken attempt, whose order may have run for all that the host can tell.

The pool now drops a connection when its end is read.

Evidence: in the test an upstream ends a kept connection and a byte arrives right after it; when that is read, the pool still offered the connection in 3 of 3 runs before, and in none of 3 after.

--- a/src/upstreams/connection.ts
+++ b/src/upstreams/connection.ts
@@ -44,7 +44,7 @@
 /** Node reads no socket after an error, but its types require one. */
 const NO_SOCKET = undefined as unknown as Duplex;
 
-/** An agent with one socket, which it destroys if data arrives while idle. */
+/** An agent with one socket, which it destroys if data or its end arrives while idle. */
 class SingleSocketAgent extends Agent {
   /** Stops listening to the idle socket. */
   private stopListening: (() => void) | undefined;
@@ -86,6 +86,8 @@
     const {boundary, onIdleClosed} = this;
     const listeners = [
       boundary.listen(socket, 'data', () => socket.destroy()),
+      // Node reports the close only in a later turn of the event loop.
+      boundary.listenOnce(socket, 'end', onIdleClosed),
       boundary.listenOnce(socket, 'close', onIdleClosed),
     ];
     this.stopListening = () => listeners.forEach(stop => stop());
--- a/tests/unread_input.test.ts
+++ b/tests/unread_input.test.ts
@@ -1,5 +1,5 @@
 import {once} from 'node:events';
-import type {ServerResponse} from 'node:http';
+import type {IncomingMessage, ServerResponse} from 'node:http';
 import {createServer as createHttpServer} from 'node:http';
 import type {Socket} from 'node:net';
 import {connect, createServer} from 'node:net';
@@ -8,6 +8,7 @@
 import {ErrorBoundary} from '../src/lifecycle/index.js';
 import {GracefulServer, closeWhenIdle, listen} from '../src/servers/index.js';
 import {sleep} from '../src/time/index.js';
+import {ConnectionPool} from '../src/upstreams/index.js';
 import {blockAfter} from './support/blocking.js';
 import {until} from './support/gateway.js';
 
@@ -114,3 +115,38 @@
   expect(ends).toEqual([]);
   expect(updates).toBe(2);
 });
+
+// Guards against requests on a connection that its upstream has ended, which may be orders.
+test('a connection whose end has been read carries no further request', async () => {
+  const server = createServer({allowHalfOpen: true});
+  closers.push(() => server.close());
+  server.listen(0, '127.0.0.1');
+  await once(server, 'listening');
+  const {port} = server.address() as {port: number};
+  const pool = new ConnectionPool({ip: '127.0.0.1', port}, fail);
+  closers.push(() => pool.closeAll());
+  const accepted = once(server, 'connection') as Promise<[Socket]>;
+  const connection = pool.acquire();
+  const head = {method: 'GET', path: '/', headers: ['Host', 'a']};
+  const outgoing = connection.startRequest(head);
+  const responded = once(outgoing, 'response') as Promise<[IncomingMessage]>;
+  outgoing.end();
+  const [upstream] = await accepted;
+  await once(upstream, 'data');
+  upstream.write('HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n');
+  const [response] = await responded;
+  await once(response.resume(), 'close');
+  const next = once(server, 'connection') as Promise<[Socket]>;
+  const witness = await openSocket(port);
+  const [signal] = await next;
+  // Without earlier events, the two that follow are read in the order of their arrival.
+  await sleep(20);
+  pool.release(connection);
+  // Arrives right after the end, and is read in the same turn of the event loop.
+  upstream.once('finish', () => signal.write('now'));
+  upstream.end();
+  const needsNewConnection = await new Promise(resolve => {
+    witness.once('data', () => resolve(pool.needsNewConnection));
+  });
+  expect(needsNewConnection).toBe(true);
+});
