Answer a request that arrives behind a response under way during a stop

A caller that sent requests together and read slowly lost one during a stop: its connection was closed after the answers before it, without an answer, and the host counted an internal error.

Cause: the announcement of the close moves from earlier responses to the latest. For one whose headers have been sent Node throws (`Cannot remove headers after they are sent`); the boundary contained the error and ended the request, which hadn't run.

Only responses that haven't begun give up their announcement now, for callers of both programs. One that has begun with it ends the connection, and a request behind it is dropped as before.

Evidence: the test sends 12 requests, stops the host while the caller doesn't read, and sends another.

--- a/src/caller/caller_server.ts
+++ b/src/caller/caller_server.ts
@@ -32,7 +32,12 @@
 import {CallerSession} from './session.js';
 import type {CallerContext} from './types.js';
 import type {IncomingCall} from '../servers/index.js';
-import {GracefulServer, isClosing, listen} from '../servers/index.js';
+import {
+  GracefulServer,
+  closeAfter,
+  isClosing,
+  listen,
+} from '../servers/index.js';
 
 const IDLE_SWEEP_MS = 20;
 const DEFAULT_TENANT = 'none';
@@ -108,8 +113,7 @@
       return;
     }
     if (this.stopping) {
-      earlier.forEach(one => one.removeHeader('connection'));
-      response.setHeader('connection', 'close');
+      closeAfter(response, earlier);
     }
     const fault = findRequestFault(request);
     if (fault) {
--- a/src/gateway/gateway_server.ts
+++ b/src/gateway/gateway_server.ts
@@ -11,7 +11,12 @@
 import type {SocketAddress} from '../platform/index.js';
 import {HEADERS} from '../platform/index.js';
 import type {IncomingCall} from '../servers/index.js';
-import {GracefulServer, isClosing, listen} from '../servers/index.js';
+import {
+  GracefulServer,
+  closeAfter,
+  isClosing,
+  listen,
+} from '../servers/index.js';
 import type {Milliseconds} from '../time/index.js';
 import {sleep} from '../time/index.js';
 import type {ParserError} from './connection_faults.js';
@@ -164,8 +169,7 @@
       this.inFlight -= 1;
     });
     if (this.phase !== 'running') {
-      earlier.forEach(one => one.removeHeader('connection'));
-      response.setHeader('connection', 'close');
+      closeAfter(response, earlier);
     }
     const fault = findRequestFault(request);
     if (fault) {
--- a/src/servers/graceful_server.ts
+++ b/src/servers/graceful_server.ts
@@ -187,3 +187,17 @@
     earlier.some(one => one.headersSent && one.hasHeader('connection'))
   );
 }
+
+/**
+ * Makes a response the last one on its connection, in place of an earlier one that
+ * hasn't begun.
+ */
+export function closeAfter(
+  response: ServerResponse,
+  earlier: readonly ServerResponse[],
+): void {
+  earlier
+    .filter(({headersSent}) => !headersSent)
+    .forEach(one => one.removeHeader('connection'));
+  response.setHeader('connection', 'close');
+}
--- a/tests/graceful_stop.test.ts
+++ b/tests/graceful_stop.test.ts
@@ -150,6 +150,27 @@
   await stopped;
 });
 
+// Guards against a request that is dropped because an earlier response has begun.
+test('a request behind a slow response is answered during a stop', async () => {
+  await until(async () => (await system.call(host)).status === 200);
+  one.extraBytes = RESPONSE_BYTES;
+  const caller = new RawCaller();
+  caller.socket.pause();
+  caller.send(Array.from({length: REQUESTS}, () => '/lookup/1'));
+  await until(() => one.runs.length >= 4);
+  await sleep(300);
+  const stopped = host.host.stop();
+  await sleep(100);
+  caller.send(['/lookup/2']);
+  await sleep(100);
+  caller.socket.resume();
+  await until(() => caller.hasEnded);
+  const {statuses, isTruncated} = caller.responses;
+  expect(isTruncated).toBe(false);
+  expect(statuses).toHaveLength(REQUESTS + 1);
+  await stopped;
+});
+
 // Guards against heads that arrive in parts, which a stop would cut.
 test('a stop waits for the rest of a head', async () => {
   const caller = new RawCaller();
