--- a/src/caller/caller_server.ts
+++ b/src/caller/caller_server.ts
@@ -32,7 +32,12 @@
 import {CallerSession} from './session.js';
 import type {CallerContext} from './types.js';
 import type {IncomingCall} from '../servers/index.js';
-import {GracefulServer, isClosing, listen} from '../servers/index.js';
+import {
+  GracefulServer,
+  closeAfter,
+  isClosing,
+  listen,
+} from '../servers/index.js';
 
 const IDLE_SWEEP_MS = 20;
 const DEFAULT_TENANT = 'none';
@@ -82,9 +87,10 @@
    * Stops accepting connections and lets requests in flight finish. Further
    * responses close their connection, so that keep-alive callers disconnect.
    */
-  close(): Promise<void> {
+  async close(): Promise<void> {
     this.stopping = true;
-    return new Promise(resolve => {
+    await this.server.acceptWaiting();
+    await new Promise<void>(resolve => {
       // A connection that was busy at the start of the shutdown becomes idle
       // later, and its keep-alive would delay the shutdown up to the limit.
       const stopSweep = this.server.startIdleSweep(IDLE_SWEEP_MS);
@@ -92,7 +98,6 @@
         stopSweep();
         resolve();
       });
-      this.server.closeIdleConnections();
     });
   }
 
@@ -108,8 +113,7 @@
       return;
     }
     if (this.stopping) {
-      earlier.forEach(one => one.removeHeader('connection'));
-      response.setHeader('connection', 'close');
+      closeAfter(response, earlier);
     }
     const fault = findRequestFault(request);
     if (fault) {
--- a/src/gateway/gateway_server.ts
+++ b/src/gateway/gateway_server.ts
@@ -13,6 +13,7 @@
 import type {Delivery, IncomingCall} from '../servers/index.js';
 import {
   GracefulServer,
+  closeAfter,
   isClosing,
   listen,
   observeDelivery,
@@ -128,9 +129,10 @@
 
   /** Stops accepting connections; resolves once callers have received what is owed. */
   async close(): Promise<void> {
+    await this.server.acceptWaiting();
     this.server.close();
     while (this.server.openCount > 0) {
-      this.server.closeIdleConnections();
+      await this.server.endIdleConnections();
       await sleep(IDLE_CLOSE_INTERVAL_MS);
     }
   }
@@ -180,8 +182,7 @@
       this.inFlight -= 1;
     });
     if (this.phase !== 'running') {
-      earlier.forEach(one => one.removeHeader('connection'));
-      response.setHeader('connection', 'close');
+      closeAfter(response, earlier);
     }
     const fault = findRequestFault(request);
     if (fault) {
--- a/src/servers/graceful_server.ts
+++ b/src/servers/graceful_server.ts
@@ -11,23 +11,20 @@
 import {PARSED_HEADER_COUNT} from '../http/index.js';
 import {ErrorBoundary} from '../lifecycle/index.js';
 import type {Milliseconds} from '../time/index.js';
+import {nextPoll} from '../time/index.js';
 import type {RequestErrorReporter} from './contained_listener.js';
 import {containedListener} from './contained_listener.js';
+import {readBeforeIdleTimeout} from './idle_timeout.js';
+import {OpenConnection} from './open_connection.js';
 import type {IncomingCall} from './types.js';
 
-/** Time for a caller to close a connection that the server has ended. */
-const LINGER_MS: Milliseconds = 1_000;
-/** Bytes of a response that the slowest callers receive in a millisecond. */
-const SLOWEST_BYTES_PER_MS = 100;
+/** Callers that connect again after each refusal must not delay the close. */
+const MAX_LATE_CONNECTIONS = 512;
 
 export class GracefulServer extends Server {
   override maxHeadersCount: number | null = PARSED_HEADER_COUNT;
-  /** Responses of each open connection whose last byte hasn't been sent. */
-  private readonly pending = new Map<Socket, Set<ServerResponse>>();
-  /** Bytes that each connection had carried before its last request. */
-  private readonly bytesBefore = new WeakMap<Socket, number>();
-  /** Connections that this server has ended, and will close. */
-  private readonly ended = new WeakSet<Socket>();
+  private readonly openConnections = new Map<Socket, OpenConnection>();
+  private acceptedCount = 0;
 
   /** Handles a request that Node passes on by another event than `request`. */
   readonly accept: RequestListener;
@@ -43,17 +40,20 @@
     this.accept = accept;
     const boundary = new ErrorBoundary(error => reportError(error));
     this.boundary = boundary;
+    readBeforeIdleTimeout(this, boundary);
     boundary.listen(this, 'connection', (socket: Socket) => {
-      this.pending.set(socket, new Set());
+      const connection = new OpenConnection(socket, boundary);
+      this.acceptedCount += 1;
+      this.openConnections.set(socket, connection);
       // Node closes a connection by this method after a response that is its last.
-      socket.destroySoon = () => this.endConnection(socket);
+      socket.destroySoon = () => connection.end();
       boundary.listenOnce(socket, 'close', () => this.forget(socket));
     });
   }
 
   /** Connections that aren't closed yet, by this side or their caller. */
   get openCount(): number {
-    return this.pending.size;
+    return this.openConnections.size;
   }
 
   /** Closes idle connections at an interval; returns a function that stops this. */
@@ -86,7 +86,7 @@
             // One that has ended is being closed; its last response may be on its way.
             if (!socket.writableEnded) {
               listener(error, socket);
-              this.endConnection(socket);
+              this.openConnections.get(socket)?.end();
             }
           });
         }
@@ -99,7 +99,7 @@
    * own body is faulty is owed nothing: it would wait for the rest of that body.
    */
   private whenSettled(socket: Socket, callback: () => void): void {
-    const response = [...(this.pending.get(socket) ?? [])].find(
+    const response = this.owedOn(socket).find(
       ({req, headersSent}) => req.complete || headersSent,
     );
     if (!response || !socket.writable) {
@@ -117,57 +117,54 @@
    * @returns earlier responses that are owed on the same connection
    */
   noteRequest(
-    {socket}: IncomingMessage,
+    request: IncomingMessage,
     response: ServerResponse,
   ): readonly ServerResponse[] {
-    const owed = this.pending.get(socket);
-    const earlier = [...(owed ?? [])];
-    owed?.add(response);
-    this.bytesBefore.set(socket, socket.bytesWritten);
-    this.boundary.listenOnce(response, 'close', () => owed?.delete(response));
+    const earlier = this.owedOn(request.socket);
+    this.openConnections.get(request.socket)?.noteRequest(request, response);
     return earlier;
   }
 
+  private owedOn(socket: Socket): readonly ServerResponse[] {
+    return this.openConnections.get(socket)?.owedResponses ?? [];
+  }
+
   /** Node reports only to the first of several responses that a connection has closed. */
   private forget(socket: Socket): void {
-    const owed = this.pending.get(socket) ?? [];
-    this.pending.delete(socket);
-    [...owed]
+    const owed = this.owedOn(socket);
+    this.openConnections.delete(socket);
+    owed
       .filter(response => response.socket === null)
       .forEach(response => response.emit('close'));
   }
 
   /**
-   * Closes connections on which nothing is owed. For Node, whose method this replaces
-   * also where `close` calls it, a response is complete once it was handed over, and what a
-   * slow connection hasn't taken yet would be lost.
+   * Accepts the connections that wait, before `close`: the system resets those that
+   * weren't accepted, with the requests that were sent on them.
    */
-  override closeIdleConnections(): void {
-    this.pending.forEach((owed, socket) => {
-      if (owed.size === 0) {
-        this.endConnection(socket);
-      }
-    });
+  async acceptWaiting(): Promise<void> {
+    const last = this.acceptedCount + MAX_LATE_CONNECTIONS;
+    let count: number;
+    do {
+      count = this.acceptedCount;
+      // Node accepts one connection each time that it polls.
+      await nextPoll();
+    } while (this.acceptedCount > count && this.acceptedCount < last);
   }
 
   /**
-   * Ends a connection, and closes it once its caller has received all and does the same.
-   * Closed earlier, it would be reset by whatever the caller still sends, or by the end of
-   * the machine, and the caller would lose what was still on its way.
+   * Ends connections on which nothing is owed. For Node, whose method this replaces also where
+   * `close` calls it, a response is complete once it was handed over, and what a slow connection
+   * hasn't taken yet would be lost.
    */
-  private endConnection(socket: Socket): void {
-    if (socket.destroyed || this.ended.has(socket)) {
-      return;
-    }
-    this.ended.add(socket);
-    socket.end();
-    const bytes = socket.bytesWritten - (this.bytesBefore.get(socket) ?? 0);
-    const timer = setTimeout(
-      this.boundary.wrap(() => socket.destroy()),
-      LINGER_MS + bytes / SLOWEST_BYTES_PER_MS,
-    );
-    timer.unref();
-    this.boundary.listenOnce(socket, 'close', () => clearTimeout(timer));
+  override closeIdleConnections(): void {
+    this.boundary.run(() => this.endIdleConnections());
+  }
+
+  /** Ends connections on which nothing is owed once what has arrived is read. */
+  async endIdleConnections(): Promise<void> {
+    await nextPoll();
+    this.openConnections.forEach(connection => connection.endIfIdle());
   }
 }
 
@@ -186,3 +183,17 @@
     earlier.some(one => one.headersSent && one.hasHeader('connection'))
   );
 }
+
+/**
+ * Makes a response the last one on its connection, in place of an earlier one that
+ * hasn't begun.
+ */
+export function closeAfter(
+  response: ServerResponse,
+  earlier: readonly ServerResponse[],
+): void {
+  earlier
+    .filter(({headersSent}) => !headersSent)
+    .forEach(one => one.removeHeader('connection'));
+  response.setHeader('connection', 'close');
+}
--- /dev/null
+++ b/src/servers/open_connection.ts
@@ -0,0 +1,86 @@
+/** A connection of a caller: what is owed on it, and how it is closed. */
+
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {Socket} from 'node:net';
+import type {ErrorBoundary} from '../lifecycle/index.js';
+import type {Milliseconds} from '../time/index.js';
+import {systemClock} from '../time/index.js';
+
+/** Time for a caller to close a connection that has ended. */
+const LINGER_MS: Milliseconds = 1_000;
+/** Bytes of a response that the slowest callers receive in a millisecond. */
+const SLOWEST_BYTES_PER_MS = 100;
+/** Time for the rest of a request's head to arrive once its connection is to close. */
+const MAX_HEAD_WAIT_MS: Milliseconds = 1_000;
+
+export class OpenConnection {
+  /** Responses whose last byte hasn't been sent. */
+  private readonly owed = new Set<ServerResponse>();
+  /** Bytes read when the last request had ended. */
+  private consumedBytes = 0;
+  /** Bytes written before the last response. */
+  private bytesBefore = 0;
+  /** When the beginning of a request was first found on a connection to be closed. */
+  private waitingSince: Milliseconds | undefined;
+  private isEnded = false;
+
+  constructor(
+    readonly socket: Socket,
+    private readonly boundary: ErrorBoundary,
+  ) {}
+
+  get owedResponses(): readonly ServerResponse[] {
+    return [...this.owed];
+  }
+
+  noteRequest(request: IncomingMessage, response: ServerResponse): void {
+    const noteConsumed = (): void => {
+      this.consumedBytes = this.socket.bytesRead;
+    };
+    this.owed.add(response);
+    this.bytesBefore = this.socket.bytesWritten;
+    this.boundary.listenOnce(request, 'close', noteConsumed);
+    this.boundary.listenOnce(response, 'close', () => {
+      this.owed.delete(response);
+      noteConsumed();
+    });
+  }
+
+  /** Ends it unless a response is owed on it, or the beginning of a request has arrived. */
+  endIfIdle(): void {
+    if (this.owed.size === 0 && !this.isArriving) {
+      this.end();
+    }
+  }
+
+  /**
+   * Ends a connection, and closes it once its caller has received all and does the same.
+   * Closed earlier, it would be reset by whatever the caller still sends, or by the end of
+   * the machine, and the caller would lose what was still on its way.
+   */
+  end(): void {
+    const {socket} = this;
+    if (socket.destroyed || this.isEnded) {
+      return;
+    }
+    this.isEnded = true;
+    socket.end();
+    const bytes = socket.bytesWritten - this.bytesBefore;
+    const timer = setTimeout(
+      this.boundary.wrap(() => socket.destroy()),
+      LINGER_MS + bytes / SLOWEST_BYTES_PER_MS,
+    );
+    timer.unref();
+    this.boundary.listenOnce(socket, 'close', () => clearTimeout(timer));
+  }
+
+  /** Also while the rest of a body arrives that was answered early. */
+  private get isArriving(): boolean {
+    if (this.socket.bytesRead === this.consumedBytes) {
+      return false;
+    }
+    const now = systemClock.now();
+    this.waitingSince ??= now;
+    return now - this.waitingSince < MAX_HEAD_WAIT_MS;
+  }
+}
