Send no request on the direct path while a service is cut off

Callers of a host that was cut off from all upstreams got 502 and 504 for orders, so that nobody knew whether they had run, when the hosts that carried its tunnels stopped within a short time.

Cause: when no other host opened a tunnel, the connection was opened on the direct path, "all that is left", which is the path that is known to be cut. Where it resets connections, the connect mostly succeeds and the order breaks after it was written (502); where it holds bytes back, the order waits for its deadline (504). None of these orders had run. The tunnels of the stopping hosts had next to no part in it: 28 of the 29 requests with an unknown outcome had gone the direct way.

Now a request for which no host opens a tunnel is not sent: it ends as not run, is repeated within the retry budget, or is refused with a time to return. Probes still fall back to the direct path, since the host may be wrong about the cut, but one at a time for each service: an upstream whose probe waits on a dead path isn't probed through a tunnel meanwhile. The check whether an upstream has ended falls back as before, so that crashes count where a host is alone.

--- a/src/decisions/reachability/reachability.ts
+++ b/src/decisions/reachability/reachability.ts
@@ -56,6 +56,11 @@
     return this.of(service).takeDirectProbe();
   }
 
+  /** @see ServiceReachability.takeFallbackProbe */
+  takeFallbackProbe(service: string, upstream: string): boolean {
+    return this.of(service).takeFallbackProbe(upstream);
+  }
+
   /** Drops services that are no longer configured. */
   prune(isConfigured: (service: string) => boolean): void {
     for (const service of this.services.keys()) {
--- a/src/decisions/reachability/service_reachability.ts
+++ b/src/decisions/reachability/service_reachability.ts
@@ -16,6 +16,13 @@
 const DIRECT_PROBE_INTERVAL_MS: Milliseconds = 1_000;
 /** Failures before this time are no evidence: since then nothing was sent. */
 const EVIDENCE_RETENTION_MS: Milliseconds = 2_000;
+/** A fallback probe without a result after this time is lost. */
+const FALLBACK_TIMEOUT_MS: Milliseconds = 500;
+
+interface FallbackProbe {
+  readonly upstream: string;
+  readonly startedAt: Milliseconds;
+}
 
 export class ServiceReachability {
   /** When the oldest probe without an answer was sent, by upstream. */
@@ -27,6 +34,8 @@
   /** Whether failed connections were evidence of the cut. */
   private areConnectionsRefused = false;
   private directProbeAt: Milliseconds = -Infinity;
+  /** The probe on the direct path for which no host opened a tunnel. */
+  private fallback: FallbackProbe | undefined;
 
   /** @param upstreamCount upstreams of the service that are in service */
   constructor(
@@ -73,6 +82,7 @@
     }
     this.unanswered.clear();
     this.failed.clear();
+    this.fallback = undefined;
     this.answeredAt = this.clock.now();
     this.cutOff = false;
     return endsCut;
@@ -82,6 +92,9 @@
   noteFailure(upstream: string): void {
     this.unanswered.delete(upstream);
     this.failed.set(upstream, this.clock.now());
+    if (this.fallback?.upstream === upstream) {
+      this.fallback = undefined;
+    }
   }
 
   /** Whether a probe on the direct path is due, which would show the end of the cut. */
@@ -94,6 +107,21 @@
     return true;
   }
 
+  /**
+   * Whether a probe for which no host opens a tunnel may take the direct path: this host
+   * may be wrong about the cut. One at a time, since an upstream isn't probed again while
+   * a probe of it waits on a dead path.
+   */
+  takeFallbackProbe(upstream: string): boolean {
+    const now = this.clock.now();
+    const {fallback} = this;
+    if (fallback && now - fallback.startedAt < FALLBACK_TIMEOUT_MS) {
+      return false;
+    }
+    this.fallback = {upstream, startedAt: now};
+    return true;
+  }
+
   private hasEvidence(): boolean {
     const needed = Math.min(MIN_UNREACHABLE, this.upstreamCount());
     return needed > 0 && this.countUnreachable() >= needed;
--- a/src/gateway/upstream_client.ts
+++ b/src/gateway/upstream_client.ts
@@ -23,6 +23,7 @@
 import type {TunnelClient, TunnelOpener} from '../tunnels/index.js';
 import {ConnectionPool, probe} from '../upstreams/index.js';
 import type {GatewayMetrics} from './gateway_metrics.js';
+import {logReachability} from './reachability_log.js';
 import {RetryAfterReader} from './retry_after.js';
 
 /** An upstream without a probe answer within this time counts as unreachable. */
@@ -167,7 +168,7 @@
       const upstream = upstreams[Math.floor(random() * upstreams.length)];
       const service = state.routes.service(name);
       if (upstream && service && this.reachability.takeDirectProbe(name)) {
-        const connection = this.connectionsOf(upstream).pool.openDirectly();
+        const connection = this.connectionsOf(upstream).pool.open(undefined);
         void this.sendProbe(upstream, service, connection);
       }
     }
@@ -221,7 +222,8 @@
     service: ServiceProfile,
   ): Promise<ProbeAnswer | undefined> {
     const {pool} = this.connectionsOf(upstream);
-    const result = await this.sendProbe(upstream, service, pool.acquire());
+    const connection = pool.acquire(this.probeTunnelTo(upstream));
+    const result = await this.sendProbe(upstream, service, connection);
     return result.kind === 'told'
       ? {id: upstream.id, ...result.told}
       : undefined;
@@ -236,7 +238,7 @@
     service: ServiceProfile,
   ): Promise<Presence> {
     const {pool} = this.connectionsOf(upstream);
-    const connection = pool.open();
+    const connection = pool.open(this.tunnelTo(upstream, () => true));
     const result = await this.sendProbe(upstream, service, connection);
     return result.kind === 'refused' && !connection.isTunneled
       ? this.confirmEnd(upstream, service)
@@ -253,7 +255,7 @@
   ): Promise<Presence> {
     const {tunnels} = this.parts;
     const {pool} = this.connectionsOf(upstream);
-    const connection = pool.openThrough(() =>
+    const connection = pool.open(() =>
       tunnels.open(upstream.id, MAX_PEERS_TO_CONFIRM),
     );
     const result = await this.sendProbe(upstream, service, connection);
@@ -354,7 +356,7 @@
 
   /** Requests take the new path at once; those in flight stay on the old one. */
   private handleReachability(change: ReachabilityChange): void {
-    this.logReachability(change);
+    logReachability(this.parts.logger, change);
     this.connections.forEach(({upstream, pool}) => {
       if (upstream.service === change.service) {
         pool.closeIdle();
@@ -362,36 +364,29 @@
     });
   }
 
-  /** Opens connections through another host while this one is cut off. */
-  private tunnelTo({
-    id,
-    service,
-  }: RegisteredUpstream): TunnelOpener | undefined {
+  /**
+   * Opens connections through another host while this one is cut off. Without such a host
+   * a request is not sent: on a path that is known to be cut, nobody could tell whether it
+   * ran.
+   *
+   * @param mayFallBack whether the direct path may be tried all the same
+   */
+  private tunnelTo(
+    {id, service}: RegisteredUpstream,
+    mayFallBack: () => boolean = () => false,
+  ): TunnelOpener | undefined {
     return this.reachability.isCutOff(service)
-      ? () => this.parts.tunnels.open(id)
+      ? () => this.parts.tunnels.openOr(id, mayFallBack)
       : undefined;
   }
 
-  private logReachability({
-    service,
-    isCutOff,
-    evidence,
-  }: ReachabilityChange): void {
-    const {lastAnswerMsAgo, unreachable} = evidence;
-    this.parts.logger.warn(
-      {
-        event: 'reachability',
-        service,
-        isCutOff,
-        unreachable,
-        lastAnswerMsAgo:
-          lastAnswerMsAgo === undefined
-            ? undefined
-            : Math.round(lastAnswerMsAgo),
-      },
-      isCutOff
-        ? 'no upstream of a service can be reached from this host'
-        : 'upstreams of a service can be reached again',
+  /** A probe may find out that the direct path works after all. */
+  private probeTunnelTo(
+    upstream: RegisteredUpstream,
+  ): TunnelOpener | undefined {
+    const {service, id} = upstream;
+    return this.tunnelTo(upstream, () =>
+      this.reachability.takeFallbackProbe(service, id),
     );
   }
 
--- a/src/tunnels/tunnel_client.ts
+++ b/src/tunnels/tunnel_client.ts
@@ -78,6 +78,25 @@
     }
     return undefined;
   }
+
+  /**
+   * Resolves with undefined if no host helps and the direct path may be tried.
+   *
+   * @throws TunnelError if it may not
+   */
+  async openOr(
+    upstream: string,
+    mayFallBack: () => boolean,
+  ): Promise<Tunnel | undefined> {
+    const tunnel = await this.open(upstream);
+    if (!tunnel && !mayFallBack()) {
+      throw new TunnelError(
+        'unreachable',
+        `no host helps to reach ${upstream}`,
+      );
+    }
+    return tunnel;
+  }
 }
 
 function openThrough(
--- a/src/upstreams/pool.ts
+++ b/src/upstreams/pool.ts
@@ -32,24 +32,25 @@
     return this.idle.length === 0;
   }
 
-  /** An idle connection, or a new one that its first request opens. */
-  acquire(): UpstreamConnection {
-    return this.idle.pop() ?? this.open();
-  }
-
-  /** A new connection on the current path, which its first request opens. */
-  open(): UpstreamConnection {
-    return this.openOn(this.tunnel());
-  }
-
-  /** A new direct connection, whatever the current path is. */
-  openDirectly(): UpstreamConnection {
-    return this.openOn(undefined);
+  /**
+   * An idle connection, or a new one that its first request opens.
+   *
+   * @param tunnel opens a new one on the current path, if that isn't the direct one
+   */
+  acquire(tunnel = this.tunnel()): UpstreamConnection {
+    return this.idle.pop() ?? this.open(tunnel);
   }
 
-  /** A new connection through another host. */
-  openThrough(tunnel: TunnelOpener): UpstreamConnection {
-    return this.openOn(tunnel);
+  /** A new connection, direct if there is no tunnel, which its first request opens. */
+  open(tunnel: TunnelOpener | undefined): UpstreamConnection {
+    const connection = new UpstreamConnection(
+      this.ends,
+      closed => this.forgetClosed(closed),
+      this.onError,
+      tunnel,
+    );
+    this.all.add(connection);
+    return connection;
   }
 
   /** Returns a reusable connection to the pool. */
@@ -95,17 +96,6 @@
     [...this.all].forEach(connection => connection.close());
   }
 
-  private openOn(tunnel: TunnelOpener | undefined): UpstreamConnection {
-    const connection = new UpstreamConnection(
-      this.ends,
-      closed => this.forgetClosed(closed),
-      this.onError,
-      tunnel,
-    );
-    this.all.add(connection);
-    return connection;
-  }
-
   private forgetClosed(connection: UpstreamConnection): void {
     this.all.delete(connection);
     const at = this.idle.indexOf(connection);
--- a/tests/cut_off_hosts.test.ts
+++ b/tests/cut_off_hosts.test.ts
@@ -214,6 +214,36 @@
   expect(servedShare(statuses)).toBeGreaterThan(0.9);
 });
 
+// Guards against orders sent into a dead path, so that nobody knows whether they ran.
+test.each(['reset', 'partition'] satisfies readonly LinkFault[])(
+  'no order takes the path that is cut when all others stop: %s',
+  async fault => {
+    setFault([1], fault);
+    await callAll(1);
+    await sleep(DETECTION_MS);
+    upstreams.forEach(({server}) => (server.workMs = 100));
+    const statuses = new Map<string, number>();
+    const calls = Array.from({length: 5 * CALLS}, async (_, call) => {
+      await sleep((call * CALL_INTERVAL_MS) / 5);
+      const path = call % 2 === 0 ? '/order/7' : '/trade/7';
+      const id = `stop-${call}`;
+      const order = {id, path, method: 'POST'};
+      statuses.set(id, (await system.call(hostAt(1), order)).status);
+    });
+    await sleep(DETECTION_MS / 2);
+    await Promise.all([0, 2, 3, 4].map(index => hostAt(index).host.stop()));
+    await Promise.all(calls);
+    const runIds = new Set(
+      system.upstreams.flatMap(({runs}) => runs.map(({id}) => id)),
+    );
+    const untrue = [...statuses].filter(
+      ([id, status]) => status !== (runIds.has(id) ? 200 : 503),
+    );
+    expect(untrue).toEqual([]);
+    expect(findRepeatedRuns()).toEqual([]);
+  },
+);
+
 // Guards against a stop that waits for upgraded connections until the host is killed.
 test('a host whose tunnels do not end stops within its grace period', async () => {
   setFault([0, 1, 3, 4], 'partition');
--- a/tests/reachability.test.ts
+++ b/tests/reachability.test.ts
@@ -129,6 +129,20 @@
   expect(probes).toBe(10);
 });
 
+// Guards against upstreams that nobody probes because probes of all wait on dead paths.
+test('one probe at a time takes the direct path where no host helps', () => {
+  ['i-1', 'i-2', 'i-3'].forEach(id => reachability.noteFailure(SERVICE, id));
+  expect(reachability.isCutOff(SERVICE)).toBe(true);
+  expect(reachability.takeFallbackProbe(SERVICE, 'i-1')).toBe(true);
+  expect(reachability.takeFallbackProbe(SERVICE, 'i-2')).toBe(false);
+  reachability.noteFailure(SERVICE, 'i-2');
+  expect(reachability.takeFallbackProbe(SERVICE, 'i-2')).toBe(false);
+  reachability.noteFailure(SERVICE, 'i-1');
+  expect(reachability.takeFallbackProbe(SERVICE, 'i-2')).toBe(true);
+  clock.advance(500);
+  expect(reachability.takeFallbackProbe(SERVICE, 'i-3')).toBe(true);
+});
+
 function createPeers(
   near: readonly string[],
   all: readonly string[],
