Close a tunnel that is given up before it opens

Hosts that carried tunnels stopped 2.6 s later than they could, at the end of the time for requests in flight, although no request was left.

Cause: a host that gives up while its tunnel is being opened ends its connection. The server's sockets stay half open then, and the end had been read before the tunnel was joined to the upstream, so that nothing closed it: it stayed for 60 s, took one of the 256 tunnels and a connection of the upstream, and a stopping host waited for it. A host gives up after 120 ms, which happens on busy machines.

The end is now listened for from the start, until the tunnel is joined.

--- a/src/tunnels/tunnel_server.ts
+++ b/src/tunnels/tunnel_server.ts
@@ -156,6 +156,10 @@
       ({code}: NodeJS.ErrnoException) =>
         fail(code === 'ECONNREFUSED' ? 'refused' : 'unreachable'),
     );
+    // The server's sockets stay half open when the other side has ended them.
+    const stopLeaving = boundary.listenOnce(caller, 'end', () =>
+      caller.destroy(),
+    );
     boundary.listenOnce(caller, 'close', () => upstream.destroy());
     boundary.listenOnce(upstream, 'close', () => {
       clearTimeout(timer);
@@ -164,6 +168,7 @@
     boundary.listenOnce(upstream, 'connect', () => {
       clearTimeout(timer);
       stopFailing();
+      stopLeaving();
       reachability.noteAnswer(target.service, true);
       this.log(tunnel, target);
       caller.setNoDelay(true);
--- a/tests/cut_off_hosts.test.ts
+++ b/tests/cut_off_hosts.test.ts
@@ -1,5 +1,7 @@
+import {once} from 'node:events';
 import type {IncomingMessage} from 'node:http';
 import {request} from 'node:http';
+import {connect} from 'node:net';
 import {afterEach, beforeEach, expect, test} from 'vitest';
 import type {LinkFault} from '../src/soak/index.js';
 import {sleep} from '../src/time/index.js';
@@ -286,6 +288,23 @@
   expect(servedShare(await callAll(0))).toBe(1);
 });
 
+// Guards against tunnels that nobody uses, and that a stopping host waits for.
+test('a tunnel that is given up before it opens is closed', async () => {
+  const {host, ports} = hostAt(0);
+  const sockets = Array.from({length: 5}, () => {
+    const socket = connect(ports.peers, '127.0.0.1');
+    socket.end(
+      'GET /tunnels/i-0 HTTP/1.1\r\nHost: any\r\n' +
+        'Connection: Upgrade\r\nUpgrade: cyclamenlever-tunnel\r\n' +
+        'X-Cyclamenlever-Host: 127.0.0.1:1\r\n\r\n',
+    );
+    return once(socket.resume(), 'close');
+  });
+  await sleep(DETECTION_MS);
+  expect(host.tunnelCount).toBe(0);
+  await Promise.all(sockets);
+});
+
 // Guards against upstreams that work for callers who have left.
 test('a caller that leaves ends its request behind the tunnel', async () => {
   setFault([1], 'partition');
