Let hosts that stop carry tunnels while they accept requests

Where the hosts that carry tunnels stopped within a short time, callers of the hosts that were cut off were refused ("no room"), although the stopping hosts still accepted requests of their own callers for 2.6 s, and although some hosts had not stopped or were back.

- A stopping host refused tunnels from the stop signal on.
- Only hosts with an open tunnel were told.
Others asked stopping hosts, of which each refusal took one of the four questions for a tunnel.
- A host that had announced its stop counted as failed, like one that is down.

Now a stopping host tells all hosts that it knows, and refuses tunnels only when it refuses its own callers' requests. Other hosts ask those that don't stop first, then those that stop, then the one that failed longest ago. All known hosts are asked, up to 16, but for a request none after 120 ms, the time for a round of its search. Tunnels still lead to upstreams only, and a stopping host's tunnels carry nothing new after the announcement except what is opened there for lack of others.

--- a/src/decisions/reachability/tunnel_peers.ts
+++ b/src/decisions/reachability/tunnel_peers.ts
@@ -8,6 +8,8 @@
 
 /** A host that could not help is left out for this time. */
 const RETRY_DELAY_MS: Milliseconds = 1_000;
+/** A host announces again and again that it stops. */
+const STOPPING_RETENTION_MS: Milliseconds = 500;
 /** Upstreams that don't answer through a host before its tunnels count as broken. */
 const UNANSWERED_TO_LEAVE = 2;
 
@@ -22,14 +24,16 @@
 
 export class TunnelPeers {
   private readonly failedAt = new Map<string, Milliseconds>();
+  private readonly stoppingAt = new Map<string, Milliseconds>();
   /** Upstreams that have not answered since another last did, by host. */
   private readonly unanswered = new Map<string, Set<string>>();
 
   constructor(private readonly parts: TunnelPeersParts) {}
 
   /**
-   * Hosts to try one after the other, at most `count`. Without any that may help, those
-   * that failed longest ago: a path through any of them is better than none.
+   * Hosts to try one after the other, at most `count`; those that stop come last. Without
+   * any that may help, the one that failed longest ago: a path through any of them is
+   * better than none.
    */
   choose(count: number): readonly string[] {
     const {near, all} = this.parts;
@@ -39,13 +43,22 @@
     const inOrder = [...this.shuffle(nearby), ...this.shuffle(elsewhere)];
     const open = inOrder.filter(peer => !this.failedAt.has(peer));
     if (open.length > 0) {
-      return open.slice(0, count);
+      const isStopping = (peer: string): boolean => this.stoppingAt.has(peer);
+      return [
+        ...open.filter(peer => !isStopping(peer)),
+        ...open.filter(isStopping),
+      ].slice(0, count);
     }
     return inOrder
       .sort((a, b) => this.failedSince(a) - this.failedSince(b))
       .slice(0, 1);
   }
 
+  /** A host has announced that it stops; it may still help those that find no other. */
+  noteStopping(peer: string): void {
+    this.stoppingAt.set(peer, this.parts.clock.now());
+  }
+
   noteFailure(peer: string): void {
     this.failedAt.set(peer, this.parts.clock.now());
     this.unanswered.delete(peer);
@@ -81,10 +94,18 @@
 
   private prune(): void {
     const now = this.parts.clock.now();
-    for (const [peer, at] of this.failedAt) {
-      if (now - at >= RETRY_DELAY_MS) {
-        this.failedAt.delete(peer);
-      }
+    dropOlder(this.failedAt, now - RETRY_DELAY_MS);
+    dropOlder(this.stoppingAt, now - STOPPING_RETENTION_MS);
+  }
+}
+
+function dropOlder(
+  times: Map<string, Milliseconds>,
+  limit: Milliseconds,
+): void {
+  for (const [peer, at] of times) {
+    if (at <= limit) {
+      times.delete(peer);
     }
   }
 }
--- a/src/gateway/upstream_client.ts
+++ b/src/gateway/upstream_client.ts
@@ -29,9 +29,6 @@
 /** An upstream without a probe answer within this time counts as unreachable. */
 const PROBE_TIMEOUT_MS: Milliseconds = 500;
 
-/** Most may be cut off themselves, and a mistake quarantines harmless requests. */
-const MAX_PEERS_TO_CONFIRM = 16;
-
 /** Connections that a host may open to an upstream, however many hosts share it. */
 const MIN_CONNECTION_LIMIT = 4;
 
@@ -255,9 +252,7 @@
   ): Promise<Presence> {
     const {tunnels} = this.parts;
     const {pool} = this.connectionsOf(upstream);
-    const connection = pool.open(() =>
-      tunnels.open(upstream.id, MAX_PEERS_TO_CONFIRM),
-    );
+    const connection = pool.open(() => tunnels.open(upstream.id));
     const result = await this.sendProbe(upstream, service, connection);
     return PRESENCE_BY_PROBE_RESULT[result.kind];
   }
--- a/src/host/gateway_host.ts
+++ b/src/host/gateway_host.ts
@@ -212,15 +212,17 @@
     this.relay.redirectFollowers();
     this.gateway.setPhase('announced');
     const controller = new AbortController();
-    const drained = this.upstreamSelection.tunnelServer.drain(
-      controller.signal,
-    );
+    const {signal} = controller;
+    const {tunnelServer} = this.upstreamSelection;
+    const announced = tunnelServer.announceEnd(signal);
     await sleep(plan.acceptingMs);
     this.gateway.setPhase('finishing');
+    const drained = tunnelServer.drain(signal);
     const left = plan.abortInFlightAfterMs - (clock.now() - startedAt);
     const finished = Promise.all([this.gateway.close(), drained]);
     await Promise.race([finished, sleep(left)]);
     controller.abort();
+    await announced;
     this.quotas.handOverAll();
     await this.closeAll();
     logger.info(
--- a/src/host/upstream_selection.ts
+++ b/src/host/upstream_selection.ts
@@ -174,6 +174,7 @@
         random,
       }),
       self: () => this.address,
+      clock,
       onError: error => this.parts.reportError(error, {unit: 'tunnel'}),
     });
   }
--- a/src/tunnels/tunnel_client.ts
+++ b/src/tunnels/tunnel_client.ts
@@ -7,7 +7,7 @@
 import type {ErrorHandler} from '../lifecycle/index.js';
 import {ErrorBoundary} from '../lifecycle/index.js';
 import {parseAddress} from '../platform/index.js';
-import type {Milliseconds} from '../time/index.js';
+import type {Clock, Milliseconds} from '../time/index.js';
 import {
   CONNECT_TIMEOUT_MS,
   FAILURE_STATUSES,
@@ -19,7 +19,9 @@
 import type {Tunnel, TunnelFailure} from './types.js';
 
 /** Hosts that are asked for one tunnel, one after the other. */
-const MAX_PEERS_ASKED = 4;
+const MAX_PEERS_ASKED = 16;
+/** For a request, no further host is asked after this time: its search goes on. */
+const ASKING_TIMEOUT_MS: Milliseconds = 120;
 /** A host answers within the time in which it connects, and a round trip. */
 const PEER_TIMEOUT_MS: Milliseconds = 2 * CONNECT_TIMEOUT_MS;
 
@@ -27,6 +29,7 @@
   readonly peers: TunnelPeers;
   /** Address of this host for peers. */
   readonly self: () => string;
+  readonly clock: Clock;
   /** Called for an error of this program, after which the host counts as unavailable. */
   readonly onError: ErrorHandler;
 }
@@ -34,9 +37,9 @@
 export class TunnelClient {
   constructor(private readonly parts: TunnelClientParts) {}
 
-  /** A host's tunnels end: others are asked for a while. */
+  /** A host stops: others are asked first for a while. */
   avoid(peer: string): void {
-    this.parts.peers.noteFailure(peer);
+    this.parts.peers.noteStopping(peer);
   }
 
   /**
@@ -56,14 +59,19 @@
    * Resolves with undefined if no host helps.
    *
    * @param upstream id of the upstream instance
+   * @param timeoutMs no further host is asked after this time
    * @throws TunnelError if the upstream can't be reached from another host either
    */
   async open(
     upstream: string,
-    maxPeers = MAX_PEERS_ASKED,
+    timeoutMs: Milliseconds = Infinity,
   ): Promise<Tunnel | undefined> {
-    const {peers, self, onError} = this.parts;
-    for (const peer of peers.choose(maxPeers)) {
+    const {peers, self, clock, onError} = this.parts;
+    const startedAt = clock.now();
+    for (const peer of peers.choose(MAX_PEERS_ASKED)) {
+      if (clock.now() - startedAt >= timeoutMs) {
+        break;
+      }
       const result = await openThrough(peer, upstream, self(), onError);
       if (typeof result !== 'string') {
         return {socket: result, peer};
@@ -88,7 +96,7 @@
     upstream: string,
     mayFallBack: () => boolean,
   ): Promise<Tunnel | undefined> {
-    const tunnel = await this.open(upstream);
+    const tunnel = await this.open(upstream, ASKING_TIMEOUT_MS);
     if (!tunnel && !mayFallBack()) {
       throw new TunnelError(
         'unreachable',
--- a/src/tunnels/tunnel_server.ts
+++ b/src/tunnels/tunnel_server.ts
@@ -38,11 +38,14 @@
 const IDLE_TIMEOUT_MS: Milliseconds = 60_000;
 /** Announcements may be lost. */
 const ANNOUNCEMENT_INTERVAL_MS: Milliseconds = 100;
+const DRAIN_INTERVAL_MS: Milliseconds = 20;
 const LINES_PER_SECOND = 5;
 
 export interface TunnelServerParts {
   /** The upstream instance with an id; undefined if it isn't known. */
   readonly findUpstream: (id: string) => RegisteredUpstream | undefined;
+  /** Addresses of all hosts that this one knows. */
+  readonly peers: () => readonly string[];
   /** Address that connections to upstreams start at. */
   readonly localIp: string;
   readonly reachability: Reachability;
@@ -102,16 +105,29 @@
   }
 
   /**
-   * Refuses further tunnels and asks hosts to end theirs; resolves when they have.
+   * Asks other hosts to leave the tunnels of this one. Until `drain` it still helps those
+   * that find no other.
+   *
+   * @param signal ends the announcements
+   */
+  async announceEnd(signal: AbortSignal): Promise<void> {
+    const {datagrams, peers} = this.parts;
+    while (!signal.aborted) {
+      const users = [...this.tunnels].map(({peer}) => peer);
+      datagrams.send(TUNNELS_ENDING, [], [...new Set([...users, ...peers()])]);
+      await sleep(ANNOUNCEMENT_INTERVAL_MS, signal);
+    }
+  }
+
+  /**
+   * Refuses further tunnels; resolves when those that are open have ended.
    *
    * @param signal ends the wait
    */
   async drain(signal: AbortSignal): Promise<void> {
     this.isRetired = true;
     while (this.tunnels.size > 0 && !signal.aborted) {
-      const peers = new Set([...this.tunnels].map(({peer}) => peer));
-      this.parts.datagrams.send(TUNNELS_ENDING, [], [...peers]);
-      await sleep(ANNOUNCEMENT_INTERVAL_MS, signal);
+      await sleep(DRAIN_INTERVAL_MS, signal);
     }
   }
 
--- a/tests/cut_off_hosts.test.ts
+++ b/tests/cut_off_hosts.test.ts
@@ -246,6 +246,17 @@
   },
 );
 
+// Guards against refusals while hosts that stop have room.
+test('hosts that stop carry tunnels as long as they accept requests', async () => {
+  setFault([1], 'partition');
+  await callAll(1);
+  await sleep(DETECTION_MS);
+  const stopped = [0, 2, 3, 4].map(index => hostAt(index).host.stop());
+  const statuses = await callAll(1);
+  expect(servedShare(statuses)).toBeGreaterThan(0.75);
+  await Promise.all(stopped);
+});
+
 // Guards against a stop that waits for upgraded connections until the host is killed.
 test('a host whose tunnels do not end stops within its grace period', async () => {
   setFault([0, 1, 3, 4], 'partition');
--- a/tests/reachability.test.ts
+++ b/tests/reachability.test.ts
@@ -188,3 +188,18 @@
   expect(peers.choose(3)).toEqual(['b']);
   expect(createPeers([], []).choose(3)).toEqual([]);
 });
+
+// Guards against hosts that refuse their callers while those that stop still carry tunnels.
+test('hosts that stop are asked last, and before those that failed', () => {
+  const peers = createPeers(['a', 'b'], ['a', 'b', 'c', 'd']);
+  peers.noteStopping('a');
+  peers.noteFailure('c');
+  expect(peers.choose(4)).toEqual(['b', 'd', 'a']);
+  ['b', 'd'].forEach(peer => peers.noteFailure(peer));
+  expect(peers.choose(4)).toEqual(['a']);
+  clock.advance(500);
+  peers.noteFailure('a');
+  expect(peers.choose(4)).toHaveLength(1);
+  clock.advance(1_000);
+  expect([...peers.choose(2)].sort()).toEqual(['a', 'b']);
+});
