Refuse tunnels as unavailable while a host doesn't know the upstreams

A host that had just restarted told hosts that were cut off that an upstream can't be reached, before it knew any. The other host then gave up on that upstream instead of asking the next host, and counted a failure of the upstream.

Cause: an id that the host doesn't know was always answered with 504, unreachable. That is right for upstreams that no host sends to, but not while the host has not loaded them.

The host now answers 503, unavailable, until it knows all upstreams, so that another host is asked.

--- a/src/host/upstream_selection.ts
+++ b/src/host/upstream_selection.ts
@@ -186,6 +186,7 @@
       new TunnelServer({
         ...this.parts,
         findUpstream: id => state.registry.find(id),
+        knowsUpstreams: () => state.isComplete,
         localIp: settings.ip,
         reachability: this.upstreamClient.reachability,
       }),
--- a/src/tunnels/tunnel_server.ts
+++ b/src/tunnels/tunnel_server.ts
@@ -44,6 +44,8 @@
 export interface TunnelServerParts {
   /** The upstream instance with an id; undefined if it isn't known. */
   readonly findUpstream: (id: string) => RegisteredUpstream | undefined;
+  /** Whether this host knows all upstreams. */
+  readonly knowsUpstreams: () => boolean;
   /** Addresses of all hosts that this one knows. */
   readonly peers: () => readonly string[];
   /** Address that connections to upstreams start at. */
@@ -92,7 +94,8 @@
     const target = this.parts.findUpstream(idOf(request.url));
     const peer = request.headers[HOST_HEADER];
     if (!target || typeof peer !== 'string') {
-      this.refuse(caller, 'unreachable');
+      const knows = this.parts.knowsUpstreams();
+      this.refuse(caller, knows ? 'unreachable' : 'unavailable');
       return;
     }
     const {reachability} = this.parts;
