--- a/src/host/gateway_host.ts
+++ b/src/host/gateway_host.ts
@@ -212,11 +212,12 @@
     this.relay.redirectFollowers();
     this.gateway.setPhase('announced');
     const controller = new AbortController();
-    const drained = this.upstreamSelection.tunnelServer.drain(
-      controller.signal,
-    );
+    const {signal} = controller;
+    const {tunnelServer} = this.upstreamSelection;
+    const announced = tunnelServer.announceEnd(signal);
     await sleep(plan.acceptingMs);
     this.gateway.setPhase('finishing');
+    const drained = tunnelServer.drain(signal);
     const finished = Promise.all([this.gateway.close(), drained]);
     const finishBy = (afterMs: Milliseconds): Promise<unknown> =>
       Promise.race([finished, sleep(startedAt + afterMs - clock.now())]);
@@ -224,6 +225,7 @@
     this.gateway.respondToUnanswered();
     await finishBy(plan.closeAfterMs);
     controller.abort();
+    await announced;
     this.quotas.handOverAll();
     await this.closeAll();
     logger.info(
--- a/tests/cut_off_hosts.test.ts
+++ b/tests/cut_off_hosts.test.ts
@@ -1,5 +1,7 @@
+import {once} from 'node:events';
 import type {IncomingMessage} from 'node:http';
 import {request} from 'node:http';
+import {connect} from 'node:net';
 import {afterEach, beforeEach, expect, test} from 'vitest';
 import type {LinkFault} from '../src/soak/index.js';
 import {sleep} from '../src/time/index.js';
@@ -214,6 +216,47 @@
   expect(servedShare(statuses)).toBeGreaterThan(0.9);
 });
 
+// Guards against orders sent into a dead path, so that nobody knows whether they ran.
+test.each(['reset', 'partition'] satisfies readonly LinkFault[])(
+  'no order takes the path that is cut when all others stop: %s',
+  async fault => {
+    setFault([1], fault);
+    await callAll(1);
+    await sleep(DETECTION_MS);
+    upstreams.forEach(({server}) => (server.workMs = 100));
+    const statuses = new Map<string, number>();
+    const calls = Array.from({length: 5 * CALLS}, async (_, call) => {
+      await sleep((call * CALL_INTERVAL_MS) / 5);
+      const path = call % 2 === 0 ? '/order/7' : '/trade/7';
+      const id = `stop-${call}`;
+      const order = {id, path, method: 'POST'};
+      statuses.set(id, (await system.call(hostAt(1), order)).status);
+    });
+    await sleep(DETECTION_MS / 2);
+    await Promise.all([0, 2, 3, 4].map(index => hostAt(index).host.stop()));
+    await Promise.all(calls);
+    const runIds = new Set(
+      system.upstreams.flatMap(({runs}) => runs.map(({id}) => id)),
+    );
+    const untrue = [...statuses].filter(
+      ([id, status]) => status !== (runIds.has(id) ? 200 : 503),
+    );
+    expect(untrue).toEqual([]);
+    expect(findRepeatedRuns()).toEqual([]);
+  },
+);
+
+// Guards against refusals while hosts that stop have room.
+test('hosts that stop carry tunnels as long as they accept requests', async () => {
+  setFault([1], 'partition');
+  await callAll(1);
+  await sleep(DETECTION_MS);
+  const stopped = [0, 2, 3, 4].map(index => hostAt(index).host.stop());
+  const statuses = await callAll(1);
+  expect(servedShare(statuses)).toBeGreaterThan(0.75);
+  await Promise.all(stopped);
+});
+
 // Guards against a stop that waits for upgraded connections until the host is killed.
 test('a host whose tunnels do not end stops within its grace period', async () => {
   setFault([0, 1, 3, 4], 'partition');
@@ -256,6 +299,23 @@
   expect(servedShare(await callAll(0))).toBe(1);
 });
 
+// Guards against tunnels that nobody uses, and that a stopping host waits for.
+test('a tunnel that is given up before it opens is closed', async () => {
+  const {host, ports} = hostAt(0);
+  const sockets = Array.from({length: 5}, () => {
+    const socket = connect(ports.peers, '127.0.0.1');
+    socket.end(
+      'GET /tunnels/i-0 HTTP/1.1\r\nHost: any\r\n' +
+        'Connection: Upgrade\r\nUpgrade: cyclamenlever-tunnel\r\n' +
+        'X-Cyclamenlever-Host: 127.0.0.1:1\r\n\r\n',
+    );
+    return once(socket.resume(), 'close');
+  });
+  await sleep(DETECTION_MS);
+  expect(host.tunnelCount).toBe(0);
+  await Promise.all(sockets);
+});
+
 // Guards against upstreams that work for callers who have left.
 test('a caller that leaves ends its request behind the tunnel', async () => {
   setFault([1], 'partition');
--- a/tests/reachability.test.ts
+++ b/tests/reachability.test.ts
@@ -129,6 +129,20 @@
   expect(probes).toBe(10);
 });
 
+// Guards against upstreams that nobody probes because probes of all wait on dead paths.
+test('one probe at a time takes the direct path where no host helps', () => {
+  ['i-1', 'i-2', 'i-3'].forEach(id => reachability.noteFailure(SERVICE, id));
+  expect(reachability.isCutOff(SERVICE)).toBe(true);
+  expect(reachability.takeFallbackProbe(SERVICE, 'i-1')).toBe(true);
+  expect(reachability.takeFallbackProbe(SERVICE, 'i-2')).toBe(false);
+  reachability.noteFailure(SERVICE, 'i-2');
+  expect(reachability.takeFallbackProbe(SERVICE, 'i-2')).toBe(false);
+  reachability.noteFailure(SERVICE, 'i-1');
+  expect(reachability.takeFallbackProbe(SERVICE, 'i-2')).toBe(true);
+  clock.advance(500);
+  expect(reachability.takeFallbackProbe(SERVICE, 'i-3')).toBe(true);
+});
+
 function createPeers(
   near: readonly string[],
   all: readonly string[],
@@ -174,3 +188,18 @@
   expect(peers.choose(3)).toEqual(['b']);
   expect(createPeers([], []).choose(3)).toEqual([]);
 });
+
+// Guards against hosts that refuse their callers while those that stop still carry tunnels.
+test('hosts that stop are asked last, and before those that failed', () => {
+  const peers = createPeers(['a', 'b'], ['a', 'b', 'c', 'd']);
+  peers.noteStopping('a');
+  peers.noteFailure('c');
+  expect(peers.choose(4)).toEqual(['b', 'd', 'a']);
+  ['b', 'd'].forEach(peer => peers.noteFailure(peer));
+  expect(peers.choose(4)).toEqual(['a']);
+  clock.advance(500);
+  peers.noteFailure('a');
+  expect(peers.choose(4)).toHaveLength(1);
+  clock.advance(1_000);
+  expect([...peers.choose(2)].sort()).toEqual(['a', 'b']);
+});
