Open tunnels in a stop only while requests in them have half of the time

With a short grace (2 s), orders in tunnels that a stopping host had opened late were cut off at its end, 200 ms later, although they ran: their callers got 502.

Tunnels are now opened for at most half of the time until the abort. A request that takes longer than what is left may still be cut off.

--- a/src/decisions/stopping/shutdown_plan.ts
+++ b/src/decisions/stopping/shutdown_plan.ts
@@ -18,10 +18,14 @@
 const WAITING_SHARE = 5 / 6;
 /** Share of the time for sending responses; a slow host needs the rest to close. */
 const SENDING_SHARE = 0.9;
+/** Requests in a tunnel have at least the rest of the time until connections are closed. */
+const MAX_TUNNELS_SHARE = 0.5;
 
 export interface ShutdownPlan {
   /** How long new requests are accepted, on connections that are being closed. */
   readonly acceptingMs: Milliseconds;
+  /** How long tunnels are opened for hosts that find no other. */
+  readonly openingTunnelsMs: Milliseconds;
   /** When requests without a response get one of this host, from the start of the shutdown. */
   readonly respondAfterMs: Milliseconds;
   /** When connections are closed on which responses are still being sent. */
@@ -30,9 +34,15 @@
 
 /** @param graceMs time from the stop signal until the process is killed */
 export function planShutdown(graceMs: Milliseconds): ShutdownPlan {
+  const acceptingMs = Math.min(
+    OUT_OF_ROTATION_MS,
+    graceMs * MAX_ACCEPTING_SHARE,
+  );
+  const closeAfterMs = graceMs * SENDING_SHARE;
   return {
-    acceptingMs: Math.min(OUT_OF_ROTATION_MS, graceMs * MAX_ACCEPTING_SHARE),
+    acceptingMs,
+    openingTunnelsMs: Math.min(acceptingMs, closeAfterMs * MAX_TUNNELS_SHARE),
     respondAfterMs: graceMs * WAITING_SHARE,
-    closeAfterMs: graceMs * SENDING_SHARE,
+    closeAfterMs,
   };
 }
--- a/src/host/gateway_host.ts
+++ b/src/host/gateway_host.ts
@@ -215,9 +215,11 @@
     const {signal} = controller;
     const {tunnelServer} = this.upstreamSelection;
     const announced = tunnelServer.announceEnd(signal);
+    const drained = sleep(plan.openingTunnelsMs).then(() =>
+      tunnelServer.drain(signal),
+    );
     await sleep(plan.acceptingMs);
     this.gateway.setPhase('finishing');
-    const drained = tunnelServer.drain(signal);
     const finished = Promise.all([this.gateway.close(), drained]);
     const finishBy = (afterMs: Milliseconds): Promise<unknown> =>
       Promise.race([finished, sleep(startedAt + afterMs - clock.now())]);
--- a/tests/attempts.test.ts
+++ b/tests/attempts.test.ts
@@ -102,6 +102,18 @@
   );
 });
 
+// Guards against requests that a stop cuts off in a tunnel that was opened late.
+test.each([1_000, 2_000, 6_000, 30_000])(
+  'tunnels opened in a shutdown of %i ms have half of the time left',
+  graceMs => {
+    const plan = planShutdown(graceMs);
+    const {closeAfterMs, acceptingMs, openingTunnelsMs} = plan;
+    const leftMs = closeAfterMs - openingTunnelsMs;
+    expect(leftMs).toBeGreaterThanOrEqual(closeAfterMs / 2);
+    expect(openingTunnelsMs).toBeLessThanOrEqual(acceptingMs);
+  },
+);
+
 test('callers get a Retry-After that they honour', () => {
   const random = seededRandom(3);
   const times = Array.from({length: 50}, () =>
