Give the soak's proxy the properties of a network link

On loopback a socket takes megabytes at once: what waits to be written, what a reset loses and what hasn't been read yet never shows. A link gives each direction a rate, a delay and a window, and both ends the segment size of Ethernet; it holds a sender back while its receiver doesn't read, loses what it buffers on a reset and passes half-closed connections on as they are.

The proxy also no longer writes an empty line into a connection to learn whether its end was a reset; it asks for the socket's error. It no longer closes a socket that still has bytes to write once the other one has closed.

--- a/src/soak/fault_proxy.ts
+++ b/src/soak/fault_proxy.ts
@@ -1,10 +1,17 @@
-/** A loopback TCP proxy with injectable faults. */
+/** A loopback TCP proxy with injectable faults, and with the properties of a link. */
 
-import type {Server, Socket} from 'node:net';
-import {connect, createServer} from 'node:net';
+import type {Server} from 'node:net';
+import {Socket, createServer} from 'node:net';
 import type {Milliseconds} from '../time/index.js';
-import {sleep} from '../time/index.js';
-import {mirrorEnd} from '../tunnels/index.js';
+import {sleep, systemClock} from '../time/index.js';
+import type {Link} from './link.js';
+import {Pacer, sizesOf} from './link.js';
+import {
+  createSocket,
+  reset,
+  setAcceptedSizes,
+  wasReset,
+} from './socket_options.js';
 
 /** Fault to inject into connections through the proxy. */
 export type LinkFault =
@@ -51,16 +58,41 @@
   }
 }
 
+/** One direction of a connection through the proxy. */
+interface Direction {
+  readonly from: Socket;
+  readonly to: Socket;
+  readonly state: () => LinkState;
+  readonly droppingFaults: readonly LinkFault[];
+  readonly pacer: Pacer | undefined;
+}
+
+/** What the target has received of a client's connection. */
+interface Delivery {
+  pendingBytes: number;
+  lastAt: Milliseconds;
+}
+
 export class FaultProxy {
   private readonly all = new LinkState();
   private readonly byClient = new Map<string, LinkState>();
   private readonly server: Server;
   private readonly sockets = new Set<Socket>();
+  private readonly toTarget: Pacer | undefined;
+  private readonly toClient: Pacer | undefined;
+  /** By the port of the client. */
+  private readonly deliveries = new Map<number, Delivery>();
 
-  constructor(private readonly target: {ip: string; port: number}) {
+  /** @param link properties of all connections; without any, bytes are passed on at once */
+  constructor(
+    private readonly target: {readonly ip: string; readonly port: number},
+    private readonly link?: Link,
+  ) {
     this.server = createServer({allowHalfOpen: true}, client =>
       this.accept(client),
     );
+    this.toTarget = link && new Pacer(link.toTarget, systemClock);
+    this.toClient = link && new Pacer(link.toClient, systemClock);
   }
 
   get fault(): LinkFault {
@@ -70,7 +102,7 @@
   set fault(fault: LinkFault) {
     this.all.fault = fault;
     if (fault === 'reset') {
-      this.sockets.forEach(socket => socket.resetAndDestroy());
+      this.sockets.forEach(socket => reset(socket));
     }
   }
 
@@ -80,7 +112,7 @@
     if (fault === 'reset') {
       this.sockets.forEach(socket => {
         if (socket.remoteAddress === ip) {
-          socket.resetAndDestroy();
+          reset(socket);
         }
       });
     }
@@ -89,6 +121,12 @@
   listen(): Promise<number> {
     return new Promise(resolve => {
       this.server.listen(0, '127.0.0.1', () => {
+        const {link} = this;
+        if (link) {
+          const {segmentBytes, toTarget, toClient} = link;
+          const sizes = sizesOf(segmentBytes, toTarget, toClient);
+          setAcceptedSizes(this.server, sizes);
+        }
         const address = this.server.address();
         resolve(typeof address === 'object' ? (address?.port ?? 0) : 0);
       });
@@ -102,6 +140,15 @@
     });
   }
 
+  /**
+   * When the target received the last byte of a client's newest connection; undefined
+   * while bytes are under way.
+   */
+  deliveredAt(clientPort: number): Milliseconds | undefined {
+    const delivery = this.deliveries.get(clientPort);
+    return delivery?.pendingBytes === 0 ? delivery.lastAt : undefined;
+  }
+
   private clientState(ip: string): LinkState {
     const known = this.byClient.get(ip);
     if (known) {
@@ -116,16 +163,37 @@
     const own = this.clientState(client.remoteAddress ?? '');
     const state = (): LinkState => (this.all.fault === 'none' ? own : this.all);
     if (RESETS_NEW.has(state().fault)) {
-      client.resetAndDestroy();
+      reset(client);
       return;
     }
-    const destination = connect({
-      host: this.target.ip,
-      port: this.target.port,
-      allowHalfOpen: true,
+    const destination = this.connect();
+    const delivery: Delivery = {pendingBytes: 0, lastAt: -Infinity};
+    this.deliveries.set(client.remotePort ?? 0, delivery);
+    this.forward(
+      {
+        from: client,
+        to: destination,
+        state,
+        droppingFaults: ['silent'],
+        pacer: this.toTarget,
+      },
+      delivery,
+    );
+    this.forward({
+      from: destination,
+      to: client,
+      state,
+      droppingFaults: ['silent', 'one-way'],
+      pacer: this.toClient,
     });
-    this.forward(client, destination, state, ['silent']);
-    this.forward(destination, client, state, ['silent', 'one-way']);
+  }
+
+  private connect(): Socket {
+    const {link, target} = this;
+    const socket = link
+      ? createSocket(sizesOf(link.segmentBytes, link.toClient, link.toTarget))
+      : new Socket({allowHalfOpen: true});
+    return socket.connect(target.port, target.ip);
   }
 
   /**
@@ -134,37 +202,67 @@
    * skips bytes.
    */
   private forward(
-    from: Socket,
-    to: Socket,
-    state: () => LinkState,
-    droppingFaults: readonly LinkFault[],
+    {from, to, state, droppingFaults, pacer}: Direction,
+    delivery: Delivery = {pendingBytes: 0, lastAt: -Infinity},
   ): void {
     this.sockets.add(from);
     from.setNoDelay(true);
+    const windowBytes = pacer?.direction.windowBytes ?? Infinity;
     let silent = false;
-    let wasReset = false;
+    let isLost = false;
+    let hasEnded = false;
     let tail = Promise.resolve();
-    const enqueue = (action: () => void): void => {
+    const enqueue = (action: () => void, bytes = 0): void => {
       silent ||= droppingFaults.includes(state().fault);
       if (!silent) {
         const delayed = state().fault === 'delay';
+        const dueAt = pacer && systemClock.now() + pacer.send(bytes);
         tail = tail
           .then(() => (delayed ? sleep(DELAY_MS) : undefined))
+          .then(() => (dueAt === undefined ? undefined : sleepUntil(dueAt)))
           .then(() => state().partitionEnd)
-          .then(() => (wasReset ? undefined : action()));
+          .then(() => (isLost ? undefined : action()));
       }
     };
-    from.on('data', chunk => enqueue(() => to.write(chunk)));
-    from.on('end', () => enqueue(() => mirrorEnd(from, to)));
+    const pass = (chunk: Buffer): void => {
+      to.write(chunk, () => {
+        delivery.pendingBytes -= chunk.length;
+        delivery.lastAt = systemClock.now();
+        if (delivery.pendingBytes < windowBytes) {
+          from.resume();
+        }
+      });
+    };
+    from.on('data', chunk => {
+      delivery.pendingBytes += chunk.length;
+      if (delivery.pendingBytes >= windowBytes) {
+        from.pause();
+      }
+      enqueue(() => pass(chunk), chunk.length);
+    });
+    from.on('end', () => {
+      hasEnded = true;
+      enqueue(() => (wasReset(from) ? reset(to) : to.end()));
+    });
     from.on('error', () => {
-      wasReset = true;
-      void (state().partitionEnd ?? Promise.resolve()).then(() =>
-        to.resetAndDestroy(),
-      );
+      isLost = true;
+      void sleep(pacer?.direction.delayMs ?? 0)
+        .then(() => state().partitionEnd)
+        .then(() => reset(to));
     });
     from.on('close', () => {
       this.sockets.delete(from);
-      enqueue(() => to.destroy());
+      // After an orderly end, the other socket closes once its data is written.
+      if (!hasEnded || !from.writableFinished) {
+        enqueue(() => to.destroy());
+      }
     });
   }
 }
+
+async function sleepUntil(at: Milliseconds): Promise<void> {
+  const remainingMs = at - systemClock.now();
+  if (remainingMs > 0) {
+    await sleep(remainingMs);
+  }
+}
--- a/src/soak/index.ts
+++ b/src/soak/index.ts
@@ -5,3 +5,4 @@
 export type {Finding, RunReport} from './types.js';
 export type {LinkFault} from './fault_proxy.js';
 export {FaultProxy} from './fault_proxy.js';
+export type {Link, LinkDirection} from './link.js';
