Play planned stops of hosts behind links in the soak

On loopback the soak's callers took responses of any size at once, so that no stop could cut what was still to be sent.

--- a/src/soak/callers.ts
+++ b/src/soak/callers.ts
@@ -6,12 +6,15 @@
 import {sleep} from '../time/index.js';
 import {MONITOR_KEY, pickCustomer, pickKey} from './customers.js';
 import type {History} from './history.js';
-import type {HostProcess} from './host_process.js';
-import type {RequestOutcome, SentRequest} from './types.js';
+import type {Testbed} from './testbed.js';
+import type {Transfer} from './transfers.js';
+import {drawTransfer, paddingOf, withoutPadding} from './transfers.js';
+import type {RequestOutcome, SentRequest, Unanswered} from './types.js';
 
 const TIME_LEFT_MS: Milliseconds = 2_000;
-/** Longer than TIME_LEFT_MS, so that responses sent at the deadline are recorded. */
-const CALLER_TIMEOUT_MS: Milliseconds = 2_600;
+const TRANSFER_TIME_LEFT_MS: Milliseconds = 6_000;
+/** Added to the time left, so that responses sent at the deadline are recorded. */
+const TIMEOUT_SLACK_MS: Milliseconds = 600;
 const MIN_PAUSE_MS: Milliseconds = 20;
 const PAUSE_JITTER_MS: Milliseconds = 40;
 /** Added where the configuration has customers: leaves upstreams half of their capacity. */
@@ -36,7 +39,7 @@
   private readonly loops: Promise<void>[] = [];
 
   constructor(
-    private readonly hosts: readonly HostProcess[],
+    private readonly testbed: Pick<Testbed, 'hosts' | 'callerLinks'>,
     private readonly history: History,
     private readonly random: Random,
   ) {}
@@ -63,7 +66,7 @@
 
   private async runCaller(): Promise<void> {
     while (!this.stopped) {
-      const host = Math.floor(this.random() * this.hosts.length);
+      const host = Math.floor(this.random() * this.testbed.hosts.length);
       const agent = new Agent({keepAlive: true, maxSockets: 1});
       for (let i = 0; i < REQUESTS_PER_CONNECTION && !this.stopped; i += 1) {
         const outcome = await this.send(this.nextRequest(host), agent);
@@ -86,7 +89,7 @@
       passedMs = this.history.clock.now() - from;
       const due = Math.floor((passedMs * perSecond) / 1_000);
       while (pending.length < due) {
-        const host = Math.floor(this.random() * this.hosts.length);
+        const host = Math.floor(this.random() * this.testbed.hosts.length);
         pending.push(this.send(this.nextRequest(host, pickName()), agent));
       }
     }
@@ -103,9 +106,19 @@
   }
 
   private nextRequest(host: number, customer?: string): SentRequest {
-    const kind = this.random() < ORDER_SHARE ? 'order' : 'lookup';
-    const target = `/${kind}/${this.nextId}`;
-    return this.createRequest(host, kind, target, this.nextKey(customer));
+    const hasLink = this.testbed.callerLinks[host] !== undefined;
+    const transfer = hasLink ? drawTransfer(this.random) : undefined;
+    const small = this.random() < ORDER_SHARE ? 'order' : 'lookup';
+    const kind = transfer?.kind ?? small;
+    const size = transfer ? `/${transfer.paddingBytes}` : '';
+    const target = `/${kind}/${this.nextId}${size}`;
+    return this.createRequest(
+      host,
+      kind,
+      target,
+      this.nextKey(customer),
+      transfer,
+    );
   }
 
   /** Key of the customer, or of one drawn by its usual load; undefined without customers. */
@@ -123,18 +136,20 @@
     kind: SentRequest['kind'],
     target: string,
     key: string | undefined,
+    transfer?: Transfer,
   ): SentRequest {
     const number = this.nextId;
     this.nextId += 1;
-    const isOrder = kind === 'order';
+    const hasBody = kind === 'order' || kind === 'upload';
     const sent: SentRequest = {
       id: `r${number}`,
       host,
       kind,
-      method: isOrder ? 'POST' : 'GET',
+      method: hasBody ? 'POST' : 'GET',
       target,
-      body: isOrder ? `bundle ${number}` : '',
+      body: hasBody ? `bundle ${number}` : '',
       key,
+      transfer,
       at: this.history.clock.now(),
     };
     this.history.noteSent(sent);
@@ -149,44 +164,87 @@
 
   private exchange(sent: SentRequest, agent: Agent): Promise<RequestOutcome> {
     const {clock} = this.history;
+    const {transfer} = sent;
+    const timeLeftMs = transfer ? TRANSFER_TIME_LEFT_MS : TIME_LEFT_MS;
+    const body = bodyOf(sent);
     return new Promise(resolve => {
-      const host = this.hosts[sent.host];
       const outgoing = request({
         agent,
-        host: host?.options.ip,
-        port: host?.ports?.callers,
+        ...this.addressOf(sent.host),
         method: sent.method,
         path: sent.target,
         headers: {
           host: ROUTE_HOSTNAME,
           [HEADERS.requestId]: sent.id,
-          [HEADERS.timeLeft]: String(TIME_LEFT_MS),
+          [HEADERS.timeLeft]: String(timeLeftMs),
           ...(sent.key && {authorization: `Bearer ${sent.key}`}),
-          ...(sent.body && {'content-length': String(sent.body.length)}),
+          ...(sent.body && {'content-length': String(body.length)}),
         },
       });
+      let localPort: number | undefined;
+      // Its own port is unknown once a connection is closed.
+      outgoing.on('finish', () => (localPort = outgoing.socket?.localPort));
       const settle = (outcome: RequestOutcome): void => {
         clearTimeout(timer);
         resolve(outcome);
       };
+      const unanswered = (): Unanswered => {
+        const at = this.deliveredAt(sent, localPort);
+        return {at: clock.now(), ...(at !== undefined && {deliveredAt: at})};
+      };
       const fail = (error: Error): void =>
-        settle({kind: 'cut', error: error.message, at: clock.now()});
+        settle({kind: 'cut', error: error.message, ...unanswered()});
       const timer = setTimeout(() => {
-        settle({kind: 'given-up', at: clock.now()});
+        settle({kind: 'given-up', ...unanswered()});
         outgoing.destroy();
-      }, CALLER_TIMEOUT_MS);
+      }, timeLeftMs + TIMEOUT_SLACK_MS);
       outgoing.on('error', fail);
       outgoing.on('response', response => {
         const chunks: Buffer[] = [];
         response.on('error', fail);
-        response.on('data', (chunk: Buffer) => chunks.push(chunk));
+        response.on('data', (chunk: Buffer) => {
+          chunks.push(chunk);
+          if (transfer && transfer.readBytesPerMs < Infinity) {
+            response.pause();
+            const readMs = chunk.length / transfer.readBytesPerMs;
+            setTimeout(() => response.resume(), readMs);
+          }
+        });
         response.on('end', () => {
           const status = response.statusCode ?? 0;
-          const body = Buffer.concat(chunks).toString();
-          settle({kind: 'answered', status, body, at: clock.now()});
+          const whole = Buffer.concat(chunks);
+          const text = withoutPadding(whole, transfer?.paddingBytes ?? 0);
+          settle({kind: 'answered', status, body: text, at: clock.now()});
         });
       });
-      outgoing.end(sent.body);
+      outgoing.end(body);
     });
   }
+
+  private addressOf(index: number): {host?: string; port?: number} {
+    const {hosts, callerLinks} = this.testbed;
+    const link = callerLinks[index];
+    const host = hosts[index];
+    return link
+      ? {host: link.ip, port: link.port}
+      : {host: host?.options.ip, port: host?.ports?.callers};
+  }
+
+  /** When the host had received the whole request; undefined if that isn't known. */
+  private deliveredAt(
+    {host, at}: SentRequest,
+    localPort: number | undefined,
+  ): Milliseconds | undefined {
+    const link = this.testbed.callerLinks[host];
+    const deliveredAt = link?.proxy.deliveredAt(localPort ?? 0);
+    // Before that, the connection carried an earlier request.
+    return deliveredAt !== undefined && deliveredAt >= at
+      ? deliveredAt
+      : undefined;
+  }
+}
+
+function bodyOf({kind, body, transfer}: SentRequest): Buffer {
+  const bytes = kind === 'upload' ? (transfer?.paddingBytes ?? 0) : 0;
+  return Buffer.concat([Buffer.from(body), paddingOf(bytes)]);
 }
--- a/src/soak/checks.ts
+++ b/src/soak/checks.ts
@@ -19,6 +19,7 @@
 import {overlapsAny} from './history.js';
 import {OVERLOAD_CHECKS} from './overload_checks.js';
 import {PATH_CHECKS} from './path_checks.js';
+import {STOP_CHECKS} from './stop_checks.js';
 import type {Finding, Span} from './types.js';
 
 /** Statuses that guarantee that a request wasn't executed and won't be. */
@@ -55,11 +56,11 @@
   findRateLimitViolations,
   findArrivalsInBackoff,
   findRunsAfterAnnouncedLeaving,
-  findAbortedRequests,
   findHarmfulRuns,
   ...CUSTOMER_CHECKS,
   ...OVERLOAD_CHECKS,
   ...PATH_CHECKS,
+  ...STOP_CHECKS,
 ];
 
 function findWrongResponses(history: History): readonly Finding[] {
@@ -222,26 +223,6 @@
   });
 }
 
-/** A planned stop must not abort requests that have reached an upstream. */
-function findAbortedRequests(history: History): readonly Finding[] {
-  return completedRequests(history).flatMap(([request, outcome]) => {
-    if (outcome.kind !== 'cut' || history.runsOf(request.id).length === 0) {
-      return [];
-    }
-    const span = {from: request.at, to: outcome.at};
-    const planned = overlapsAny(
-      span,
-      history.plannedStops.get(request.host) ?? [],
-    );
-    const excused =
-      overlapsAny(span, history.hostFaults.get(request.host) ?? []) ||
-      overlapsAny(span, history.upstreamFaults);
-    return planned && !excused
-      ? [finding('graceful stop', request, outcome.error)]
-      : [];
-  });
-}
-
 /**
  * After a request has crashed three upstreams, few further executions are allowed.
  * Ignores executions sent by hosts with recent faults. No execution counts if the
--- a/src/soak/faults.ts
+++ b/src/soak/faults.ts
@@ -1,7 +1,7 @@
 /** Kinds of faults that a run injects, each with its handler. */
 
 import type {ReportingFault, StoreFault} from '../standins/index.js';
-import type {Milliseconds} from '../time/index.js';
+import type {Milliseconds, Random} from '../time/index.js';
 import {sleep} from '../time/index.js';
 import {LEAVING_DURATION_MS, FAULT_RECOVERY_MS} from './constants.js';
 import type {LinkFault} from './fault_proxy.js';
@@ -173,8 +173,15 @@
 export const FAULT_KINDS = Object.keys(FAULTS) as readonly FaultKind[];
 
 /** Stops a host with SIGTERM, as an operator does, and starts it again. */
-export async function restart(testbed: Testbed, host: number): Promise<void> {
+export async function restart(
+  testbed: Testbed,
+  host: number,
+  delayMs: Milliseconds = 0,
+): Promise<void> {
   await stopHost(testbed, host);
+  if (delayMs > 0) {
+    await sleep(delayMs);
+  }
   await startIfStopped(testbed, host);
 }
 
@@ -255,6 +262,15 @@
   return Math.floor(random() * hosts.length);
 }
 
+/** At least one host, and not all of them. */
+export function pickHosts({hosts}: Testbed, random: Random): readonly number[] {
+  const indexes = [...hosts.keys()]
+    .map(index => ({index, order: random()}))
+    .sort((a, b) => a.order - b.order)
+    .map(({index}) => index);
+  return indexes.slice(0, 1 + Math.floor(random() * (hosts.length - 1)));
+}
+
 /** Returns a random element. */
 export function pick<T>(
   {random}: Pick<Testbed, 'random'>,
--- a/src/soak/history.ts
+++ b/src/soak/history.ts
@@ -44,6 +44,9 @@
   /** Planned stops of each host. */
   readonly plannedStops = new Map<number, Span[]>();
 
+  /** Periods in which the soak's own process noticed nothing. */
+  readonly stalls: Span[] = [];
+
   readonly customers = new CustomerHistory();
 
   /** Log of faults, signals and process exits, for tracing a finding. */
--- a/src/soak/host_process.ts
+++ b/src/soak/host_process.ts
@@ -35,6 +35,8 @@
   readonly dataCentre: string;
   readonly storePort: number;
   readonly folder: string;
+  /** Rate of the host's link to callers, if it has one of its own. */
+  readonly linkMbps: number | undefined;
 }
 
 export class HostProcess {
@@ -121,7 +123,7 @@
 
   /** Keeps the ports across restarts, as deployed hosts do. */
   private settings(): string {
-    const {name, ip, dataCentre, storePort} = this.options;
+    const {name, ip, dataCentre, storePort, linkMbps} = this.options;
     const ports = this.lastPorts;
     return [
       `self.node=${name}`,
@@ -138,6 +140,7 @@
       'terms.bounds.probe_per_s=60',
       `terms.bounds.warmup_overage=${COLD_OVERAGE}`,
       `terms.bounds.warmup_slack=${COLD_SLACK}`,
+      ...(linkMbps === undefined ? [] : [`self.limits.link_mbps=${linkMbps}`]),
       ...quotaBounds(QUOTA_TOLERANCE),
       '',
     ].join('\n');
--- a/src/soak/link.ts
+++ b/src/soak/link.ts
@@ -1,7 +1,19 @@
 /** The properties of a network link, which loopback connections lack. */
 
-import type {Clock, Milliseconds} from '../time/index.js';
+import type {Clock, Milliseconds, Random} from '../time/index.js';
 import type {SocketSizes} from './socket_options.js';
+import {logUniform} from './transfers.js';
+
+const BYTES_PER_MS_AND_MBPS = 125;
+/** Segments of Ethernet. */
+const SEGMENT_BYTES = 1_448;
+// The links of the sites.
+const MIN_MBPS = 7;
+const MAX_MBPS = 140;
+const MIN_DELAY_MS: Milliseconds = 0.9;
+const MAX_DELAY_MS: Milliseconds = 8;
+const MIN_WINDOW_BYTES = 8 * 1_024;
+const MAX_WINDOW_BYTES = 32 * 1_024;
 
 export interface LinkDirection {
   readonly bytesPerMs: number;
@@ -16,6 +28,26 @@
   readonly toClient: LinkDirection;
 }
 
+/** Draws a link with the same properties in both directions. */
+export function drawLink(random: Random): Link {
+  const direction = {
+    bytesPerMs: BYTES_PER_MS_AND_MBPS * logUniform(MIN_MBPS, MAX_MBPS, random),
+    delayMs: logUniform(MIN_DELAY_MS, MAX_DELAY_MS, random),
+    windowBytes: Math.round(
+      logUniform(MIN_WINDOW_BYTES, MAX_WINDOW_BYTES, random),
+    ),
+  };
+  return {
+    segmentBytes: SEGMENT_BYTES,
+    toTarget: direction,
+    toClient: direction,
+  };
+}
+
+export function mbpsOf({bytesPerMs}: LinkDirection): number {
+  return bytesPerMs / BYTES_PER_MS_AND_MBPS;
+}
+
 /** Sizes of a socket that receives from one direction and sends into the other. */
 export function sizesOf(
   segmentBytes: number,
--- a/src/soak/main.ts
+++ b/src/soak/main.ts
@@ -57,6 +57,10 @@
     description:
       'number of periods in which hosts are cut off from all or some upstreams; regressions keep their plans',
   });
+  readonly links = Option.String('--links', '0', {
+    description:
+      'number of drills with hosts behind narrow links, large requests and responses, and slow readers; 0 leaves links out',
+  });
   readonly seconds = Option.String('--seconds', '8', {
     description: 'time within which faults and drills begin',
   });
@@ -117,6 +121,7 @@
       customers: Number(this.customers),
       storeOddities: Number(this.storeOddities),
       pathCuts: Number(this.pathCuts),
+      links: Number(this.links),
       faultPhaseMs: Number(this.seconds) * SECOND_MS,
     };
   }
--- a/src/soak/path_cuts.ts
+++ b/src/soak/path_cuts.ts
@@ -6,7 +6,7 @@
 import type {Milliseconds, Random} from '../time/index.js';
 import {sleep} from '../time/index.js';
 import type {Drill} from './drills.js';
-import {pick} from './faults.js';
+import {pick, pickHosts} from './faults.js';
 import type {LinkFault} from './fault_proxy.js';
 import type {Testbed} from './testbed.js';
 
@@ -43,12 +43,3 @@
   await sleep(durationMs);
   end();
 }
-
-/** At least one host, and not all of them. */
-function pickHosts({hosts}: Testbed, random: Random): readonly number[] {
-  const indexes = [...hosts.keys()]
-    .map(index => ({index, order: random()}))
-    .sort((a, b) => a.order - b.order)
-    .map(({index}) => index);
-  return indexes.slice(0, 1 + Math.floor(random() * (hosts.length - 1)));
-}
--- a/src/soak/run.ts
+++ b/src/soak/run.ts
@@ -19,6 +19,7 @@
 import {monitorStalls} from './stall_monitor.js';
 import {ConfigurationWatch} from './configuration_watch.js';
 import {PATH_CUTS} from './path_cuts.js';
+import {PLANNED_STOPS} from './planned_stops.js';
 import {STORE_ODDITIES} from './store_oddities.js';
 import type {Finding, RunReport} from './types.js';
 import type {TestbedSize} from './testbed.js';
@@ -54,6 +55,7 @@
   customers: 0,
   storeOddities: 0,
   pathCuts: 0,
+  links: 0,
 } satisfies Partial<RunPlan>;
 
 /** After the last fault, all hosts must serve within this time. */
@@ -69,6 +71,7 @@
 const CUSTOMERS_SEED_OFFSET = 500_000;
 const STORE_ODDITIES_SEED_OFFSET = 600_000;
 const PATH_CUTS_SEED_OFFSET = 700_000;
+const PLANNED_STOPS_SEED_OFFSET = 800_000;
 /** Time in which to detect that a refused request is executed after all. */
 const SETTLE_MS: Milliseconds = 500;
 
@@ -78,7 +81,7 @@
   const history = new History(systemClock);
   const testbed = new Testbed(history, plan.seed, logFolder);
   // Callers' draws depend on timing, so they must not share the faults' sequence.
-  const callers = new Callers(testbed.hosts, history, seededRandom(-plan.seed));
+  const callers = new Callers(testbed, history, seededRandom(-plan.seed));
   const watch = new ConfigurationWatch(testbed, callers);
   const harmful = new HarmfulCaller(
     testbed.hosts,
@@ -204,6 +207,11 @@
       count: plan.pathCuts,
       seed: plan.seed + PATH_CUTS_SEED_OFFSET,
     },
+    {
+      drills: PLANNED_STOPS,
+      count: plan.links,
+      seed: plan.seed + PLANNED_STOPS_SEED_OFFSET,
+    },
   ];
 }
 
--- a/src/soak/testbed.ts
+++ b/src/soak/testbed.ts
@@ -20,7 +20,10 @@
 } from './constants.js';
 import type {LinkFault} from './fault_proxy.js';
 import {FaultProxy} from './fault_proxy.js';
+import {drawLink, mbpsOf} from './link.js';
+import {responsePadding, transferRoutes, withoutPadding} from './transfers.js';
 import type {History} from './history.js';
+import type {Link} from './link.js';
 import {HostProcess} from './host_process.js';
 
 const SERVICE = 'listings';
@@ -33,6 +36,8 @@
 const CUSTOMER_WORK_MS: Milliseconds = 200;
 /** Time from an upstream's crash until its replacement starts. */
 const RESTART_DELAY_MS: Milliseconds = 1_500;
+/** Separate random sequences: a seed's faults are the same without links. */
+const LINK_SEED_OFFSET = 900_000;
 const LOOPBACK_IP = '127.0.0.1';
 
 export interface TestbedSize {
@@ -40,6 +45,15 @@
   readonly upstreams: number;
   /** Number of drills with customers; without any, there are no customers. */
   readonly customers: number;
+  /** Number of drills with links; without any, hosts have no links of their own. */
+  readonly links: number;
+}
+
+/** A link between callers and one host. */
+export interface CallerLink {
+  readonly proxy: FaultProxy;
+  readonly ip: string;
+  readonly port: number;
 }
 
 /** One host's connection to the store: a store endpoint behind a fault proxy. */
@@ -60,6 +74,10 @@
   readonly store = new StoreServer();
   readonly hosts: HostProcess[] = [];
   readonly storeLinks: StoreLink[] = [];
+  /** By host; empty if hosts have no links of their own. */
+  readonly callerLinks: CallerLink[] = [];
+  /** Properties of these links. */
+  private links: readonly Link[] = [];
   /** Upstreams in service, excluding those that leave or have crashed. */
   upstreams: readonly SoakUpstream[] = [];
   private readonly allUpstreams: SoakUpstream[] = [];
@@ -92,7 +110,16 @@
     return this.history.customers.specs.length > 0;
   }
 
-  async build({hosts, upstreams, customers}: TestbedSize): Promise<void> {
+  async build({
+    hosts,
+    upstreams,
+    customers,
+    links,
+  }: TestbedSize): Promise<void> {
+    if (links > 0) {
+      const random = seededRandom(this.seed + LINK_SEED_OFFSET);
+      this.links = Array.from({length: hosts}, () => drawLink(random));
+    }
     this.configure(customers > 0 ? CUSTOMERS : []);
     for (let i = 0; i < upstreams; i += 1) {
       await this.addUpstream();
@@ -101,6 +128,9 @@
       await this.addHost(i);
     }
     await Promise.all(this.hosts.map(host => host.start()));
+    await Promise.all(
+      this.links.map((link, index) => this.addLink(index, link)),
+    );
   }
 
   /** Writes the next configuration version, with a route that only this version has. */
@@ -113,7 +143,12 @@
     });
     const record = configurationRecord(
       this.currentVersion,
-      routes,
+      [
+        ...routes,
+        ...(this.links.length > 0
+          ? transferRoutes(ROUTE_HOSTNAME, SERVICE)
+          : []),
+      ],
       [SERVICE],
       {},
       {coldPerSecond: COLD_PER_SECOND},
@@ -143,12 +178,15 @@
     const id = `i-${this.nextUpstream}`;
     this.nextUpstream += 1;
     const server = new ReportingUpstream(id, run => {
-      this.history.noteRun({...run, upstream: id});
+      const bytes = this.history.sent.get(run.id)?.transfer?.paddingBytes ?? 0;
+      const body = withoutPadding(Buffer.from(run.body, 'latin1'), bytes);
+      this.history.noteRun({...run, body, upstream: id});
       if (run.target === HARMFUL_TARGET) {
         void this.crash(upstream);
       }
     });
     server.subscribeToArrivals(run => this.history.noteArrival(run.id));
+    server.extraBytesOf = ({target}) => responsePadding(target);
     server.workMs = this.workMs;
     server.refusesWhenFull = this.hasCustomers;
     server.reportsActiveRequests = this.hasCustomers;
@@ -265,6 +303,7 @@
     }
     this.store.maxPageBytes = Infinity;
     this.extraEntries = [];
+    this.callerLinks.forEach(({proxy}) => (proxy.fault = 'none'));
     for (const {server, proxy} of this.allUpstreams) {
       server.fault = 'none';
       server.healthy = true;
@@ -277,7 +316,8 @@
     this.closed = true;
     this.hosts.forEach(host => host.signal('SIGKILL'));
     await Promise.all(this.hosts.map(host => host.exited()));
-    await Promise.all(this.storeLinks.map(({proxy}) => proxy.close()));
+    const links = [...this.storeLinks, ...this.callerLinks];
+    await Promise.all(links.map(({proxy}) => proxy.close()));
     await Promise.all(
       this.allUpstreams.flatMap(({server, proxy}) => [
         proxy.close(),
@@ -305,6 +345,7 @@
   private async addHost(index: number): Promise<void> {
     const endpoint = await this.store.addEndpoint();
     const proxy = new FaultProxy({ip: LOOPBACK_IP, port: endpoint.port});
+    const link = this.links[index];
     this.storeLinks.push({endpoint, proxy});
     this.hosts.push(
       new HostProcess(
@@ -314,12 +355,23 @@
           dataCentre: dataCentreOf(index),
           storePort: await proxy.listen(),
           folder: this.folder,
+          linkMbps: link && mbpsOf(link.toClient),
         },
         event => this.history.noteEvent(event),
       ),
     );
   }
 
+  private async addLink(index: number, link: Link): Promise<void> {
+    const host = this.hosts[index];
+    if (host?.ports) {
+      const target = {ip: host.options.ip, port: host.ports.callers};
+      const proxy = new FaultProxy(target, link);
+      const port = await proxy.listen();
+      this.callerLinks[index] = {proxy, ip: LOOPBACK_IP, port};
+    }
+  }
+
   /** Writes a record to the store and keeps its value for `rewrite`. */
   private write(topic: string, key: string, value: string | undefined): void {
     const values = this.latestValues.get(topic) ?? new Map();
--- a/src/soak/types.ts
+++ b/src/soak/types.ts
@@ -1,13 +1,17 @@
 import type {Milliseconds} from '../time/index.js';
+import type {Transfer, TransferKind} from './transfers.js';
 
 /** A request as its caller sent it. */
 export interface SentRequest {
   readonly id: string;
   readonly host: number;
-  readonly kind: 'lookup' | 'order';
+  readonly kind: 'lookup' | 'order' | TransferKind;
   readonly method: string;
   readonly target: string;
+  /** Without padding, as are the bodies of runs and responses. */
   readonly body: string;
+  /** Undefined if the request and its response are small. */
+  readonly transfer?: Transfer | undefined;
   /** Undefined if the configuration has no customers. */
   readonly key?: string;
   readonly at: Milliseconds;
@@ -22,9 +26,15 @@
       readonly at: Milliseconds;
     }
   /** The connection closed before the complete response. */
-  | {readonly kind: 'cut'; readonly error: string; readonly at: Milliseconds}
+  | (Unanswered & {readonly kind: 'cut'; readonly error: string})
   /** The caller timed out. */
-  | {readonly kind: 'given-up'; readonly at: Milliseconds};
+  | (Unanswered & {readonly kind: 'given-up'});
+
+export interface Unanswered {
+  readonly at: Milliseconds;
+  /** When its last byte reached the host, if it did and the host is behind a link. */
+  readonly deliveredAt?: Milliseconds;
+}
 
 /** One execution of a request at an upstream. */
 export interface ObservedRun {
--- a/src/standins/reporting_upstream.ts
+++ b/src/standins/reporting_upstream.ts
@@ -91,6 +91,8 @@
   workMs: Milliseconds = 0;
   /** Padding to append to response bodies. */
   extraBytes = 0;
+  /** Size of that padding for a request. */
+  extraBytesOf: (run: UpstreamRun) => number = () => this.extraBytes;
   load: ReportedLoad = DEFAULT_LOAD;
   /** Requests for these targets stop the upstream, unless the `error` fault is set. */
   crashTargets: ReadonlySet<string> = new Set();
@@ -310,7 +312,7 @@
 
   private respond(socket: Socket, run: UpstreamRun): void {
     const stamp = ['Cyclamenlever-Server-Stamp: signed', ...this.extraHeaders];
-    const extra = 'x'.repeat(this.extraBytes);
+    const extra = 'x'.repeat(this.extraBytesOf(run));
     const body = `${run.method} ${run.target} ${run.body}${extra}`;
     const response = this.formatResponse(run, 200, body, stamp);
     switch (this.fault) {
