Lose what a link holds when its sender resets while the window is full

Node notices no reset of a connection that isn't read, so that a link with a full window went on to deliver what its sender had reset; a partition of such a link would have delivered abandoned requests when it ends. The link now asks for the socket's error before it passes bytes on.

--- a/src/soak/fault_proxy.ts
+++ b/src/soak/fault_proxy.ts
@@ -212,6 +212,13 @@
     let isLost = false;
     let hasEnded = false;
     let tail = Promise.resolve();
+    // Node notices no reset of a connection that isn't read because its window is full.
+    const lose = (): void => {
+      if (!isLost && from.isPaused() && wasReset(from)) {
+        isLost = true;
+        reset(to);
+      }
+    };
     const enqueue = (action: () => void, bytes = 0): void => {
       silent ||= droppingFaults.includes(state().fault);
       if (!silent) {
@@ -221,7 +228,10 @@
           .then(() => (delayed ? sleep(DELAY_MS) : undefined))
           .then(() => (dueAt === undefined ? undefined : sleepUntil(dueAt)))
           .then(() => state().partitionEnd)
-          .then(() => (isLost ? undefined : action()));
+          .then(() => {
+            lose();
+            return isLost ? undefined : action();
+          });
       }
     };
     const pass = (chunk: Buffer): void => {
