Put the soak's upstreams behind links

Each upstream now has a link of its own, drawn from a sequence of its own, so that what a host waits to write to an upstream, and what an upstream waits to write to a host, takes its time.

--- a/src/soak/link.ts
+++ b/src/soak/link.ts
@@ -7,9 +7,11 @@
 const BYTES_PER_MS_AND_MBPS = 125;
 /** Segments of Ethernet. */
 const SEGMENT_BYTES = 1_448;
-// The links of the sites.
-const MIN_MBPS = 7;
+// The links of the sites to their callers.
+export const MIN_CALLER_MBPS = 7;
 const MAX_MBPS = 140;
+/** Within a site, hosts and upstreams share faster links. */
+export const MIN_UPSTREAM_MBPS = 50;
 const MIN_DELAY_MS: Milliseconds = 0.9;
 const MAX_DELAY_MS: Milliseconds = 8;
 const MIN_WINDOW_BYTES = 8 * 1_024;
@@ -29,9 +31,9 @@
 }
 
 /** Draws a link with the same properties in both directions. */
-export function drawLink(random: Random): Link {
+export function drawLink(random: Random, minMbps: number): Link {
   const direction = {
-    bytesPerMs: BYTES_PER_MS_AND_MBPS * logUniform(MIN_MBPS, MAX_MBPS, random),
+    bytesPerMs: BYTES_PER_MS_AND_MBPS * logUniform(minMbps, MAX_MBPS, random),
     delayMs: logUniform(MIN_DELAY_MS, MAX_DELAY_MS, random),
     windowBytes: Math.round(
       logUniform(MIN_WINDOW_BYTES, MAX_WINDOW_BYTES, random),
--- a/src/soak/testbed.ts
+++ b/src/soak/testbed.ts
@@ -20,7 +20,7 @@
 } from './constants.js';
 import type {LinkFault} from './fault_proxy.js';
 import {FaultProxy} from './fault_proxy.js';
-import {drawLink, mbpsOf} from './link.js';
+import {MIN_CALLER_MBPS, MIN_UPSTREAM_MBPS, drawLink, mbpsOf} from './link.js';
 import {responsePadding, transferRoutes, withoutPadding} from './transfers.js';
 import type {History} from './history.js';
 import type {Link} from './link.js';
@@ -38,6 +38,7 @@
 const RESTART_DELAY_MS: Milliseconds = 1_500;
 /** Separate random sequences: a seed's faults are the same without links. */
 const LINK_SEED_OFFSET = 900_000;
+const UPSTREAM_LINK_SEED_OFFSET = 1_000_000;
 const LOOPBACK_IP = '127.0.0.1';
 
 export interface TestbedSize {
@@ -45,7 +46,7 @@
   readonly upstreams: number;
   /** Number of drills with customers; without any, there are no customers. */
   readonly customers: number;
-  /** Number of drills with links; without any, hosts have no links of their own. */
+  /** Number of drills with links; without any, hosts and upstreams have no links of their own. */
   readonly links: number;
 }
 
@@ -78,6 +79,7 @@
   readonly callerLinks: CallerLink[] = [];
   /** Properties of these links. */
   private links: readonly Link[] = [];
+  private readonly upstreamRandom: Random;
   /** Upstreams in service, excluding those that leave or have crashed. */
   upstreams: readonly SoakUpstream[] = [];
   private readonly allUpstreams: SoakUpstream[] = [];
@@ -100,6 +102,7 @@
     private readonly folder: string,
   ) {
     this.random = seededRandom(seed);
+    this.upstreamRandom = seededRandom(seed + UPSTREAM_LINK_SEED_OFFSET);
   }
 
   get version(): number {
@@ -118,7 +121,9 @@
   }: TestbedSize): Promise<void> {
     if (links > 0) {
       const random = seededRandom(this.seed + LINK_SEED_OFFSET);
-      this.links = Array.from({length: hosts}, () => drawLink(random));
+      this.links = Array.from({length: hosts}, () =>
+        drawLink(random, MIN_CALLER_MBPS),
+      );
     }
     this.configure(customers > 0 ? CUSTOMERS : []);
     for (let i = 0; i < upstreams; i += 1) {
@@ -192,7 +197,11 @@
     server.reportsActiveRequests = this.hasCustomers;
     server.onColdOverload = () => this.history.overloadedWhileCold.push(id);
     const [ip = LOOPBACK_IP, port] = (await server.listen()).split(':');
-    const proxy = new FaultProxy({ip, port: Number(port)});
+    const link =
+      this.links.length > 0
+        ? drawLink(this.upstreamRandom, MIN_UPSTREAM_MBPS)
+        : undefined;
+    const proxy = new FaultProxy({ip, port: Number(port)}, link);
     const address = `${LOOPBACK_IP}:${await proxy.listen()}`;
     const dataCentre = dataCentreOf(this.nextUpstream);
     const upstream = {server, proxy, address, dataCentre};
