Store a quarantine also where no host saw three crashes itself

What callers saw: nothing yet. A request that crashed upstreams through several hosts at about the same time was held back by all of them, but its record never reached the store: after a loss of power of all hosts it could have crashed three upstreams more.

Cause: a host stored a record only at a crash that it saw itself, if that was the third. Two hosts that see two crashes each, or two and one of three, reach the threshold by each other's reports; from then on the request is held back, so that no host sees another crash of it.

Fix: a host that has seen a crash which it has not stored stores the record when it reaches the threshold, by its own crash or by a report. Hosts that saw none still write nothing, and the calls stay at two or less for each crash that a host saw.

--- a/src/decisions/limits/bounded_set.ts
+++ b/src/decisions/limits/bounded_set.ts
@@ -15,4 +15,8 @@
       this.names.delete(oldest);
     }
   }
+
+  delete(name: string): void {
+    this.names.delete(name);
+  }
 }
--- a/src/quarantine/crash_history.ts
+++ b/src/quarantine/crash_history.ts
@@ -3,8 +3,9 @@
 import type {Logger} from 'pino';
 import type {DatagramPort} from '../datagrams/index.js';
 import {MAX_SYNC_RECORDS} from '../decisions/gossip/index.js';
+import {BoundedSet} from '../decisions/limits/index.js';
 import type {Fingerprint, Fingerprints} from '../decisions/quarantine/index.js';
-import {Quarantine} from '../decisions/quarantine/index.js';
+import {MAX_SUSPECTS, Quarantine} from '../decisions/quarantine/index.js';
 import type {FollowedTopic} from '../fleet/index.js';
 import type {Store} from '../platform/index.js';
 import type {Clock, Random} from '../time/index.js';
@@ -25,6 +26,8 @@
   readonly quarantine: Quarantine;
   private readonly exchange: CrashExchange;
   private readonly crashStore: CrashStore;
+  /** Requests with a crash that this host saw and has not saved. */
+  private readonly unsaved = new BoundedSet(MAX_SUSPECTS);
   private listener: (fingerprint: Fingerprint) => void = () => undefined;
 
   constructor(parts: CrashHistoryParts) {
@@ -33,7 +36,7 @@
     this.exchange = new CrashExchange({
       ...parts,
       quarantine: this.quarantine,
-      onUpdate: fingerprint => this.listener(fingerprint),
+      onUpdate: fingerprint => this.handleUpdate(fingerprint),
     });
     this.crashStore = new CrashStore({
       store,
@@ -64,8 +67,9 @@
   noteCrash({exact, path}: Fingerprints, instance: string): void {
     for (const fingerprint of [exact, path]) {
       this.quarantine.noteCrash(fingerprint, instance);
+      this.unsaved.add(fingerprint);
       this.exchange.publish(fingerprint);
-      this.saveIf(this.quarantine.isWorthPersisting(fingerprint), fingerprint);
+      this.saveIfDue(fingerprint);
     }
   }
 
@@ -74,8 +78,11 @@
     for (const fingerprint of [exact, path]) {
       const wasPersisted = this.quarantine.isWorthPersisting(fingerprint);
       if (this.quarantine.noteResponse(fingerprint)) {
+        this.unsaved.delete(fingerprint);
         this.exchange.publish(fingerprint);
-        this.saveIf(wasPersisted, fingerprint);
+        if (wasPersisted) {
+          this.save(fingerprint);
+        }
       }
     }
   }
@@ -95,10 +102,29 @@
     this.crashStore.close();
   }
 
-  /** Calls to the store are paid for, and most suspects are cleared within a second. */
-  private saveIf(isWorthPersisting: boolean, fingerprint: Fingerprint): void {
+  private handleUpdate(fingerprint: Fingerprint): void {
+    this.saveIfDue(fingerprint);
+    this.listener(fingerprint);
+  }
+
+  /**
+   * Saves a request that has reached the threshold if this host saw one of its crashes:
+   * hosts that see crashes at the same time reach it only by each other's reports. Calls
+   * to the store are paid for, and most suspects are cleared within a second.
+   */
+  private saveIfDue(fingerprint: Fingerprint): void {
+    const isDue =
+      this.unsaved.has(fingerprint) &&
+      this.quarantine.isWorthPersisting(fingerprint);
+    if (isDue) {
+      this.unsaved.delete(fingerprint);
+      this.save(fingerprint);
+    }
+  }
+
+  private save(fingerprint: Fingerprint): void {
     const record = this.quarantine.recordOf(fingerprint);
-    if (isWorthPersisting && record) {
+    if (record) {
       void this.crashStore.save(record);
     }
   }
