Open connections through another host where the direct path refuses new ones

What callers saw: while a path resets new connections and open ones live on, a host served what fitted its open connections and refused the rest: bursts of ten orders with five upstreams, 129 of 300 served (111 refused as 'upstreams-refused', 60 broken).

Cause: beyond the open connections both attempts of a request open a new one, which is refused. Answers on the open ones show that the service can be reached, so that it never counts as cut off.

Fix: an upstream that has ended has no open connection. So a pool that holds a direct connection which has carried an exchange, and sees a new one refused, knows that it is the path: it opens further ones through another host, and lets one a second try the direct path, until one comes about. Connections that carried nothing (reset while connecting) are the only evidence, so nothing changes in what may be repeated.

Weighed: to keep detours for a fixed time after a refusal, without a trial of the direct path (written first; all requests would try the path at once when that time ends; not measured).

--- a/src/gateway/upstream_client.ts
+++ b/src/gateway/upstream_client.ts
@@ -413,7 +413,11 @@
             unit: 'upstream connection',
             upstream: upstream.id,
           }),
-        () => this.tunnelTo(upstream),
+        this.parts.clock,
+        {
+          tunnel: () => this.tunnelTo(upstream),
+          detour: () => this.parts.tunnels.open(upstream.id),
+        },
       ),
       upstream,
       inFlight: new Set(),
--- a/src/upstreams/connection.ts
+++ b/src/upstreams/connection.ts
@@ -105,6 +105,7 @@
   private idleTimer: NodeJS.Timeout | undefined;
   private closed = false;
   private used = false;
+  private refused = false;
   private tunnelPeer: string | undefined;
 
   /**
@@ -134,6 +135,11 @@
     return this.used;
   }
 
+  /** Whether it never came about: nothing was sent. */
+  get wasRefused(): boolean {
+    return this.refused;
+  }
+
   /** Whether it goes through another host, or would if one helped. */
   get isTunneled(): boolean {
     return this.openTunnel !== undefined;
@@ -165,6 +171,9 @@
     });
     outgoing.maxHeadersCount = PARSED_HEADER_COUNT;
     outgoing.setNoDelay(true);
+    this.boundary.listen(outgoing, 'error', (error: NodeJS.ErrnoException) => {
+      this.refused ||= error.syscall === 'connect';
+    });
     return outgoing;
   }
 
--- a/src/upstreams/pool.ts
+++ b/src/upstreams/pool.ts
@@ -1,26 +1,39 @@
 /** Connections to one upstream, most recently used first. */
 
 import type {ErrorHandler} from '../lifecycle/index.js';
+import type {Clock, Milliseconds} from '../time/index.js';
 import type {TunnelOpener} from '../tunnels/index.js';
 import type {ConnectionEnds} from './connection.js';
 import {UpstreamConnection} from './connection.js';
 
+/** Interval at which a new connection tries a path that refused one. */
+const RETRIAL_INTERVAL_MS: Milliseconds = 1_000;
+
+/** How connections of a pool reach their upstream. */
+export interface ConnectionPaths {
+  /** Opens all through another host; undefined while the upstream is reached directly. */
+  readonly tunnel: () => TunnelOpener | undefined;
+  /** Opens one through another host where the direct path refuses it. */
+  readonly detour: TunnelOpener;
+}
+
 export class ConnectionPool {
   private readonly idle: UpstreamConnection[] = [];
   private readonly all = new Set<UpstreamConnection>();
   /** Connections in use that carry no further request. */
   private readonly expired = new WeakSet<UpstreamConnection>();
+  /** Open direct connections that have carried an exchange. */
+  private readonly established = new Set<UpstreamConnection>();
+  /** When the direct path last refused a connection; undefined once one comes about. */
+  private refusedAt: Milliseconds | undefined;
   private draining = false;
 
-  /**
-   * @param onError called for an error of this program in one of the connections
-   * @param tunnel opens connections through another host; undefined while the upstream
-   *   is reached directly
-   */
+  /** @param onError called for an error of this program in one of the connections */
   constructor(
     private readonly ends: ConnectionEnds,
     private readonly onError: ErrorHandler,
-    private readonly tunnel: () => TunnelOpener | undefined = () => undefined,
+    private readonly clock: Clock,
+    private readonly paths?: ConnectionPaths,
   ) {}
 
   get openCount(): number {
@@ -34,12 +47,12 @@
 
   /** An idle connection, or a new one that its first request opens. */
   acquire(): UpstreamConnection {
-    return this.idle.pop() ?? this.open();
+    return this.idle.pop() ?? this.openOn(this.tunnel ?? this.takeDetour());
   }
 
   /** A new connection on the current path, which its first request opens. */
   open(): UpstreamConnection {
-    return this.openOn(this.tunnel());
+    return this.openOn(this.tunnel);
   }
 
   /** A new direct connection, whatever the current path is. */
@@ -57,12 +70,15 @@
     if (connection.isClosed) {
       return;
     }
-    const isTunneled = this.tunnel() !== undefined;
     const isExpired = this.expired.has(connection);
-    if (this.draining || isExpired || connection.isTunneled !== isTunneled) {
+    if (this.draining || isExpired || !this.isOnCurrentPath(connection)) {
       connection.close();
       return;
     }
+    if (!connection.isTunneled && !this.established.has(connection)) {
+      this.established.add(connection);
+      this.refusedAt = undefined;
+    }
     this.idle.push(connection);
     connection.startIdleTimer();
   }
@@ -95,6 +111,36 @@
     [...this.all].forEach(connection => connection.close());
   }
 
+  private get tunnel(): TunnelOpener | undefined {
+    return this.paths?.tunnel();
+  }
+
+  /**
+   * A path may refuse new connections while open ones live on. An upstream that has ended
+   * has none: then a refusal says nothing of the path.
+   */
+  private get refusesNew(): boolean {
+    return this.refusedAt !== undefined && this.established.size > 0;
+  }
+
+  /** Undefined where the direct path is open, or due to be tried again. */
+  private takeDetour(): TunnelOpener | undefined {
+    if (!this.refusesNew) {
+      return undefined;
+    }
+    const now = this.clock.now();
+    if (now - (this.refusedAt ?? now) >= RETRIAL_INTERVAL_MS) {
+      this.refusedAt = now;
+      return undefined;
+    }
+    return this.paths?.detour;
+  }
+
+  private isOnCurrentPath({isTunneled}: UpstreamConnection): boolean {
+    const isCutOff = this.tunnel !== undefined;
+    return isTunneled ? isCutOff || this.refusesNew : !isCutOff;
+  }
+
   private openOn(tunnel: TunnelOpener | undefined): UpstreamConnection {
     const connection = new UpstreamConnection(
       this.ends,
@@ -108,6 +154,10 @@
 
   private forgetClosed(connection: UpstreamConnection): void {
     this.all.delete(connection);
+    this.established.delete(connection);
+    if (connection.wasRefused && !connection.isTunneled) {
+      this.refusedAt = this.clock.now();
+    }
     const at = this.idle.indexOf(connection);
     if (at >= 0) {
       this.idle.splice(at, 1);
--- a/tests/cut_off_hosts.test.ts
+++ b/tests/cut_off_hosts.test.ts
@@ -15,6 +15,9 @@
 /** Grace period of the hosts. */
 const GRACE_MS = 2_000;
 const CALL_INTERVAL_MS = 25;
+const BURSTS = 10;
+const BURST_SIZE = 10;
+const BURST_INTERVAL_MS = 100;
 
 let system: GatewaySystem;
 let upstreams: ProxiedUpstream[];
@@ -78,6 +81,16 @@
   return statuses;
 }
 
+/** Sends orders to one host at the same time; returns their statuses. */
+function callAtOnce(index: number): Promise<readonly number[]> {
+  const order = {method: 'POST', path: '/order/7'};
+  const calls = Array.from({length: BURST_SIZE}, async () => {
+    const {status} = await system.call(hostAt(index), order);
+    return status;
+  });
+  return Promise.all(calls);
+}
+
 function servedShare(statuses: ReadonlyMap<number, number>): number {
   return (statuses.get(200) ?? 0) / CALLS;
 }
@@ -119,6 +132,21 @@
   expect(servedShare(await callAll(1))).toBeGreaterThan(0.95);
 });
 
+// Guards against bursts of which only what fits the open connections is served.
+test('bursts beyond the open connections are served while new ones are reset', async () => {
+  await callAll(1);
+  setFault([1], 'reset-new');
+  await callAtOnce(1);
+  const statuses: number[] = [];
+  for (let burst = 0; burst < BURSTS; burst += 1) {
+    await sleep(BURST_INTERVAL_MS);
+    statuses.push(...(await callAtOnce(1)));
+  }
+  const served = statuses.filter(status => status === 200);
+  expect(served.length / statuses.length).toBeGreaterThan(0.9);
+  expect(findRepeatedRuns()).toEqual([]);
+});
+
 test('a host that is cut off from one service serves it through others', async () => {
   await callAll(1);
   upstreams
--- a/tests/held_back_requests.test.ts
+++ b/tests/held_back_requests.test.ts
@@ -2,7 +2,7 @@
 import {ByteBudget} from '../src/decisions/limits/index.js';
 import {FaultProxy} from '../src/soak/index.js';
 import {ReportingUpstream} from '../src/standins/index.js';
-import {sleep} from '../src/time/index.js';
+import {sleep, systemClock} from '../src/time/index.js';
 import type {ForwardedRequest} from '../src/upstreams/index.js';
 import {ConnectionPool, sendAttempt} from '../src/upstreams/index.js';
 import {until} from './support/gateway.js';
@@ -19,7 +19,7 @@
   const port = Number((await upstream.listen()).split(':')[1]);
   proxy = new FaultProxy({ip: '127.0.0.1', port});
   const ends = {ip: '127.0.0.1', port: await proxy.listen()};
-  pool = new ConnectionPool(ends, throwError);
+  pool = new ConnectionPool(ends, throwError, systemClock);
 });
 
 afterEach(async () => {
