Close connections whose end is on its way, instead of resetting them

What callers saw: nothing yet. A host kept a descriptor for each response with Connection: close that an upstream sent, until it had none left.

Cause: Node ends the socket of such an exchange itself when the response is complete, and in the same turn the host resets it. A socket that is being shut down can't be reset (EINVAL): Node then neither closes it nor frees its descriptor, and reports the error to listeners that are gone.

Fix: such a socket is destroyed, which closes it in the ordinary way. Its exchange is over, or its last bytes were already on their way. The same in tunnels, which reset both of their ends: there no leak was seen.

--- a/src/lifecycle/index.ts
+++ b/src/lifecycle/index.ts
@@ -3,3 +3,4 @@
 export type {ErrorFields, ErrorReporter} from './error_reporter.js';
 export {createErrorReporter} from './error_reporter.js';
 export {ResourceStack} from './resource_stack.js';
+export {resetSocket} from './reset_socket.js';
--- a/src/tunnels/splice.ts
+++ b/src/tunnels/splice.ts
@@ -2,6 +2,7 @@
 
 import type {Socket} from 'node:net';
 import type {ErrorBoundary} from '../lifecycle/index.js';
+import {resetSocket} from '../lifecycle/index.js';
 
 /** An empty line, which HTTP/1.1 ignores between messages. */
 const EMPTY_LINE = '\r\n';
@@ -30,7 +31,7 @@
 export function mirrorEnd(from: Socket, to: Socket): void {
   from.write(EMPTY_LINE, error => {
     if (error) {
-      to.resetAndDestroy();
+      resetSocket(to);
     } else {
       to.end();
     }
@@ -45,6 +46,6 @@
 ): void {
   from.pipe(to, {end: false});
   boundary.listen(from, 'end', onEnd);
-  boundary.listen(from, 'error', () => to.resetAndDestroy());
+  boundary.listen(from, 'error', () => resetSocket(to));
   boundary.listen(from, 'close', () => to.destroy());
 }
--- a/src/tunnels/tunnel_server.ts
+++ b/src/tunnels/tunnel_server.ts
@@ -15,7 +15,7 @@
 import type {Reachability} from '../decisions/reachability/index.js';
 import type {RegisteredUpstream} from '../decisions/registry/index.js';
 import type {ErrorReporter} from '../lifecycle/index.js';
-import {ErrorBoundary} from '../lifecycle/index.js';
+import {ErrorBoundary, resetSocket} from '../lifecycle/index.js';
 import {parseAddress} from '../platform/index.js';
 import type {Clock, Milliseconds} from '../time/index.js';
 import {sleep} from '../time/index.js';
@@ -74,7 +74,7 @@
   handleUpgrade(request: IncomingMessage, caller: Socket): void {
     const boundary = new ErrorBoundary(error => {
       this.parts.reportError(error, {unit: 'tunnel', path: request.url});
-      caller.resetAndDestroy();
+      resetSocket(caller);
     });
     // The socket closes after an error, which its other listeners handle.
     boundary.listen(caller, 'error', () => undefined);
@@ -118,8 +118,8 @@
   close(): void {
     this.isRetired = true;
     for (const {caller, upstream} of this.tunnels) {
-      caller.resetAndDestroy();
-      upstream.resetAndDestroy();
+      resetSocket(caller);
+      resetSocket(upstream);
     }
   }
 
--- a/src/upstreams/connection.ts
+++ b/src/upstreams/connection.ts
@@ -13,7 +13,7 @@
 import type {Duplex} from 'node:stream';
 import {PARSED_HEADER_COUNT} from '../http/index.js';
 import type {ErrorHandler} from '../lifecycle/index.js';
-import {ErrorBoundary} from '../lifecycle/index.js';
+import {ErrorBoundary, resetSocket} from '../lifecycle/index.js';
 import type {RawHeaders} from '../transport/index.js';
 import type {TunnelOpener} from '../tunnels/index.js';
 
@@ -211,7 +211,7 @@
     }
     this.closed = true;
     clearTimeout(this.idleTimer);
-    Object.values(this.agent.sockets).flat().forEach(resetSocket);
+    Object.values(this.agent.sockets).flat().forEach(resetIfConnected);
     this.agent.destroy();
     this.onClosed(this);
   }
@@ -222,13 +222,13 @@
  * path that holds them back would deliver the request when nobody waits for it any more.
  */
 export function abortExchange(outgoing: ClientRequest): void {
-  resetSocket(outgoing.socket);
+  resetIfConnected(outgoing.socket);
   outgoing.destroy();
 }
 
 /** A socket that is still connecting has sent nothing. */
-function resetSocket(socket: Duplex | null | undefined): void {
+function resetIfConnected(socket: Duplex | null | undefined): void {
   if (socket instanceof Socket && !socket.connecting) {
-    socket.resetAndDestroy();
+    resetSocket(socket);
   }
 }
