Play mutated responses through tunnels too

So the sound upstream is reached directly, by the host with the spoiled responses and by the one that passes them on.

--- a/tests/mutated_responses.test.ts
+++ b/tests/mutated_responses.test.ts
@@ -1,6 +1,7 @@
 import {afterEach, beforeEach, expect, test} from 'vitest';
 import type {ReportingUpstream} from '../src/standins/index.js';
 import {seededRandom} from '../src/time/index.js';
+import {startCutOffHost} from './support/cut_off_host.js';
 import {GatewaySystem, type RunningHost, until} from './support/gateway.js';
 import {mutateBytes} from './support/mutations.js';
 import {UncaughtErrors} from './support/uncaught_errors.js';
@@ -50,18 +51,22 @@
   response => '\r\n'.repeat(100) + response,
 ];
 
+interface Start {
+  readonly spoiled: readonly ReportingUpstream[];
+  /** Host whose callers ask for spoiled responses. */
+  readonly host: RunningHost;
+}
+
 let system: GatewaySystem;
-let host: RunningHost;
 let uncaught: UncaughtErrors;
 
-beforeEach(async () => {
+beforeEach(() => {
   uncaught = new UncaughtErrors();
   system = new GatewaySystem();
   system.configure(1, [
     {path_prefix: '/lookup/', kind: 'idempotent'},
     {path_prefix: '/trade/', kind: 'non_idempotent', service: 'swaps'},
   ]);
-  host = await system.startReadyHost();
 });
 
 afterEach(async () => {
@@ -109,17 +114,38 @@
   return () => count;
 }
 
+/** Starts two upstreams to be spoiled, and a host that reaches them. */
+async function startDirect(): Promise<Start> {
+  const spoiled = [
+    await system.addUpstream('i-1'),
+    await system.addUpstream('i-2'),
+  ];
+  return {spoiled, host: await system.startReadyHost()};
+}
+
+async function startTunneled(): Promise<Start> {
+  const spoiled = [
+    await system.addProxiedUpstream('i-1'),
+    await system.addProxiedUpstream('i-2'),
+  ];
+  const host = await startCutOffHost(system, spoiled, ['/lookup/1']);
+  return {spoiled: spoiled.map(({server}) => server), host};
+}
+
 // Guards against spoiled responses that end the host, cut requests elsewhere or reach another caller.
-test(
-  'mutated responses harm nobody else',
-  async () => {
+test.each([
+  ['on direct paths', startDirect],
+  ['through tunnels', startTunneled],
+])(
+  'mutated responses %s harm nobody else',
+  async (_, start) => {
     const random = seededRandom(SEED);
-    const counts = [
-      spoil(await system.addUpstream('i-1'), random),
-      spoil(await system.addUpstream('i-2'), random),
-    ];
+    const {spoiled, host} = await start();
     await system.addUpstream('i-3', 'swaps');
-    await until(() => host.host.upstreamCount === 3);
+    const counts = spoiled.map(one => spoil(one, random));
+    const knowAll = (): boolean =>
+      system.hosts.every(one => one.host.upstreamCount === 3);
+    await until(knowAll);
     const tokens = new Set<string>();
     const harmed: string[] = [];
     const call = async (): Promise<void> => {
@@ -135,14 +161,14 @@
       tokens.delete(token);
     };
     // A host that is short of processor time refuses what it can't place in time.
-    const callSound = async (): Promise<void> => {
+    const callSound = async (at: RunningHost): Promise<void> => {
       const order = {method: 'POST', path: '/trade/7', body: 'x'};
       const options = {...order, timeLeftMs: SOUND_TIME_LEFT_MS};
-      const reply = await system.call(host, options).catch(String);
+      const reply = await system.call(at, options).catch(String);
       if (typeof reply === 'string') {
         harmed.push(reply);
       } else if (reply.status === REFUSED) {
-        await callSound();
+        await callSound(at);
       } else if (reply.body !== 'POST /trade/7 x') {
         harmed.push(`status ${reply.status}: ${reply.body}`);
       }
@@ -153,7 +179,7 @@
       Array.from({length: CALLERS}, async () => {
         while (!isDone()) {
           await call();
-          await callSound();
+          await Promise.all(system.hosts.map(callSound));
         }
       }),
     );
