Play early responses through tunnels, and to bodies below 1 MB

8 cases more above 1 MB, through tunnels, and 16 below, on both paths: 200, 413, 500 and 503, with a length and chunked. All pass; no fault of the host was found.

The stand-in that responds early ignored all later requests on its connection, so that the next request on a kept one waited for 2 s. It now ignores only the body of the request that it has responded to.

--- a/src/standins/reporting_upstream.ts
+++ b/src/standins/reporting_upstream.ts
@@ -236,6 +236,8 @@
         }
         buffered = buffered.slice(request.size);
         if (refused || this.muted.has(socket)) {
+          // Its response was sent when its head arrived.
+          refused = false;
           continue;
         }
         this.serve(socket, request.run);
