--- a/src/upstreams/connection.ts
+++ b/src/upstreams/connection.ts
@@ -13,7 +13,7 @@
 import type {Duplex} from 'node:stream';
 import {PARSED_HEADER_COUNT} from '../http/index.js';
 import type {ErrorHandler} from '../lifecycle/index.js';
-import {ErrorBoundary} from '../lifecycle/index.js';
+import {ErrorBoundary, resetSocket} from '../lifecycle/index.js';
 import type {RawHeaders} from '../transport/index.js';
 import type {TunnelOpener} from '../tunnels/index.js';
 
@@ -107,6 +107,7 @@
   private idleTimer: NodeJS.Timeout | undefined;
   private closed = false;
   private used = false;
+  private refused = false;
   private tunnelPeer: string | undefined;
 
   /**
@@ -136,6 +137,11 @@
     return this.used;
   }
 
+  /** Whether it never came about: nothing was sent. */
+  get wasRefused(): boolean {
+    return this.refused;
+  }
+
   /** Whether it goes through another host, or would if one helped. */
   get isTunneled(): boolean {
     return this.openTunnel !== undefined;
@@ -167,6 +173,9 @@
     });
     outgoing.maxHeadersCount = PARSED_HEADER_COUNT;
     outgoing.setNoDelay(true);
+    this.boundary.listen(outgoing, 'error', (error: NodeJS.ErrnoException) => {
+      this.refused ||= error.syscall === 'connect';
+    });
     return outgoing;
   }
 
@@ -204,7 +213,7 @@
     }
     this.closed = true;
     clearTimeout(this.idleTimer);
-    Object.values(this.agent.sockets).flat().forEach(resetSocket);
+    Object.values(this.agent.sockets).flat().forEach(resetIfConnected);
     this.agent.destroy();
     this.onClosed(this);
   }
@@ -215,13 +224,13 @@
  * path that holds them back would deliver the request when nobody waits for it any more.
  */
 export function abortExchange(outgoing: ClientRequest): void {
-  resetSocket(outgoing.socket);
+  resetIfConnected(outgoing.socket);
   outgoing.destroy();
 }
 
 /** A socket that is still connecting has sent nothing. */
-function resetSocket(socket: Duplex | null | undefined): void {
+function resetIfConnected(socket: Duplex | null | undefined): void {
   if (socket instanceof Socket && !socket.connecting) {
-    socket.resetAndDestroy();
+    resetSocket(socket);
   }
 }
