Leave time to receive all that a connection has carried of late

What callers saw: a caller that sends its requests without waiting got a large response cut if a small one followed it as the last: one second after the small one its connection was closed, and what it sent then reset it.

Cause: the time for the slowest callers was counted from the bytes of the last request alone, though a response before it may still be on its way. For one large response it had no limit: after 1 GB a caller that doesn't close would have held its descriptor for nearly three hours.

Now each connection has a time at which the slowest callers have received what it carried, at most what the system holds (4 MiB, 42 s) from now; the second to close comes on top.

Evidence: the test gets no whole response of two on the code before, and passes. The limit of 42 s is read, not run.

--- a/src/servers/open_connection.ts
+++ b/src/servers/open_connection.ts
@@ -10,6 +10,8 @@
 const LINGER_MS: Milliseconds = 1_000;
 /** Bytes of a response that the slowest callers receive in a millisecond. */
 const SLOWEST_BYTES_PER_MS = 100;
+/** The system holds no more bytes of a connection than this, by its usual limits. */
+const MAX_HELD_BYTES = 4 * 1024 * 1024;
 /** Time for the rest of a request's head to arrive once its connection is to close. */
 const MAX_HEAD_WAIT_MS: Milliseconds = 1_000;
 
@@ -18,8 +20,10 @@
   private readonly owed = new Set<ServerResponse>();
   /** Bytes read when the last request had ended. */
   private consumedBytes = 0;
-  /** Bytes written before the last response. */
-  private bytesBefore = 0;
+  /** Bytes written when the last response had been sent. */
+  private sentBytes = 0;
+  /** When the slowest callers have received all that was sent. */
+  private receivedAt: Milliseconds = 0;
   /** When the beginning of a request was first found on a connection to be closed. */
   private waitingSince: Milliseconds | undefined;
   private isEnded = false;
@@ -38,11 +42,11 @@
       this.consumedBytes = this.socket.bytesRead;
     };
     this.owed.add(response);
-    this.bytesBefore = this.socket.bytesWritten;
     this.boundary.listenOnce(request, 'close', noteConsumed);
     this.boundary.listenOnce(response, 'close', () => {
       this.owed.delete(response);
       noteConsumed();
+      this.noteSent();
     });
   }
 
@@ -65,15 +69,28 @@
     }
     this.isEnded = true;
     socket.end();
-    const bytes = socket.bytesWritten - this.bytesBefore;
+    this.noteSent();
+    const leftMs = Math.max(0, this.receivedAt - systemClock.now());
     const timer = setTimeout(
       this.boundary.wrap(() => socket.destroy()),
-      LINGER_MS + bytes / SLOWEST_BYTES_PER_MS,
+      LINGER_MS + leftMs,
     );
     timer.unref();
     this.boundary.listenOnce(socket, 'close', () => clearTimeout(timer));
   }
 
+  /** A response may still be on its way when the next one has been handed over. */
+  private noteSent(): void {
+    const now = systemClock.now();
+    const {bytesWritten} = this.socket;
+    const bytes = bytesWritten - this.sentBytes;
+    this.sentBytes = bytesWritten;
+    this.receivedAt = Math.min(
+      Math.max(this.receivedAt, now) + bytes / SLOWEST_BYTES_PER_MS,
+      now + MAX_HELD_BYTES / SLOWEST_BYTES_PER_MS,
+    );
+  }
+
   /** Also while the rest of a body arrives that was answered early. */
   private get isArriving(): boolean {
     if (this.socket.bytesRead === this.consumedBytes) {
--- a/tests/graceful_stop.test.ts
+++ b/tests/graceful_stop.test.ts
@@ -279,3 +279,23 @@
   await stopped;
   expect(caller.responses).toEqual({statuses: [200], isTruncated: false});
 });
+
+// Guards against a time to receive that is counted from the last of several responses.
+test('a small response behind a large one leaves time to receive both', async () => {
+  one.extraBytes = RESPONSE_BYTES;
+  const caller = new RawCaller();
+  caller.socket.pause();
+  caller.send(['/lookup/1']);
+  await until(() => one.runs.length > 0);
+  await sleep(300);
+  one.extraBytes = 0;
+  const stopped = host.host.stop();
+  caller.send(['/lookup/2']);
+  await sleep(1_350);
+  caller.send(['/lookup/3']);
+  await sleep(50);
+  caller.socket.resume();
+  await stopped;
+  await until(() => caller.hasEnded);
+  expect(caller.responses).toEqual({statuses: [200, 200], isTruncated: false});
+});
--- a/tests/unread_input.test.ts
+++ b/tests/unread_input.test.ts
@@ -7,7 +7,7 @@
 import {RelayClient} from '../src/fleet/relay_client.js';
 import {ErrorBoundary} from '../src/lifecycle/index.js';
 import {GracefulServer, closeWhenIdle, listen} from '../src/servers/index.js';
-import {sleep} from '../src/time/index.js';
+import {sleep, systemClock} from '../src/time/index.js';
 import {ConnectionPool} from '../src/upstreams/index.js';
 import {blockAfter} from './support/blocking.js';
 import {until} from './support/gateway.js';
@@ -123,7 +123,7 @@
   server.listen(0, '127.0.0.1');
   await once(server, 'listening');
   const {port} = server.address() as {port: number};
-  const pool = new ConnectionPool({ip: '127.0.0.1', port}, fail);
+  const pool = new ConnectionPool({ip: '127.0.0.1', port}, fail, systemClock);
   closers.push(() => pool.closeAll());
   const accepted = once(server, 'connection') as Promise<[Socket]>;
   const connection = pool.acquire();
