End a connection whose caller leaves in the middle of a request

What callers saw: nothing, but upstreams did: a caller that ended its connection within its next request (its end, no reset) was taken for one that waits, and upstreams worked on for it until the response to the request before.

Cause: the parser's error at such an end waits for the responses that are owed, as one that stays would want it. An end between requests, by contrast, closes the connection at once.

Now both ends are handled alike.

--- a/src/servers/graceful_server.ts
+++ b/src/servers/graceful_server.ts
@@ -20,6 +20,8 @@
 
 /** Callers that connect again after each refusal must not delay the close. */
 const MAX_LATE_CONNECTIONS = 512;
+/** Code of the parser's error when a caller ends its connection within a request. */
+const CALLER_LEFT = 'HPE_INVALID_EOF_STATE';
 
 export class GracefulServer extends Server {
   override maxHeadersCount: number | null = PARSED_HEADER_COUNT;
@@ -71,7 +73,8 @@
   /**
    * Passes on faults of connections, such as bytes that are no request, once the responses to
    * the requests before them have been sent. A caller would take an error that is sent earlier
-   * for one of these responses.
+   * for one of these responses. A caller that ends its connection is owed nothing more than
+   * what was handed over, as it is for Node after a whole request.
    */
   listenToFaults(
     listener: (error: NodeJS.ErrnoException, socket: Socket) => void,
@@ -80,7 +83,9 @@
     this.listenTo(
       'clientError',
       (error: NodeJS.ErrnoException, socket: Socket) => {
-        if (!faulty.has(socket)) {
+        if (error.code === CALLER_LEFT && this.owedOn(socket).length > 0) {
+          this.openConnections.get(socket)?.end();
+        } else if (!faulty.has(socket)) {
           faulty.add(socket);
           this.whenSettled(socket, () => {
             // One that has ended is being closed; its last response may be on its way.
--- a/tests/faulty_connections.test.ts
+++ b/tests/faulty_connections.test.ts
@@ -120,3 +120,14 @@
   half.destroy();
   expect(performance.now() - startedAt).toBeLessThan(1_400);
 });
+
+// Guards against upstreams that work on for callers that have left.
+test('an order ends when its caller leaves in the middle of its next request', async () => {
+  upstream.workMs = 3_000;
+  caller.write(ORDER + 'GET /lookup/1 HTTP/1.1\r\nHost: sh');
+  await until(() => upstream.runs.length > 0);
+  const startedAt = performance.now();
+  caller.end();
+  await until(() => caller.closed);
+  expect(performance.now() - startedAt).toBeLessThan(1_000);
+});
