Read no more than some requests on a connection that has ended

What callers saw: nothing. A caller that sends requests without end on a connection that waits for it to close made the host keep each of them until the connection closed (1 s, longer behind a large response), and write a line for each. A host that reaches its limit of memory so ends the requests of all callers.

Cause: Node keeps requests until their responses are sent, and those behind the last response get none.

Now such a connection is read no further beyond 100 requests and what has arrived with them.

--- a/src/servers/open_connection.ts
+++ b/src/servers/open_connection.ts
@@ -15,6 +15,9 @@
 /** Time for the rest of a request's head to arrive once its connection is to close. */
 const MAX_HEAD_WAIT_MS: Milliseconds = 1_000;
 
+/** Requests that are read, and dropped, on a connection that has ended. */
+const MAX_LATE_REQUESTS = 100;
+
 export class OpenConnection {
   /** Responses whose last byte hasn't been sent. */
   private readonly owed = new Set<ServerResponse>();
@@ -41,6 +44,10 @@
     const noteConsumed = (): void => {
       this.consumedBytes = this.socket.bytesRead;
     };
+    if (this.isEnded && this.owed.size > MAX_LATE_REQUESTS) {
+      // A request that is dropped resumes its connection.
+      queueMicrotask(this.boundary.wrap(() => this.socket.pause()));
+    }
     this.owed.add(response);
     this.boundary.listenOnce(request, 'close', noteConsumed);
     this.boundary.listenOnce(response, 'close', () => {
--- a/tests/faulty_connections.test.ts
+++ b/tests/faulty_connections.test.ts
@@ -3,11 +3,18 @@
 import {afterEach, beforeEach, expect, test} from 'vitest';
 import type {ReportingUpstream} from '../src/standins/index.js';
 import {sleep} from '../src/time/index.js';
-import {GatewaySystem, type RunningHost, until} from './support/gateway.js';
+import {
+  GatewaySystem,
+  type RunningHost,
+  get,
+  until,
+} from './support/gateway.js';
 
 const ORDER =
   'POST /order/1 HTTP/1.1\r\nHost: shop.example\r\nContent-Length: 0\r\n' +
   'Cyclamenlever-Request-Id: o-1\r\nCyclamenlever-Deadline-Ms: 20000\r\n\r\n';
+/** The host closes the connection behind its refusal. */
+const REFUSED = 'TRACE /order/1 HTTP/1.1\r\nHost: shop.example\r\n\r\n';
 const GARBAGE = 'this is no request\r\n\r\n';
 
 let system: GatewaySystem;
@@ -131,3 +138,25 @@
   await until(() => caller.closed);
   expect(performance.now() - startedAt).toBeLessThan(1_000);
 });
+
+// Guards against memory that grows with what a caller sends on a connection that has ended.
+test('a caller that sends on after its last response is not read for long', async () => {
+  const half = connect({
+    port: host.ports.callers,
+    host: '127.0.0.1',
+    allowHalfOpen: true,
+  });
+  half.on('error', () => undefined);
+  half.resume();
+  half.write(REFUSED);
+  await new Promise(resolve => half.once('end', resolve));
+  half.write(ORDER.repeat(30_000));
+  await sleep(2_000);
+  half.destroy();
+  const {body} = await get(host.ports.metrics, '/metrics');
+  const count = /incomplete_deliveries_total{closed_by="host"} (.*)$/m.exec(
+    body,
+  )?.[1];
+  expect(Number(count)).toBeGreaterThan(0);
+  expect(Number(count)).toBeLessThan(3_000);
+});
