Send the responses that are owed before giving up on the rest of a body

What callers saw: a caller that sends an upload behind other requests, is refused early, and doesn't send the rest within 5 s (or sends over 16 MB) got the responses before it cut, however fast it received them; and its refusal could be lost.

Cause: the connection was destroyed once the host no longer waited for the rest. Class: a connection closed by the host's schedule while something is owed on it.

Now the host reads no further, and ends the connection once these responses have been sent.

Evidence: the test gets 4,110,336 of 10,800,000 bytes on the code before, and passes.

--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -451,7 +451,7 @@
     this.endAttempts();
     this.admission.settleRetries();
     this.bodyReader.release();
-    discardBody(this.request, this.boundary);
+    discardBody(this.request, this.response, this.boundary);
     this.proceed();
     recordRequestEnd(this.context, {
       id: this.id,
--- a/src/gateway/gateway_server.ts
+++ b/src/gateway/gateway_server.ts
@@ -332,7 +332,7 @@
       ...more,
       fractionalRetryAfter: true,
     });
-    discardBody(incoming, boundary);
+    discardBody(incoming, response, boundary);
   }
 
   /** The log line of the request only tells what was written. */
--- a/tests/early_responses.test.ts
+++ b/tests/early_responses.test.ts
@@ -154,3 +154,19 @@
   await until(() => socket?.destroyed === true);
   expect(statuses()).toEqual([503]);
 }, 15_000);
+
+// Guards against responses that are cut by the end of the wait for a body behind them.
+test('a caller that never sends the rest receives the responses before it', async () => {
+  one.extraBytes = 900_000;
+  one.load = {running: 0, waiting: 0, slots: 100, percent: 100};
+  socket.pause();
+  Array.from({length: 12}, (_, at) =>
+    sendHead('/order/1', `o-${at}`, 'Content-Length: 0'),
+  );
+  sendHead('/nowhere', 'u-1', 'Content-Length: 5000');
+  await sleep(5_500);
+  socket.resume();
+  await until(() => socket.closed);
+  expect(received.length).toBeGreaterThan(12 * one.extraBytes);
+  expect(statuses()).toHaveLength(13);
+});
