Check that requests behind a response that began before a stop are answered

The test of a caller that never sends the rest of a body starts its host as the others of its file do now.

--- a/tests/early_responses.test.ts
+++ b/tests/early_responses.test.ts
@@ -157,16 +157,17 @@
 
 // Guards against responses that are cut by the end of the wait for a body behind them.
 test('a caller that never sends the rest receives the responses before it', async () => {
+  await startDirect();
   one.extraBytes = 900_000;
   one.load = {running: 0, waiting: 0, slots: 100, percent: 100};
-  socket.pause();
+  socket?.pause();
   Array.from({length: 12}, (_, at) =>
     sendHead('/order/1', `o-${at}`, 'Content-Length: 0'),
   );
   sendHead('/nowhere', 'u-1', 'Content-Length: 5000');
   await sleep(5_500);
-  socket.resume();
-  await until(() => socket.closed);
+  socket?.resume();
+  await until(() => socket?.closed === true);
   expect(received.length).toBeGreaterThan(12 * one.extraBytes);
   expect(statuses()).toHaveLength(13);
 });
--- a/tests/graceful_stop.test.ts
+++ b/tests/graceful_stop.test.ts
@@ -299,3 +299,21 @@
   await until(() => caller.hasEnded);
   expect(caller.responses).toEqual({statuses: [200, 200], isTruncated: false});
 });
+
+// Guards against a request that breaks its connection, as the response before it has begun.
+test('a request behind a response that began before the stop is answered', async () => {
+  one.extraBytes = 8_000_000;
+  const caller = new RawCaller();
+  caller.socket.pause();
+  caller.send(['/lookup/1']);
+  await until(() => one.runs.length > 0);
+  await sleep(300);
+  one.extraBytes = 0;
+  const stopped = host.host.stop();
+  caller.send(['/order/2']);
+  await sleep(200);
+  caller.socket.resume();
+  await stopped;
+  await until(() => caller.hasEnded);
+  expect(caller.responses).toEqual({statuses: [200, 200], isTruncated: false});
+});
