List two older faults by which a response that is owed is lost

Found by a review of the fixes: a CONNECT behind an order, and an error of the host in the request behind a response.

--- a/tests/faulty_connections.test.ts
+++ b/tests/faulty_connections.test.ts
@@ -160,3 +160,13 @@
   expect(Number(count)).toBeGreaterThan(0);
   expect(Number(count)).toBeLessThan(3_000);
 });
+
+// Guards against an order whose response is lost, as Node closes a connection on CONNECT.
+test('an order is answered before a CONNECT behind it ends the connection', async () => {
+  upstream.workMs = 200;
+  caller.write(ORDER);
+  await until(() => upstream.runs.length > 0);
+  caller.write('CONNECT a:1 HTTP/1.1\r\nHost: a:1\r\n\r\n');
+  await until(() => caller.closed);
+  expect(statuses()[0]).toBe('200');
+});
--- a/tests/internal_errors.test.ts
+++ b/tests/internal_errors.test.ts
@@ -1,7 +1,10 @@
+import {connect} from 'node:net';
 import {afterEach, beforeEach, expect, test, vi} from 'vitest';
 import {ByteBudget} from '../src/decisions/limits/index.js';
 import {RouteIndex} from '../src/decisions/routes/index.js';
 import {GatewayMetrics} from '../src/gateway/index.js';
+import type {ReportingUpstream} from '../src/standins/index.js';
+import {sleep} from '../src/time/index.js';
 import {
   GatewaySystem,
   type RunningHost,
@@ -12,15 +15,18 @@
 
 const LOOKUP = {path: '/lookup/7', timeLeftMs: 2_000};
 
+const RESPONSE_BYTES = 900_000;
+
 let system: GatewaySystem;
 let host: RunningHost;
 let log: LogCapture;
+let upstream: ReportingUpstream;
 
 beforeEach(async () => {
   log = new LogCapture();
   system = new GatewaySystem(log.logger);
   system.configure(1);
-  await system.addUpstream('i-1');
+  upstream = await system.addUpstream('i-1');
   host = await system.startReadyHost();
   await until(() => host.host.upstreamCount === 1);
 });
@@ -70,3 +76,28 @@
   const line = log.find('event', 'internal-error');
   expect(line).toMatchObject({request: 'request-of-the-error'});
 });
+
+// Guards against responses that are cut by an error in the request behind them.
+test('an error in a request leaves the response before it whole', async () => {
+  upstream.extraBytes = RESPONSE_BYTES;
+  const caller = connect(host.ports.callers, '127.0.0.1');
+  let bytes = 0;
+  caller.on('error', () => undefined);
+  caller.on('data', chunk => (bytes += chunk.length));
+  caller.pause();
+  const lookup =
+    'GET /lookup/7 HTTP/1.1\r\nHost: shop.example\r\n' +
+    'Cyclamenlever-Request-Id: r\r\nCyclamenlever-Deadline-Ms: 9000\r\n\r\n';
+  caller.write(lookup);
+  await until(() => upstream.runs.length > 0);
+  vi.spyOn(RouteIndex.prototype, 'find').mockImplementationOnce(() => {
+    throw new Error('injected');
+  });
+  caller.write(lookup);
+  await sleep(300);
+  caller.write(lookup);
+  await sleep(100);
+  caller.resume();
+  await until(() => caller.closed);
+  expect(bytes).toBeGreaterThan(RESPONSE_BYTES);
+});
