--- a/review/6/endless_chunks.ts
+++ b/review/4/endless_chunks.ts
@@ -245,6 +245,6 @@
     return 2;
   })
   .then(code => {
-    record.write(`${__dirname}/../../review/6/record.txt`);
+    record.write(`${__dirname}/../../review/4/record.txt`);
     process.exit(code);
   });
--- a/review/4/cut_relay.ts
+++ b/review/5/cut_relay.ts
@@ -361,6 +361,6 @@
     return 2;
   })
   .then(code => {
-    record.write(`${__dirname}/../../review/4/record.txt`);
+    record.write(`${__dirname}/../../review/5/record.txt`);
     process.exit(code);
   });
