--- a/review/4/endless_chunks.ts
+++ b/review/4/endless_chunks.ts
@@ -1,5 +1,5 @@
 /**
- * One of six servers turns faulty for a few seconds: one in twenty of its answers is bytes
+ * One of six servers turns faulty for a few seconds: one in fifty of its answers is bytes
  * that are no answer, in chunks without end.
  *
  * Exits with 1 if a host closed kept connections without an answer to requests that it had
@@ -29,11 +29,11 @@
 const FAULTY_ID = 'i-1';
 const WORK_MS = 290;
 const DEADLINE_MS = 5_299;
-const REQUEST_INTERVAL_MS = 12;
+const REQUEST_INTERVAL_MS = 8;
 const FAULT_AT_MS = 4_000;
 const FAULT_MS = 5_500;
 /** One in so many answers of the faulty server is bytes without end. */
-const ENDLESS_EVERY = 20;
+const ENDLESS_EVERY = 50;
 /** A chunk of one byte. */
 const CHUNK = '1\r\nx\r\n';
 const PIECE = CHUNK.repeat(2_048);
