Count Host headers without headersDistinct, which throws for __proto__

What callers saw: on Node before 20.20.2 a request with a header named __proto__ or constructor ended without an answer.

Cause: Node's headersDistinct finds the property of Object.prototype under that name, takes it for a list and throws; the error ends the connection of the request.

The one place that read it counts in rawHeaders now, and the linter refuses headersDistinct and trailersDistinct: no other place in src reads either.

Evidence: tests/whole_heads.test.ts on Node 20.18.1 (the oldest that engines allows): 2 of 9 failed before (socket hang up), 9 of 9 pass. On 20.20.2, the Node of this machine, they pass before and after.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -8,6 +8,9 @@
 const BOUNDARY_ONLY =
   'An error here would end the process with all its requests: use an ErrorBoundary.';
 
+const RAW_HEADERS_ONLY =
+  'Throws for a header named __proto__ before Node 20.20.2: count in rawHeaders.';
+
 const PURE_ONLY = 'src/decisions/ is deterministic: pass it in.';
 
 export default tseslint.config(
@@ -27,6 +30,11 @@
     rules: {
       eqeqeq: 'error',
       'prefer-const': 'error',
+      'no-restricted-properties': [
+        'error',
+        {property: 'headersDistinct', message: RAW_HEADERS_ONLY},
+        {property: 'trailersDistinct', message: RAW_HEADERS_ONLY},
+      ],
       'max-depth': ['error', 4],
       'max-lines-per-function': ['error', {max: 70, skipComments: true}],
       'no-restricted-syntax': ['error', NAMED_EXPORTS_ONLY],
--- a/src/http/raw_headers.ts
+++ b/src/http/raw_headers.ts
@@ -26,6 +26,20 @@
   return undefined;
 }
 
+/**
+ * How often a header occurs. Node's `headersDistinct` throws for a header named
+ * `__proto__` before Node 20.20.2.
+ *
+ * @param name in lower case
+ */
+export function countHeaders(raw: RawHeaders, name: string): number {
+  let count = 0;
+  for (let i = 0; i < raw.length; i += 2) {
+    count += raw[i]?.toLowerCase() === name ? 1 : 0;
+  }
+  return count;
+}
+
 /** Removes hop-by-hop headers and the unwanted ones (in lower case). */
 export function filterHeaders(
   raw: RawHeaders,
--- a/src/http/request_validation.ts
+++ b/src/http/request_validation.ts
@@ -11,6 +11,7 @@
 import {MAX_CALL_DEPTH, MAX_URL_BYTES, DEPTH_HEADER} from './constants.js';
 import {MAX_HEADER_COUNT, hasTooManyHeaders} from './head_limits.js';
 import type {ProblemReason} from './problem.js';
+import {countHeaders} from './raw_headers.js';
 
 /** Why a request is refused. */
 export interface RequestFault {
@@ -52,8 +53,8 @@
 }
 
 function findHeaderFault(request: IncomingMessage): RequestFault | undefined {
-  const {headers, headersDistinct} = request;
-  if ((headersDistinct.host?.length ?? 0) !== 1) {
+  const {headers, rawHeaders} = request;
+  if (countHeaders(rawHeaders, 'host') !== 1) {
     return {reason: 'bad-request', detail: 'send exactly one Host'};
   }
   const coding = headers['transfer-encoding'];
