Tests of clients that hold memory, and of responses that do; seen to fail

What callers see: such clients end the process of the host or make it exceed the memory of its machine, and all other callers lose their requests.

The tests start the deployed program with the memory and the descriptors of the smallest machine in the site files (202 MB, 2,069), and check that it lives, stays within both, and serves an ordinary lookup and an upload. No time and no share of served requests is checked.

--- a/tests/crowds.test.ts
+++ b/tests/crowds.test.ts
@@ -115,13 +115,13 @@
 }
 
 function expectWithinLimits(): void {
-    console.log(
-      'FIG',
-      expect.getState().currentTestName,
-      Math.round(host.peakMemoryBytes / 1048576),
-      host.peakDescriptors,
-      host.isAlive,
-    );
+  console.log(
+    'FIG',
+    expect.getState().currentTestName,
+    Math.round(host.peakMemoryBytes / 1048576),
+    host.peakDescriptors,
+    host.isAlive,
+  );
   expect(host.isAlive).toBe(true);
   expect(host.peakMemoryBytes / BYTES_PER_MB).toBeLessThan(MEMORY_MB);
   expect(host.peakDescriptors).toBeLessThan(MAX_DESCRIPTORS);
--- a/tests/support/crowd.ts
+++ b/tests/support/crowd.ts
@@ -98,7 +98,7 @@
     yield requests.join('');
   },
   'send short requests ahead': function* () {
-    yield 'GET / HTTP/1.1\r\nHost:a\r\n\r\n'.repeat(5_000);
+    yield 'GET / HTTP/1.1\r\nHost:a\r\n\r\n'.repeat(20_000);
   },
   'send heads without an end': function* (client) {
     yield upload(client, 'A: 1');
