Parse a connection's input in slices, as far as its requests can be held

What callers saw: some clients that sent many requests ahead made the host exceed its memory or end: Node parses all that it reads at once, 64 kB, and served all requests in it together. A client that sent 300 orders ahead and read its responses didn't get all of them.

Cause: the limits of Node act between two reads; what one read contains was an object per request, per chunk and per header before anybody could stop it.

The input of a connection stays in its stream's buffer and is parsed in slices, while fewer than 16 requests are owed on it. Its streams pause and resume it as before.

--- a/src/caller/caller_server.ts
+++ b/src/caller/caller_server.ts
@@ -31,7 +31,7 @@
 import {hasBody, readBody} from '../http/index.js';
 import {CallerSession} from './session.js';
 import type {CallerContext} from './types.js';
-import type {IncomingCall} from '../servers/index.js';
+import type {CallerCall} from '../servers/index.js';
 import {
   GracefulServer,
   closeAfter,
@@ -106,7 +106,7 @@
     this.server.closeAllConnections();
   }
 
-  private handle(call: IncomingCall): void {
+  private handle(call: CallerCall): void {
     const {request, response} = call;
     const earlier = this.server.noteRequest(request, response);
     if (isClosing(request, earlier)) {
@@ -133,7 +133,7 @@
     this.serve(call, runtime);
   }
 
-  private serve(call: IncomingCall, runtime: ServiceRuntime): void {
+  private serve(call: CallerCall, runtime: ServiceRuntime): void {
     const {request, response, boundary} = call;
     const path = (request.url ?? '/').split('?', 1)[0] ?? '/';
     const rule = runtime.findRule(request.method ?? 'GET', path);
@@ -148,7 +148,7 @@
   }
 
   private start(
-    call: IncomingCall,
+    call: CallerCall,
     runtime: ServiceRuntime,
     rule: Rule,
     body: RequestBody,
@@ -157,7 +157,7 @@
     if (response.destroyed) {
       return;
     }
-    const dispatch = this.describe(request, rule);
+    const dispatch = this.describe(call, rule);
     const serveHere = (recorder?: OrderRecorder): void =>
       new CallerSession(
         call,
@@ -246,8 +246,10 @@
     return this.context.handovers.selectHomeHost(name, homes, dispatch.id);
   }
 
-  private describe(request: IncomingMessage, rule: Rule): DispatchRequest {
-    const {headers} = request;
+  private describe(
+    {request: {headers}, waitedMs}: CallerCall,
+    rule: Rule,
+  ): DispatchRequest {
     const id = this.nextRequestId;
     this.nextRequestId += 1;
     const requestedMs = Number(headers[TIMEOUT_HEADER] ?? Infinity);
@@ -260,7 +262,7 @@
       class: rule.class,
       tenant: typeof tenant === 'string' ? tenant : DEFAULT_TENANT,
       repeatable,
-      deadlineAt: this.context.clock.now() + allowedMs,
+      deadlineAt: this.context.clock.now() - waitedMs + allowedMs,
       retries: repeatable ? rule.retries : 0,
       hedge: rule.hedge === 'on',
       depth: Number(headers[DEPTH_HEADER] ?? 0),
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -17,7 +17,7 @@
 } from '../http/index.js';
 import {ErrorBoundary} from '../lifecycle/index.js';
 import {HEADERS, readTimeLeft} from '../platform/index.js';
-import type {IncomingCall} from '../servers/index.js';
+import type {CallerCall} from '../servers/index.js';
 import type {Milliseconds} from '../time/index.js';
 import type {
   AttemptResult,
@@ -85,7 +85,7 @@
   private readonly response: ServerResponse;
 
   constructor(
-    {request, response}: IncomingCall,
+    {request, response, waitedMs}: CallerCall,
     private readonly route: Route,
     private readonly service: ServiceProfile,
     private readonly customer: Customer | undefined,
@@ -95,7 +95,7 @@
     this.response = response;
     this.record = new RequestAttempts(route);
     this.bodyReader = new BodyReader(context.bodies, this.boundary);
-    this.arrivedAt = context.clock.now();
+    this.arrivedAt = context.clock.now() - waitedMs;
     const timeoutMs = Math.min(route.timeoutMs, readTimeLeft(request.headers));
     this.giveUpAt = this.arrivedAt + timeoutMs;
     this.id = String(request.headers[HEADERS.requestId] ?? '');
--- a/src/gateway/gateway_server.ts
+++ b/src/gateway/gateway_server.ts
@@ -10,7 +10,7 @@
 import {discardBody, findRequestFault, sendProblem} from '../http/index.js';
 import type {SocketAddress} from '../platform/index.js';
 import {HEADERS} from '../platform/index.js';
-import type {Delivery, IncomingCall} from '../servers/index.js';
+import type {Delivery, CallerCall} from '../servers/index.js';
 import {
   GracefulServer,
   closeAfter,
@@ -167,7 +167,7 @@
     }
   }
 
-  private handleRequest(call: IncomingCall): void {
+  private handleRequest(call: CallerCall): void {
     const {request, response, boundary} = call;
     const earlier = this.server.noteRequest(request, response);
     observeDelivery(response, boundary, delivery =>
@@ -200,7 +200,7 @@
     this.route(call);
   }
 
-  private route(call: IncomingCall): void {
+  private route(call: CallerCall): void {
     const {request} = call;
     const {state} = this.context;
     if (!state.isComplete) {
@@ -246,7 +246,7 @@
    * Holds a request until the configuration is known, which takes some 100 ms after a
    * start. Callers that are refused would retry later than they could be served.
    */
-  private waitForConfiguration(call: IncomingCall): void {
+  private waitForConfiguration(call: CallerCall): void {
     const {response, boundary} = call;
     const {state} = this.context;
     const route = boundary.wrap(() => {
@@ -272,7 +272,7 @@
   }
 
   private startExchange(
-    call: IncomingCall,
+    call: CallerCall,
     route: Route,
     customer?: Customer,
   ): void {
@@ -297,7 +297,7 @@
    * host may lack a new route or key, and callers don't retry after these.
    */
   private refuseUnknown(
-    call: IncomingCall,
+    call: CallerCall,
     reason: 'unknown-route' | 'unknown-key',
     details: RefusalDetails,
   ): void {
@@ -314,7 +314,7 @@
   }
 
   private refuse(
-    {request: incoming, response, boundary}: IncomingCall,
+    {request: incoming, response, boundary}: CallerCall,
     reason: ProblemReason,
     {rank, miss, configuration, ...more}: RefusalDetails,
   ): void {
--- a/src/servers/graceful_server.ts
+++ b/src/servers/graceful_server.ts
@@ -16,7 +16,7 @@
 import {containedListener} from './contained_listener.js';
 import {readBeforeIdleTimeout} from './idle_timeout.js';
 import {OpenConnection} from './open_connection.js';
-import type {IncomingCall} from './types.js';
+import type {CallerCall} from './types.js';
 
 /** Callers that connect again after each refusal must not delay the close. */
 const MAX_LATE_CONNECTIONS = 512;
@@ -25,7 +25,7 @@
 
 export class GracefulServer extends Server {
   override maxHeadersCount: number | null = PARSED_HEADER_COUNT;
-  private readonly openConnections = new Map<Socket, OpenConnection>();
+  private readonly openConnections: Map<Socket, OpenConnection>;
   private acceptedCount = 0;
 
   /** Handles a request that Node passes on by another event than `request`. */
@@ -35,10 +35,18 @@
   constructor(
     options: ServerOptions,
     reportError: RequestErrorReporter,
-    handle: (call: IncomingCall) => void,
+    handle: (call: CallerCall) => void,
   ) {
-    const accept = containedListener(reportError, handle);
+    const openConnections = new Map<Socket, OpenConnection>();
+    const accept = containedListener(reportError, call => {
+      const input = openConnections.get(call.request.socket)?.input;
+      // A request whose connection has closed meanwhile is owed nothing.
+      if (input) {
+        handle({...call, holdInput: input.hold, waitedMs: input.waitedMs});
+      }
+    });
     super(options, accept);
+    this.openConnections = openConnections;
     this.accept = accept;
     const boundary = new ErrorBoundary(error => reportError(error));
     this.boundary = boundary;
--- a/src/servers/open_connection.ts
+++ b/src/servers/open_connection.ts
@@ -5,6 +5,7 @@
 import type {ErrorBoundary} from '../lifecycle/index.js';
 import type {Milliseconds} from '../time/index.js';
 import {systemClock} from '../time/index.js';
+import {ConnectionInput} from './connection_input.js';
 
 /** Time for a caller to close a connection that has ended. */
 const LINGER_MS: Milliseconds = 1_000;
@@ -15,6 +16,8 @@
 /** Time for the rest of a request's head to arrive once its connection is to close. */
 const MAX_HEAD_WAIT_MS: Milliseconds = 1_000;
 
+/** Requests of a connection that are served at the same time; further ones wait unparsed. */
+const MAX_REQUESTS = 16;
 /** Requests that are read, and dropped, on a connection that has ended. */
 const MAX_LATE_REQUESTS = 100;
 
@@ -30,11 +33,21 @@
   /** When the beginning of a request was first found on a connection to be closed. */
   private waitingSince: Milliseconds | undefined;
   private isEnded = false;
+  /** The last request that was parsed. */
+  private lastRequest: IncomingMessage | undefined;
+  readonly input: ConnectionInput;
 
   constructor(
     readonly socket: Socket,
     private readonly boundary: ErrorBoundary,
-  ) {}
+  ) {
+    this.input = new ConnectionInput(socket, boundary, {
+      canParse: () => this.canParse,
+      isInBody: () => this.isInBody,
+      onSlice: () => undefined,
+      onParsed: () => undefined,
+    });
+  }
 
   get owedResponses(): readonly ServerResponse[] {
     return [...this.owed];
@@ -42,21 +55,28 @@
 
   noteRequest(request: IncomingMessage, response: ServerResponse): void {
     const noteConsumed = (): void => {
-      this.consumedBytes = this.socket.bytesRead;
+      this.consumedBytes = this.socket.bytesRead - this.input.unparsedBytes;
     };
-    if (this.isEnded && this.owed.size > MAX_LATE_REQUESTS) {
-      // A request that is dropped resumes its connection.
-      queueMicrotask(this.boundary.wrap(() => this.socket.pause()));
-    }
+    this.lastRequest = request;
     this.owed.add(response);
     this.boundary.listenOnce(request, 'close', noteConsumed);
     this.boundary.listenOnce(response, 'close', () => {
       this.owed.delete(response);
       noteConsumed();
       this.noteSent();
+      this.input.continue();
     });
   }
 
+  private get canParse(): boolean {
+    const maxRequests = this.isEnded ? MAX_LATE_REQUESTS : MAX_REQUESTS;
+    return this.isInBody || this.owed.size < maxRequests;
+  }
+
+  private get isInBody(): boolean {
+    return this.lastRequest?.complete === false;
+  }
+
   /** Ends it unless a response is owed on it, or the beginning of a request has arrived. */
   endIfIdle(): void {
     if (this.owed.size === 0 && !this.isArriving) {
--- a/src/servers/types.ts
+++ b/src/servers/types.ts
@@ -1,5 +1,9 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {ErrorBoundary} from '../lifecycle/index.js';
+import type {Milliseconds} from '../time/index.js';
+
+/** Keeps a connection from being parsed; returns a function that ends this. */
+export type InputHold = () => () => void;
 
 /** A caller's request, and where the errors of its handlers go. */
 export interface IncomingCall {
@@ -7,3 +11,10 @@
   readonly response: ServerResponse;
   readonly boundary: ErrorBoundary;
 }
+
+/** A request on a connection whose input can be held. */
+export interface CallerCall extends IncomingCall {
+  readonly holdInput: InputHold;
+  /** How long it waited between its arrival and this call. */
+  readonly waitedMs: Milliseconds;
+}
