Hold bodies by their bytes, not by the pieces in which they arrive

What callers saw: some clients that sent bodies in chunks of one byte, or one response of such chunks without an end, ended the process of a host, and everybody lost the requests that it had.

Cause: each piece of a body was kept as an object of its own, some 200 bytes each, while the limits count bytes of content. It is one cause in four places, mended in all: buffered request bodies, streamed ones (pieces waited in a stream), buffered responses, and bodies of requests that wait for memory, which Node collected by itself; their connections are left unparsed now.

A body is collected in one buffer that grows; a known length is allocated at once and a body of one piece isn't copied. What a streamed request has unsent is passed on as one piece.

A single body of 50,000 chunks of one byte is served.

Left: pieces of a streamed response wait in Node's stream while its caller doesn't read, up to 64 kB of input for each such response.

--- a/src/gateway/body_reader.ts
+++ b/src/gateway/body_reader.ts
@@ -2,7 +2,7 @@
 
 import type {IncomingMessage} from 'node:http';
 import type {ByteBudget} from '../decisions/limits/index.js';
-import type {RequestBody} from '../http/index.js';
+import type {InputHold, RequestBody} from '../http/index.js';
 import {hasBody, readBody} from '../http/index.js';
 import type {ErrorBoundary} from '../lifecycle/index.js';
 
@@ -15,9 +15,11 @@
   private readonly releases: (() => void)[] = [];
   private reservedBytes = 0;
 
+  /** @param holdInput keeps the request's connection from being read */
   constructor(
     private readonly budget: ByteBudget,
     private readonly boundary: ErrorBoundary,
+    private readonly holdInput: InputHold,
   ) {}
 
   /**
@@ -41,21 +43,26 @@
       }
     }
     const isStreamed = length > MAX_BUFFERED_BODY_BYTES;
-    return readBody(request, this.boundary, {
+    const body = await readBody(request, this.boundary, this.holdInput, {
       canBuffer: bytes =>
         bytes <= this.reservedBytes ||
         (!isStreamed && this.extendReservation()),
+      maxBufferedBytes: MAX_BUFFERED_BODY_BYTES,
       maxBytes,
     });
+    if (body.kind === 'stream') {
+      this.releases.push(() => body.stream.destroy());
+    }
+    return body;
   }
 
-  /** Releases the reserved memory. */
+  /** Releases the reserved memory; a stream is read no further. */
   release(): void {
     this.releases.splice(0).forEach(release => release());
   }
 
-  private reserve(bytes: number, signal: AbortSignal): Promise<void> {
-    return new Promise(resolve => {
+  private async reserve(bytes: number, signal: AbortSignal): Promise<void> {
+    const granted = new Promise<void>(resolve => {
       const release = this.budget.reserve(bytes, () => {
         this.reservedBytes = bytes;
         resolve();
@@ -63,6 +70,9 @@
       this.releases.push(release);
       signal.addEventListener('abort', () => resolve(), {once: true});
     });
+    const releaseInput = this.reservedBytes > 0 ? undefined : this.holdInput();
+    await granted;
+    releaseInput?.();
   }
 
   private extendReservation(): boolean {
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -85,7 +85,7 @@
   private readonly response: ServerResponse;
 
   constructor(
-    {request, response, waitedMs}: CallerCall,
+    {request, response, holdInput, waitedMs}: CallerCall,
     private readonly route: Route,
     private readonly service: ServiceProfile,
     private readonly customer: Customer | undefined,
@@ -94,7 +94,7 @@
     this.request = request;
     this.response = response;
     this.record = new RequestAttempts(route);
-    this.bodyReader = new BodyReader(context.bodies, this.boundary);
+    this.bodyReader = new BodyReader(context.bodies, this.boundary, holdInput);
     this.arrivedAt = context.clock.now() - waitedMs;
     const timeoutMs = Math.min(route.timeoutMs, readTimeLeft(request.headers));
     this.giveUpAt = this.arrivedAt + timeoutMs;
--- a/src/gateway/response_writer.ts
+++ b/src/gateway/response_writer.ts
@@ -51,9 +51,8 @@
   boundary.listen(remainder, 'error', handleTruncation);
   boundary.listenOnce(response, 'close', () => remainder.destroy());
   response.writeHead(status, filterHeaders(headers, NO_HEADERS));
-  prefix.forEach(chunk => response.write(chunk));
   response.write(
-    '',
+    prefix,
     boundary.wrap(() => streamed.releasePrefix()),
   );
   remainder.pipe(response, {end: false});
--- a/src/http/request_body.ts
+++ b/src/http/request_body.ts
@@ -1,9 +1,13 @@
 /** Reads a request body: buffered if small, otherwise streamed once. */
 
 import type {IncomingMessage} from 'node:http';
-import {PassThrough, type Readable} from 'node:stream';
+import type {Readable} from 'node:stream';
 import type {ErrorBoundary} from '../lifecycle/index.js';
 import {DEFAULT_BUFFERED_BODY_BYTES} from './constants.js';
+import {BodyTooLargeError, BodyTruncatedError} from './errors.js';
+import {GrowingBuffer} from './growing_buffer.js';
+import {RemainingBody} from './remaining_body.js';
+import type {InputHold} from './types.js';
 
 export type RequestBody =
   | {readonly kind: 'none'}
@@ -19,26 +23,16 @@
 export interface BodyLimits {
   /** Whether a body of this size may be buffered; called as it grows. */
   readonly canBuffer: (bytes: number) => boolean;
+  /** Larger bodies aren't buffered. */
+  readonly maxBufferedBytes: number;
   /** Larger bodies are refused, also when chunked. */
   readonly maxBytes: number;
 }
 
-export class BodyTooLargeError extends Error {
-  constructor(maxBytes: number) {
-    super(`send at most ${maxBytes} bytes`);
-  }
-}
-
-/** The caller disconnected before its body was complete. */
-export class BodyTruncatedError extends Error {
-  constructor() {
-    super('the caller disconnected while sending its body');
-  }
-}
-
 const NO_BODY: RequestBody = {kind: 'none'};
 const DEFAULT_LIMITS: BodyLimits = {
   canBuffer: bytes => bytes <= DEFAULT_BUFFERED_BODY_BYTES,
+  maxBufferedBytes: DEFAULT_BUFFERED_BODY_BYTES,
   maxBytes: Infinity,
 };
 
@@ -56,46 +50,51 @@
  * Reads the body until it ends or grows too large to buffer. Rejects if the caller
  * disconnects first, with BodyTruncatedError, or with BodyTooLargeError: nothing has been forwarded then. A
  * stream that exceeds the limit later fails with the same error.
+ *
+ * @param hold keeps the connection from being read
  */
 export function readBody(
   request: IncomingMessage,
   boundary: ErrorBoundary,
+  hold: InputHold,
   bounds = DEFAULT_LIMITS,
 ): Promise<RequestBody> {
   if (!hasBody(request)) {
     request.resume();
     return Promise.resolve(NO_BODY);
   }
-  const {canBuffer, maxBytes} = bounds;
-  if (Number(request.headers['content-length'] ?? 0) > maxBytes) {
+  const {canBuffer, maxBufferedBytes, maxBytes} = bounds;
+  const length = Number(request.headers['content-length'] ?? 0);
+  if (length > maxBytes) {
     return Promise.reject(new BodyTooLargeError(maxBytes));
   }
   return new Promise((resolve, reject) => {
-    const chunks: Buffer[] = [];
-    let size = 0;
+    const body = new GrowingBuffer(length <= maxBufferedBytes ? length : 0);
     const listeners: (() => void)[] = [];
     const settle = (): void => {
       listeners.forEach(stop => stop());
     };
-    const onData = (chunk: Buffer): void => {
-      chunks.push(chunk);
-      size += chunk.length;
-      if (size > maxBytes) {
+    const onData = (piece: Buffer): void => {
+      body.append(piece);
+      if (body.length > maxBytes) {
         settle();
         reject(new BodyTooLargeError(maxBytes));
-      } else if (!canBuffer(size)) {
+      } else if (!canBuffer(body.length)) {
         settle();
-        const stream = streamRemaining(request, chunks, maxBytes, boundary);
-        const prefix = Buffer.concat(
-          chunks,
-          Math.min(size, DEFAULT_BUFFERED_BODY_BYTES),
-        );
+        const arrived = body.toBuffer();
+        const stream = new RemainingBody(arrived, {
+          request,
+          maxBytes,
+          boundary,
+          hold,
+        });
+        const prefix = arrived.subarray(0, DEFAULT_BUFFERED_BODY_BYTES);
         resolve({kind: 'stream', stream, prefix});
       }
     };
     const onEnd = (): void => {
       settle();
-      resolve({kind: 'held', bytes: Buffer.concat(chunks)});
+      resolve({kind: 'held', bytes: body.toBuffer()});
     };
     const onClose = (): void => {
       settle();
@@ -108,32 +107,3 @@
     );
   });
 }
-
-/** Streams the chunks that were read, followed by the rest of the body. */
-function streamRemaining(
-  request: IncomingMessage,
-  chunks: readonly Buffer[],
-  maxBytes: number,
-  boundary: ErrorBoundary,
-): Readable {
-  const stream = new PassThrough({highWaterMark: DEFAULT_BUFFERED_BODY_BYTES});
-  let size = 0;
-  chunks.forEach(chunk => {
-    size += chunk.length;
-    stream.write(chunk);
-  });
-  boundary.listen(request, 'data', (chunk: Buffer) => {
-    size += chunk.length;
-    if (size > maxBytes) {
-      stream.destroy(new BodyTooLargeError(maxBytes));
-    }
-  });
-  boundary.listen(request, 'close', () => {
-    // A truncated body must not look complete.
-    if (!request.complete) {
-      stream.destroy(new BodyTruncatedError());
-    }
-  });
-  request.pipe(stream);
-  return stream;
-}
--- /dev/null
+++ b/src/http/types.ts
@@ -0,0 +1,2 @@
+/** Keeps a connection from being read; returns a function that ends this. */
+export type InputHold = () => () => void;
--- a/src/servers/connection_input.ts
+++ b/src/servers/connection_input.ts
@@ -8,10 +8,10 @@
  */
 
 import type {Socket} from 'node:net';
+import type {InputHold} from '../http/index.js';
 import type {ErrorBoundary} from '../lifecycle/index.js';
 import type {Milliseconds} from '../time/index.js';
 import {systemClock} from '../time/index.js';
-import type {InputHold} from './types.js';
 
 /** Between messages: the head of a request, or a few short ones. */
 const HEAD_SLICE_BYTES = 2 * 1024;
--- a/src/servers/types.ts
+++ b/src/servers/types.ts
@@ -1,10 +1,8 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {InputHold} from '../http/index.js';
 import type {ErrorBoundary} from '../lifecycle/index.js';
 import type {Milliseconds} from '../time/index.js';
 
-/** Keeps a connection from being parsed; returns a function that ends this. */
-export type InputHold = () => () => void;
-
 /** A caller's request, and where the errors of its handlers go. */
 export interface IncomingCall {
   readonly request: IncomingMessage;
--- a/src/upstreams/attempt.ts
+++ b/src/upstreams/attempt.ts
@@ -3,6 +3,7 @@
 import type {ClientRequest, IncomingMessage} from 'node:http';
 import type {Socket} from 'node:net';
 import type {RequestBody} from '../http/index.js';
+import {GrowingBuffer} from '../http/index.js';
 import {ErrorBoundary} from '../lifecycle/index.js';
 import {HEADERS, WRONG_UPSTREAM_STATUS, readLoad} from '../platform/index.js';
 import {findHeadFault} from './response_validation.js';
@@ -136,11 +137,14 @@
     if (this.isExpectedResponse(response)) {
       observer.onHeaders(response.statusCode ?? 0, response.headers);
     }
-    const chunks: Buffer[] = [];
-    boundary.listen(response, 'data', (chunk: Buffer) => {
-      chunks.push(chunk);
-      if (!this.settled && !this.tryReserve(chunk.length)) {
-        this.startStreaming(response, chunks, completion);
+    const body = new GrowingBuffer(expectedBytes(response));
+    boundary.listen(response, 'data', (piece: Buffer) => {
+      if (this.settled) {
+        return;
+      }
+      body.append(piece);
+      if (!this.tryReserve(piece.length)) {
+        this.startStreaming(response, body.toBuffer(), completion);
       }
     });
     boundary.listen(response, 'error', (error: Error) =>
@@ -155,9 +159,8 @@
         this.fail('the response was truncated');
         return;
       }
-      const body = Buffer.concat(chunks);
       completion.verify(
-        () => this.settleBuffered(response, body),
+        () => this.settleBuffered(response, body.toBuffer()),
         () =>
           this.fail('the connection was reset before the end of the response'),
       );
@@ -180,7 +183,7 @@
   /** Returns a response that is too large to buffer while it is still arriving. */
   private startStreaming(
     response: IncomingMessage,
-    prefix: readonly Buffer[],
+    prefix: Buffer,
     completion: ResponseCompletion,
   ): void {
     response.pause();
@@ -261,6 +264,12 @@
   }
 }
 
+/** Size of a body that may be buffered; 0 if it isn't known. */
+function expectedBytes({headers}: IncomingMessage): number {
+  const length = Number(headers['content-length'] ?? 0);
+  return length <= MAX_BUFFERED_RESPONSE_BYTES ? length : 0;
+}
+
 /** Describes a shed request, including its Retry-After header if present. */
 function shedDetail({statusCode, headers}: IncomingMessage): string {
   const retryAfter = headers['retry-after'];
--- a/src/upstreams/types.ts
+++ b/src/upstreams/types.ts
@@ -34,7 +34,7 @@
   readonly status: number;
   readonly headers: RawHeaders;
   /** What has arrived so far. */
-  readonly prefix: readonly Buffer[];
+  readonly prefix: Buffer;
   /** Releases the memory that is reserved for the prefix. */
   readonly releasePrefix: () => void;
   /** Paused; emits 'aborted' or 'error' if it is truncated. */
--- a/tests/requests_ahead.test.ts
+++ b/tests/requests_ahead.test.ts
@@ -113,3 +113,16 @@
   await sleep(3 * one.workMs);
   expect(one.runs.length).toBeLessThan(2 * MAX_REQUESTS);
 });
+
+// Guards against a limit on the number of chunks, which would refuse a body within the limits.
+test('a body in chunks of one byte is served', async () => {
+  const bytes = 50_000;
+  socket.write(
+    requestOf('/order/1', 'tiny').replace('GET', 'POST').slice(0, -2) +
+      'Transfer-Encoding: chunked\r\n\r\n' +
+      `${'1\r\nx\r\n'.repeat(bytes)}0\r\n\r\n`,
+  );
+  await until(() => matches(/HTTP\/1\.1 (\d+)/g).length === 1);
+  expect(matches(/HTTP\/1\.1 (\d+)/g)).toEqual(['200']);
+  expect(one.runs.map(({body}) => body.length)).toEqual([bytes]);
+});
