Account for what all connections hold, and close those that take too much

What callers saw: clients that kept uploads one byte short of their end, requests with unread responses, heads or trailers without an end, or just connections open made a host exceed the memory or the descriptors of its machine, or ended it; everybody else lost their requests.

Cause: each connection was limited for itself, and nothing counted unparsed input, heads in progress, requests, or what waits for a caller to read, over all connections.

Each connection is estimated by what it has unparsed, unanswered and unsent, and ConnectionMemory adds them up. Over the bound those go first that take most and have made no progress for longest. A caller that reads nothing of its response for the idle timeout is closed. One connection too many takes the place of an idle one. Bounds follow from self.limits.memory_mb and max_fds, which the host didn't read before; on 350 MB the memory for bodies (24 MB) and responses (16 MB) is as it was. A chunked body reserves 192 kB while it arrives and what it took afterwards (64 kB and more before, for streams that take three times as much).

--- a/src/caller/caller_server.ts
+++ b/src/caller/caller_server.ts
@@ -134,14 +134,14 @@
   }
 
   private serve(call: CallerCall, runtime: ServiceRuntime): void {
-    const {request, response, boundary, holdInput} = call;
+    const {request, response, boundary, input} = call;
     const path = (request.url ?? '/').split('?', 1)[0] ?? '/';
     const rule = runtime.findRule(request.method ?? 'GET', path);
     if (!hasBody(request)) {
       this.start(call, runtime, rule, {kind: 'none'});
       return;
     }
-    readBody(request, boundary, holdInput).then(
+    readBody(request, boundary, input).then(
       boundary.wrap(body => this.start(call, runtime, rule, body)),
       boundary.wrap(() => this.refuse(response, 'request-body-broken')),
     );
--- a/src/decisions/limits/byte_budget.ts
+++ b/src/decisions/limits/byte_budget.ts
@@ -66,6 +66,11 @@
     });
   }
 
+  /** Reserves bytes that are in use already, free or not. */
+  charge(bytes: number): void {
+    this.reserved += bytes;
+  }
+
   release(bytes: number): void {
     this.reserved -= bytes;
     this.grantWaiting();
--- a/src/decisions/limits/index.ts
+++ b/src/decisions/limits/index.ts
@@ -1,6 +1,8 @@
 export type {QueuedRequest} from './fair_queue.js';
 export type {Download, DownloadLoad} from './download_limit.js';
 export {DownloadLimit} from './download_limit.js';
+export type {ConnectionUse} from './connection_memory.js';
+export {ConnectionMemory} from './connection_memory.js';
 export {ByteBudget} from './byte_budget.js';
 export {LogRateLimiter} from './log_rate_limiter.js';
 export {FairQueue} from './fair_queue.js';
--- a/src/gateway/body_reader.ts
+++ b/src/gateway/body_reader.ts
@@ -2,24 +2,25 @@
 
 import type {IncomingMessage} from 'node:http';
 import type {ByteBudget} from '../decisions/limits/index.js';
-import type {InputHold, RequestBody} from '../http/index.js';
+import type {BodyInput, RequestBody} from '../http/index.js';
 import {hasBody, readBody} from '../http/index.js';
 import type {ErrorBoundary} from '../lifecycle/index.js';
 
 /** Bodies up to this size are buffered, so that the request can be retried. */
 const MAX_BUFFERED_BODY_BYTES = 1024 * 1024;
-/** Reserved at a time for a body that is streamed or has no Content-Length. */
+/** Reserved for a body that is streamed or has no Content-Length. */
+const STREAM_BYTES = 192 * 1024;
+/** Reserved at a time for such a body while it is buffered and grows. */
 const RESERVATION_STEP_BYTES = 64 * 1024;
 
 export class BodyReader {
   private readonly releases: (() => void)[] = [];
   private reservedBytes = 0;
 
-  /** @param holdInput keeps the request's connection from being read */
   constructor(
     private readonly budget: ByteBudget,
     private readonly boundary: ErrorBoundary,
-    private readonly holdInput: InputHold,
+    private readonly input: BodyInput,
   ) {}
 
   /**
@@ -36,14 +37,14 @@
     const length = Number(request.headers['content-length'] ?? NaN);
     if (hasBody(request) && !(length > maxBytes)) {
       const initialBytes =
-        length <= MAX_BUFFERED_BODY_BYTES ? length : RESERVATION_STEP_BYTES;
+        length <= MAX_BUFFERED_BODY_BYTES ? length : STREAM_BYTES;
       await this.reserve(initialBytes, signal);
       if (signal.aborted) {
         return undefined;
       }
     }
     const isStreamed = length > MAX_BUFFERED_BODY_BYTES;
-    const body = await readBody(request, this.boundary, this.holdInput, {
+    const body = await readBody(request, this.boundary, this.input, {
       canBuffer: bytes =>
         bytes <= this.reservedBytes ||
         (!isStreamed && this.extendReservation()),
@@ -53,6 +54,9 @@
     if (body.kind === 'stream') {
       this.releases.push(() => body.stream.destroy());
     }
+    if (body.kind === 'held' && body.bytes.length < this.reservedBytes) {
+      this.reduceReservation(body.bytes.length);
+    }
     return body;
   }
 
@@ -70,11 +74,19 @@
       this.releases.push(release);
       signal.addEventListener('abort', () => resolve(), {once: true});
     });
-    const releaseInput = this.reservedBytes > 0 ? undefined : this.holdInput();
+    const releaseInput = this.reservedBytes > 0 ? undefined : this.input.hold();
     await granted;
     releaseInput?.();
   }
 
+  /** Replaces the reservation by a smaller one: a chunked body needed less. */
+  private reduceReservation(bytes: number): void {
+    this.budget.charge(bytes);
+    this.release();
+    this.reservedBytes = bytes;
+    this.releases.push(() => this.budget.release(bytes));
+  }
+
   private extendReservation(): boolean {
     if (this.reservedBytes + RESERVATION_STEP_BYTES > MAX_BUFFERED_BODY_BYTES) {
       return false;
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -9,7 +9,7 @@
   Refused,
   SchedulingResult,
 } from '../decisions/scheduling/index.js';
-import type {ProblemReason, RequestBody} from '../http/index.js';
+import type {BodyInput, ProblemReason, RequestBody} from '../http/index.js';
 import {
   BodyTooLargeError,
   BodyTruncatedError,
@@ -82,19 +82,21 @@
   /** An error in the handling of a request ends it, and no other. */
   private readonly boundary = new ErrorBoundary(error => this.fail(error));
   private readonly request: IncomingMessage;
+  private readonly input: BodyInput;
   private readonly response: ServerResponse;
 
   constructor(
-    {request, response, holdInput, waitedMs}: CallerCall,
+    {request, response, input, waitedMs, noteWritten}: CallerCall,
     private readonly route: Route,
     private readonly service: ServiceProfile,
     private readonly customer: Customer | undefined,
     private readonly context: GatewayContext,
   ) {
     this.request = request;
+    this.input = input;
     this.response = response;
     this.record = new RequestAttempts(route);
-    this.bodyReader = new BodyReader(context.bodies, this.boundary, holdInput);
+    this.bodyReader = new BodyReader(context.bodies, this.boundary, input);
     this.arrivedAt = context.clock.now() - waitedMs;
     const timeoutMs = Math.min(route.timeoutMs, readTimeLeft(request.headers));
     this.giveUpAt = this.arrivedAt + timeoutMs;
@@ -103,7 +105,12 @@
     const parts = {context, route, service, arrivedAt, giveUpAt, boundary};
     this.admission = new RequestAdmission({...parts, response, customer});
     this.attempts = new UpstreamAttempts(parts);
-    this.delivery = new ResponseDelivery({request, response, boundary});
+    this.delivery = new ResponseDelivery({
+      request,
+      response,
+      boundary,
+      noteWritten,
+    });
   }
 
   /** Starts to serve the request, until a response is sent or the caller disconnects. */
@@ -451,7 +458,7 @@
     this.endAttempts();
     this.admission.settleRetries();
     this.bodyReader.release();
-    discardBody(this.request, this.response, this.boundary);
+    discardBody(this.request, this.response, this.boundary, this.input);
     this.proceed();
     recordRequestEnd(this.context, {
       id: this.id,
--- a/src/gateway/gateway_metrics.ts
+++ b/src/gateway/gateway_metrics.ts
@@ -161,6 +161,12 @@
     labelNames: ['closed_by'] as const,
     registers: this.registers,
   });
+  private readonly closedConnections = new Counter({
+    name: 'cyclamenlever_closed_connections_total',
+    help: 'Connections of callers that were closed for the sake of others, by reason: memory, descriptors, unread',
+    labelNames: ['reason'] as const,
+    registers: this.registers,
+  });
   private readonly internalErrors = new Counter({
     name: 'cyclamenlever_internal_errors_total',
     help: 'Internal errors, most of which ended one request, probe or connection',
@@ -266,6 +272,10 @@
     this.incompleteDeliveries.inc({closed_by: closedBy});
   }
 
+  countClosedConnection(reason: string): void {
+    this.closedConnections.inc({reason});
+  }
+
   countInternalError(): void {
     this.internalErrors.inc();
   }
--- a/src/gateway/gateway_server.ts
+++ b/src/gateway/gateway_server.ts
@@ -4,13 +4,14 @@
 import type {Duplex} from 'node:stream';
 import type {Customer} from '../decisions/customers/index.js';
 import {identify} from '../decisions/customers/index.js';
+import type {ConnectionUse} from '../decisions/limits/index.js';
 import type {ConfigurationReport} from '../decisions/fleet/index.js';
 import type {Route, RouteMiss} from '../decisions/routes/index.js';
 import type {ProblemReason} from '../http/index.js';
 import {discardBody, findRequestFault, sendProblem} from '../http/index.js';
 import type {SocketAddress} from '../platform/index.js';
 import {HEADERS} from '../platform/index.js';
-import type {Delivery, CallerCall} from '../servers/index.js';
+import type {CallerCall, ClosingReason, Delivery} from '../servers/index.js';
 import {
   GracefulServer,
   closeAfter,
@@ -93,6 +94,11 @@
           request: request?.headers[HEADERS.requestId],
         }),
       call => this.handleRequest(call),
+      {
+        maxConnections: context.maxConnections,
+        maxBytes: context.connectionBytes,
+        onExcess: (reason, use) => this.recordClosing(reason, use),
+      },
     );
     this.server.listenTo(
       'checkContinue',
@@ -314,7 +320,7 @@
   }
 
   private refuse(
-    {request: incoming, response, boundary}: CallerCall,
+    {request: incoming, response, boundary, input}: CallerCall,
     reason: ProblemReason,
     {rank, miss, configuration, ...more}: RefusalDetails,
   ): void {
@@ -332,7 +338,7 @@
       ...more,
       fractionalRetryAfter: true,
     });
-    discardBody(incoming, response, boundary);
+    discardBody(incoming, response, boundary, input);
   }
 
   /** The log line of the request only tells what was written. */
@@ -361,6 +367,24 @@
     );
   }
 
+  private recordClosing(
+    reason: ClosingReason,
+    {bytes, progressedAt}: ConnectionUse,
+  ): void {
+    const {metrics, log, clock} = this.context;
+    metrics.countClosedConnection(reason);
+    log.logFailure(
+      {
+        event: 'connection-closed',
+        reason,
+        bytes,
+        idleMs: Math.round(clock.now() - progressedAt),
+        open: this.server.openCount,
+      },
+      'connection closed for the sake of others',
+    );
+  }
+
   private recordRefusal(
     outcome: ProblemReason,
     fields: LogFields,
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -21,6 +21,10 @@
 /** Dependencies that the exchanges of a host share. */
 export interface GatewayContext {
   readonly dataCentre: string;
+  /** Most connections of callers. */
+  readonly maxConnections: number;
+  /** Memory for what connections of callers have unparsed, unanswered and unsent. */
+  readonly connectionBytes: number;
   readonly state: FleetState;
   readonly upstreamClient: UpstreamClient;
   readonly work: WorkEstimates;
--- a/src/host/gateway_host.ts
+++ b/src/host/gateway_host.ts
@@ -27,6 +27,8 @@
 import type {Milliseconds} from '../time/index.js';
 import {systemWallClock} from '../time/index.js';
 import {sleep} from '../time/index.js';
+import type {HostLimits} from './host_limits.js';
+import {limitsOf} from './host_limits.js';
 import {createRetryBudgets} from './retry_budgets.js';
 import {warnOfUnknownEvacuations} from './unknown_evacuations.js';
 import type {BodyMemory, GatewayHostParts, HostPorts} from './types.js';
@@ -34,10 +36,6 @@
 
 const PRUNE_INTERVAL_MS: Milliseconds = 500;
 const ACTIVITY_INTERVAL_MS: Milliseconds = 1_000;
-/** Memory budget for request bodies: a tenth of the smallest hosts' memory. */
-const BODY_MEMORY_BYTES = 24 * 1024 * 1024;
-/** Memory budget for buffered responses: 16 of the largest. */
-const RESPONSE_MEMORY_BYTES = 16 * 1024 * 1024;
 
 export class GatewayHost {
   private readonly lifeCycle: ResourceStack;
@@ -54,8 +52,9 @@
   private readonly quotas: QuotaExchange;
   private readonly overload: OverloadExchange;
   private readonly retries: HostRetryBudgets;
-  private readonly bodies = new ByteBudget(BODY_MEMORY_BYTES);
-  private readonly responseMemory = new ByteBudget(RESPONSE_MEMORY_BYTES);
+  private readonly limits: HostLimits;
+  private readonly bodies: ByteBudget;
+  private readonly responseMemory: ByteBudget;
   private readonly downloads: DownloadAdmission;
   private stopping = false;
   private wasReady = false;
@@ -63,6 +62,9 @@
   constructor(private readonly parts: GatewayHostParts) {
     const {settings, clock, random, logger} = parts;
     this.lifeCycle = new ResourceStack(logger);
+    this.limits = limitsOf(settings);
+    this.bodies = new ByteBudget(this.limits.bodyBytes);
+    this.responseMemory = new ByteBudget(this.limits.responseBytes);
     const {metrics} = parts;
     const reportError = createErrorReporter(logger, () =>
       metrics.countInternalError(),
@@ -392,6 +394,8 @@
     const {upstreamClient, work} = this.upstreamSelection;
     return new GatewayServer({
       dataCentre: this.parts.settings.dataCentre,
+      maxConnections: this.limits.maxConnections,
+      connectionBytes: this.limits.connectionBytes,
       state: this.state,
       upstreamClient,
       crashes: new CrashDetector({
--- a/src/http/discard_body.ts
+++ b/src/http/discard_body.ts
@@ -2,6 +2,7 @@
 
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {ErrorBoundary} from '../lifecycle/index.js';
+import type {BodyInput} from './types.js';
 import type {Milliseconds} from '../time/index.js';
 
 /** More than this, or longer, isn't read: the caller goes on with a new connection. */
@@ -17,6 +18,7 @@
   request: IncomingMessage,
   response: ServerResponse,
   boundary: ErrorBoundary,
+  input: BodyInput,
 ): void {
   if (request.complete || request.destroyed) {
     return;
@@ -36,6 +38,7 @@
   timer.unref();
   boundary.listenOnce(request, 'close', () => clearTimeout(timer));
   boundary.listen(request, 'data', (chunk: Buffer) => {
+    input.noteBody();
     bytes += chunk.length;
     if (bytes > MAX_DISCARDED_BYTES) {
       close();
--- a/src/http/index.ts
+++ b/src/http/index.ts
@@ -14,5 +14,5 @@
 export type {BodyLimits, RequestBody} from './request_body.js';
 export {BodyTooLargeError, BodyTruncatedError} from './errors.js';
 export {GrowingBuffer} from './growing_buffer.js';
-export type {InputHold} from './types.js';
+export type {BodyInput} from './types.js';
 export {hasBody, readBody} from './request_body.js';
--- a/src/http/remaining_body.ts
+++ b/src/http/remaining_body.ts
@@ -6,15 +6,15 @@
 import {DEFAULT_BUFFERED_BODY_BYTES} from './constants.js';
 import {BodyTooLargeError, BodyTruncatedError} from './errors.js';
 import {GrowingBuffer} from './growing_buffer.js';
-import type {InputHold} from './types.js';
+import type {BodyInput} from './types.js';
 
 export interface RemainingBodyParts {
   readonly request: IncomingMessage;
   /** A larger body fails the stream. */
   readonly maxBytes: number;
   readonly boundary: ErrorBoundary;
-  /** Keeps the connection from being read while the stream is full. */
-  readonly hold: InputHold;
+  /** Held while the stream is full. */
+  readonly input: BodyInput;
 }
 
 /** Passes on what arrives together as one, however small the pieces are. */
@@ -65,7 +65,8 @@
   }
 
   private add(piece: Buffer): void {
-    const {maxBytes} = this.parts;
+    const {maxBytes, input} = this.parts;
+    input.noteBody();
     this.size += piece.length;
     if (this.size > maxBytes) {
       this.destroy(new BodyTooLargeError(maxBytes));
@@ -88,7 +89,7 @@
       return;
     }
     if (!this.push(this.unsent.take())) {
-      this.releaseInput ??= this.parts.hold();
+      this.releaseInput ??= this.parts.input.hold();
     }
   }
 }
--- a/src/http/request_body.ts
+++ b/src/http/request_body.ts
@@ -7,7 +7,7 @@
 import {BodyTooLargeError, BodyTruncatedError} from './errors.js';
 import {GrowingBuffer} from './growing_buffer.js';
 import {RemainingBody} from './remaining_body.js';
-import type {InputHold} from './types.js';
+import type {BodyInput} from './types.js';
 
 export type RequestBody =
   | {readonly kind: 'none'}
@@ -50,13 +50,11 @@
  * Reads the body until it ends or grows too large to buffer. Rejects if the caller
  * disconnects first, with BodyTruncatedError, or with BodyTooLargeError: nothing has been forwarded then. A
  * stream that exceeds the limit later fails with the same error.
- *
- * @param hold keeps the connection from being read
  */
 export function readBody(
   request: IncomingMessage,
   boundary: ErrorBoundary,
-  hold: InputHold,
+  input: BodyInput,
   bounds = DEFAULT_LIMITS,
 ): Promise<RequestBody> {
   if (!hasBody(request)) {
@@ -75,6 +73,7 @@
       listeners.forEach(stop => stop());
     };
     const onData = (piece: Buffer): void => {
+      input.noteBody();
       body.append(piece);
       if (body.length > maxBytes) {
         settle();
@@ -86,10 +85,9 @@
           request,
           maxBytes,
           boundary,
-          hold,
+          input,
         });
-        const prefix = arrived.subarray(0, DEFAULT_BUFFERED_BODY_BYTES);
-        resolve({kind: 'stream', stream, prefix});
+        resolve({kind: 'stream', stream, prefix: prefixOf(arrived)});
       }
     };
     const onEnd = (): void => {
@@ -107,3 +105,8 @@
     );
   });
 }
+
+/** A copy, which doesn't keep the rest from being freed. */
+function prefixOf(arrived: Buffer): Buffer {
+  return Buffer.from(arrived.subarray(0, DEFAULT_BUFFERED_BODY_BYTES));
+}
--- a/src/quickstart/platform.ts
+++ b/src/quickstart/platform.ts
@@ -75,6 +75,8 @@
       peers: ANY_PORT,
       introducers: [],
       linkMbps: 1_000,
+      memoryMb: 350,
+      maxDescriptors: 4_096,
       metrics: ANY_PORT,
       store,
       changeBoundMs: 2_000,
--- a/src/servers/connection_input.ts
+++ b/src/servers/connection_input.ts
@@ -8,7 +8,7 @@
  */
 
 import type {Socket} from 'node:net';
-import type {InputHold} from '../http/index.js';
+import type {BodyInput} from '../http/index.js';
 import type {ErrorBoundary} from '../lifecycle/index.js';
 import type {Milliseconds} from '../time/index.js';
 import {systemClock} from '../time/index.js';
@@ -81,7 +81,7 @@
   }
 
   /** Parses nothing more until all holds are released. */
-  readonly hold: InputHold = () => {
+  readonly hold: BodyInput['hold'] = () => {
     this.holds += 1;
     let isReleased = false;
     return () => {
--- a/src/servers/graceful_server.ts
+++ b/src/servers/graceful_server.ts
@@ -11,15 +11,23 @@
 import {PARSED_HEADER_COUNT} from '../http/index.js';
 import {ErrorBoundary} from '../lifecycle/index.js';
 import type {Milliseconds} from '../time/index.js';
-import {nextPoll} from '../time/index.js';
+import {nextPoll, systemClock} from '../time/index.js';
 import type {RequestErrorReporter} from './contained_listener.js';
 import {containedListener} from './contained_listener.js';
 import {readBeforeIdleTimeout} from './idle_timeout.js';
+import {ConnectionAdmission} from './connection_admission.js';
 import {OpenConnection} from './open_connection.js';
-import type {CallerCall} from './types.js';
+import type {CallerCall, ConnectionLimits} from './types.js';
 
 /** Callers that connect again after each refusal must not delay the close. */
 const MAX_LATE_CONNECTIONS = 512;
+const SWEEP_INTERVAL_MS: Milliseconds = 250;
+/** For a server whose machine isn't known. */
+const DEFAULT_LIMITS: ConnectionLimits = {
+  maxConnections: 10_000,
+  maxBytes: 256 * 1024 * 1024,
+  onExcess: () => undefined,
+};
 /** Code of the parser's error when a caller ends its connection within a request. */
 const CALLER_LEFT = 'HPE_INVALID_EOF_STATE';
 
@@ -27,6 +35,7 @@
   override maxHeadersCount: number | null = PARSED_HEADER_COUNT;
   private readonly openConnections: Map<Socket, OpenConnection>;
   private acceptedCount = 0;
+  private readonly admission: ConnectionAdmission;
 
   /** Handles a request that Node passes on by another event than `request`. */
   readonly accept: RequestListener;
@@ -36,13 +45,14 @@
     options: ServerOptions,
     reportError: RequestErrorReporter,
     handle: (call: CallerCall) => void,
+    limits: ConnectionLimits = DEFAULT_LIMITS,
   ) {
     const openConnections = new Map<Socket, OpenConnection>();
     const accept = containedListener(reportError, call => {
-      const input = openConnections.get(call.request.socket)?.input;
+      const connection = openConnections.get(call.request.socket);
       // A request whose connection has closed meanwhile is owed nothing.
-      if (input) {
-        handle({...call, holdInput: input.hold, waitedMs: input.waitedMs});
+      if (connection) {
+        handle({...call, ...connection.callParts});
       }
     });
     super(options, accept);
@@ -51,16 +61,34 @@
     const boundary = new ErrorBoundary(error => reportError(error));
     this.boundary = boundary;
     readBeforeIdleTimeout(this, boundary);
-    boundary.listen(this, 'connection', (socket: Socket) => {
-      const connection = new OpenConnection(socket, boundary);
-      this.acceptedCount += 1;
-      this.openConnections.set(socket, connection);
-      // Node closes a connection by this method after a response that is its last.
-      socket.destroySoon = () => connection.end();
-      boundary.listenOnce(socket, 'close', () => this.forget(socket));
+    this.admission = new ConnectionAdmission(limits, systemClock);
+    this.sweepWhileListening();
+    boundary.listen(this, 'connection', (socket: Socket) =>
+      this.addConnection(socket),
+    );
+  }
+
+  private sweepWhileListening(): void {
+    const {boundary, admission} = this;
+    const sweep = boundary.wrap(() => admission.noteAll(this.keepAliveTimeout));
+    boundary.listen(this, 'listening', () => {
+      const timer = setInterval(sweep, SWEEP_INTERVAL_MS);
+      timer.unref();
+      boundary.listenOnce(this, 'close', () => clearInterval(timer));
     });
   }
 
+  private addConnection(socket: Socket): void {
+    this.acceptedCount += 1;
+    const {boundary, admission, openConnections} = this;
+    const connection = new OpenConnection(socket, boundary, admission);
+    openConnections.set(socket, connection);
+    // Node closes a connection by this method after a response that is its last.
+    socket.destroySoon = () => connection.end();
+    boundary.listenOnce(socket, 'close', () => this.forget(socket));
+    admission.add(connection);
+  }
+
   /** Connections that aren't closed yet, by this side or their caller. */
   get openCount(): number {
     return this.openConnections.size;
--- a/src/servers/index.ts
+++ b/src/servers/index.ts
@@ -1,4 +1,4 @@
-export type {CallerCall, IncomingCall} from './types.js';
+export type {CallerCall, ClosingReason, IncomingCall} from './types.js';
 export type {RequestErrorReporter} from './contained_listener.js';
 export {containedListener} from './contained_listener.js';
 export type {Delivery} from './delivery.js';
--- a/tests/support/gateway.ts
+++ b/tests/support/gateway.ts
@@ -55,6 +55,9 @@
   readonly firstStart?: boolean;
   /** Capacity of the host's network link, in Mbit/s. */
   readonly linkMbps?: number;
+  /** Memory of the host's machine. */
+  readonly memoryMb?: number;
+  readonly maxDescriptors?: number;
   /** Hosts that it contacts first; by default the one that started first. */
   readonly introducers?: readonly string[];
 }
@@ -160,6 +163,8 @@
       firstStart = true,
       introducers,
       linkMbps = 100,
+      memoryMb = 350,
+      maxDescriptors = 4_096,
     }: StartOptions = {},
   ): Promise<RunningHost> {
     const [first] = this.hosts;
@@ -177,6 +182,8 @@
       peers: {...ANY_PORT, port: peers},
       introducers: introducers ?? usual,
       linkMbps,
+      memoryMb,
+      maxDescriptors,
       metrics: ANY_PORT,
       store: {ip: '127.0.0.1', port: storeEndpoint.port},
       changeBoundMs: 2_000,
--- a/tests/support/spawned_host.ts
+++ b/tests/support/spawned_host.ts
@@ -20,7 +20,6 @@
   SETTINGS_FILE_VARIABLE,
 } from '../../src/platform/index.js';
 
-const FLAGS = ['--max-old-space-size=160', '--no-memory-reducer'];
 const DESCRIPTOR_POLL_MS = 50;
 const KILOBYTE = 1024;
 
@@ -65,7 +64,8 @@
         `platform.platform.address=127.0.0.1:${storePort}`,
       ].join('\n'),
     );
-    const child = spawn(process.execPath, [...FLAGS, 'target/host.cjs'], {
+    const args = [...deployedFlags(), 'target/host.cjs'];
+    const child = spawn(process.execPath, args, {
       env: {
         ...process.env,
         [SETTINGS_FILE_VARIABLE]: path,
@@ -111,3 +111,9 @@
     }
   }
 }
+
+/** Flags of Node in the deploy file. */
+function deployedFlags(): readonly string[] {
+  const text = readFileSync('deploy/system.toml', 'utf8');
+  return /run = "node (.*) target/.exec(text)?.[1]?.split(' ') ?? [];
+}
