Take no part of a response for the whole that ends during the upload

What callers saw: an upstream that answered a long upload at once, without length, sent a part and broke off passed for one whose response was whole: 200 with a part of the body and a length that fits it.

Cause: a response without length is whole if its connection ends in order, which a write after the end checks. While the upload is still being written, an upstream's close ends the connection in order first; the reset follows only once the next part of the request has arrived there. A tunnel passed on that end as well.

The end of such a response counts as a truncation while a part of the request isn't written. Where the request was written less than a round trip ago and is larger than what is sent at once (8 kB), the end is read a round trip later, when the reset would have come. Relays check the same: bytes of the caller behind the upstream's end, or unsent by then, make it a reset. Streamed responses use the same check. Looked at: probes and tunnel requests have no body; the store's bodies are JSON that must parse, or pages whose rest is read next; peers' streams are read line by line.

Whole responses without length to whole uploads stay whole.

What it costs: an upstream that refuses an upload early, without length, and closes in order is a broken attempt now.

--- a/src/servers/connection_input.ts
+++ b/src/servers/connection_input.ts
@@ -35,6 +35,8 @@
   readonly onSlice: (bytes: number) => void;
   /** Called once no more can be parsed for now. */
   readonly onParsed: () => void;
+  /** Time by which the end of the connection is to be noticed later. */
+  readonly endDelayMs?: () => Milliseconds;
 }
 
 export class ConnectionInput {
@@ -43,6 +45,7 @@
   private isPaused = false;
   private isParsing = false;
   private isScheduled = false;
+  private endTimer: NodeJS.Timeout | undefined;
   private readonly arrivals: Arrival[] = [];
   private parsedBytes = 0;
 
@@ -124,8 +127,8 @@
     const {socket, parts} = this;
     const {readableLength} = socket;
     if (readableLength === 0) {
-      // Makes the stream read on, or emit its end.
-      return socket.read() !== null;
+      this.readEnd();
+      return false;
     }
     if (
       socket.destroyed ||
@@ -143,6 +146,22 @@
     return isRead;
   }
 
+  /** Makes the stream emit its end, if that has arrived. */
+  private readEnd(): void {
+    const {socket, boundary, parts} = this;
+    const delayMs = parts.endDelayMs?.() ?? 0;
+    if (delayMs <= 0) {
+      socket.read(0);
+      return;
+    }
+    clearTimeout(this.endTimer);
+    this.endTimer = setTimeout(
+      boundary.wrap(() => socket.read(0)),
+      delayMs,
+    );
+    this.endTimer.unref();
+  }
+
   private noteArrival(): void {
     if (this.unparsedBytes === 0) {
       return;
@@ -164,3 +183,18 @@
     }
   }
 }
+
+/** Makes the end of a connection, of which a message is being parsed, be noticed later. */
+export function delayEnd(
+  socket: Socket,
+  boundary: ErrorBoundary,
+  endDelayMs: () => Milliseconds,
+): void {
+  new ConnectionInput(socket, boundary, {
+    canParse: () => true,
+    isInBody: () => true,
+    onSlice: () => undefined,
+    onParsed: () => undefined,
+    endDelayMs,
+  });
+}
--- a/src/servers/index.ts
+++ b/src/servers/index.ts
@@ -4,6 +4,7 @@
 export type {Delivery} from './delivery.js';
 export {observeDelivery} from './delivery.js';
 export {GracefulServer, closeAfter, isClosing} from './graceful_server.js';
+export {delayEnd} from './connection_input.js';
 export {closeWhenIdle, readBeforeIdleTimeout} from './idle_timeout.js';
 export {closeNow, listen} from './listen.js';
 export {TrafficMeter} from './traffic_meter.js';
--- a/src/standins/index.ts
+++ b/src/standins/index.ts
@@ -6,7 +6,11 @@
 export type {StoreEndpoint, StoreFault} from './store_server.js';
 export {StoreServer} from './store_server.js';
 export type {StoreCopy} from './store_topics.js';
-export type {ReportingFault, UpstreamRun} from './reporting_upstream.js';
+export type {
+  EarlyEnd,
+  ReportingFault,
+  UpstreamRun,
+} from './reporting_upstream.js';
 export {ReportingUpstream} from './reporting_upstream.js';
 export type {
   InstanceSpec,
--- a/src/standins/reporting_upstream.ts
+++ b/src/standins/reporting_upstream.ts
@@ -34,6 +34,11 @@
   | 'mute'
   /** Responds to a POST with `earlyStatus` once its head has arrived, before its body. */
   | 'refuse-early'
+  /**
+   * Responds to a POST without Content-Length once its head has arrived, sends a part and
+   * ends the connection as `earlyEnd` says.
+   */
+  | 'truncate-early'
   /** Sends a response without Content-Length that never ends. */
   | 'endless'
   /** Sends chunks without end. */
@@ -49,6 +54,14 @@
   /** Omits the signature header, without which a success doesn't count. */
   | 'unsigned';
 
+/** How a connection ends whose request hasn't arrived whole. */
+export type EarlyEnd =
+  /** In order, while the upstream reads on. */
+  | 'end'
+  /** By a close, which resets it if a part of the request is unread or still to come. */
+  | 'close'
+  | 'reset';
+
 /** A request that the upstream received. */
 export interface UpstreamRun {
   readonly id: string;
@@ -113,6 +126,7 @@
   /** Value of the Retry-After header in refusals; omitted if undefined. */
   retryAfter: string | undefined;
   earlyStatus = 503;
+  earlyEnd: EarlyEnd = 'end';
   /** Further header lines of all responses to requests. */
   extraHeaders: readonly string[] = [];
   /** Spoils a response, for the `raw` fault. */
@@ -230,6 +244,12 @@
             : 'Cyclamenlever-Server-Stamp: signed';
         socket.write(this.formatResponse(head, this.earlyStatus, '', [header]));
       }
+      if (this.fault === 'truncate-early' && hasPostHead(buffered)) {
+        refused = true;
+        this.truncateEarly(socket, parseHead(buffered));
+        buffered = '';
+        return;
+      }
       for (;;) {
         buffered = buffered.replace(LEADING_EMPTY_LINES, '');
         const request = parse(buffered);
@@ -247,6 +267,19 @@
     });
   }
 
+  private truncateEarly(socket: Socket, run: UpstreamRun): void {
+    const response = this.formatResponse(run, 200, FILLER, [
+      'Cyclamenlever-Server-Stamp: signed',
+    ]);
+    const part = withoutContentLength(response).slice(0, -FILLER.length / 2);
+    const end = {
+      end: () => socket.end(),
+      close: () => socket.destroy(),
+      reset: () => socket.resetAndDestroy(),
+    }[this.earlyEnd];
+    socket.write(part, end);
+  }
+
   private serve(socket: Socket, run: UpstreamRun): void {
     const expected = run.headers.get('cyclamenlever-expect-instance');
     if (expected !== undefined && expected !== this.id) {
--- a/src/tunnels/constants.ts
+++ b/src/tunnels/constants.ts
@@ -16,5 +16,8 @@
   unavailable: 503,
 };
 
+/** After this time what was sent to an upstream has arrived, and been answered if it is closed. */
+export const ROUND_TRIP_MS: Milliseconds = 60;
+
 /** Connecting to an upstream takes a round trip: 24 ms between regions. */
 export const CONNECT_TIMEOUT_MS: Milliseconds = 60;
--- a/src/tunnels/splice.ts
+++ b/src/tunnels/splice.ts
@@ -3,6 +3,9 @@
 import type {Socket} from 'node:net';
 import type {ErrorBoundary} from '../lifecycle/index.js';
 import {resetSocket} from '../lifecycle/index.js';
+import type {Milliseconds} from '../time/index.js';
+import {sleep, systemClock} from '../time/index.js';
+import {ROUND_TRIP_MS} from './constants.js';
 
 /** An empty line, which HTTP/1.1 ignores between messages. */
 const EMPTY_LINE = '\r\n';
@@ -21,16 +24,30 @@
     upstream.end();
     caller.end();
   });
-  forward(upstream, caller, boundary, () => mirrorEnd(upstream, caller));
+  let sentAt: Milliseconds = -Infinity;
+  let hasEnded = false;
+  let wasCut = false;
+  boundary.listen(caller, 'data', () => {
+    sentAt = systemClock.now();
+    wasCut ||= hasEnded;
+  });
+  forward(upstream, caller, boundary, async () => {
+    hasEnded = true;
+    await sleep(Math.max(0, sentAt + ROUND_TRIP_MS - systemClock.now()));
+    mirrorEnd(upstream, caller, wasCut || upstream.writableLength > 0);
+  });
 }
 
 /**
- * Ends one side as the other ended. Node reports a reset that arrives with the last
- * bytes as an orderly end; only a write fails after a reset.
+ * Ends one side as the other ended. Node reports a reset that arrives with the last bytes as
+ * an orderly end; only a write fails after a reset. An upstream that closes its connection
+ * while a part of the request is on its way ends it in order, and resets it once that arrives.
+ *
+ * @param wasCut whether a part of the request was still to come
  */
-export function mirrorEnd(from: Socket, to: Socket): void {
+function mirrorEnd(from: Socket, to: Socket, wasCut: boolean): void {
   from.write(EMPTY_LINE, error => {
-    if (error) {
+    if (error || wasCut) {
       resetSocket(to);
     } else {
       to.end();
@@ -42,7 +59,7 @@
   from: Socket,
   to: Socket,
   boundary: ErrorBoundary,
-  onEnd: () => void,
+  onEnd: () => unknown,
 ): void {
   from.pipe(to, {end: false});
   boundary.listen(from, 'end', onEnd);
--- a/src/upstreams/attempt.ts
+++ b/src/upstreams/attempt.ts
@@ -13,6 +13,8 @@
   isKeepAlive,
 } from './response_completion.js';
 import {abortExchange} from './connection.js';
+import type {Milliseconds} from '../time/index.js';
+import {systemClock} from '../time/index.js';
 import type {AttemptHandle, AttemptParts, AttemptResult} from './types.js';
 
 /**
@@ -29,6 +31,10 @@
 ]);
 /** Bounds log line length when an upstream sends a long Retry-After header. */
 const MAX_RETRY_AFTER_CHARACTERS = 32;
+/** Bytes of a body that are sent without waiting for the other side to acknowledge some. */
+const FLIGHT_BYTES = 8 * 1024;
+/** Between regions, with a margin. */
+const ROUND_TRIP_MS: Milliseconds = 60;
 const NO_BODY = Buffer.alloc(0);
 const MIN_SUCCESS_STATUS = 200;
 const MIN_REDIRECTION_STATUS = 300;
@@ -51,6 +57,9 @@
   /** Whether the parser has reached the end of the response. */
   private responseEnded = false;
 
+  /** When the whole request had been handed to the network. */
+  private sentAt: Milliseconds | undefined;
+
   /** Memory reserved for the response. */
   private reservedBytes = 0;
 
@@ -83,6 +92,9 @@
         this.maybeSent = true;
       }
     });
+    boundary.listen(outgoing, 'finish', () => {
+      this.sentAt = systemClock.now();
+    });
     boundary.listen(outgoing, 'error', (error: Error) =>
       this.fail(error.message),
     );
@@ -132,8 +144,11 @@
       return;
     }
     const {boundary} = this;
-    const {method} = request;
-    const completion = new ResponseCompletion(response, method, boundary);
+    const progress = {
+      method: request.method,
+      receivedInMs: () => this.receivedInMs,
+    };
+    const completion = new ResponseCompletion(response, progress, boundary);
     if (this.isExpectedResponse(response)) {
       observer.onHeaders(response.statusCode ?? 0, response.headers);
     }
@@ -167,6 +182,16 @@
     });
   }
 
+  /** Time until the upstream has received the request; Infinity while a part isn't written. */
+  private get receivedInMs(): Milliseconds {
+    if (this.sentAt === undefined) {
+      return Infinity;
+    }
+    return isInOneFlight(this.parts.request.body)
+      ? 0
+      : this.sentAt + ROUND_TRIP_MS - systemClock.now();
+  }
+
   private tryReserve(bytes: number): boolean {
     const isReserved =
       this.reservedBytes + bytes <= MAX_BUFFERED_RESPONSE_BYTES &&
@@ -264,6 +289,20 @@
   }
 }
 
+/** Whether a body is sent together with its head, as networks carry 10 segments at once. */
+function isInOneFlight(body: RequestBody): boolean {
+  switch (body.kind) {
+    case 'none':
+      return true;
+    case 'held':
+      return body.bytes.length <= FLIGHT_BYTES;
+    case 'stream':
+      return false;
+    default:
+      return body satisfies never;
+  }
+}
+
 /** Size of a body that may be buffered; 0 if it isn't known. */
 function expectedBytes({headers}: IncomingMessage): number {
   const length = Number(headers['content-length'] ?? 0);
