Treat a store's response without a valid head as no answer

What callers saw: nothing yet; a write of the host that the store has done could count as refused.

Cause: the same as of a caller's response with status 000: Node's parser accepts heads that are none. The store client took every status but 200 and 410 for a refusal, also 000, 020 or 999. The check of heads that attempts and probes use moves to src/http and is applied to the store as well. Peers and tunnels compare with the statuses that they know, and take all others for a failure.

--- a/src/http/index.ts
+++ b/src/http/index.ts
@@ -8,6 +8,7 @@
 } from './head_limits.js';
 export type {RequestFault} from './request_validation.js';
 export {findRequestFault} from './request_validation.js';
+export {findHeadFault} from './response_validation.js';
 export type {Problem, ProblemReason} from './problem.js';
 export {sendProblem} from './problem.js';
 export {filterHeaders, findHeader} from './raw_headers.js';
--- a/src/upstreams/response_validation.ts
+++ b/src/http/response_validation.ts
@@ -1,8 +1,8 @@
-/** Checks whether the head of an upstream's response can be passed on to a caller. */
+/** Checks whether the head of a response is one, and can be passed on to a caller. */
 
 import type {IncomingMessage} from 'node:http';
 import {validateHeaderName, validateHeaderValue} from 'node:http';
-import {MAX_HEADER_COUNT, hasTooManyHeaders} from '../http/index.js';
+import {MAX_HEADER_COUNT, hasTooManyHeaders} from './head_limits.js';
 import type {RawHeaders} from '../transport/index.js';
 
 /** Interim responses don't arrive as responses, so that these are final ones. */
--- a/src/platform/store_client.ts
+++ b/src/platform/store_client.ts
@@ -10,7 +10,7 @@
   offsetOf,
   positionOf,
 } from '../decisions/registry/index.js';
-import {PARSED_HEADER_COUNT, hasTooManyHeaders} from '../http/index.js';
+import {PARSED_HEADER_COUNT, findHeadFault} from '../http/index.js';
 import {ErrorBoundary} from '../lifecycle/index.js';
 import {isObject} from '../records/index.js';
 import type {Milliseconds} from '../time/index.js';
@@ -215,8 +215,9 @@
   bytes: Buffer,
 ): Result<StoreResponse, StoreFailure> {
   const {statusCode: status = 0, headers} = response;
-  if (hasTooManyHeaders(response)) {
-    return err({kind: 'unknown', message: 'the response has too many headers'});
+  const fault = findHeadFault(response);
+  if (fault !== undefined) {
+    return err({kind: 'unknown', message: fault});
   }
   const message = `status ${status}`;
   switch (status) {
--- a/src/upstreams/attempt.ts
+++ b/src/upstreams/attempt.ts
@@ -3,10 +3,9 @@
 import type {ClientRequest, IncomingMessage} from 'node:http';
 import type {Socket} from 'node:net';
 import type {RequestBody} from '../http/index.js';
-import {GrowingBuffer} from '../http/index.js';
+import {GrowingBuffer, findHeadFault} from '../http/index.js';
 import {ErrorBoundary} from '../lifecycle/index.js';
 import {HEADERS, WRONG_UPSTREAM_STATUS, readLoad} from '../platform/index.js';
-import {findHeadFault} from './response_validation.js';
 import {
   ResponseCompletion,
   isFramed,
--- a/src/upstreams/probe.ts
+++ b/src/upstreams/probe.ts
@@ -2,11 +2,11 @@
 
 import type {IncomingHttpHeaders, IncomingMessage} from 'node:http';
 import type {ProbeAnswer} from '../decisions/placement/index.js';
+import {findHeadFault} from '../http/index.js';
 import {ErrorBoundary} from '../lifecycle/index.js';
 import {HEADERS, readColdMs, readLoad} from '../platform/index.js';
 import type {Milliseconds} from '../time/index.js';
 import {isKeepAlive} from './response_completion.js';
-import {findHeadFault} from './response_validation.js';
 import type {UpstreamConnection} from './connection.js';
 import {abortExchange} from './connection.js';
 
