Let connections with much to parse take turns

What callers saw: while 40 clients sent bodies in chunks of one byte, ordinary lookups waited for up to 5.4 s.

Cause: all that had arrived on a connection was parsed at once, up to 2 MB in one turn of the event loop, and that on each connection in turn.

A connection that parses for longer than 2 ms goes on in a later turn, and only one such connection in each turn, so that work sent by many costs a turn no more than work sent by one. What it hasn't parsed is in its stream's buffer, which stops the system from reading more.

--- a/src/servers/connection_input.ts
+++ b/src/servers/connection_input.ts
@@ -12,10 +12,13 @@
 import type {ErrorBoundary} from '../lifecycle/index.js';
 import type {Milliseconds} from '../time/index.js';
 import {systemClock} from '../time/index.js';
+import {TurnQueue} from './turn_queue.js';
 
 /** Between messages: the head of a request, or a few short ones. */
 const HEAD_SLICE_BYTES = 2 * 1024;
 const BODY_SLICE_BYTES = 16 * 1024;
+/** 64 kB of chunks of one byte would keep all other connections waiting for 10 ms and more. */
+const MAX_TURN_MS: Milliseconds = 2;
 /** Bytes that were read within this time count as read together. */
 const ARRIVAL_STEP_MS: Milliseconds = 50;
 
@@ -27,6 +30,8 @@
 }
 
 export interface ConnectionInputParts {
+  /** Shared by all connections of the server. */
+  readonly turns: TurnQueue;
   /** Whether further requests can be held. */
   readonly canParse: () => boolean;
   /** Whether the bytes to be parsed belong to the body of a request. */
@@ -45,6 +50,8 @@
   private isPaused = false;
   private isParsing = false;
   private isScheduled = false;
+  /** Whether it waits for other connections to have their turn. */
+  private isYielding = false;
   private endTimer: NodeJS.Timeout | undefined;
   private readonly arrivals: Arrival[] = [];
   private parsedBytes = 0;
@@ -110,18 +117,33 @@
   }
 
   private parse(): void {
-    if (this.isParsing) {
+    if (this.isParsing || this.isYielding) {
       return;
     }
     this.isParsing = true;
     try {
-      while (this.parseSlice());
+      const until = systemClock.now() + MAX_TURN_MS;
+      while (this.parseSlice()) {
+        if (systemClock.now() > until) {
+          this.yieldTurn();
+          break;
+        }
+      }
     } finally {
       this.isParsing = false;
     }
     this.parts.onParsed();
   }
 
+  /** Lets other connections have their turn. */
+  private yieldTurn(): void {
+    this.isYielding = true;
+    this.parts.turns.add(() => {
+      this.isYielding = false;
+      this.parse();
+    });
+  }
+
   /** Returns whether there may be more. */
   private parseSlice(): boolean {
     const {socket, parts} = this;
@@ -191,6 +213,7 @@
   endDelayMs: () => Milliseconds,
 ): void {
   new ConnectionInput(socket, boundary, {
+    turns: new TurnQueue(boundary),
     canParse: () => true,
     isInBody: () => true,
     onSlice: () => undefined,
--- a/src/servers/graceful_server.ts
+++ b/src/servers/graceful_server.ts
@@ -17,6 +17,7 @@
 import {readBeforeIdleTimeout} from './idle_timeout.js';
 import {ConnectionAdmission} from './connection_admission.js';
 import {OpenConnection} from './open_connection.js';
+import {TurnQueue} from './turn_queue.js';
 import type {CallerCall, ConnectionLimits} from './types.js';
 
 /** Callers that connect again after each refusal must not delay the close. */
@@ -36,6 +37,7 @@
   private readonly openConnections: Map<Socket, OpenConnection>;
   private acceptedCount = 0;
   private readonly admission: ConnectionAdmission;
+  private readonly turns: TurnQueue;
 
   /** Handles a request that Node passes on by another event than `request`. */
   readonly accept: RequestListener;
@@ -62,6 +64,7 @@
     this.boundary = boundary;
     readBeforeIdleTimeout(this, boundary);
     this.admission = new ConnectionAdmission(limits, systemClock);
+    this.turns = new TurnQueue(boundary);
     this.sweepWhileListening();
     boundary.listen(this, 'connection', (socket: Socket) =>
       this.addConnection(socket),
@@ -81,7 +84,12 @@
   private addConnection(socket: Socket): void {
     this.acceptedCount += 1;
     const {boundary, admission, openConnections} = this;
-    const connection = new OpenConnection(socket, boundary, admission);
+    const connection = new OpenConnection(
+      socket,
+      boundary,
+      admission,
+      this.turns,
+    );
     openConnections.set(socket, connection);
     // Node closes a connection by this method after a response that is its last.
     socket.destroySoon = () => connection.end();
--- a/src/servers/index.ts
+++ b/src/servers/index.ts
@@ -7,4 +7,5 @@
 export {delayEnd} from './connection_input.js';
 export {closeWhenIdle, readBeforeIdleTimeout} from './idle_timeout.js';
 export {closeNow, listen} from './listen.js';
+export {TurnQueue} from './turn_queue.js';
 export {TrafficMeter} from './traffic_meter.js';
--- a/src/servers/open_connection.ts
+++ b/src/servers/open_connection.ts
@@ -9,6 +9,7 @@
 import {systemClock} from '../time/index.js';
 import type {ConnectionAdmission} from './connection_admission.js';
 import {ConnectionInput} from './connection_input.js';
+import type {TurnQueue} from './turn_queue.js';
 import type {CallerCall, IncomingCall} from './types.js';
 
 /** Time for a caller to close a connection that has ended. */
@@ -62,8 +63,10 @@
     readonly socket: Socket,
     private readonly boundary: ErrorBoundary,
     private readonly admission: ConnectionAdmission,
+    turns: TurnQueue,
   ) {
     this.input = new ConnectionInput(socket, boundary, {
+      turns,
       canParse: () => this.canParse,
       isInBody: () => this.isInBody,
       onSlice: bytes => this.noteSlice(bytes),
