--- a/src/host/host_limits.ts
+++ b/src/host/host_limits.ts
@@ -6,7 +6,7 @@
  * once they have grown by 64 MB, and the allocator keeps parts of what they leave.
  */
 const PROGRAM_MB = 165;
-/** On a machine that is too small, or whose size isn't known. */
+/** On a machine that is too small for the program. */
 const MIN_AVAILABLE_MB = 24;
 const BODIES_SHARE = 0.35;
 const RESPONSES_SHARE = 0.25;
--- a/src/platform/settings_file.ts
+++ b/src/platform/settings_file.ts
@@ -36,9 +36,8 @@
   readonly introducers: readonly string[];
   /** Capacity of the host's network link, in Mbit/s. */
   readonly linkMbps: number;
-  /** Memory of the host's machine. */
+  /** Memory of the host's machine, and descriptors that the process may have open. */
   readonly memoryMb: number;
-  /** Descriptors that the process may have open. */
   readonly maxDescriptors: number;
   readonly metrics: SocketAddress;
   readonly store: SocketAddress;
@@ -73,7 +72,7 @@
 const DEFAULT_PROBES_PER_SECOND = 40;
 const DEFAULT_LINK_MBPS = 100;
 const DEFAULT_MEMORY_MB = 350;
-const DEFAULT_MAX_DESCRIPTORS = 4_096;
+const DEFAULT_MAX_FDS = 4_096;
 const DEFAULT_COLD_OVERAGE = 1;
 const DEFAULT_COLD_SLACK = 0;
 const DEFAULT_QUOTA_TOLERANCE: QuotaTolerance = {
@@ -171,12 +170,8 @@
     peers: {ip, port: firstPort},
     introducers: introducers(fields, firstPort),
     linkMbps: number(fields, 'self.limits.link_mbps', DEFAULT_LINK_MBPS),
-    memoryMb: positive(fields, 'self.limits.memory_mb', DEFAULT_MEMORY_MB),
-    maxDescriptors: positive(
-      fields,
-      'self.limits.max_fds',
-      DEFAULT_MAX_DESCRIPTORS,
-    ),
+    memoryMb: number(fields, 'self.limits.memory_mb', DEFAULT_MEMORY_MB),
+    maxDescriptors: number(fields, 'self.limits.max_fds', DEFAULT_MAX_FDS),
     metrics: {ip, port: METRICS_PORT},
     store: address(fields, 'platform.platform.address'),
     changeBoundMs: changeBound(fields),
@@ -281,11 +276,6 @@
   return value;
 }
 
-/** A limit of 0 is one that isn't known. */
-function positive(fields: Fields, name: string, fallback: number): number {
-  return number(fields, name, fallback) || fallback;
-}
-
 function number(fields: Fields, name: string, fallback: number): number {
   const text = fields.get(name);
   if (!text) {
--- a/src/platform/store_client.ts
+++ b/src/platform/store_client.ts
@@ -2,6 +2,7 @@
 
 import {Agent, request} from 'node:http';
 import type {IncomingHttpHeaders, IncomingMessage} from 'node:http';
+import {buffer} from 'node:stream/consumers';
 import {Result, err, ok} from 'neverthrow';
 import type {LogPosition} from '../decisions/registry/index.js';
 import {
@@ -201,7 +202,7 @@
         outgoing,
         'response',
         async (response: IncomingMessage) => {
-          const bytes = await readBody(response);
+          const bytes = await buffer(response);
           settle(toStoreResponse(response, bytes));
         },
       );
@@ -250,14 +251,6 @@
   return err({kind: era > wanted ? 'trimmed' : 'refused', message});
 }
 
-async function readBody(response: IncomingMessage): Promise<Buffer> {
-  const chunks: Buffer[] = [];
-  for await (const chunk of response) {
-    chunks.push(chunk as Buffer);
-  }
-  return Buffer.concat(chunks);
-}
-
 function parseJson<T>(bytes: Buffer): Result<T, StoreFailure> {
   return Result.fromThrowable(
     () => JSON.parse(bytes.toString('utf8')) as T,
--- a/tests/crowds.test.ts
+++ b/tests/crowds.test.ts
@@ -35,6 +35,8 @@
   'send trailers without an end': 1_600,
   'send nothing': 2_200,
 };
+/** Clients of each kind, where all kinds come together. */
+const CLIENTS_OF_EACH = 40;
 const CONDUCTS = Object.keys(SCRIPTS) as Conduct[];
 
 let store: StoreServer;
@@ -115,33 +117,34 @@
 }
 
 function expectWithinLimits(): void {
-  console.log(
-    'FIG',
-    expect.getState().currentTestName,
-    Math.round(host.peakMemoryBytes / 1048576),
-    host.peakDescriptors,
-    host.isAlive,
-  );
   expect(host.isAlive).toBe(true);
   expect(host.peakMemoryBytes / BYTES_PER_MB).toBeLessThan(MEMORY_MB);
   expect(host.peakDescriptors).toBeLessThan(MAX_DESCRIPTORS);
 }
 
+/** Adds clients, and serves others while they stay and once they have left. */
+async function outlast(
+  conducts: readonly Conduct[],
+  clients: number,
+): Promise<void> {
+  for (const conduct of conducts) {
+    for (let client = 0; client < clients; client += 1) {
+      crowd.add(host.ports.callers, conduct, client);
+    }
+  }
+  await crowd.settled();
+  await served();
+  crowd.leave();
+  await served();
+  await served(UPLOAD);
+  expectWithinLimits();
+}
+
 // Guards against clients that make a process exceed the memory of its machine by what it holds for them.
 test.each(CONDUCTS)(
   'a host serves others within its memory while clients %s',
   {timeout: TIMEOUT_MS},
-  async conduct => {
-    for (let client = 0; client < CLIENTS[conduct]; client += 1) {
-      crowd.add(host.ports.callers, conduct, client);
-    }
-    await crowd.settled();
-    await served();
-    crowd.leave();
-    await served();
-    await served(UPLOAD);
-    expectWithinLimits();
-  },
+  conduct => outlast([conduct], CLIENTS[conduct]),
 );
 
 // Guards against the same for responses, of which each piece takes as much as many bytes.
@@ -162,17 +165,5 @@
 test(
   'a host serves others within its memory while clients do all of these',
   {timeout: TIMEOUT_MS},
-  async () => {
-    CONDUCTS.forEach(conduct => {
-      for (let client = 0; client < 40; client += 1) {
-        crowd.add(host.ports.callers, conduct, client);
-      }
-    });
-    await crowd.settled();
-    await served();
-    crowd.leave();
-    await served();
-    await served(UPLOAD);
-    expectWithinLimits();
-  },
+  () => outlast(CONDUCTS, CLIENTS_OF_EACH),
 );
