Frame what tunnels carry, so that a killed host doesn't end a response

Cause: the system ends the connections of a killed process in order. A tunnel passed on bytes as they were, so that its end was taken for the end of the upstream's connection, by which a response without length is complete. No reset is involved, so the check for resets can't help.

The host in between now frames what the upstream sends, and states in an empty last frame that the upstream has ended its connection in order. A tunnel without that frame breaks. The protocol is negotiated in the upgrade: a host of an earlier version gets plain bytes, and responses without length through one are truncated.

--- a/src/tunnels/constants.ts
+++ b/src/tunnels/constants.ts
@@ -6,7 +6,10 @@
 
 /** Path of tunnels; the upstream's id follows. */
 export const TUNNEL_PATH = '/tunnels/';
-export const UPGRADE_PROTOCOL = 'cyclamenlever-tunnel';
+/** Protocols of the upgrade, by how they pass on what an upstream sends. */
+export const FRAMED_PROTOCOL = 'cyclamenlever-framed-tunnel';
+/** Of hosts of earlier versions. */
+export const PLAIN_PROTOCOL = 'cyclamenlever-tunnel';
 export const OPENED_STATUS = 101;
 
 /** Statuses by which a host says why it opens no tunnel. */
--- a/src/tunnels/errors.ts
+++ b/src/tunnels/errors.ts
@@ -6,6 +6,15 @@
   unreachable: 'ETIMEDOUT',
 };
 
+/** The other host has ended, or reset the tunnel, before the upstream's connection ended. */
+export class BrokenTunnelError extends Error {
+  readonly code = 'ECONNRESET';
+
+  constructor() {
+    super('the tunnel ended before the connection of its upstream');
+  }
+}
+
 /** The upstream can't be reached through another host either. */
 export class TunnelError extends Error {
   readonly code: string;
--- a/src/tunnels/tunnel_client.ts
+++ b/src/tunnels/tunnel_client.ts
@@ -11,12 +11,21 @@
 import {
   CONNECT_TIMEOUT_MS,
   FAILURE_STATUSES,
+  FRAMED_PROTOCOL,
   HOST_HEADER,
+  PLAIN_PROTOCOL,
   TUNNEL_PATH,
-  UPGRADE_PROTOCOL,
 } from './constants.js';
 import {TunnelError} from './errors.js';
-import type {Tunnel, TunnelFailure} from './types.js';
+import {FrameDecoder, PlainDecoder} from './framing.js';
+import {TunnelSocket} from './tunnel_socket.js';
+import type {Tunnel, TunnelDecoder, TunnelFailure} from './types.js';
+
+/** By the protocol that the other host has chosen. */
+const DECODERS: Readonly<Record<string, () => TunnelDecoder>> = {
+  [FRAMED_PROTOCOL]: () => new FrameDecoder(),
+  [PLAIN_PROTOCOL]: () => new PlainDecoder(),
+};
 
 /** Hosts that are asked for one tunnel, one after the other. */
 const MAX_PEERS_ASKED = 16;
@@ -112,7 +121,7 @@
   upstream: string,
   self: string,
   onError: ErrorHandler,
-): Promise<Socket | TunnelFailure> {
+): Promise<TunnelSocket | TunnelFailure> {
   const address = parseAddress(peer);
   return new Promise(resolve => {
     const outgoing = request({
@@ -121,7 +130,7 @@
       path: `${TUNNEL_PATH}${encodeURIComponent(upstream)}`,
       headers: {
         connection: 'Upgrade',
-        upgrade: UPGRADE_PROTOCOL,
+        upgrade: `${FRAMED_PROTOCOL}, ${PLAIN_PROTOCOL}`,
         [HOST_HEADER]: self,
       },
       agent: false,
@@ -135,7 +144,7 @@
       boundary.wrap(() => outgoing.destroy()),
       PEER_TIMEOUT_MS,
     );
-    const settle = (result: Socket | TunnelFailure): void => {
+    const settle = (result: TunnelSocket | TunnelFailure): void => {
       clearTimeout(timer);
       resolve(result);
     };
@@ -148,9 +157,15 @@
     boundary.listen(
       outgoing,
       'upgrade',
-      (_response: IncomingMessage, socket: Socket) => {
+      ({headers}: IncomingMessage, socket: Socket) => {
+        const createDecoder = DECODERS[headers.upgrade ?? ''];
+        if (!createDecoder) {
+          socket.destroy();
+          settle('unavailable');
+          return;
+        }
         socket.setNoDelay(true);
-        settle(socket);
+        settle(new TunnelSocket(socket, createDecoder(), onError));
       },
     );
     outgoing.end();
--- a/src/tunnels/tunnel_server.ts
+++ b/src/tunnels/tunnel_server.ts
@@ -23,10 +23,11 @@
 import {
   CONNECT_TIMEOUT_MS,
   FAILURE_STATUSES,
+  FRAMED_PROTOCOL,
   HOST_HEADER,
   OPENED_STATUS,
+  PLAIN_PROTOCOL,
   TUNNEL_PATH,
-  UPGRADE_PROTOCOL,
 } from './constants.js';
 import {splice} from './splice.js';
 import type {TunnelFailure} from './types.js';
@@ -63,6 +64,12 @@
   readonly peer: string;
 }
 
+interface TunnelRequest {
+  /** Address of the other host for peers. */
+  readonly peer: string;
+  readonly isFramed: boolean;
+}
+
 export class TunnelServer {
   private readonly tunnels = new Set<OpenTunnel>();
   private readonly lines = new LogRateLimiter(LINES_PER_SECOND);
@@ -103,7 +110,8 @@
       this.refuse(caller, 'unavailable');
       return;
     }
-    this.open(target, caller, peer, boundary);
+    const isFramed = offersFraming(request.headers.upgrade);
+    this.open(target, caller, {peer, isFramed}, boundary);
   }
 
   /**
@@ -143,7 +151,7 @@
   private open(
     target: RegisteredUpstream,
     caller: Socket,
-    peer: string,
+    {peer, isFramed}: TunnelRequest,
     boundary: ErrorBoundary,
   ): void {
     const {reachability} = this.parts;
@@ -192,8 +200,9 @@
       [caller, upstream].forEach(socket =>
         closeWhenIdle(socket, IDLE_TIMEOUT_MS, boundary),
       );
-      caller.write(head(OPENED_STATUS));
-      splice(caller, upstream, boundary);
+      const protocol = isFramed ? FRAMED_PROTOCOL : PLAIN_PROTOCOL;
+      caller.write(head(OPENED_STATUS, protocol));
+      splice(caller, upstream, boundary, isFramed);
     });
   }
 
@@ -226,10 +235,15 @@
   }
 }
 
-function head(status: number): string {
-  const isOpened = status === OPENED_STATUS;
-  const connection = isOpened
-    ? `Connection: Upgrade\r\nUpgrade: ${UPGRADE_PROTOCOL}`
+/** Hosts offer the protocols that they know; those of earlier versions know the plain one. */
+function offersFraming(offered = ''): boolean {
+  return offered.split(', ').includes(FRAMED_PROTOCOL);
+}
+
+/** @param protocol of the upgrade; undefined if there is none */
+function head(status: number, protocol?: string): string {
+  const connection = protocol
+    ? `Connection: Upgrade\r\nUpgrade: ${protocol}`
     : 'Connection: close\r\nContent-Length: 0';
   return `HTTP/1.1 ${status} ${STATUS_CODES[status] ?? ''}\r\n${connection}\r\n\r\n`;
 }
--- a/src/tunnels/types.ts
+++ b/src/tunnels/types.ts
@@ -1,12 +1,19 @@
-import type {Socket} from 'node:net';
+import type {ResettableStream} from '../lifecycle/index.js';
 
 /** An open connection to an upstream through another host. */
 export interface Tunnel {
-  readonly socket: Socket;
+  readonly socket: ResettableStream;
   /** Address of the host that passes its bytes on. */
   readonly peer: string;
 }
 
+/** Extracts what the upstream has sent from what a tunnel carries. */
+export interface TunnelDecoder {
+  /** Whether the upstream is known to have ended its connection in order. */
+  readonly hasEnded: boolean;
+  readonly decode: (received: Buffer) => readonly Buffer[];
+}
+
 /** Opens a connection to an upstream; resolves with undefined if no host helps. */
 export type TunnelOpener = () => Promise<Tunnel | undefined>;
 
--- a/src/upstreams/connection.ts
+++ b/src/upstreams/connection.ts
@@ -16,6 +16,7 @@
 import {ErrorBoundary, resetSocket} from '../lifecycle/index.js';
 import type {RawHeaders} from '../transport/index.js';
 import type {TunnelOpener} from '../tunnels/index.js';
+import {TunnelSocket} from '../tunnels/index.js';
 
 /**
  * Below the shortest known idle timeout of upstreams (10 s), so that they don't close
@@ -56,7 +57,7 @@
   constructor(
     private readonly onIdleClosed: () => void,
     private readonly boundary: ErrorBoundary,
-    private readonly openTunnel?: () => Promise<Socket | undefined>,
+    private readonly openTunnel?: () => Promise<Duplex | undefined>,
   ) {
     super({keepAlive: true, maxSockets: 1, maxFreeSockets: 1});
   }
@@ -190,7 +191,7 @@
 
   private async connectThrough(
     openTunnel: TunnelOpener,
-  ): Promise<Socket | undefined> {
+  ): Promise<Duplex | undefined> {
     const tunnel = await openTunnel();
     if (this.closed) {
       // Its request has ended: the agent would keep the socket for another.
@@ -230,7 +231,10 @@
 
 /** A socket that is still connecting has sent nothing. */
 function resetIfConnected(socket: Duplex | null | undefined): void {
-  if (socket instanceof Socket && !socket.connecting) {
+  const isOpen =
+    socket instanceof TunnelSocket ||
+    (socket instanceof Socket && !socket.connecting);
+  if (isOpen) {
     resetSocket(socket);
   }
 }
--- a/tests/support/cut_off_host.ts
+++ b/tests/support/cut_off_host.ts
@@ -3,7 +3,7 @@
 import type {GatewaySystem, ProxiedUpstream, RunningHost} from './gateway.js';
 import {until} from './gateway.js';
 
-const CUT_OFF_IP = '127.0.9.1';
+export const CUT_OFF_IP = '127.0.9.1';
 const HELPING_IP = '127.0.9.2';
 
 /**
@@ -15,18 +15,28 @@
   upstreams: readonly ProxiedUpstream[],
   paths: readonly string[],
 ): Promise<RunningHost> {
-  const cutOff = await system.startReadyHost('east', {ip: CUT_OFF_IP});
+  const running = await system.startReadyHost('east', {ip: CUT_OFF_IP});
   await system.startReadyHost('east', {ip: HELPING_IP});
-  await until(() => cutOff.host.peerCount === 1);
+  await until(() => running.host.peerCount === 1);
+  await cutOff(system, running, upstreams, paths);
+  return running;
+}
+
+/** Cuts the host off from all upstreams; another one serves it then. */
+export async function cutOff(
+  system: GatewaySystem,
+  running: RunningHost,
+  upstreams: readonly ProxiedUpstream[],
+  paths: readonly string[],
+): Promise<void> {
   upstreams.forEach(({proxy}) => proxy.setClientFault(CUT_OFF_IP, 'reset'));
   await until(async () => {
     const replies = await Promise.all(
-      paths.map(path => system.call(cutOff, {path, method: 'POST'})),
+      paths.map(path => system.call(running, {path, method: 'POST'})),
     );
     return (
       replies.every(({status}) => status === 200) &&
-      cutOff.host.cutOffServices.length === paths.length
+      running.host.cutOffServices.length === paths.length
     );
   });
-  return cutOff;
 }
--- a/tests/support/spawned_host.ts
+++ b/tests/support/spawned_host.ts
@@ -94,12 +94,16 @@
     return this.descriptors;
   }
 
-  async end(): Promise<void> {
-    clearInterval(this.timer);
+  async kill(): Promise<void> {
     if (this.isAlive) {
       this.child.kill('SIGKILL');
       await once(this.child, 'exit');
     }
+  }
+
+  async end(): Promise<void> {
+    clearInterval(this.timer);
+    await this.kill();
     rmSync(this.folder, {recursive: true});
   }
 
