Refuse requests late in a stop whose responses could not be waited for

What callers saw: an order whose body arrived 1.3 s into a stop with 2 s of grace was passed on to an upstream that works for 500 ms, and was answered 504 by the host at 1.67 s, though it ran.

Cause: only the head of a request was checked against the stop. Uploads that arrive slowly, requests that wait for an upstream, retries and hedges were sent whenever they were ready.

A request that isn't at an upstream is refused (503, not run) once less than twice its usual work is left until the host responds itself. This begins when the host refuses new requests, so that nothing changes before, and callers are served by another host at once.

Evidence: tests/graceful_stop.test.ts, "an upload that arrives too late to be finished in a stop is not run": 504 before, 503 and no run now. The other five new tests pass on the code before as well: an upload that can be finished; requests that wait; new connections every 60 ms with 20, 400 and 600 ms of work.

--- a/src/decisions/stopping/index.ts
+++ b/src/decisions/stopping/index.ts
@@ -1,2 +1,2 @@
 export type {ShutdownPlan} from './shutdown_plan.js';
-export {planShutdown} from './shutdown_plan.js';
+export {planShutdown, sendingTimeLeft} from './shutdown_plan.js';
--- a/src/decisions/stopping/shutdown_plan.ts
+++ b/src/decisions/stopping/shutdown_plan.ts
@@ -18,6 +18,8 @@
 const WAITING_SHARE = 5 / 6;
 /** Share of the time for sending responses; a slow host needs the rest to close. */
 const SENDING_SHARE = 0.9;
+/** Upstreams may take this many times as long as usual. */
+const WORK_MARGIN = 2;
 /** Requests in a tunnel have at least the rest of the time until connections are closed. */
 const MAX_TUNNELS_SHARE = 0.5;
 
@@ -32,6 +34,20 @@
   readonly closeAfterMs: Milliseconds;
 }
 
+/**
+ * Time for which a request may still be sent to an upstream, so that its response comes
+ * before the host responds itself.
+ *
+ * @param leftMs until the host responds
+ * @param workMs that such requests usually take
+ */
+export function sendingTimeLeft(
+  leftMs: Milliseconds,
+  workMs: Milliseconds,
+): Milliseconds {
+  return Math.max(0, leftMs - WORK_MARGIN * workMs);
+}
+
 /** @param graceMs time from the stop signal until the process is killed */
 export function planShutdown(graceMs: Milliseconds): ShutdownPlan {
   const acceptingMs = Math.min(
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -3,6 +3,7 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {Customer} from '../decisions/customers/index.js';
 import {RequestAttempts} from '../decisions/attempts/index.js';
+import {sendingTimeLeft} from '../decisions/stopping/index.js';
 import type {Route, ServiceProfile} from '../decisions/routes/index.js';
 import type {
   Placed,
@@ -68,6 +69,9 @@
   private readonly admission: RequestAdmission;
   private readonly controller = new AbortController();
   private timer: NodeJS.Timeout | undefined;
+  private sendingTimer: NodeJS.Timeout | undefined;
+  /** Whether the response to a further attempt would come after the host has ended. */
+  private isTooLate = false;
   private guard: CrashGuard | undefined;
   private done = false;
   /** The attempt whose response is passed on while it arrives. */
@@ -209,6 +213,10 @@
       isBodyBuffered: body.kind !== 'stream',
     };
     while (!this.done) {
+      if (this.isTooLate) {
+        this.refuseStopping();
+        return;
+      }
       const placed = await this.place(ready);
       if (!placed) {
         return;
@@ -304,6 +312,7 @@
     if (
       placing.kind === 'placed' &&
       isWanted &&
+      !this.isTooLate &&
       this.admission.trySpendRetry(this.record.outcome)
     ) {
       metrics.countHedge();
@@ -422,15 +431,38 @@
     this.deliverErrorOrRefuse('waited-too-long', UNREACHABLE_RETRY_AFTER_MS);
   }
 
+  /**
+   * The host ends: a request that isn't at an upstream is refused once its response could not
+   * be waited for.
+   *
+   * @param respondAt when `abandon` will be called
+   */
+  finishBy(respondAt: Milliseconds): void {
+    const {context, route, boundary} = this;
+    const workMs = context.work.ofRoute(route.name, route.targetMs);
+    const leftMs = respondAt - context.clock.now();
+    this.sendingTimer = setTimeout(
+      boundary.wrap(() => {
+        this.isTooLate = true;
+        if (!this.attempts.isPending) {
+          this.abandon();
+        }
+      }),
+      sendingTimeLeft(leftMs, workMs),
+    );
+  }
+
   /** Responds at once, as the host is about to end; a response that is being sent goes on. */
   abandon(): void {
     if (!this.streaming) {
-      this.boundary.run(() =>
-        this.deliverErrorOrRefuse('not-ready', STOPPING_RETRY_AFTER_MS),
-      );
+      this.boundary.run(() => this.refuseStopping());
     }
   }
 
+  private refuseStopping(): void {
+    this.deliverErrorOrRefuse('not-ready', STOPPING_RETRY_AFTER_MS);
+  }
+
   private refuse(reason: ProblemReason, retryAfterMs?: Milliseconds): void {
     if (this.done) {
       return;
@@ -455,6 +487,7 @@
       this.admission.release();
     }
     clearTimeout(this.timer);
+    clearTimeout(this.sendingTimer);
     this.endAttempts();
     this.admission.settleRetries();
     this.bodyReader.release();
--- a/src/gateway/gateway_server.ts
+++ b/src/gateway/gateway_server.ts
@@ -73,6 +73,8 @@
 export class GatewayServer {
   private readonly server: GracefulServer;
   private phase: ShutdownPhase = 'running';
+  /** When this host responds to what its upstreams haven't; undefined unless it is finishing. */
+  private respondAt: Milliseconds | undefined;
   /** When the current phase began. */
   private phaseSince: Milliseconds = 0;
   private inFlight = 0;
@@ -133,6 +135,17 @@
     this.phaseSince = this.context.clock.now();
   }
 
+  /**
+   * Refuses new requests from now on, and those that can't be finished.
+   *
+   * @param respondAt when `respondToUnanswered` will be called
+   */
+  finishBy(respondAt: Milliseconds): void {
+    this.setPhase('finishing');
+    this.respondAt = respondAt;
+    this.exchanges.forEach(exchange => exchange.finishBy(respondAt));
+  }
+
   /** Stops accepting connections; resolves once callers have received what is owed. */
   async close(): Promise<void> {
     await this.server.acceptWaiting();
@@ -296,6 +309,10 @@
       this.exchanges.delete(exchange),
     );
     exchange.run();
+    if (this.respondAt !== undefined) {
+      // It has waited for the configuration.
+      exchange.finishBy(this.respondAt);
+    }
   }
 
   /**
--- a/src/gateway/upstream_attempts.ts
+++ b/src/gateway/upstream_attempts.ts
@@ -34,6 +34,10 @@
     return this.all;
   }
 
+  get isPending(): boolean {
+    return this.all.some(({isPending}) => isPending);
+  }
+
   /** Sends the request to the upstream that was chosen. */
   start(
     request: ForwardedRequest,
--- a/src/host/gateway_host.ts
+++ b/src/host/gateway_host.ts
@@ -221,7 +221,7 @@
       tunnelServer.drain(signal),
     );
     await sleep(plan.acceptingMs);
-    this.gateway.setPhase('finishing');
+    this.gateway.finishBy(startedAt + plan.respondAfterMs);
     const finished = Promise.all([this.gateway.close(), drained]);
     const finishBy = (afterMs: Milliseconds): Promise<unknown> =>
       Promise.race([finished, sleep(startedAt + afterMs - clock.now())]);
--- a/tests/graceful_stop.test.ts
+++ b/tests/graceful_stop.test.ts
@@ -317,3 +317,95 @@
   await until(() => caller.hasEnded);
   expect(caller.responses).toEqual({statuses: [200, 200], isTruncated: false});
 });
+
+/** Sends an upload whose last byte arrives later. */
+async function uploadUntil(caller: RawCaller, atMs: number): Promise<void> {
+  caller.socket.write(
+    'POST /order/late HTTP/1.1\r\nHost: shop.example\r\n' +
+      'Cyclamenlever-Request-Id: late\r\nContent-Length: 2\r\n\r\nx',
+  );
+  await sleep(atMs);
+  caller.socket.write('x');
+}
+
+// Guards against orders that are passed on although the stop ends before their responses come.
+test('an upload that arrives too late to be finished in a stop is not run', async () => {
+  one.workMs = 500;
+  const earlier = Array.from({length: 5}, () =>
+    system.call(host, {method: 'POST', path: '/order/1'}),
+  );
+  await Promise.all(earlier);
+  const caller = new RawCaller();
+  const stopped = host.host.stop();
+  await sleep(800);
+  await uploadUntil(caller, 500);
+  await stopped;
+  await until(() => caller.hasEnded);
+  expect(caller.responses).toEqual({statuses: [503], isTruncated: false});
+  expect(one.runs.map(({id}) => id)).not.toContain('late');
+});
+
+// Guards against a stop that refuses what it could finish.
+test('an upload that arrives late and is finished in a stop is served', async () => {
+  one.workMs = 20;
+  const earlier = Array.from({length: 5}, () =>
+    system.call(host, {method: 'POST', path: '/order/1'}),
+  );
+  await Promise.all(earlier);
+  const caller = new RawCaller();
+  const stopped = host.host.stop();
+  await sleep(800);
+  await uploadUntil(caller, 500);
+  await stopped;
+  await until(() => caller.hasEnded);
+  expect(caller.responses).toEqual({statuses: [200], isTruncated: false});
+});
+
+// Guards against requests that wait for an upstream until they can't be finished any more.
+test('requests that wait in a stop are finished or refused before they run', async () => {
+  one.workMs = 300;
+  one.load = {running: 0, waiting: 0, slots: 1, percent: 100};
+  one.reportsActiveRequests = true;
+  one.refusesWhenFull = true;
+  await system.call(host, {method: 'POST', path: '/order/1'});
+  const callers = Array.from({length: 12}, () => new RawCaller());
+  const ranBefore = one.runs.length;
+  const stopped = host.host.stop();
+  callers.forEach(caller => caller.send(['/order/wait']));
+  await stopped;
+  await until(() => callers.every(({hasEnded}) => hasEnded));
+  const statuses = callers.flatMap(({responses}) => responses.statuses);
+  expect(statuses).toHaveLength(callers.length);
+  expect(new Set(statuses)).toEqual(new Set([200, 503]));
+  const served = statuses.filter(status => status === 200);
+  expect(served).toHaveLength(one.runs.length - ranBefore);
+});
+
+// Guards against connections that a stop accepts late and then cuts with their request.
+test.each([20, 400, 600])(
+  'requests on new connections late in a stop are answered: %i ms of work',
+  async workMs => {
+    one.workMs = workMs;
+    const callers: RawCaller[] = [];
+    const stopped = host.host.stop();
+    for (let at = 0; at < 1_800; at += 60) {
+      const caller = new RawCaller();
+      caller.send([`/order/${at}`]);
+      callers.push(caller);
+      await sleep(60);
+    }
+    await stopped;
+    await until(() => callers.every(({hasEnded}) => hasEnded));
+    const answered = callers.filter(
+      ({responses}) => responses.statuses.length === 1,
+    );
+    const ran = new Set(one.runs.map(({target}) => target));
+    const refused = callers.filter(({received}) => received === '');
+    expect(answered.length + refused.length).toBe(callers.length);
+    expect(one.runs).toHaveLength(ran.size);
+    const served = answered.filter(
+      ({responses}) => responses.statuses[0] === 200,
+    );
+    expect(served).toHaveLength(ran.size);
+  },
+);
