Ignore sizes of the fleet in the store that no fleet has

Cause: any whole number was taken for the size, from any key of the topic.

Sizes over 10,000 count as none, and only the key that hosts write is read.

Left: an entry below 10,000 that another program writes under the same key is believed for some time.

--- a/src/fleet/fleet_size_record.ts
+++ b/src/fleet/fleet_size_record.ts
@@ -7,6 +7,8 @@
 /** A topic of this system; keeps the newest record. */
 const FLEET_TOPIC = 'keyed.fleet';
 const SIZE_KEY = 'size';
+/** What hosts share out among all is too little for any of them with more. */
+const MAX_HOSTS = 10_000;
 
 export async function writeFleetSize(
   store: Store,
@@ -21,14 +23,15 @@
 ): Promise<Result<number, StoreFailure>> {
   const snapshot = await store.newest(FLEET_TOPIC);
   return snapshot.map(({records}) =>
-    Math.max(0, ...records.map(({value}) => decodeHosts(value))),
+    decodeHosts(records.find(({key}) => key === SIZE_KEY)?.value),
   );
 }
 
 function decodeHosts(value = ''): number {
   try {
     const {hosts} = JSON.parse(value) as {hosts?: unknown};
-    return Number.isSafeInteger(hosts) ? Math.max(0, Number(hosts)) : 0;
+    const isSize = Number.isInteger(hosts) && Number(hosts) <= MAX_HOSTS;
+    return isSize ? Math.max(0, Number(hosts)) : 0;
   } catch {
     // Written by another program or another version: ignored.
     return 0;
