Accept only addresses in the store to which something can be sent

What callers saw: a host that starts and finds an entry with port 0 among those of the hosts ended with exit code 1 within a second, and would so at each start.

Cause: any whole number passed for a port. Node throws ERR_SOCKET_BAD_PORT for a datagram to port 0 and for a connection to a port out of range, and nothing contains an error in the fleet's state.

Entries of hosts, hosts that follow others and datagrams now take the check that entries of upstreams had: IPv4, ports from 1 to 65,535.

Failed try: the range of ports alone, checked where addresses are parsed, left port 0, which is valid for listening.

--- a/src/datagrams/datagram_port.ts
+++ b/src/datagrams/datagram_port.ts
@@ -9,7 +9,7 @@
 import type {Logger} from 'pino';
 import type {ErrorReporter} from '../lifecycle/index.js';
 import {ErrorBoundary} from '../lifecycle/index.js';
-import {parseAddress} from '../platform/index.js';
+import {parseAddress, parseDestination} from '../platform/index.js';
 import type {Milliseconds} from '../time/index.js';
 
 /** Datagrams of another version are rejected. */
@@ -77,7 +77,7 @@
       ignoreUndefined: true,
     });
     for (const address of addresses) {
-      const peer = parseAddress(address);
+      const peer = parseDestination(address);
       if (peer) {
         this.socket.send(bytes, peer.port, peer.ip, error => {
           if (error) {
--- a/src/fleet/follow_request.ts
+++ b/src/fleet/follow_request.ts
@@ -1,7 +1,7 @@
 /** Converts requests to follow a host to and from the query of a URL. */
 
 import type {FollowRequest, Peer} from '../decisions/fleet/index.js';
-import {parseAddress} from '../platform/index.js';
+import {parseDestination} from '../platform/index.js';
 
 const ADDRESS = 'from';
 const DATA_CENTRE = 'data-centre';
@@ -27,7 +27,7 @@
   const address = query.get(ADDRESS) ?? '';
   const dataCentre = query.get(DATA_CENTRE) ?? '';
   const avoid = (query.get(AVOID) ?? '').split(',').slice(0, MAX_AVOIDED_HOSTS);
-  return parseAddress(address) && dataCentre !== ''
+  return parseDestination(address) && dataCentre !== ''
     ? {address, dataCentre, avoid}
     : undefined;
 }
--- a/src/fleet/introducer_list.ts
+++ b/src/fleet/introducer_list.ts
@@ -9,7 +9,7 @@
 import type {Peer} from '../decisions/fleet/index.js';
 import type {LogPosition} from '../decisions/registry/index.js';
 import type {KeyedRecord, Store, StoreFailure} from '../platform/index.js';
-import {parseAddress} from '../platform/index.js';
+import {parseDestination} from '../platform/index.js';
 import type {Random} from '../time/index.js';
 
 /** A topic of this system; keeps the newest record of each key. */
@@ -40,7 +40,7 @@
     const {address, dataCentre} = JSON.parse(value ?? '') as Partial<Peer>;
     return typeof address === 'string' &&
       typeof dataCentre === 'string' &&
-      parseAddress(address)
+      parseDestination(address)
       ? [{address, dataCentre}]
       : [];
   } catch {
--- a/src/platform/index.ts
+++ b/src/platform/index.ts
@@ -31,6 +31,7 @@
   METRICS_PORT_VARIABLE,
   SETTINGS_FILE_VARIABLE,
   parseAddress,
+  parseDestination,
   parseSettings,
   readSettings,
   readSettingsFile,
--- a/src/platform/settings_file.ts
+++ b/src/platform/settings_file.ts
@@ -1,5 +1,6 @@
 /** Reads the settings file that the platform writes for each process. */
 
+import {isIPv4} from 'node:net';
 import {readFileSync} from 'node:fs';
 import {Result, err, ok} from 'neverthrow';
 import type {QuotaTolerance} from '../decisions/quotas/index.js';
@@ -64,6 +65,8 @@
   readonly quotaTolerance: QuotaTolerance;
 }
 
+const ADDRESS = /^([^]+):(\d{1,5})$/;
+
 const DEFAULT_CHANGE_BOUND_MS: Milliseconds = 2_000;
 const DEFAULT_GRACE_MS: Milliseconds = 6_000;
 const DEFAULT_RETRY_RATIO = 0.2;
@@ -252,14 +255,23 @@
   return parsed;
 }
 
-export function parseAddress(text: string): SocketAddress | undefined {
-  const at = text.lastIndexOf(':');
-  const port = Number(text.slice(at + 1));
-  return at > 0 && Number.isInteger(port) && port >= 0
-    ? {ip: text.slice(0, at), port}
+/**
+ * An address to which something can be sent. Node throws for ports that are out of range, and
+ * for datagrams to port 0.
+ */
+export function parseDestination(text: string): SocketAddress | undefined {
+  const address = parseAddress(text);
+  return address && isIPv4(address.ip) && address.port > 0
+    ? address
     : undefined;
 }
 
+export function parseAddress(text: string): SocketAddress | undefined {
+  const [, ip, digits] = ADDRESS.exec(text) ?? [];
+  const port = Number(digits);
+  return ip !== undefined && port <= MAX_PORT ? {ip, port} : undefined;
+}
+
 function duration(
   fields: Fields,
   name: string,
--- a/src/platform/upstream_record.ts
+++ b/src/platform/upstream_record.ts
@@ -6,7 +6,6 @@
  * address that belongs to another server.
  */
 
-import {isIPv4} from 'node:net';
 import type {Result} from 'neverthrow';
 import type {UpstreamReport} from '../decisions/registry/index.js';
 import type {Fields} from '../records/index.js';
@@ -19,14 +18,13 @@
 } from '../records/index.js';
 import type {Milliseconds} from '../time/index.js';
 import {duration} from './duration.js';
-import {parseAddress} from './settings_file.js';
+import {parseDestination} from './settings_file.js';
 
 /** Topic of the upstreams' records; the key is the upstream's name. */
 export const UPSTREAM_TOPIC = 'keyed.servers';
 
 /** Records of upstreams have some 200 characters. */
 const MAX_RECORD_CHARACTERS = 8_192;
-const MAX_PORT = 65_535;
 
 /** Whether an upstream in a state is leaving, so that it gets no new requests. */
 const LEAVING_BY_STATE: ReadonlyMap<unknown, boolean> = new Map([
@@ -74,8 +72,7 @@
 
 function address(value: unknown): string {
   const written = text(value, 'address');
-  const {ip, port} = parseAddress(written) ?? {ip: '', port: 0};
-  if (!isIPv4(ip) || port < 1 || port > MAX_PORT) {
+  if (!parseDestination(written)) {
     throw new RecordError('address', 'write IP:PORT');
   }
   return written;
