Reset the connections of HTTP/1.0 callers whose response is truncated

What callers saw: a response over 1 MB that its upstream truncated, or that ended at its timeout, ended the connection of a caller of HTTP/1.0 in order. Such a caller knows no chunks, so that the part passed for the whole.

A begun response was destroyed, which ends the connection in order.

`abortResponse` resets it for callers of HTTP/1.0, wherever a begun response is given up: truncations, timeouts, errors of the host, and streams that are under way when a stop ends.

Callers of HTTP/1.1 see no change.

Left: a host that is killed in the middle of such a response; the system ends the connection in order.

--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -459,6 +459,13 @@
     }
   }
 
+  /** Ends a response that is being passed on, so that it doesn't look complete. */
+  abort(): void {
+    if (this.streaming) {
+      this.delivery.abort();
+    }
+  }
+
   private refuseStopping(): void {
     this.deliverErrorOrRefuse('not-ready', STOPPING_RETRY_AFTER_MS);
   }
--- a/src/gateway/gateway_server.ts
+++ b/src/gateway/gateway_server.ts
@@ -161,8 +161,14 @@
     this.exchanges.forEach(exchange => exchange.abandon());
   }
 
+  /** Ends responses that are being passed on, as the host is about to end. */
+  abortStreams(): void {
+    this.exchanges.forEach(exchange => exchange.abort());
+  }
+
   /** Closes all connections, also those with requests in flight. */
   closeNow(): void {
+    this.abortStreams();
     this.server.close();
     this.server.closeAllConnections();
   }
--- a/src/gateway/response_delivery.ts
+++ b/src/gateway/response_delivery.ts
@@ -1,7 +1,7 @@
 /** Sends one response to a caller: an upstream's, or a refusal of this host. */
 
 import type {Problem} from '../http/index.js';
-import {sendProblem} from '../http/index.js';
+import {abortResponse, sendProblem} from '../http/index.js';
 import type {CallerCall, IncomingCall} from '../servers/index.js';
 import type {BufferedResponse, StreamedResponse} from '../upstreams/index.js';
 import type {StreamObserver} from './response_writer.js';
@@ -46,7 +46,7 @@
 
   /** Ends the response so that it doesn't look complete. */
   abort(): void {
-    this.call.response.destroy();
+    abortResponse(this.call.response);
   }
 
   /**
--- a/src/gateway/response_writer.ts
+++ b/src/gateway/response_writer.ts
@@ -2,7 +2,11 @@
 
 import type {ServerResponse} from 'node:http';
 import type {IncomingCall} from '../servers/index.js';
-import {BODILESS_STATUSES, filterHeaders} from '../http/index.js';
+import {
+  BODILESS_STATUSES,
+  abortResponse,
+  filterHeaders,
+} from '../http/index.js';
 import type {StreamedResponse, BufferedResponse} from '../upstreams/index.js';
 
 const REPLACED_HEADERS: ReadonlySet<string> = new Set(['content-length']);
@@ -45,7 +49,7 @@
     if (!response.destroyed) {
       onTruncated();
     }
-    response.destroy();
+    abortResponse(response);
   };
   boundary.listen(remainder, 'aborted', handleTruncation);
   boundary.listen(remainder, 'error', handleTruncation);
--- a/src/host/gateway_host.ts
+++ b/src/host/gateway_host.ts
@@ -228,6 +228,7 @@
     await finishBy(plan.respondAfterMs);
     this.gateway.respondToUnanswered();
     await finishBy(plan.closeAfterMs);
+    this.gateway.abortStreams();
     controller.abort();
     await announced;
     this.quotas.handOverAll();
--- a/src/http/index.ts
+++ b/src/http/index.ts
@@ -1,3 +1,4 @@
+export {abortResponse} from './abort_response.js';
 export {discardBody} from './discard_body.js';
 export {COMMON_RESPONSE_HEADERS} from './common_headers.js';
 export * from './constants.js';
--- a/src/http/problem.ts
+++ b/src/http/problem.ts
@@ -1,6 +1,7 @@
 /** Responses that the load balancer generates itself: problem details (RFC 9457). */
 
 import type {ServerResponse} from 'node:http';
+import {abortResponse} from './abort_response.js';
 import type {Outcome, RefusalReason} from '../decisions/dispatch/index.js';
 import type {Milliseconds} from '../time/index.js';
 import {OUTCOME_HEADER, REASON_HEADER} from './constants.js';
@@ -128,7 +129,7 @@
 /** Sends the problem; destroys the connection if a response has already begun. */
 export function sendProblem(response: ServerResponse, problem: Problem): void {
   if (response.headersSent || response.destroyed) {
-    response.destroy();
+    abortResponse(response);
     return;
   }
   const {status, title} = PROBLEMS[problem.reason];
--- a/src/servers/contained_listener.ts
+++ b/src/servers/contained_listener.ts
@@ -1,6 +1,7 @@
 /** Handles each request of a server within a boundary of its own. */
 
 import type {IncomingMessage, RequestListener} from 'node:http';
+import {abortResponse} from '../http/index.js';
 import {ErrorBoundary} from '../lifecycle/index.js';
 import type {IncomingCall} from './types.js';
 
@@ -18,7 +19,7 @@
   return (request, response) => {
     const boundary = new ErrorBoundary(error => {
       reportError(error, request);
-      response.destroy();
+      abortResponse(response);
     });
     // Without a listener, an error such as a write after the end would end the process.
     boundary.listen(response, 'error', () => response.destroy());
