--- a/tests/graceful_stop.test.ts
+++ b/tests/graceful_stop.test.ts
@@ -318,47 +318,39 @@
   expect(caller.responses).toEqual({statuses: [200, 200], isTruncated: false});
 });
 
-/** Sends an upload whose last byte arrives later. */
-async function uploadUntil(caller: RawCaller, atMs: number): Promise<void> {
+/** What the caller of an upload receives whose last byte arrives late in a stop. */
+async function uploadLate(): Promise<RawCaller['responses']> {
+  const earlier = Array.from({length: 5}, () =>
+    system.call(host, {method: 'POST', path: '/order/1'}),
+  );
+  await Promise.all(earlier);
+  const caller = new RawCaller();
+  const stopped = host.host.stop();
+  await sleep(800);
   caller.socket.write(
     'POST /order/late HTTP/1.1\r\nHost: shop.example\r\n' +
       'Cyclamenlever-Request-Id: late\r\nContent-Length: 2\r\n\r\nx',
   );
-  await sleep(atMs);
+  await sleep(500);
   caller.socket.write('x');
+  await stopped;
+  await until(() => caller.hasEnded);
+  return caller.responses;
 }
 
 // Guards against orders that are passed on although the stop ends before their responses come.
 test('an upload that arrives too late to be finished in a stop is not run', async () => {
   one.workMs = 500;
-  const earlier = Array.from({length: 5}, () =>
-    system.call(host, {method: 'POST', path: '/order/1'}),
-  );
-  await Promise.all(earlier);
-  const caller = new RawCaller();
-  const stopped = host.host.stop();
-  await sleep(800);
-  await uploadUntil(caller, 500);
-  await stopped;
-  await until(() => caller.hasEnded);
-  expect(caller.responses).toEqual({statuses: [503], isTruncated: false});
+  const refused = {statuses: [503], isTruncated: false};
+  expect(await uploadLate()).toEqual(refused);
   expect(one.runs.map(({id}) => id)).not.toContain('late');
 });
 
 // Guards against a stop that refuses what it could finish.
 test('an upload that arrives late and is finished in a stop is served', async () => {
   one.workMs = 20;
-  const earlier = Array.from({length: 5}, () =>
-    system.call(host, {method: 'POST', path: '/order/1'}),
-  );
-  await Promise.all(earlier);
-  const caller = new RawCaller();
-  const stopped = host.host.stop();
-  await sleep(800);
-  await uploadUntil(caller, 500);
-  await stopped;
-  await until(() => caller.hasEnded);
-  expect(caller.responses).toEqual({statuses: [200], isTruncated: false});
+  const served = {statuses: [200], isTruncated: false};
+  expect(await uploadLate()).toEqual(served);
 });
 
 // Guards against requests that wait for an upstream until they can't be finished any more.
