Ignore errors of idle tunnels, bytes behind their end, and streams that are done

Found by reading the change: a stream over a tunnel had no error listener of its own while no request used it, and would have pushed a second end for bytes behind the last frame; a stop would have aborted streams whose last bytes were only waiting for their callers.

--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -461,7 +461,7 @@
 
   /** Ends a response that is being passed on, so that it doesn't look complete. */
   abort(): void {
-    if (this.streaming) {
+    if (this.streaming && !this.done) {
       this.delivery.abort();
     }
   }
--- a/src/platform/settings_file.ts
+++ b/src/platform/settings_file.ts
@@ -256,7 +256,7 @@
 }
 
 /**
- * An address to which something can be sent. Node throws for ports that are out of range, and
+ * An address to which something can be sent: an IPv4 address and a port. Node throws for ports that are out of range, and
  * for datagrams to port 0.
  */
 export function parseDestination(text: string): SocketAddress | undefined {
--- a/src/tunnels/tunnel_socket.ts
+++ b/src/tunnels/tunnel_socket.ts
@@ -33,6 +33,8 @@
     boundary.listen(socket, 'end', () => this.breakUnlessEnded());
     boundary.listen(socket, 'close', () => this.breakUnlessEnded());
     boundary.listen(socket, 'error', (error: Error) => this.destroy(error));
+    // Without a listener, an error while no request uses it would end the process.
+    boundary.listen(this, 'error', () => undefined);
   }
 
   /** Resets the connection, so that bytes in transit are lost. */
@@ -87,6 +89,9 @@
 
   private receive(received: Buffer): void {
     const {decoder, socket} = this;
+    if (decoder.hasEnded) {
+      return;
+    }
     for (const piece of decoder.decode(received)) {
       if (!this.push(piece)) {
         socket.pause();
