Let a connection take turns once at most

What would happen: a kept connection whose responses were twice in many small pieces got two ConnectionInputs. The second took over pause and resume, so that the first parsed on while the reader of the response made it wait. The same for a response without length whose end is delayed.

A connection that takes turns carries no further request, and only framed responses make one take turns: without framing a piece is what was read at once, which parsing doesn't multiply.

--- a/src/upstreams/attempt.ts
+++ b/src/upstreams/attempt.ts
@@ -180,7 +180,7 @@
         return;
       }
       completion.verify(
-        () => this.settleBuffered(response, body.toBuffer()),
+        () => this.settleBuffered(response, body.toBuffer(), pieces.takesTurns),
         () =>
           this.fail('the connection was reset before the end of the response'),
       );
@@ -240,10 +240,14 @@
     });
   }
 
-  private settleBuffered(response: IncomingMessage, body: Buffer): void {
+  private settleBuffered(
+    response: IncomingMessage,
+    body: Buffer,
+    takesTurns: boolean,
+  ): void {
     const result = this.classify(response, body);
     const isValid = result.kind !== 'broken';
-    const canReuse = isFramed(response) && isKeepAlive(response);
+    const canReuse = isFramed(response) && isKeepAlive(response) && !takesTurns;
     this.settle(
       result,
       isValid && canReuse && this.outgoing?.writableFinished === true,
--- a/src/upstreams/response_pieces.ts
+++ b/src/upstreams/response_pieces.ts
@@ -9,6 +9,7 @@
 import type {ErrorBoundary} from '../lifecycle/index.js';
 import type {TurnQueue} from '../servers/index.js';
 import {takeTurns} from '../servers/index.js';
+import {isFramed} from './response_completion.js';
 
 /** Pieces of a body after which its connection takes turns with others, ... */
 const MANY_PIECES = 1_000;
@@ -36,6 +37,7 @@
 export class ResponsePieces {
   private count = 0;
   private bytes = 0;
+  private hasTurns = false;
 
   constructor(
     private readonly response: IncomingMessage,
@@ -43,11 +45,18 @@
     private readonly turns: TurnQueue,
   ) {}
 
+  /** Whether its connection takes turns, and so can carry no further response. */
+  get takesTurns(): boolean {
+    return this.hasTurns;
+  }
+
   note(piece: Buffer): void {
     this.count += 1;
     this.bytes += piece.length;
-    const isDue = this.count === MANY_PIECES;
+    // Without framing, a piece is what was read at once; its end may be delayed already.
+    const isDue = this.count === MANY_PIECES && isFramed(this.response);
     if (isDue && this.bytes < MANY_PIECES * SMALL_PIECE_BYTES) {
+      this.hasTurns = true;
       takeTurns(this.response.socket, this.boundary, this.turns);
     }
   }
